--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -7,17 +7,17 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // slowTable takes a few milliseconds for a commit, as a table in another zone does.
 type slowTable struct {
-	platform.Table
+	store.Table
 	commits atomic.Int64
 }
 
-func (s *slowTable) Commit(ctx context.Context, t platform.Txn) error {
+func (s *slowTable) Commit(ctx context.Context, t store.Txn) error {
 	s.commits.Add(1)
 	time.Sleep(3 * time.Millisecond)
 	return s.Table.Commit(ctx, t)
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -11,16 +11,16 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // faulty fails commits by script before or after they take effect.
 type faulty struct {
-	platform.Table
+	store.Table
 	mu     sync.Mutex
 	script []fault
-	late   []platform.Txn
+	late   []store.Txn
 }
 
 type fault uint8
@@ -32,7 +32,7 @@
 	delayWrite // no answer, takes effect when land is called
 )
 
-func (f *faulty) Commit(ctx context.Context, t platform.Txn) error {
+func (f *faulty) Commit(ctx context.Context, t store.Txn) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := pass
@@ -41,13 +41,13 @@
 	}
 	switch next {
 	case refuse:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case loseAnswer:
 		_ = f.Table.Commit(ctx, t)
-		return platform.ErrIndeterminate
+		return store.ErrIndeterminate
 	case delayWrite:
 		f.late = append(f.late, t)
-		return platform.ErrIndeterminate
+		return store.ErrIndeterminate
 	default:
 		return f.Table.Commit(ctx, t)
 	}
--- a/claim/release.go
+++ b/claim/release.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // sweepPage is how many expired rows one transaction deletes.
@@ -85,7 +85,7 @@
 func (t *Table) releaseRow(ctx context.Context, key string, r release) bool {
 	found, err := t.table.Get(ctx, key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		if !r.fence {
 			return true
 		}
@@ -94,14 +94,14 @@
 	case !heldBy(found, r.requestID):
 		return true
 	}
-	err = t.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: key, Version: found.Version}},
-		Writes: []platform.Write{{Key: key, Value: encode(row{RequestID: r.requestID, State: stateReleased})}},
+	err = t.table.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: key, Version: found.Version}},
+		Writes: []store.Write{{Key: key, Value: encode(row{RequestID: r.requestID, State: stateReleased})}},
 	})
 	return err == nil
 }
 
-func heldBy(found platform.Row, requestID string) bool {
+func heldBy(found store.Row, requestID string) bool {
 	var r row
 	err := json.Unmarshal(found.Value, &r)
 	return err == nil && r.RequestID == requestID && r.State == stateClaimed
@@ -115,10 +115,10 @@
 		return false, err
 	}
 	limit := fmt.Sprintf("%s%010d/", Prefix, bucketOf(t.now())-1)
-	var del platform.Txn
+	var del store.Txn
 	for _, r := range rows {
 		if r.Key < limit {
-			del.Writes = append(del.Writes, platform.Write{Key: r.Key, Delete: true})
+			del.Writes = append(del.Writes, store.Write{Key: r.Key, Delete: true})
 		}
 	}
 	if len(del.Writes) == 0 {
--- a/claim/table.go
+++ b/claim/table.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // Table claims keys in the platform's table. It is safe for concurrent use.
 type Table struct {
-	table platform.Table
+	table store.Table
 	now   func() time.Time
 
 	mu       sync.Mutex
@@ -43,7 +43,7 @@
 }
 
 // NewTable returns claims in table. Run must be running for Take to answer.
-func NewTable(table platform.Table, now func() time.Time) *Table {
+func NewTable(table store.Table, now func() time.Time) *Table {
 	return &Table{table: table, now: now, wake: make(chan struct{}, 1), wakeRel: make(chan struct{}, 1)}
 }
 
@@ -156,14 +156,14 @@
 func (t *Table) commit(ctx context.Context, batch []*waiter) {
 	for len(batch) > 0 {
 		err := t.table.Commit(ctx, txn(batch))
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		switch {
 		case err == nil:
 			answer(batch, Granted)
 			return
 		case errors.As(err, &conflict):
 			batch = t.onConflict(ctx, batch, conflict.Key)
-		case errors.Is(err, platform.ErrIndeterminate):
+		case errors.Is(err, store.ErrIndeterminate):
 			t.settle(ctx, batch)
 			return
 		default:
@@ -173,13 +173,13 @@
 	}
 }
 
-func txn(batch []*waiter) platform.Txn {
-	var out platform.Txn
+func txn(batch []*waiter) store.Txn {
+	var out store.Txn
 	for _, w := range batch {
 		for key, version := range w.expect {
-			out.Checks = append(out.Checks, platform.Check{Key: key, Version: version})
+			out.Checks = append(out.Checks, store.Check{Key: key, Version: version})
 		}
-		out.Writes = append(out.Writes, platform.Write{Key: w.own, Value: encode(row{RequestID: w.claim.RequestID, State: stateClaimed})})
+		out.Writes = append(out.Writes, store.Write{Key: w.own, Value: encode(row{RequestID: w.claim.RequestID, State: stateClaimed})})
 	}
 	return out
 }
@@ -211,7 +211,7 @@
 func (t *Table) look(ctx context.Context, w *waiter, key string) Verdict {
 	found, err := t.table.Get(ctx, key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		w.expect[key] = 0
 		return 0
 	case err != nil:
@@ -238,7 +238,7 @@
 func (t *Table) settle(ctx context.Context, batch []*waiter) {
 	for range settleReads {
 		err := t.table.Commit(ctx, txn(batch))
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		switch {
 		case err == nil:
 			answer(batch, Granted)
@@ -246,7 +246,7 @@
 		case errors.As(err, &conflict):
 			t.commit(ctx, t.onConflict(ctx, batch, conflict.Key))
 			return
-		case !errors.Is(err, platform.ErrIndeterminate):
+		case !errors.Is(err, store.ErrIndeterminate):
 			t.giveUp(batch)
 			return
 		}
--- a/dissemination/conflict.go
+++ b/dissemination/conflict.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // maxConflictLog bounds the revisions that a conflict error names.
@@ -82,7 +82,7 @@
 	return e
 }
 
-func (e *ConflictError) add(row platform.Row, changes map[string]Change) {
+func (e *ConflictError) add(row store.Row, changes map[string]Change) {
 	var entry LogEntry
 	if json.Unmarshal(row.Value, &entry) != nil {
 		return
--- a/dissemination/reader.go
+++ b/dissemination/reader.go
@@ -9,7 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 const (
@@ -28,12 +28,12 @@
 // Reader brings a State up to the head of the platform's table. It is for one
 // goroutine at a time.
 type Reader struct {
-	table platform.Table
+	table store.Table
 	state *State
 }
 
 // NewReader returns a reader of table into state.
-func NewReader(table platform.Table, state *State) *Reader {
+func NewReader(table store.Table, state *State) *Reader {
 	return &Reader{table: table, state: state}
 }
 
@@ -61,7 +61,7 @@
 	latest := make(map[string]Record)
 	for rev := from + 1; rev <= to; rev++ {
 		entry, err := ReadLog(ctx, r.table, rev)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			return r.readAll(ctx, to)
 		}
 		if err != nil {
--- a/dissemination/schema.go
+++ b/dissemination/schema.go
@@ -8,7 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Rows of the platform's table. The head row is checked and rewritten by every
@@ -64,7 +64,7 @@
 }
 
 // LogBegin returns the lowest revision that the log still holds, 0 if it is empty.
-func LogBegin(ctx context.Context, table platform.Table) (uint64, error) {
+func LogBegin(ctx context.Context, table store.Table) (uint64, error) {
 	rows, err := table.List(ctx, LogPrefix, "", 1)
 	if err != nil || len(rows) == 0 {
 		return 0, err
--- a/dissemination/sweep.go
+++ b/dissemination/sweep.go
@@ -8,7 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Bounds of a Sweeper.
@@ -36,13 +36,13 @@
 // touches the head, a live record or a row that was rewritten since it was read.
 // Several may run at once, and an interrupted one may be started again.
 type Sweeper struct {
-	table platform.Table
+	table store.Table
 	pause time.Duration
 	swept Swept
 }
 
 // NewSweeper returns a sweeper that rests for pause after each transaction.
-func NewSweeper(table platform.Table, pause time.Duration) *Sweeper {
+func NewSweeper(table store.Table, pause time.Duration) *Sweeper {
 	return &Sweeper{table: table, pause: pause}
 }
 
@@ -86,12 +86,12 @@
 	keepRest
 )
 
-type judge func(platform.Row) (verdict, error)
+type judge func(store.Row) (verdict, error)
 
 // oldLogRows deletes from the beginning of the log up to the first row that is
 // younger or whose time cannot be read.
 func oldLogRows(before time.Time, head uint64) judge {
-	return func(row platform.Row) (verdict, error) {
+	return func(row store.Row) (verdict, error) {
 		var e LogEntry
 		if err := json.Unmarshal(row.Value, &e); err != nil {
 			return keepRest, merry.Prependf(err, "decode row %s", row.Key)
@@ -105,7 +105,7 @@
 }
 
 func tombstonesBelow(begin uint64) judge {
-	return func(row platform.Row) (verdict, error) {
+	return func(row store.Row) (verdict, error) {
 		var r StoredRecord
 		if err := json.Unmarshal(row.Value, &r); err != nil {
 			return keepRest, merry.Prependf(err, "decode row %s", row.Key)
@@ -118,7 +118,7 @@
 }
 
 func confirmationsBefore(before time.Time) judge {
-	return func(row platform.Row) (verdict, error) {
+	return func(row store.Row) (verdict, error) {
 		var c Confirmation
 		if err := json.Unmarshal(row.Value, &c); err != nil {
 			return keepRest, merry.Prependf(err, "decode row %s", row.Key)
@@ -163,7 +163,7 @@
 
 // page is a few rows and the condemned among them.
 type page struct {
-	condemned []platform.Row
+	condemned []store.Row
 	last      string
 	end       bool
 }
@@ -192,14 +192,14 @@
 }
 
 // delete deletes rows if none was written since it was read, and rests.
-func (s *Sweeper) delete(ctx context.Context, rows []platform.Row) error {
+func (s *Sweeper) delete(ctx context.Context, rows []store.Row) error {
 	if len(rows) == 0 {
 		return nil
 	}
-	var t platform.Txn
+	var t store.Txn
 	for _, row := range rows {
-		t.Checks = append(t.Checks, platform.Check{Key: row.Key, Version: row.Version})
-		t.Writes = append(t.Writes, platform.Write{Key: row.Key, Delete: true})
+		t.Checks = append(t.Checks, store.Check{Key: row.Key, Version: row.Version})
+		t.Writes = append(t.Writes, store.Write{Key: row.Key, Delete: true})
 	}
 	if err := s.table.Commit(ctx, t); err != nil {
 		return err
@@ -210,5 +210,5 @@
 
 // isPassing reports whether trying again may help after err.
 func isPassing(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrIndeterminate)
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrIndeterminate)
 }
--- a/dissemination/sweep_test.go
+++ b/dissemination/sweep_test.go
@@ -9,13 +9,13 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // agedTable holds days of 100 changes each. On every day a server is added, and
 // the one of the day before is deleted. The first change also writes a contract.
-func agedTable(t *testing.T, days int, hook memory.Hook) platform.Table {
+func agedTable(t *testing.T, days int, hook memory.Hook) store.Table {
 	t.Helper()
 	quiet := true
 	table := memory.New(memory.Options{Hook: func(op memory.Op) error {
@@ -42,7 +42,7 @@
 	return table
 }
 
-func rows(t *testing.T, table platform.Table, prefix string) int {
+func rows(t *testing.T, table store.Table, prefix string) int {
 	t.Helper()
 	n := 0
 	for after := ""; ; {
@@ -99,7 +99,7 @@
 			if op.Port != memory.PortTable || op.Phase != phase {
 				return nil
 			}
-			if n++; n%3 == 0 && (op.Write || err == platform.ErrUnavailable) {
+			if n++; n%3 == 0 && (op.Write || err == store.ErrUnavailable) {
 				return err
 			}
 			return nil
@@ -109,9 +109,9 @@
 		name string
 		hook memory.Hook
 	}{
-		{"unavailable", everyThird(memory.Before, platform.ErrUnavailable)},
-		{"answer lost before the effect", everyThird(memory.Before, platform.ErrIndeterminate)},
-		{"answer lost after the effect", everyThird(memory.After, platform.ErrIndeterminate)},
+		{"unavailable", everyThird(memory.Before, store.ErrUnavailable)},
+		{"answer lost before the effect", everyThird(memory.Before, store.ErrIndeterminate)},
+		{"answer lost after the effect", everyThird(memory.After, store.ErrIndeterminate)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -152,7 +152,7 @@
 // A tombstone row written anew between its reading and its deletion stays.
 func TestSweepSparesARecordThatReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var table platform.Table
+		var table store.Table
 		returned := false
 		table = agedTable(t, 5, func(op memory.Op) error {
 			if op.Write && op.Phase == memory.Before && op.Key == "backends/vm--1" && !returned {
@@ -176,7 +176,7 @@
 // that it knows of deletions whose rows are gone.
 func TestSweepWhileAllRowsAreRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var table platform.Table
+		var table store.Table
 		swept := false
 		table = agedTable(t, 5, func(op memory.Op) error {
 			if op.Name == "list" && op.Key == BackendPrefix && op.Phase == memory.Before && !swept {
--- a/dissemination/writer.go
+++ b/dissemination/writer.go
@@ -10,7 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Pauses between attempts to settle a write whose answer was lost.
@@ -34,14 +34,14 @@
 // that holds only if the head is still the one that the operator saw. It is safe
 // for concurrent use.
 type Writer struct {
-	table    platform.Table
+	table    store.Table
 	changeID func() string
 	now      func() time.Time
 }
 
 // NewWriter returns a writer to table. changeID returns a new unique id for each
 // change; now gives the time written to the log.
-func NewWriter(table platform.Table, changeID func() string, now func() time.Time) *Writer {
+func NewWriter(table store.Table, changeID func() string, now func() time.Time) *Writer {
 	return &Writer{table: table, changeID: changeID, now: now}
 }
 
@@ -85,7 +85,7 @@
 // row of a revision is written once, so that reading it decides. While there is
 // none, the transaction may still be on its way; sending the same one again is
 // safe, since at most one of the two passes the check of the head.
-func (w *Writer) settle(ctx context.Context, entry LogEntry, txn platform.Txn, changes map[string]Change, cause error) (uint64, error) {
+func (w *Writer) settle(ctx context.Context, entry LogEntry, txn store.Txn, changes map[string]Change, cause error) (uint64, error) {
 	for pause := settlePauseFirst; ; pause = min(2*pause, settlePauseMost) {
 		found, err := ReadLog(ctx, w.table, entry.Revision)
 		switch {
@@ -93,7 +93,7 @@
 			return entry.Revision, nil
 		case err == nil:
 			return 0, w.Conflict(ctx, entry.Revision-1, changes)
-		case errors.Is(err, platform.ErrNotFound) && ctx.Err() == nil:
+		case errors.Is(err, store.ErrNotFound) && ctx.Err() == nil:
 			if w.table.Commit(ctx, txn) == nil {
 				return entry.Revision, nil
 			}
@@ -119,10 +119,10 @@
 }
 
 // transaction builds the one transaction that commits e over a head row at version.
-func transaction(e LogEntry, version uint64) (platform.Txn, error) {
+func transaction(e LogEntry, version uint64) (store.Txn, error) {
 	logKey := LogKey(e.Revision)
 	// The check of the log row refuses to write over history if the head row was ever set back.
-	t := platform.Txn{Checks: []platform.Check{{Key: HeadKey, Version: version}, {Key: logKey, Version: 0}}}
+	t := store.Txn{Checks: []store.Check{{Key: HeadKey, Version: version}, {Key: logKey, Version: 0}}}
 	if err := addWrite(&t, HeadKey, Head{Revision: e.Revision, ChangeID: e.ChangeID}); err != nil {
 		return t, err
 	}
@@ -137,19 +137,19 @@
 	return t, nil
 }
 
-func addWrite(t *platform.Txn, key string, value any) error {
+func addWrite(t *store.Txn, key string, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return merry.Prependf(err, "encode %s", key)
 	}
-	t.Writes = append(t.Writes, platform.Write{Key: key, Value: data})
+	t.Writes = append(t.Writes, store.Write{Key: key, Value: data})
 	return nil
 }
 
 // ReadHead returns the head and the version of its row; both are zero before the first change.
-func ReadHead(ctx context.Context, table platform.Table) (Head, uint64, error) {
+func ReadHead(ctx context.Context, table store.Table) (Head, uint64, error) {
 	row, err := table.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -162,8 +162,8 @@
 	return h, row.Version, nil
 }
 
-// ReadLog returns the log row of a revision, or platform.ErrNotFound.
-func ReadLog(ctx context.Context, table platform.Table, revision uint64) (LogEntry, error) {
+// ReadLog returns the log row of a revision, or store.ErrNotFound.
+func ReadLog(ctx context.Context, table store.Table, revision uint64) (LogEntry, error) {
 	var e LogEntry
 	row, err := table.Get(ctx, LogKey(revision))
 	if err != nil {
@@ -176,16 +176,16 @@
 }
 
 func isConflict(err error) bool {
-	var c *platform.ConflictError
+	var c *store.ConflictError
 	return errors.As(err, &c)
 }
 
 // isWithoutEffect reports whether a failed commit is known to have had no effect.
 func isWithoutEffect(err error) bool {
-	if errors.Is(err, platform.ErrIndeterminate) {
+	if errors.Is(err, store.ErrIndeterminate) {
 		return false
 	}
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrInvalid)
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrInvalid)
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/dissemination/writer_test.go
+++ b/dissemination/writer_test.go
@@ -14,46 +14,46 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // tinyTable is a table with a hook before each commit. The hook returns the
 // error to give, and whether the commit takes effect all the same.
 type tinyTable struct {
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]store.Row
 	hook func(n int) (effect bool, err error)
 	down func() bool
 	n    int
 }
 
-func (t *tinyTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *tinyTable) Get(_ context.Context, key string) (store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down != nil && t.down() {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	r, ok := t.rows[key]
 	if !ok {
-		return r, platform.ErrNotFound
+		return r, store.ErrNotFound
 	}
 	return r, nil
 }
 
-func (t *tinyTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *tinyTable) List(_ context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []store.Row
 	for k, r := range t.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
 	return out[:min(limit, len(out))], nil
 }
 
-func (t *tinyTable) Commit(_ context.Context, txn platform.Txn) error {
+func (t *tinyTable) Commit(_ context.Context, txn store.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.n++
@@ -66,17 +66,17 @@
 	}
 	for _, c := range txn.Checks {
 		if have := t.rows[c.Key].Version; have != c.Version {
-			return &platform.ConflictError{Key: c.Key, Want: c.Version, Have: have}
+			return &store.ConflictError{Key: c.Key, Want: c.Version, Have: have}
 		}
 	}
 	for _, w := range txn.Writes {
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+		t.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
 	}
 	return err
 }
 
 func newTable() *tinyTable {
-	return &tinyTable{rows: make(map[string]platform.Row)}
+	return &tinyTable{rows: make(map[string]store.Row)}
 }
 
 func newWriter(t *tinyTable) *Writer {
@@ -131,7 +131,7 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	lost := platform.ErrIndeterminate
+	lost := store.ErrIndeterminate
 	for _, tc := range []struct {
 		name    string
 		hook    func(n int) (bool, error)
@@ -171,7 +171,7 @@
 			_, err := newWriter(table).Commit(t.Context(), "ben", 0, one("contracts/b", "theirs"))
 			table.mu.Lock()
 			assert.NilError(t, err)
-			return false, platform.ErrIndeterminate
+			return false, store.ErrIndeterminate
 		}
 		_, err := newWriter(table).Commit(t.Context(), "ann", 0, one("contracts/a", "x"))
 		var c *ConflictError
@@ -182,7 +182,7 @@
 func TestOutcomeUnknownWhenStoreStaysDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newTable()
-		table.hook = func(int) (bool, error) { return true, platform.ErrIndeterminate }
+		table.hook = func(int) (bool, error) { return true, store.ErrIndeterminate }
 		table.down = func() bool { return table.n > 0 }
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -196,8 +196,8 @@
 
 func TestUnavailableWritesNothing(t *testing.T) {
 	table := newTable()
-	table.hook = func(int) (bool, error) { return false, platform.ErrUnavailable }
+	table.hook = func(int) (bool, error) { return false, store.ErrUnavailable }
 	_, err := newWriter(table).Commit(context.Background(), "ann", 0, one("contracts/a", "x"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	assert.Equal(t, table.n, 1)
 }
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -12,7 +12,7 @@
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // confirmer writes which revision this entry and the sidecars that it is linked to
@@ -20,7 +20,7 @@
 // otherwise every dissemination.ConfirmRefresh.
 type confirmer struct {
 	set   Settings
-	table platform.Table
+	table store.Table
 	pool  *pool
 	state *dissemination.State
 	// written is the revision by process in the row written last, at the time at.
@@ -57,8 +57,8 @@
 	if err != nil {
 		return err
 	}
-	w := platform.Write{Key: dissemination.ConfirmPrefix + c.set.ID, Value: value}
-	if err := c.table.Commit(ctx, platform.Txn{Writes: []platform.Write{w}}); err != nil {
+	w := store.Write{Key: dissemination.ConfirmPrefix + c.set.ID, Value: value}
+	if err := c.table.Commit(ctx, store.Txn{Writes: []store.Write{w}}); err != nil {
 		return err
 	}
 	c.written, c.at = revisions, now
@@ -116,8 +116,8 @@
 func (c *confirmer) withdraw() error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.set.Timing.PlatformCall)
 	defer cancel()
-	w := platform.Write{Key: dissemination.ConfirmPrefix + c.set.ID, Delete: true}
-	return c.table.Commit(ctx, platform.Txn{Writes: []platform.Write{w}})
+	w := store.Write{Key: dissemination.ConfirmPrefix + c.set.ID, Delete: true}
+	return c.table.Commit(ctx, store.Txn{Writes: []store.Write{w}})
 }
 
 func (s *Service) confirmLoop(ctx context.Context) {
--- a/entry/confirm_test.go
+++ b/entry/confirm_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 func TestConfirmationsAreWrittenOnChangeAndOnceAMinute(t *testing.T) {
@@ -28,7 +28,7 @@
 		p.peers["vm-3"].link = nil
 		c := &confirmer{set: set, table: table, pool: p, state: st}
 		key := dissemination.ConfirmPrefix + "e1"
-		row := func() (platform.Row, dissemination.Confirmation) {
+		row := func() (store.Row, dissemination.Confirmation) {
 			var v dissemination.Confirmation
 			r, err := table.Get(t.Context(), key)
 			assert.NilError(t, err)
@@ -57,6 +57,6 @@
 		assert.DeepEqual(t, v.Sidecars, []dissemination.SidecarsInZone{{Zone: "a", Revision: 4, IDs: []string{"vm-1"}}})
 		assert.NilError(t, c.withdraw())
 		_, err := table.Get(t.Context(), key)
-		assert.ErrorIs(t, err, platform.ErrNotFound)
+		assert.ErrorIs(t, err, store.ErrNotFound)
 	})
 }
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -12,7 +12,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/claim"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -34,7 +34,7 @@
 	sealer *claim.Sealer // nil when no ticket secret is set
 }
 
-func newGuard(set Settings, p *pool, table platform.Table) (*guard, error) {
+func newGuard(set Settings, p *pool, table store.Table) (*guard, error) {
 	g := &guard{set: set, pool: p, table: claim.NewTable(table, time.Now)}
 	if len(set.TicketSecrets) == 0 {
 		return g, nil
--- a/entry/poller_test.go
+++ b/entry/poller_test.go
@@ -10,23 +10,23 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // slowTable answers each call after a time, or with the end of its context.
 type slowTable struct {
-	platform.Table
+	store.Table
 	takes time.Duration
 	calls int
 }
 
-func (t *slowTable) Get(ctx context.Context, _ string) (platform.Row, error) {
+func (t *slowTable) Get(ctx context.Context, _ string) (store.Row, error) {
 	t.calls++
 	select {
 	case <-time.After(t.takes):
-		return platform.Row{}, platform.ErrNotFound
+		return store.Row{}, store.ErrNotFound
 	case <-ctx.Done():
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -15,7 +15,7 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // ServiceName is the name of the entry in a kernel.
@@ -28,10 +28,10 @@
 	met     *metrics.Set
 	state   *dissemination.State
 	index   *dissemination.Index
-	table   platform.Table
+	table   store.Table
 	pool    *pool
 	callers *callers
-	vms     platform.VMs
+	vms     store.VMs
 	guard   *guard
 	poller  *poller
 	placer  *placer
@@ -69,10 +69,10 @@
 	if err != nil {
 		return err
 	}
-	hc := platform.NewClient(conf)
-	s.table = platform.NewHTTPTable(s.set.Platform, hc, platform.Timeout(s.set.Timing.PlatformCall))
+	hc := store.NewClient(conf)
+	s.table = store.NewHTTPTable(s.set.Platform, hc, store.Timeout(s.set.Timing.PlatformCall))
 	s.poller = newPoller(dissemination.NewReader(s.table, s.state), s.set.Timing)
-	s.vms = platform.NewHTTPVMs(s.set.Platform, hc, platform.Timeout(s.set.Timing.PlatformCall))
+	s.vms = store.NewHTTPVMs(s.set.Platform, hc, store.Timeout(s.set.Timing.PlatformCall))
 	if s.placer, err = newPlacer(s.set.Policy); err != nil {
 		return err
 	}
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -13,7 +13,7 @@
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // TestEntryWithoutConfiguration: until the platform has answered once, a key that
--- a/entry/vms.go
+++ b/entry/vms.go
@@ -7,7 +7,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // maxGuestsTold is how many servers outside of the subset one reading of the list
@@ -44,10 +44,10 @@
 
 // markListed tells each peer whether the platform's list says that its VM is
 // leaving. A leaving server outside of the subset is linked as a guest for it.
-func (p *pool) markListed(vms []platform.VM) {
+func (p *pool) markListed(vms []store.VM) {
 	leaving := make(map[string]bool)
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == store.VMLeaving {
 			leaving[vm.ID] = true
 		}
 	}
--- a/entry/vms_test.go
+++ b/entry/vms_test.go
@@ -12,7 +12,7 @@
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 func TestEntriesShareTheReadingsOfVMs(t *testing.T) {
@@ -36,12 +36,12 @@
 	s.pool = newPool(set, quiet, nil, rand.Text(), s.state, s.index)
 	defer s.pool.close()
 	d := dissemination.Delta{Head: 1}
-	var vms []platform.VM
+	var vms []store.VM
 	for i := range 2 * maxGuestsTold {
 		id := fmt.Sprintf("b%d", i)
 		body := fmt.Sprintf("id: %s\naddress: 127.0.0.1:1\nzone: z\nrole: decode\nmodels: [m]\n", id)
 		d.Records = append(d.Records, dissemination.Record{Key: dissemination.BackendPrefix + id, Revision: 1, Value: []byte(body)})
-		vms = append(vms, platform.VM{ID: id, State: platform.VMLeaving})
+		vms = append(vms, store.VM{ID: id, State: store.VMLeaving})
 	}
 	_, err := s.state.Apply(d)
 	assert.NilError(t, err)
--- a/load/capacity/platform.go
+++ b/load/capacity/platform.go
@@ -13,32 +13,32 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
 	standin "github.com/hibiscusspur/hibiscusspur/standin/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
-// store is a platform in this process, with one writer of the configuration.
-type store struct {
+// localStore is a platform in this process, with one writer of the configuration.
+type localStore struct {
 	server *standin.Server
 	writer *dissemination.Writer
 	head   uint64
 }
 
-func newStore() (*store, error) {
+func newStore() (*localStore, error) {
 	server, err := standin.Start(standin.Options{Listen: "127.0.0.1:0"})
 	if err != nil {
 		return nil, err
 	}
-	s := &store{server: server}
-	table := platform.NewHTTPTable(s.url(), &http.Client{Transport: &http.Transport{}})
+	s := &localStore{server: server}
+	table := store.NewHTTPTable(s.url(), &http.Client{Transport: &http.Transport{}})
 	s.writer = dissemination.NewWriter(table, rand.Text, time.Now)
 	return s, nil
 }
 
-func (s *store) url() string { return "http://" + s.server.Addr() }
+func (s *localStore) url() string { return "http://" + s.server.Addr() }
 
 // commit writes one revision.
-func (s *store) commit(ctx context.Context, changes map[string]dissemination.Change) error {
+func (s *localStore) commit(ctx context.Context, changes map[string]dissemination.Change) error {
 	head, err := s.writer.Commit(ctx, "capacity", s.head, changes)
 	if err == nil {
 		s.head = head
@@ -51,7 +51,7 @@
 const recordsPerChange = 50
 
 // configure writes contracts and backend records, several to a revision.
-func (s *store) configure(ctx context.Context, contracts []*contract.Contract, backends []contract.Backend) error {
+func (s *localStore) configure(ctx context.Context, contracts []*contract.Contract, backends []contract.Backend) error {
 	changes := make(map[string]dissemination.Change)
 	put := func(key string, body []byte, err error) error {
 		if err != nil {
@@ -83,16 +83,16 @@
 }
 
 // delta is the whole configuration.
-func (s *store) delta(ctx context.Context) (dissemination.Delta, error) {
+func (s *localStore) delta(ctx context.Context) (dissemination.Delta, error) {
 	state := dissemination.NewState()
-	err := dissemination.NewReader(platform.NewHTTPTable(s.url(), nil), state).Poll(ctx)
+	err := dissemination.NewReader(store.NewHTTPTable(s.url(), nil), state).Poll(ctx)
 	return state.Since(0), err
 }
 
 // listVMs puts n VMs on the platform's list.
-func (s *store) listVMs(ctx context.Context, n int) error {
+func (s *localStore) listVMs(ctx context.Context, n int) error {
 	for i := range n {
-		body, err := json.Marshal(platform.VM{ID: serverID(i), Zone: "zone-a", State: platform.VMLive})
+		body, err := json.Marshal(store.VM{ID: serverID(i), Zone: "zone-a", State: store.VMLive})
 		if err != nil {
 			return err
 		}
--- a/load/capacity/platformrest.go
+++ b/load/capacity/platformrest.go
@@ -11,8 +11,8 @@
 
 	"github.com/hibiscusspur/hibiscusspur/entry"
 	"github.com/hibiscusspur/hibiscusspur/load/lab"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
 	standin "github.com/hibiscusspur/hibiscusspur/standin/platform"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // calls are what a platform has been asked so far.
@@ -22,7 +22,7 @@
 	vms   standin.PortCounters
 }
 
-func (s *store) calls() calls {
+func (s *localStore) calls() calls {
 	c := s.server.Counters()
 	return calls{time.Now(), c[memory.PortTable], c[memory.PortVMs]}
 }
--- a/load/capacity/rest.go
+++ b/load/capacity/rest.go
@@ -173,7 +173,7 @@
 
 // world is a platform with a configuration, behind a relay.
 type world struct {
-	store *store
+	store *localStore
 	relay *relay
 }
 
--- a/operator/change.go
+++ b/operator/change.go
@@ -10,7 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // ChangeRef names a change whose outcome is unknown: the revision that it becomes
@@ -69,7 +69,7 @@
 	r := &ChangeReport{State: ChangeCommitted, Revision: ref.Revision}
 	entry, err := dissemination.ReadLog(ctx, o.table, ref.Revision)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return r, o.findMissing(ctx, r)
 	case err != nil:
 		return nil, classify(err)
--- a/operator/compact.go
+++ b/operator/compact.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Bounds of a compaction.
@@ -108,7 +108,7 @@
 
 func (o *Operator) writtenBefore(ctx context.Context, revision uint64, before time.Time) (bool, error) {
 	e, err := dissemination.ReadLog(ctx, o.table, revision)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return true, nil
 	}
 	if err != nil {
--- a/operator/compact_test.go
+++ b/operator/compact_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 func backends(t *testing.T, from, to int) Wanted {
@@ -44,7 +44,7 @@
 var compactOptions = CompactOptions{Keep: 168 * time.Hour, KeepLog: 720 * time.Hour, Pause: time.Second, Step: 30 * time.Second}
 
 // agedOperator has 150 servers retired 9 days ago, 10 a day ago, and 10 in use.
-func agedOperator(t *testing.T, hook memory.Hook) (*Operator, platform.Table) {
+func agedOperator(t *testing.T, hook memory.Hook) (*Operator, store.Table) {
 	t.Helper()
 	on := false
 	o, table := newOperator(func(op memory.Op) error {
@@ -107,7 +107,7 @@
 				return nil
 			}
 			if nth++; nth%3 == 1 {
-				return platform.ErrIndeterminate
+				return store.ErrIndeterminate
 			}
 			return nil
 		}
@@ -149,7 +149,7 @@
 				n++
 			}
 			if n > 1 {
-				return platform.ErrUnavailable
+				return store.ErrUnavailable
 			}
 			return nil
 		})
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,13 +9,13 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Operator carries out the commands of one operator against a table. It is safe
 // for concurrent use.
 type Operator struct {
-	table  platform.Table
+	table  store.Table
 	writer *dissemination.Writer
 	author string
 	now    func() time.Time
@@ -26,7 +26,7 @@
 }
 
 // New returns an operator whose changes are logged under author.
-func New(table platform.Table, author string, now func() time.Time) *Operator {
+func New(table store.Table, author string, now func() time.Time) *Operator {
 	return &Operator{
 		table:      table,
 		writer:     dissemination.NewWriter(table, rand.Text, now),
@@ -110,7 +110,7 @@
 	if err == nil {
 		return revision, nil
 	}
-	if errors.Is(err, platform.ErrInvalid) {
+	if errors.Is(err, store.ErrInvalid) {
 		return 0, badInput("refused by the platform: %v", err)
 	}
 	return 0, classify(err)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -18,8 +18,8 @@
 	"github.com/hibiscusspur/hibiscusspur/config"
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 const body = `customer: CUSTOMER
@@ -60,7 +60,7 @@
 	return revision
 }
 
-func newOperator(hook memory.Hook) (*Operator, platform.Table) {
+func newOperator(hook memory.Hook) (*Operator, store.Table) {
 	table := memory.New(memory.Options{Hook: hook}).Table()
 	return New(table, "ann", time.Now), table
 }
@@ -153,7 +153,7 @@
 			return err
 		}
 		if down {
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		}
 		return nil
 	}
@@ -167,9 +167,9 @@
 		code  Code
 		state ChangeState
 	}{
-		{"no effect", memory.Before, platform.ErrUnavailable, CodeUnavailable, ""},
-		{"answer lost, no effect", memory.Before, platform.ErrIndeterminate, CodeUnknown, ChangeOpen},
-		{"answer lost after effect", memory.After, platform.ErrIndeterminate, CodeUnknown, ChangeCommitted},
+		{"no effect", memory.Before, store.ErrUnavailable, CodeUnavailable, ""},
+		{"answer lost, no effect", memory.Before, store.ErrIndeterminate, CodeUnknown, ChangeOpen},
+		{"answer lost after effect", memory.After, store.ErrIndeterminate, CodeUnknown, ChangeCommitted},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			wanted := mustLoad(t, "a.yaml", contractText("a", "key-a"))
@@ -198,7 +198,7 @@
 }
 
 func TestReadingDuringOutage(t *testing.T) {
-	o, _ := newOperator(func(memory.Op) error { return platform.ErrUnavailable })
+	o, _ := newOperator(func(memory.Op) error { return store.ErrUnavailable })
 	_, _, err := o.Contracts(t.Context())
 	assert.Equal(t, CodeOf(err), CodeUnavailable)
 	_, err = o.Status(t.Context())
@@ -229,8 +229,8 @@
 	for _, c := range []dissemination.Confirmation{{ID: "entry-1", Revision: 1, Time: now}, {ID: "vm-1", Revision: 0, Time: now}} {
 		value, err := json.Marshal(c)
 		assert.NilError(t, err)
-		write := platform.Write{Key: dissemination.ConfirmPrefix + c.ID, Value: value}
-		assert.NilError(t, table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{write}}))
+		write := store.Write{Key: dissemination.ConfirmPrefix + c.ID, Value: value}
+		assert.NilError(t, table.Commit(t.Context(), store.Txn{Writes: []store.Write{write}}))
 	}
 	s, err := o.Status(t.Context())
 	assert.NilError(t, err)
--- a/operator/push_test.go
+++ b/operator/push_test.go
@@ -11,8 +11,8 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/internal/sidecartest"
 	"github.com/hibiscusspur/hibiscusspur/operator"
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // TestPushWhenTheTableGoesOut: the commit is the last thing that the table does,
@@ -35,7 +35,7 @@
 		assert.NilError(t, err)
 		revision, err := o.Commit(ctx, p)
 		assert.NilError(t, err)
-		out = errors.Join(platform.ErrUnavailable)
+		out = errors.Join(store.ErrUnavailable)
 		defer func() { out = nil }()
 		return o.Push(ctx, p, revision)
 	}
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/config"
-	"github.com/hibiscusspur/hibiscusspur/platform"
 	"github.com/hibiscusspur/hibiscusspur/security"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Settings say how the operator commands reach the platform.
@@ -31,7 +31,7 @@
 
 // DefaultSettings returns the defaults, on which a file is laid.
 func DefaultSettings() Settings {
-	return Settings{Call: platform.DefaultTimeout, MaxRecords: DefaultMaxRecords}
+	return Settings{Call: store.DefaultTimeout, MaxRecords: DefaultMaxRecords}
 }
 
 // LoadSettings reads a settings file.
@@ -57,10 +57,10 @@
 }
 
 // Table returns a client of the platform's table.
-func (s Settings) Table() (platform.Table, error) {
+func (s Settings) Table() (store.Table, error) {
 	tlsConfig, err := s.TLS.Config()
 	if err != nil {
 		return nil, badInput("tls: %v", err)
 	}
-	return platform.NewHTTPTable(s.Platform, platform.NewClient(tlsConfig), platform.Timeout(s.Call)), nil
+	return store.NewHTTPTable(s.Platform, store.NewClient(tlsConfig), store.Timeout(s.Call)), nil
 }
--- a/operator/snapshot.go
+++ b/operator/snapshot.go
@@ -11,7 +11,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // pageSize is how many rows are read at once.
@@ -25,7 +25,7 @@
 
 // ReadSnapshot reads the contract and backend rows. It reads anew until no change
 // was committed meanwhile.
-func ReadSnapshot(ctx context.Context, table platform.Table) (*Snapshot, error) {
+func ReadSnapshot(ctx context.Context, table store.Table) (*Snapshot, error) {
 	head, _, err := dissemination.ReadHead(ctx, table)
 	for err == nil {
 		s := &Snapshot{Head: head, Records: make(map[string]dissemination.StoredRecord)}
@@ -39,9 +39,9 @@
 	return nil, classify(err)
 }
 
-func (s *Snapshot) read(ctx context.Context, table platform.Table) error {
+func (s *Snapshot) read(ctx context.Context, table store.Table) error {
 	for _, prefix := range []string{dissemination.ContractPrefix, dissemination.BackendPrefix} {
-		err := eachRow(ctx, table, prefix, func(row platform.Row) error {
+		err := eachRow(ctx, table, prefix, func(row store.Row) error {
 			var r dissemination.StoredRecord
 			if err := json.Unmarshal(row.Value, &r); err != nil {
 				return merry.Prependf(err, "decode row %s", row.Key)
@@ -57,7 +57,7 @@
 }
 
 // eachRow calls f for every row with prefix, in key order.
-func eachRow(ctx context.Context, table platform.Table, prefix string, f func(platform.Row) error) error {
+func eachRow(ctx context.Context, table store.Table, prefix string, f func(store.Row) error) error {
 	after := ""
 	for {
 		rows, err := table.List(ctx, prefix, after, pageSize)
--- a/operator/status.go
+++ b/operator/status.go
@@ -10,7 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // ConfirmFresh is how old the row of an entry that runs may be: three refreshes.
@@ -81,7 +81,7 @@
 func (o *Operator) processes(ctx context.Context) ([]Process, error) {
 	now := o.now()
 	all := make(map[processKey]Process)
-	err := eachRow(ctx, o.table, dissemination.ConfirmPrefix, func(row platform.Row) error {
+	err := eachRow(ctx, o.table, dissemination.ConfirmPrefix, func(row store.Row) error {
 		var c dissemination.Confirmation
 		if err := json.Unmarshal(row.Value, &c); err != nil {
 			return merry.Prependf(err, "decode row %s", row.Key)
--- a/operator/wait_test.go
+++ b/operator/wait_test.go
@@ -12,12 +12,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // confirmed writes the row of an entry: it has revision own, its sidecars revision theirs.
-func confirmed(t *testing.T, table platform.Table, entry string, own, theirs uint64, sidecars ...string) {
+func confirmed(t *testing.T, table store.Table, entry string, own, theirs uint64, sidecars ...string) {
 	t.Helper()
 	c := dissemination.Confirmation{ID: entry, Role: dissemination.RoleEntry, Zone: "a", Revision: own, Time: time.Now()}
 	if len(sidecars) > 0 {
@@ -25,15 +25,15 @@
 	}
 	value, err := json.Marshal(c)
 	assert.NilError(t, err)
-	w := platform.Write{Key: dissemination.ConfirmPrefix + entry, Value: value}
-	assert.NilError(t, table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{w}}))
+	w := store.Write{Key: dissemination.ConfirmPrefix + entry, Value: value}
+	assert.NilError(t, table.Commit(t.Context(), store.Txn{Writes: []store.Write{w}}))
 }
 
 func TestWait(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		// before are the rows at the commit, later those written 2 s after it.
-		before, later func(t *testing.T, table platform.Table)
+		before, later func(t *testing.T, table store.Table)
 		missing       []string
 		silent        int
 		confirmed     int
@@ -41,32 +41,32 @@
 	}{
 		{"nobody", nil, nil, nil, 0, 0, 0},
 		{"all",
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 6, 6, "vm-1", "vm-2") },
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 7, 7, "vm-1", "vm-2") },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 6, 6, "vm-1", "vm-2") },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 7, 7, "vm-1", "vm-2") },
 			nil, 0, 3, 2 * time.Second},
 		{"a sidecar is late",
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 6, 6, "vm-1") },
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 7, 6, "vm-1") },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 6, 6, "vm-1") },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 7, 6, "vm-1") },
 			[]string{"vm-1"}, 0, 1, 10 * time.Second},
 		{"a sidecar is gone",
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 6, 6, "vm-1") },
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 7, 0) },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 6, 6, "vm-1") },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 7, 0) },
 			nil, 0, 1, 2 * time.Second},
 		{"the better of two entries counts",
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e1", 6, 6, "vm-1") },
-			func(t *testing.T, table platform.Table) {
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e1", 6, 6, "vm-1") },
+			func(t *testing.T, table store.Table) {
 				confirmed(t, table, "e1", 7, 7, "vm-1")
 				confirmed(t, table, "e2", 7, 6, "vm-1")
 			},
 			nil, 0, 3, 2 * time.Second},
 		{"an entry and its sidecar have been silent for long",
-			func(t *testing.T, table platform.Table) {
+			func(t *testing.T, table store.Table) {
 				confirmed(t, table, "e0", 6, 6, "vm-0")
 				time.Sleep(ConfirmFresh + time.Second)
 				confirmed(t, table, "e1", 7, 7, "vm-1")
 			}, nil, nil, 2, 2, 0},
 		{"an entry has died just now",
-			func(t *testing.T, table platform.Table) { confirmed(t, table, "e0", 6, 0) },
+			func(t *testing.T, table store.Table) { confirmed(t, table, "e0", 6, 0) },
 			nil, []string{"e0"}, 0, 0, 10 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -103,7 +103,7 @@
 func failReads(down *atomic.Bool) memory.Hook {
 	return func(memory.Op) error {
 		if down.Load() {
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		}
 		return nil
 	}
@@ -127,6 +127,6 @@
 		defer cancel()
 		_, err = o.Wait(ctx, 7)
 		assert.Equal(t, ReportOf(err).Code, CodeUnconfirmed)
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, store.ErrUnavailable)
 	})
 }
--- a/proofs/cluster.go
+++ b/proofs/cluster.go
@@ -19,10 +19,10 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/engine"
-	"github.com/hibiscusspur/hibiscusspur/platform"
 	standin "github.com/hibiscusspur/hibiscusspur/standin/engine"
 	"github.com/hibiscusspur/hibiscusspur/standin/fault"
 	splatform "github.com/hibiscusspur/hibiscusspur/standin/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // startBound is how long a process may take to answer.
@@ -84,7 +84,7 @@
 	opts     options
 	platform *process
 	storeURL string
-	table    platform.Table
+	table    store.Table
 	writer   *dissemination.Writer
 	head     uint64
 	backends []*backend
@@ -98,7 +98,7 @@
 	addr := freeAddr(t)
 	c.storeURL = "http://" + addr
 	c.platform = start(t, c.dir, "platform", "standin", "platform", "--listen", addr)
-	c.table = platform.NewHTTPTable(c.storeURL, nil)
+	c.table = store.NewHTTPTable(c.storeURL, nil)
 	c.writer = dissemination.NewWriter(c.table, rand.Text, time.Now)
 	await(t, startBound, c.storeURL+splatform.PathCounters)
 	for i := range o.prefills {
--- a/proofs/leaving_test.go
+++ b/proofs/leaving_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
-	"github.com/hibiscusspur/hibiscusspur/platform"
 	splatform "github.com/hibiscusspur/hibiscusspur/standin/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // leavingBound is how long a leaving server may get new work after the first
@@ -26,12 +26,12 @@
 	// tell makes m1 leave; it may break something first.
 	tell func(c *cluster)
 }{
-	{"list says leaving", func(c *cluster) { c.list("m1", platform.VMLeaving) }},
+	{"list says leaving", func(c *cluster) { c.list("m1", store.VMLeaving) }},
 	{"operator retires", func(c *cluster) { c.retire("m1") }},
 	{"server signals", func(c *cluster) { c.signalLeave("m1") }},
 	{"list says leaving, one entry cut from the store", func(c *cluster) {
 		c.entries[1].store.block()
-		c.list("m1", platform.VMLeaving)
+		c.list("m1", store.VMLeaving)
 	}},
 	{"operator retires, one entry cut from the store", func(c *cluster) {
 		c.entries[1].store.block()
@@ -49,7 +49,7 @@
 	}},
 	{"list says leaving, store down once one entry has read it", func(c *cluster) {
 		c.entries[1].store.block()
-		c.list("m1", platform.VMLeaving)
+		c.list("m1", store.VMLeaving)
 		eventually(c.t, startBound, "refused as leaving", func() bool { return status(c.backend("m1").adminURL+"/healthz") == 503 })
 		c.storeFault(splatform.Fault{Kind: splatform.Hang})
 	}},
@@ -108,9 +108,9 @@
 	return last
 }
 
-func (c *cluster) list(id string, s platform.VMState) {
+func (c *cluster) list(id string, s store.VMState) {
 	c.t.Helper()
-	assert.NilError(c.t, postJSON(c.storeURL+splatform.PathVM, platform.VM{ID: id, Zone: "z1", State: s}))
+	assert.NilError(c.t, postJSON(c.storeURL+splatform.PathVM, store.VM{ID: id, Zone: "z1", State: s}))
 }
 
 func (c *cluster) retire(id string) uint64 {
--- a/standin/platform/bench_test.go
+++ b/standin/platform/bench_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	port "github.com/hibiscusspur/hibiscusspur/platform"
+	port "github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // counted counts the bytes that a connection carries both ways, without the
--- a/standin/platform/call.go
+++ b/standin/platform/call.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
-	port "github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	port "github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // goneInterval is how often a held call looks whether its caller has left.
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -12,8 +12,8 @@
 
 	"github.com/ansel1/merry/v2"
 
-	port "github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	port "github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // Control is a client of the control interface of a stand-in.
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	port "github.com/hibiscusspur/hibiscusspur/platform"
+	port "github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Paths of the control interface, which faults and limits do not touch.
--- a/standin/platform/counters.go
+++ b/standin/platform/counters.go
@@ -3,7 +3,7 @@
 import (
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // ports lists the ports in the order of reports.
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	port "github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	port "github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // Kind names a fault.
--- a/standin/platform/ports.go
+++ b/standin/platform/ports.go
@@ -10,8 +10,8 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
-	port "github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	port "github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 const (
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
 	"github.com/hibiscusspur/hibiscusspur/standin/server"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // Options of a Server. Rates of zero set no limit.
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -10,9 +10,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	port "github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
-	"github.com/hibiscusspur/hibiscusspur/platform/platformtest"
+	port "github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
+	"github.com/hibiscusspur/hibiscusspur/store/storetest"
 )
 
 // patience is the timeout of clients whose verdict must not depend on time.
@@ -33,26 +33,26 @@
 
 func TestContract(t *testing.T) {
 	t.Run("table", func(t *testing.T) {
-		platformtest.TestTable(t, func(t *testing.T) port.Table {
+		storetest.TestTable(t, func(t *testing.T) port.Table {
 			s, hc := start(t, Options{})
 			return port.NewHTTPTable(s.URL(), hc, patience)
 		})
 	})
 	t.Run("objects", func(t *testing.T) {
-		platformtest.TestObjects(t, func(t *testing.T) port.Objects {
+		storetest.TestObjects(t, func(t *testing.T) port.Objects {
 			s, hc := start(t, Options{})
 			return port.NewHTTPObjects(s.URL(), hc, patience)
 		})
 	})
-	t.Run("vms", func(t *testing.T) { platformtest.TestVMs(t, vmList) })
-	t.Run("weights", func(t *testing.T) { platformtest.TestWeights(t, weightStore) })
-	t.Run("faults", func(t *testing.T) { platformtest.TestFaults(t, faulty) })
+	t.Run("vms", func(t *testing.T) { storetest.TestVMs(t, vmList) })
+	t.Run("weights", func(t *testing.T) { storetest.TestWeights(t, weightStore) })
+	t.Run("faults", func(t *testing.T) { storetest.TestFaults(t, faulty) })
 }
 
-func vmList(t *testing.T) platformtest.VMList {
+func vmList(t *testing.T) storetest.VMList {
 	s, hc := start(t, Options{})
 	c := NewControl(s.URL(), hc)
-	return platformtest.VMList{
+	return storetest.VMList{
 		VMs:    port.NewHTTPVMs(s.URL(), hc, patience),
 		Set:    func(vm port.VM) error { return c.SetVM(t.Context(), vm) },
 		Remove: func(id string) error { return c.RemoveVM(t.Context(), id) },
@@ -60,10 +60,10 @@
 	}
 }
 
-func weightStore(t *testing.T) platformtest.WeightStore {
+func weightStore(t *testing.T) storetest.WeightStore {
 	s, hc := start(t, Options{})
 	c := NewControl(s.URL(), hc)
-	return platformtest.WeightStore{
+	return storetest.WeightStore{
 		Weights: port.NewHTTPWeights(s.URL(), hc, patience),
 		Put: func(model, version string, body []byte) error {
 			return c.PutWeights(t.Context(), model, version, body)
@@ -71,22 +71,22 @@
 	}
 }
 
-func faulty(t *testing.T) platformtest.Faulty {
+func faulty(t *testing.T) storetest.Faulty {
 	s, hc := start(t, Options{})
-	s.Store().SetPatternWeights(platformtest.SeedModel, platformtest.SeedVersion, platformtest.SeedWeightBytes)
+	s.Store().SetPatternWeights(storetest.SeedModel, storetest.SeedVersion, storetest.SeedWeightBytes)
 	c := NewControl(s.URL(), hc)
-	kinds := map[platformtest.Fault]Kind{
-		platformtest.Refuse:     Refuse,
-		platformtest.LoseAnswer: LoseAnswer,
-		platformtest.Hang:       Hang,
-		platformtest.HangAfter:  HangAfter,
+	kinds := map[storetest.Fault]Kind{
+		storetest.Refuse:     Refuse,
+		storetest.LoseAnswer: LoseAnswer,
+		storetest.Hang:       Hang,
+		storetest.HangAfter:  HangAfter,
 	}
-	return platformtest.Faulty{
+	return storetest.Faulty{
 		Table:   port.NewHTTPTable(s.URL(), hc, patience),
 		Objects: port.NewHTTPObjects(s.URL(), hc, patience),
 		VMs:     port.NewHTTPVMs(s.URL(), hc, patience),
 		Weights: port.NewHTTPWeights(s.URL(), hc, patience),
-		Inject: func(p memory.Port, write bool, f platformtest.Fault) {
+		Inject: func(p memory.Port, write bool, f storetest.Fault) {
 			side := Reads
 			if write {
 				side = Writes
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"crypto/tls"
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/pathtest"
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 func TestPlatformClientIsMutual(t *testing.T) {
@@ -36,7 +36,7 @@
 	} {
 		conf, err := c.from.Issue(c.name, time.Hour, c.peer).Config()
 		assert.NilError(t, err)
-		res, err := platform.NewClient(conf).Get("https://" + lis.Addr().String())
+		res, err := store.NewClient(conf).Get("https://" + lis.Addr().String())
 		assert.Equal(t, err == nil, c.ok, "%+v: %v", c, err)
 		if err == nil {
 			assert.NilError(t, res.Body.Close())
--- a/platform/http.go
+++ b/store/http.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -10,7 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Port names a port of the platform.
@@ -82,16 +82,16 @@
 }
 
 // Table returns the transactional table.
-func (p *Platform) Table() platform.Table { return &p.table }
+func (p *Platform) Table() store.Table { return &p.table }
 
 // Objects returns the object store.
-func (p *Platform) Objects() platform.Objects { return &p.objects }
+func (p *Platform) Objects() store.Objects { return &p.objects }
 
 // VMs returns the lagging list of VMs.
-func (p *Platform) VMs() platform.VMs { return &p.vms }
+func (p *Platform) VMs() store.VMs { return &p.vms }
 
 // Weights returns the weight store.
-func (p *Platform) Weights() platform.Weights { return &p.weights }
+func (p *Platform) Weights() store.Weights { return &p.weights }
 
 // call runs effect under mu between the two phases of the hook.
 func (p *Platform) call(ctx context.Context, op Op, mu sync.Locker, effect func() error) error {
@@ -100,7 +100,7 @@
 		return err
 	}
 	if err := ctx.Err(); err != nil {
-		return merry.Wrap(platform.ErrUnavailable, merry.WithCause(err), merry.NoCaptureStack())
+		return merry.Wrap(store.ErrUnavailable, merry.WithCause(err), merry.NoCaptureStack())
 	}
 	if err := locked(mu, effect); err != nil {
 		return err
--- a/platform/memory/memory_test.go
+++ b/store/memory/memory_test.go
@@ -7,23 +7,23 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
-	"github.com/hibiscusspur/hibiscusspur/platform/platformtest"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
+	"github.com/hibiscusspur/hibiscusspur/store/storetest"
 )
 
 func TestContract(t *testing.T) {
 	fresh := func() *memory.Platform { return memory.New(memory.Options{}) }
 	t.Run("table", func(t *testing.T) {
-		platformtest.TestTable(t, func(*testing.T) platform.Table { return fresh().Table() })
+		storetest.TestTable(t, func(*testing.T) store.Table { return fresh().Table() })
 	})
 	t.Run("objects", func(t *testing.T) {
-		platformtest.TestObjects(t, func(*testing.T) platform.Objects { return fresh().Objects() })
+		storetest.TestObjects(t, func(*testing.T) store.Objects { return fresh().Objects() })
 	})
 	t.Run("vms", func(t *testing.T) {
-		platformtest.TestVMs(t, func(*testing.T) platformtest.VMList {
+		storetest.TestVMs(t, func(*testing.T) storetest.VMList {
 			p := fresh()
-			return platformtest.VMList{
+			return storetest.VMList{
 				VMs:    p.VMs(),
 				Set:    p.SetVM,
 				Remove: func(id string) error { p.RemoveVM(id); return nil },
@@ -32,22 +32,22 @@
 		})
 	})
 	t.Run("weights", func(t *testing.T) {
-		platformtest.TestWeights(t, func(*testing.T) platformtest.WeightStore {
+		storetest.TestWeights(t, func(*testing.T) storetest.WeightStore {
 			p := fresh()
-			return platformtest.WeightStore{Weights: p.Weights(), Put: func(model, version string, body []byte) error {
+			return storetest.WeightStore{Weights: p.Weights(), Put: func(model, version string, body []byte) error {
 				p.SetWeights(model, version, body)
 				return nil
 			}}
 		})
 	})
-	t.Run("faults", func(t *testing.T) { platformtest.TestFaults(t, faulty) })
+	t.Run("faults", func(t *testing.T) { storetest.TestFaults(t, faulty) })
 }
 
 // fault is a hook that makes the calls of one side of a port fail.
 type fault struct {
 	port  memory.Port
 	write bool
-	kind  platformtest.Fault
+	kind  storetest.Fault
 	held  chan struct{}
 }
 
@@ -55,21 +55,21 @@
 	if op.Port != f.port || op.Write != f.write {
 		return nil
 	}
-	after := f.kind == platformtest.LoseAnswer || f.kind == platformtest.HangAfter
+	after := f.kind == storetest.LoseAnswer || f.kind == storetest.HangAfter
 	if after != (op.Phase == memory.After) {
 		return nil
 	}
-	if f.kind == platformtest.Hang || f.kind == platformtest.HangAfter {
+	if f.kind == storetest.Hang || f.kind == storetest.HangAfter {
 		close(f.held)
 		<-op.Context.Done()
 	}
 	if op.Write && after {
-		return platform.ErrIndeterminate
+		return store.ErrIndeterminate
 	}
-	return platform.ErrUnavailable
+	return store.ErrUnavailable
 }
 
-func faulty(*testing.T) platformtest.Faulty {
+func faulty(*testing.T) storetest.Faulty {
 	var now atomic.Pointer[fault]
 	held := make(chan struct{})
 	p := memory.New(memory.Options{Hook: func(op memory.Op) error {
@@ -78,10 +78,10 @@
 		}
 		return nil
 	}})
-	p.SetPatternWeights(platformtest.SeedModel, platformtest.SeedVersion, platformtest.SeedWeightBytes)
-	return platformtest.Faulty{
+	p.SetPatternWeights(storetest.SeedModel, storetest.SeedVersion, storetest.SeedWeightBytes)
+	return storetest.Faulty{
 		Table: p.Table(), Objects: p.Objects(), VMs: p.VMs(), Weights: p.Weights(),
-		Inject: func(port memory.Port, write bool, kind platformtest.Fault) {
+		Inject: func(port memory.Port, write bool, kind storetest.Fault) {
 			now.Store(&fault{port: port, write: write, kind: kind, held: held})
 		},
 		Clear:     func() { now.Store(nil) },
@@ -92,7 +92,7 @@
 func TestVMLag(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := memory.New(memory.Options{VMLag: 5 * time.Second, Now: func() time.Time { return now }})
-	assert.NilError(t, p.SetVM(platform.VM{ID: "a", State: platform.VMLive}))
+	assert.NilError(t, p.SetVM(store.VM{ID: "a", State: store.VMLive}))
 	for _, c := range []struct {
 		after time.Duration
 		want  int
--- a/platform/memory/objects.go
+++ b/store/memory/objects.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 type objects struct {
@@ -17,9 +17,9 @@
 	bodies map[string][]byte
 }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *objects) Put(ctx context.Context, key string, body []byte) error {
-	if err := platform.ValidateKey(key); err != nil {
+	if err := store.ValidateKey(key); err != nil {
 		return err
 	}
 	op := Op{Port: PortObjects, Name: "put", Key: key, Write: true}
@@ -29,9 +29,9 @@
 	})
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *objects) Get(ctx context.Context, key string) ([]byte, error) {
-	if err := platform.ValidateKey(key); err != nil {
+	if err := store.ValidateKey(key); err != nil {
 		return nil, err
 	}
 	var body []byte
@@ -39,7 +39,7 @@
 	err := o.p.call(ctx, op, o.mu.RLocker(), func() error {
 		found, ok := o.bodies[key]
 		if !ok {
-			return platform.ErrNotFound
+			return store.ErrNotFound
 		}
 		body = bytes.Clone(found)
 		return nil
@@ -50,9 +50,9 @@
 	return body, nil
 }
 
-// Delete implements platform.Objects. Deleting what is not there succeeds.
+// Delete implements store.Objects. Deleting what is not there succeeds.
 func (o *objects) Delete(ctx context.Context, key string) error {
-	if err := platform.ValidateKey(key); err != nil {
+	if err := store.ValidateKey(key); err != nil {
 		return err
 	}
 	op := Op{Port: PortObjects, Name: "delete", Key: key, Write: true}
@@ -62,7 +62,7 @@
 	})
 }
 
-// List implements platform.Objects. Keys come sorted.
+// List implements store.Objects. Keys come sorted.
 func (o *objects) List(ctx context.Context, prefix string) ([]string, error) {
 	var keys []string
 	op := Op{Port: PortObjects, Name: "list", Key: prefix}
--- a/platform/memory/table.go
+++ b/store/memory/table.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // table keeps the last version of a deleted row, so that a row created again
@@ -16,42 +16,42 @@
 type table struct {
 	p    *Platform
 	mu   sync.RWMutex
-	rows map[string]platform.Row
+	rows map[string]store.Row
 	keys []string // of rows, sorted
 	gone map[string]uint64
 }
 
 func newTable(p *Platform) table {
-	return table{p: p, rows: make(map[string]platform.Row), gone: make(map[string]uint64)}
+	return table{p: p, rows: make(map[string]store.Row), gone: make(map[string]uint64)}
 }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := platform.ValidateKey(key); err != nil {
-		return platform.Row{}, err
+// Get implements store.Table.
+func (t *table) Get(ctx context.Context, key string) (store.Row, error) {
+	if err := store.ValidateKey(key); err != nil {
+		return store.Row{}, err
 	}
-	var row platform.Row
+	var row store.Row
 	op := Op{Port: PortTable, Name: "get", Key: key}
 	err := t.p.call(ctx, op, t.mu.RLocker(), func() error {
 		found, ok := t.rows[key]
 		if !ok {
-			return platform.ErrNotFound
+			return store.ErrNotFound
 		}
 		row = copyRow(found)
 		return nil
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if err := platform.ValidateLimit(limit); err != nil {
+// List implements store.Table.
+func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	if err := store.ValidateLimit(limit); err != nil {
 		return nil, err
 	}
-	var rows []platform.Row
+	var rows []store.Row
 	op := Op{Port: PortTable, Name: "list", Key: prefix}
 	err := t.p.call(ctx, op, t.mu.RLocker(), func() error {
 		rows = t.page(prefix, after, limit)
@@ -63,8 +63,8 @@
 	return rows, nil
 }
 
-func (t *table) page(prefix, after string, limit int) []platform.Row {
-	var rows []platform.Row
+func (t *table) page(prefix, after string, limit int) []store.Row {
+	var rows []store.Row
 	for _, k := range t.keys[t.start(prefix, after):] {
 		if len(rows) == limit || !strings.HasPrefix(k, prefix) {
 			break
@@ -88,8 +88,8 @@
 	return max(i, j)
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements store.Table.
+func (t *table) Commit(ctx context.Context, txn store.Txn) error {
 	if err := txn.Validate(); err != nil {
 		return err
 	}
@@ -103,23 +103,23 @@
 	})
 }
 
-func firstKey(txn platform.Txn) string {
+func firstKey(txn store.Txn) string {
 	if len(txn.Writes) > 0 {
 		return txn.Writes[0].Key
 	}
 	return txn.Checks[0].Key
 }
 
-func (t *table) check(checks []platform.Check) error {
+func (t *table) check(checks []store.Check) error {
 	for _, c := range checks {
 		if have := t.rows[c.Key].Version; have != c.Version {
-			return &platform.ConflictError{Key: c.Key, Want: c.Version, Have: have}
+			return &store.ConflictError{Key: c.Key, Want: c.Version, Have: have}
 		}
 	}
 	return nil
 }
 
-func (t *table) apply(writes []platform.Write) {
+func (t *table) apply(writes []store.Write) {
 	for _, w := range writes {
 		if w.Delete {
 			t.remove(w.Key)
@@ -137,7 +137,7 @@
 		i, _ := slices.BinarySearch(t.keys, key)
 		t.keys = slices.Insert(t.keys, i, key)
 	}
-	t.rows[key] = platform.Row{Key: key, Value: bytes.Clone(value), Version: row.Version + 1}
+	t.rows[key] = store.Row{Key: key, Value: bytes.Clone(value), Version: row.Version + 1}
 }
 
 func (t *table) remove(key string) {
@@ -151,7 +151,7 @@
 	t.keys = slices.Delete(t.keys, i, i+1)
 }
 
-func copyRow(r platform.Row) platform.Row {
+func copyRow(r store.Row) store.Row {
 	r.Value = bytes.Clone(r.Value)
 	return r
 }
--- a/platform/memory/vms.go
+++ b/store/memory/vms.go
@@ -7,13 +7,13 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // vmChange is a change of the list that shows once it is as old as the lag.
 type vmChange struct {
 	at     time.Time
-	vm     platform.VM
+	vm     store.VM
 	remove bool
 }
 
@@ -21,17 +21,17 @@
 	p       *Platform
 	mu      sync.Mutex
 	lag     time.Duration
-	shown   []platform.VM // sorted by ID
-	pending []vmChange    // oldest first
+	shown   []store.VM // sorted by ID
+	pending []vmChange // oldest first
 }
 
 // SetVM adds a VM or changes its state; the list shows it after the lag.
-func (p *Platform) SetVM(vm platform.VM) error {
-	if err := platform.ValidateKey(vm.ID); err != nil {
+func (p *Platform) SetVM(vm store.VM) error {
+	if err := store.ValidateKey(vm.ID); err != nil {
 		return err
 	}
-	if vm.State != platform.VMLive && vm.State != platform.VMLeaving {
-		return platform.Invalid("unknown state of a VM")
+	if vm.State != store.VMLive && vm.State != store.VMLeaving {
+		return store.Invalid("unknown state of a VM")
 	}
 	p.vms.add(vmChange{at: p.opts.Now(), vm: vm})
 	return nil
@@ -39,7 +39,7 @@
 
 // RemoveVM takes a VM from the list after the lag.
 func (p *Platform) RemoveVM(id string) {
-	p.vms.add(vmChange{at: p.opts.Now(), vm: platform.VM{ID: id}, remove: true})
+	p.vms.add(vmChange{at: p.opts.Now(), vm: store.VM{ID: id}, remove: true})
 }
 
 // SetVMLag changes the lag of the list, also for changes not yet shown.
@@ -55,9 +55,9 @@
 	v.pending = append(v.pending, c)
 }
 
-// List implements platform.VMs. VMs come sorted by ID; the age is the lag.
-func (v *vms) List(ctx context.Context) ([]platform.VM, time.Duration, error) {
-	var list []platform.VM
+// List implements store.VMs. VMs come sorted by ID; the age is the lag.
+func (v *vms) List(ctx context.Context) ([]store.VM, time.Duration, error) {
+	var list []store.VM
 	var age time.Duration
 	err := v.p.call(ctx, Op{Port: PortVMs, Name: "list"}, &v.mu, func() error {
 		v.show(v.p.opts.Now())
@@ -79,7 +79,7 @@
 }
 
 func (v *vms) apply(c vmChange) {
-	i, found := slices.BinarySearchFunc(v.shown, c.vm.ID, func(vm platform.VM, id string) int {
+	i, found := slices.BinarySearchFunc(v.shown, c.vm.ID, func(vm store.VM, id string) int {
 		return strings.Compare(vm.ID, id)
 	})
 	switch {
--- a/platform/memory/weights.go
+++ b/store/memory/weights.go
@@ -6,7 +6,7 @@
 	"io"
 	"sync"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // blob is the content of a model version.
@@ -38,10 +38,10 @@
 	w.content[weightKey(model, version)] = b
 }
 
-// Open implements platform.Weights. The stream is a Stream.
+// Open implements store.Weights. The stream is a Stream.
 func (w *weights) Open(ctx context.Context, model, version string) (io.ReadCloser, error) {
 	if model == "" || version == "" {
-		return nil, platform.Invalid("empty model or version")
+		return nil, store.Invalid("empty model or version")
 	}
 	var b blob
 	key := weightKey(model, version)
@@ -49,7 +49,7 @@
 	err := w.p.call(ctx, op, w.mu.RLocker(), func() error {
 		found, ok := w.content[key]
 		if !ok {
-			return platform.ErrNotFound
+			return store.ErrNotFound
 		}
 		b = found
 		return nil
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,9 +1,9 @@
-// Package platform is the port to the platform that the operators run: a
+// Package store is the port to the platform that the operators run: a
 // transactional table, an object store, a lagging list of VMs and a weight
 // store. Implementations are safe for concurrent use and return promptly when
 // their context ends. Every call may fail with ErrUnavailable; a write may fail
 // with ErrIndeterminate, after which only a read tells whether it took effect.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platformtest/faults.go
+++ b/store/storetest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
-	"github.com/hibiscusspur/hibiscusspur/platform/memory"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 )
 
 // Fault is a failure that every implementation has to report alike.
@@ -29,10 +29,10 @@
 
 // Faulty is a platform with the means to make it fail.
 type Faulty struct {
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMs
-	Weights platform.Weights
+	Table   store.Table
+	Objects store.Objects
+	VMs     store.VMs
+	Weights store.Weights
 	// Inject puts f in force for the reads or the writes of a port until Clear.
 	Inject func(p memory.Port, write bool, f Fault)
 	Clear  func()
@@ -69,10 +69,10 @@
 		read   []error
 		write  []error
 	}{
-		{Refuse, false, errs(platform.ErrUnavailable), errs(platform.ErrUnavailable)},
-		{LoseAnswer, true, errs(platform.ErrUnavailable), errs(platform.ErrIndeterminate)},
-		{Hang, false, errs(platform.ErrUnavailable), errs(platform.ErrUnavailable, platform.ErrIndeterminate)},
-		{HangAfter, true, errs(platform.ErrUnavailable), errs(platform.ErrIndeterminate)},
+		{Refuse, false, errs(store.ErrUnavailable), errs(store.ErrUnavailable)},
+		{LoseAnswer, true, errs(store.ErrUnavailable), errs(store.ErrIndeterminate)},
+		{Hang, false, errs(store.ErrUnavailable), errs(store.ErrUnavailable, store.ErrIndeterminate)},
+		{HangAfter, true, errs(store.ErrUnavailable), errs(store.ErrIndeterminate)},
 	}
 	for _, c := range cases {
 		for _, call := range faultedCalls() {
@@ -115,7 +115,7 @@
 
 func isOneOf(err error, want []error) bool {
 	kinds := 0
-	for _, kind := range errs(platform.ErrUnavailable, platform.ErrIndeterminate, platform.ErrInvalid, platform.ErrNotFound) {
+	for _, kind := range errs(store.ErrUnavailable, store.ErrIndeterminate, store.ErrInvalid, store.ErrNotFound) {
 		if errors.Is(err, kind) {
 			kinds++
 		}
@@ -139,7 +139,7 @@
 			return err
 		}, nil},
 		{"table commit", memory.PortTable, func(ctx context.Context, f Faulty) error {
-			return f.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{put("new", "1")}})
+			return f.Table.Commit(ctx, store.Txn{Writes: []store.Write{put("new", "1")}})
 		}, func(ctx context.Context, f Faulty) (bool, error) {
 			_, err := f.Table.Get(ctx, "new")
 			return found(err)
@@ -182,7 +182,7 @@
 }
 
 func found(err error) (bool, error) {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return false, nil
 	}
 	return err == nil, err
--- a/platform/platformtest/stores.go
+++ b/store/storetest/stores.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"bytes"
@@ -9,17 +9,17 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // TestObjects runs the contract of the object store. fresh returns an empty one.
-func TestObjects(t *testing.T, fresh func(t *testing.T) platform.Objects) {
+func TestObjects(t *testing.T, fresh func(t *testing.T) store.Objects) {
 	t.Run("body", func(t *testing.T) { objectBody(t, fresh(t)) })
 	t.Run("list", func(t *testing.T) { objectList(t, fresh(t)) })
 	t.Run("invalid calls", func(t *testing.T) { objectInvalid(t, fresh(t)) })
 }
 
-func objectBody(t *testing.T, o platform.Objects) {
+func objectBody(t *testing.T, o store.Objects) {
 	bodies := [][]byte{[]byte("one"), {}, bytes.Repeat([]byte{0, 0xff}, 200_000)}
 	for _, body := range bodies {
 		assert.NilError(t, o.Put(t.Context(), "k &/á", body))
@@ -30,11 +30,11 @@
 	for range 2 {
 		assert.NilError(t, o.Delete(t.Context(), "k &/á"))
 		_, err := o.Get(t.Context(), "k &/á")
-		assert.ErrorIs(t, err, platform.ErrNotFound)
+		assert.ErrorIs(t, err, store.ErrNotFound)
 	}
 }
 
-func objectList(t *testing.T, o platform.Objects) {
+func objectList(t *testing.T, o store.Objects) {
 	for _, k := range []string{"b/2", "a", "b/10", "c"} {
 		assert.NilError(t, o.Put(t.Context(), k, nil))
 	}
@@ -45,40 +45,40 @@
 	}
 }
 
-func objectInvalid(t *testing.T, o platform.Objects) {
+func objectInvalid(t *testing.T, o store.Objects) {
 	for _, key := range []string{"", "\xff"} {
-		assert.ErrorIs(t, o.Put(t.Context(), key, nil), platform.ErrInvalid)
-		assert.ErrorIs(t, o.Delete(t.Context(), key), platform.ErrInvalid)
+		assert.ErrorIs(t, o.Put(t.Context(), key, nil), store.ErrInvalid)
+		assert.ErrorIs(t, o.Delete(t.Context(), key), store.ErrInvalid)
 		_, err := o.Get(t.Context(), key)
-		assert.ErrorIs(t, err, platform.ErrInvalid)
+		assert.ErrorIs(t, err, store.ErrInvalid)
 	}
 }
 
 // VMList is a list of VMs with the means to change it.
 type VMList struct {
-	VMs    platform.VMs
-	Set    func(platform.VM) error
+	VMs    store.VMs
+	Set    func(store.VM) error
 	Remove func(id string) error
 	SetLag func(time.Duration) error
 }
 
 // TestVMs runs the contract of the list of VMs. fresh returns an empty list without lag.
 func TestVMs(t *testing.T, fresh func(t *testing.T) VMList) {
-	a := platform.VM{ID: "a", Zone: "z1", State: platform.VMLive}
-	b := platform.VM{ID: "b", Zone: "z2", State: platform.VMLive}
-	leaving := platform.VM{ID: "a", Zone: "z1", State: platform.VMLeaving}
+	a := store.VM{ID: "a", Zone: "z1", State: store.VMLive}
+	b := store.VM{ID: "b", Zone: "z2", State: store.VMLive}
+	leaving := store.VM{ID: "a", Zone: "z1", State: store.VMLeaving}
 	l := fresh(t)
 	steps := []struct {
 		name   string
 		change func() error
 		lag    time.Duration
-		want   []platform.VM
+		want   []store.VM
 	}{
 		{"empty", func() error { return nil }, 0, nil},
-		{"added, sorted", func() error { _ = l.Set(b); return l.Set(a) }, 0, []platform.VM{a, b}},
-		{"hidden by the lag", func() error { return l.Set(leaving) }, time.Hour, []platform.VM{a, b}},
-		{"shown after the lag", func() error { return nil }, 0, []platform.VM{leaving, b}},
-		{"removed", func() error { return l.Remove("b") }, 0, []platform.VM{leaving}},
+		{"added, sorted", func() error { _ = l.Set(b); return l.Set(a) }, 0, []store.VM{a, b}},
+		{"hidden by the lag", func() error { return l.Set(leaving) }, time.Hour, []store.VM{a, b}},
+		{"shown after the lag", func() error { return nil }, 0, []store.VM{leaving, b}},
+		{"removed", func() error { return l.Remove("b") }, 0, []store.VM{leaving}},
 	}
 	for _, s := range steps {
 		assert.NilError(t, s.change(), s.name)
@@ -88,12 +88,12 @@
 		assert.Equal(t, fmt.Sprint(vms), fmt.Sprint(s.want), s.name)
 		assert.Equal(t, age, s.lag, s.name)
 	}
-	assert.ErrorIs(t, l.Set(platform.VM{ID: "x", State: "odd"}), platform.ErrInvalid)
+	assert.ErrorIs(t, l.Set(store.VM{ID: "x", State: "odd"}), store.ErrInvalid)
 }
 
 // WeightStore is a weight store with the means to fill it.
 type WeightStore struct {
-	Weights platform.Weights
+	Weights store.Weights
 	Put     func(model, version string, body []byte) error
 }
 
@@ -110,12 +110,12 @@
 		assert.Assert(t, bytes.Equal(got, body), version)
 	}
 	_, err := w.Weights.Open(t.Context(), "m/á", "v9")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, store.ErrNotFound)
 	_, err = w.Weights.Open(t.Context(), "", "v1")
-	assert.ErrorIs(t, err, platform.ErrInvalid)
+	assert.ErrorIs(t, err, store.ErrInvalid)
 }
 
-func readWeights(t *testing.T, w platform.Weights, version string) ([]byte, error) {
+func readWeights(t *testing.T, w store.Weights, version string) ([]byte, error) {
 	r, err := w.Open(t.Context(), "m/á", version)
 	if err != nil {
 		return nil, err
--- a/platform/platformtest/table.go
+++ b/store/storetest/table.go
@@ -1,6 +1,6 @@
-// Package platformtest holds the contract tests of the ports of package
+// Package storetest holds the contract tests of the ports of package
 // platform. Each implementation runs them from its own test files.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // TestTable runs the contract of the table. Each call of fresh returns an empty table.
-func TestTable(t *testing.T, fresh func(t *testing.T) platform.Table) {
+func TestTable(t *testing.T, fresh func(t *testing.T) store.Table) {
 	cases := []struct {
 		name string
-		run  func(*testing.T, platform.Table)
+		run  func(*testing.T, store.Table)
 	}{
 		{"row", tableRow},
 		{"versions", tableVersions},
@@ -36,67 +36,67 @@
 	}
 }
 
-func put(key, value string) platform.Write {
-	return platform.Write{Key: key, Value: []byte(value)}
+func put(key, value string) store.Write {
+	return store.Write{Key: key, Value: []byte(value)}
 }
 
-func commit(t *testing.T, tb platform.Table, writes ...platform.Write) {
+func commit(t *testing.T, tb store.Table, writes ...store.Write) {
 	t.Helper()
-	assert.NilError(t, tb.Commit(t.Context(), platform.Txn{Writes: writes}))
+	assert.NilError(t, tb.Commit(t.Context(), store.Txn{Writes: writes}))
 }
 
-func version(t *testing.T, tb platform.Table, key string) uint64 {
+func version(t *testing.T, tb store.Table, key string) uint64 {
 	t.Helper()
 	row, err := tb.Get(t.Context(), key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0
 	}
 	assert.NilError(t, err)
 	return row.Version
 }
 
-func tableRow(t *testing.T, tb platform.Table) {
+func tableRow(t *testing.T, tb store.Table) {
 	for _, key := range []string{"plain", "a/b c", "á&=%2F?#+", "line\nbreak"} {
 		_, err := tb.Get(t.Context(), key)
-		assert.ErrorIs(t, err, platform.ErrNotFound)
+		assert.ErrorIs(t, err, store.ErrNotFound)
 		commit(t, tb, put(key, "\x00\xff"))
 		row, err := tb.Get(t.Context(), key)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, row, platform.Row{Key: key, Value: []byte("\x00\xff"), Version: 1})
+		assert.DeepEqual(t, row, store.Row{Key: key, Value: []byte("\x00\xff"), Version: 1})
 	}
 }
 
 // tableVersions holds that a version, once given, never comes back for the same
 // key, and that a missing row has version 0 for checks.
-func tableVersions(t *testing.T, tb platform.Table) {
+func tableVersions(t *testing.T, tb store.Table) {
 	steps := []struct {
-		write platform.Write
+		write store.Write
 		want  uint64
 	}{
-		{platform.Write{Key: "k", Delete: true}, 0},
+		{store.Write{Key: "k", Delete: true}, 0},
 		{put("k", "a"), 1},
 		{put("k", "a"), 2},
-		{platform.Write{Key: "k", Delete: true}, 0},
+		{store.Write{Key: "k", Delete: true}, 0},
 		{put("k", "b"), 4},
-		{platform.Write{Key: "k", Delete: true}, 0},
-		{platform.Write{Key: "k", Delete: true}, 0},
+		{store.Write{Key: "k", Delete: true}, 0},
+		{store.Write{Key: "k", Delete: true}, 0},
 		{put("k", "c"), 6},
 	}
 	for i, s := range steps {
-		check := platform.Check{Key: "k", Version: version(t, tb, "k")}
-		txn := platform.Txn{Checks: []platform.Check{check}, Writes: []platform.Write{s.write}}
+		check := store.Check{Key: "k", Version: version(t, tb, "k")}
+		txn := store.Txn{Checks: []store.Check{check}, Writes: []store.Write{s.write}}
 		assert.NilError(t, tb.Commit(t.Context(), txn), "step %d", i)
 		assert.Equal(t, version(t, tb, "k"), s.want, "step %d", i)
 	}
 }
 
-func tableWhole(t *testing.T, tb platform.Table) {
+func tableWhole(t *testing.T, tb store.Table) {
 	commit(t, tb, put("a", "1"), put("b", "1"))
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: "a", Version: 1}, {Key: "c", Version: 7}},
-		Writes: []platform.Write{put("a", "2"), {Key: "b", Delete: true}, put("d", "2")},
+	txn := store.Txn{
+		Checks: []store.Check{{Key: "a", Version: 1}, {Key: "c", Version: 7}},
+		Writes: []store.Write{put("a", "2"), {Key: "b", Delete: true}, put("d", "2")},
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	assert.Assert(t, errors.As(tb.Commit(t.Context(), txn), &conflict))
 	for key, want := range map[string]uint64{"a": 1, "b": 1, "c": 0, "d": 0} {
 		assert.Equal(t, version(t, tb, key), want, key)
@@ -108,23 +108,23 @@
 	}
 }
 
-func tableConflict(t *testing.T, tb platform.Table) {
+func tableConflict(t *testing.T, tb store.Table) {
 	commit(t, tb, put("k", "1"))
 	commit(t, tb, put("k", "2"))
 	for _, want := range []uint64{0, 1, 3} {
-		txn := platform.Txn{Checks: []platform.Check{{Key: "k", Version: want}}}
-		var conflict *platform.ConflictError
+		txn := store.Txn{Checks: []store.Check{{Key: "k", Version: want}}}
+		var conflict *store.ConflictError
 		assert.Assert(t, errors.As(tb.Commit(t.Context(), txn), &conflict))
-		assert.DeepEqual(t, *conflict, platform.ConflictError{Key: "k", Want: want, Have: 2})
+		assert.DeepEqual(t, *conflict, store.ConflictError{Key: "k", Want: want, Have: 2})
 	}
-	same := platform.Txn{Checks: []platform.Check{{Key: "k", Version: 2}}}
+	same := store.Txn{Checks: []store.Check{{Key: "k", Version: 2}}}
 	assert.NilError(t, tb.Commit(t.Context(), same))
 	assert.Equal(t, version(t, tb, "k"), uint64(2))
 }
 
-func tableList(t *testing.T, tb platform.Table) {
+func tableList(t *testing.T, tb store.Table) {
 	commit(t, tb, put("b/2", "x"), put("c", "x"), put("b/10", "x"), put("a", "x"), put("b/1", "x"))
-	commit(t, tb, platform.Write{Key: "c", Delete: true})
+	commit(t, tb, store.Write{Key: "c", Delete: true})
 	cases := []struct {
 		prefix, after string
 		limit         int
@@ -147,7 +147,7 @@
 	}
 }
 
-func keys(rows []platform.Row) []string {
+func keys(rows []store.Row) []string {
 	var k []string
 	for _, r := range rows {
 		k = append(k, r.Key)
@@ -156,7 +156,7 @@
 }
 
 // tablePages walks the whole table while rows around the position change.
-func tablePages(t *testing.T, tb platform.Table) {
+func tablePages(t *testing.T, tb store.Table) {
 	for i := range 25 {
 		commit(t, tb, put(fmt.Sprintf("r/%02d", i), strconv.Itoa(i)))
 	}
@@ -170,33 +170,33 @@
 		}
 		seen = append(seen, keys(rows)...)
 		after = rows[len(rows)-1].Key
-		commit(t, tb, platform.Write{Key: after, Delete: true}, put("r/", "before"))
+		commit(t, tb, store.Write{Key: after, Delete: true}, put("r/", "before"))
 	}
 	assert.Equal(t, len(seen), 25)
 }
 
-func tableInvalid(t *testing.T, tb platform.Table) {
-	twice := platform.Txn{Writes: []platform.Write{put("k", "1"), {Key: "k", Delete: true}}}
+func tableInvalid(t *testing.T, tb store.Table) {
+	twice := store.Txn{Writes: []store.Write{put("k", "1"), {Key: "k", Delete: true}}}
 	calls := map[string]func() error{
 		"empty key":       func() error { _, err := tb.Get(t.Context(), ""); return err },
 		"limit zero":      func() error { _, err := tb.List(t.Context(), "", "", 0); return err },
-		"limit too large": func() error { _, err := tb.List(t.Context(), "", "", platform.MaxList+1); return err },
-		"empty txn":       func() error { return tb.Commit(t.Context(), platform.Txn{}) },
+		"limit too large": func() error { _, err := tb.List(t.Context(), "", "", store.MaxList+1); return err },
+		"empty txn":       func() error { return tb.Commit(t.Context(), store.Txn{}) },
 		"key twice":       func() error { return tb.Commit(t.Context(), twice) },
-		"key not UTF-8":   func() error { return tb.Commit(t.Context(), platform.Txn{Writes: []platform.Write{put("\xff", "")}}) },
-		"check of no key": func() error { return tb.Commit(t.Context(), platform.Txn{Checks: []platform.Check{{}}}) },
+		"key not UTF-8":   func() error { return tb.Commit(t.Context(), store.Txn{Writes: []store.Write{put("\xff", "")}}) },
+		"check of no key": func() error { return tb.Commit(t.Context(), store.Txn{Checks: []store.Check{{}}}) },
 	}
 	for name, call := range calls {
-		assert.ErrorIs(t, call(), platform.ErrInvalid, name)
+		assert.ErrorIs(t, call(), store.ErrInvalid, name)
 	}
-	rows, err := tb.List(t.Context(), "", "", platform.MaxList)
+	rows, err := tb.List(t.Context(), "", "", store.MaxList)
 	assert.NilError(t, err)
 	assert.Equal(t, len(rows), 0)
 }
 
 // tableConcurrent moves units between two rows from many goroutines, each
 // transaction checking both. Every unit survives and every success is a version.
-func tableConcurrent(t *testing.T, tb platform.Table) {
+func tableConcurrent(t *testing.T, tb store.Table) {
 	const workers, moves = 8, 10
 	commit(t, tb, put("from", strconv.Itoa(workers*moves)), put("to", "0"))
 	var wg sync.WaitGroup
@@ -222,18 +222,18 @@
 }
 
 // moveUnit repeats a read and a checked commit until no other came between.
-func moveUnit(ctx context.Context, tb platform.Table) error {
+func moveUnit(ctx context.Context, tb store.Table) error {
 	for {
 		err := tryMove(ctx, tb)
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
 		}
 	}
 }
 
-func tryMove(ctx context.Context, tb platform.Table) error {
-	var txn platform.Txn
+func tryMove(ctx context.Context, tb store.Table) error {
+	var txn store.Txn
 	for key, by := range map[string]int{"from": -1, "to": 1} {
 		row, err := tb.Get(ctx, key)
 		if err != nil {
@@ -243,18 +243,18 @@
 		if err != nil {
 			return err
 		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: row.Version})
+		txn.Checks = append(txn.Checks, store.Check{Key: key, Version: row.Version})
 		txn.Writes = append(txn.Writes, put(key, strconv.Itoa(n+by)))
 	}
 	return tb.Commit(ctx, txn)
 }
 
-func tableContext(t *testing.T, tb platform.Table) {
+func tableContext(t *testing.T, tb store.Table) {
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := tb.Get(ended, "k")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
-	err = tb.Commit(ended, platform.Txn{Writes: []platform.Write{put("k", "1")}})
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	err = tb.Commit(ended, store.Txn{Writes: []store.Write{put("k", "1")}})
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	assert.Equal(t, version(t, tb, "k"), uint64(0))
 }
