--- /dev/null
+++ b/cmd/hibiscusspur/gateway.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/gateway"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+const (
+	// storeTimeout bounds a call to the platform's store, which answers in some
+	// milliseconds, or in a third of a second when it is slow.
+	storeTimeout = 1500 * time.Millisecond
+	// engineTimeout bounds a call to an engine beside requests; it answers at once.
+	engineTimeout = 400 * time.Millisecond
+	// drainMargin is kept from the time between SIGTERM and SIGKILL.
+	drainMargin = 300 * time.Millisecond
+)
+
+func gatewayCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "gateway",
+		Short: "Forward requests to the backend servers of the users' platform",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return runGateway() },
+	}
+}
+
+func runGateway() error {
+	path := os.Getenv(platform.SettingsEnv)
+	if path == "" {
+		return merry.Errorf("the environment variable %s must name the settings file", platform.SettingsEnv)
+	}
+	set, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	l, batch := event.NewBatched("gateway", set.VM, log.InfoLevel)
+	defer batch.Flush()
+	pool := upstream.New(upstream.Options{})
+	s := gateway.New(gatewaySettings(set), gateway.Deps{
+		Store:   platform.NewStore(upstream.New(upstream.Options{}), set.Store, storeTimeout),
+		Codec:   platform.Codec{},
+		Engines: platform.NewEngines(pool, engineTimeout),
+		Pool:    pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
+	})
+	return runDaemon(l, s, set.Drain-drainMargin)
+}
+
+func gatewaySettings(set platform.Settings) gateway.Settings {
+	return gateway.Settings{
+		VM: set.VM, Zone: set.Zone,
+		Callers: set.Callers, Ready: set.Ready, Control: set.Control,
+		Drain: set.Drain,
+		Retry: retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/admission"
 	"github.com/hibiscusspur/hibiscusspur/policy/retry"
@@ -337,9 +338,9 @@
 
 func causeReason(err error) outcome.Reason {
 	switch {
-	case errors.Is(err, errCallerGone):
+	case errors.Is(err, httpserver.ErrCallerGone):
 		return outcome.CallerGone
-	case errors.Is(err, errDeadline):
+	case errors.Is(err, httpserver.ErrDeadline):
 		return outcome.DeadlineExceeded
 	default:
 		return outcome.LinkDown
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -63,7 +63,7 @@
 			Body:    body,
 		},
 	}
-	ctx, end := s.callers.watch(httpserver.CallerOf(w), time.Now().Add(svc.Timeout))
+	ctx, end := s.callers.Watch(httpserver.CallerOf(w), time.Now().Add(svc.Timeout))
 	defer end()
 	reply, out := s.executeCallGuarded(ctx, r, key)
 	s.finishCall(w, r, reply, out)
--- a/entry/giveup_test.go
+++ b/entry/giveup_test.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/wire"
@@ -32,11 +33,11 @@
 		frames   []*wire.SidecarFrame
 		want     outcome.Kind
 	}{
-		{"fenced in time", errDeadline, 0, []*wire.SidecarFrame{fenced(false)}, outcome.NotRun},
-		{"had begun", errDeadline, 0, []*wire.SidecarFrame{late, fenced(true)}, outcome.Failed},
-		{"no answer", errDeadline, 0, nil, outcome.Unknown},
-		{"tokens had come", errDeadline, 3, []*wire.SidecarFrame{fenced(false)}, outcome.Failed},
-		{"caller gone", errCallerGone, 0, nil, outcome.Unknown},
+		{"fenced in time", httpserver.ErrDeadline, 0, []*wire.SidecarFrame{fenced(false)}, outcome.NotRun},
+		{"had begun", httpserver.ErrDeadline, 0, []*wire.SidecarFrame{late, fenced(true)}, outcome.Failed},
+		{"no answer", httpserver.ErrDeadline, 0, nil, outcome.Unknown},
+		{"tokens had come", httpserver.ErrDeadline, 3, []*wire.SidecarFrame{fenced(false)}, outcome.Failed},
+		{"caller gone", httpserver.ErrCallerGone, 0, nil, outcome.Unknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/rand"
 	"net/http"
 	"time"
@@ -180,7 +179,7 @@
 	} else {
 		r.out = &wholeSink{shape: sh, w: w}
 	}
-	ctx, end := s.callers.watch(httpserver.CallerOf(w), r.deadline)
+	ctx, end := s.callers.Watch(httpserver.CallerOf(w), r.deadline)
 	defer end()
 	s.finish(w, c, r, stream, s.executeGuarded(ctx, r))
 }
@@ -305,10 +304,3 @@
 	}
 	_, _ = w.Write([]byte(state + "\n"))
 }
-
-// contextFor is the context of a request that ends with the caller or the deadline.
-func contextFor(deadline time.Time) (context.Context, context.CancelCauseFunc, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	ctx, stop := context.WithDeadlineCause(ctx, deadline, errDeadline)
-	return ctx, cancel, stop
-}
--- a/entry/request.go
+++ b/entry/request.go
@@ -4,20 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
-// Causes for which a request's context ends.
-var (
-	errCallerGone = merry.Sentinel("caller gone")
-	errDeadline   = merry.Sentinel("deadline exceeded")
-)
-
 // request is one request for model work. It belongs to one goroutine.
 type request struct {
 	id       string
--- a/entry/service.go
+++ b/entry/service.go
@@ -30,7 +30,7 @@
 	index   *dissemination.Index
 	table   store.Table
 	pool    *pool
-	callers *callers
+	callers *httpserver.Watcher
 	vms     store.VMs
 	guard   *guard
 	poller  *poller
@@ -48,7 +48,7 @@
 
 // New returns the service for checked settings.
 func New(set Settings, l *log.Logger, m *metrics.Set) *Service {
-	s := &Service{set: set, log: l, met: m, state: dissemination.NewState(), callers: newCallers()}
+	s := &Service{set: set, log: l, met: m, state: dissemination.NewState(), callers: httpserver.NewWatcher()}
 	s.index = dissemination.NewIndex(s.state, func(key string, rev uint64, err error) {
 		event.RecordInvalid.Log(l).Str("key", key).Uint64("revision", rev).Err(err).Msg("")
 	})
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	s.work.Go(func() { s.poll(ctx) })
-	s.work.Go(func() { s.callers.run(ctx, s.set.Timing.CallerCheck) })
+	s.work.Go(func() { s.callers.Run(ctx, s.set.Timing.CallerCheck) })
 	s.work.Go(func() { s.guard.table.Run(ctx) })
 	s.work.Go(func() { s.claimSweepLoop(ctx) })
 	s.work.Go(func() { s.vmLoop(ctx) })
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -2,7 +2,8 @@
 
 import "github.com/phuslu/log"
 
-// The catalogue. 1xx: process; 2xx: entry; 3xx: sidecar; 4xx: links; 5xx: configuration; 6xx: stand-ins.
+// The catalogue. 1xx: process; 2xx: entry; 3xx: sidecar; 4xx: links; 5xx: configuration; 6xx: stand-ins;
+// 7xx: requests and beliefs of a gateway.
 var (
 	Started         = Event{101, log.InfoLevel, "process started"}
 	Draining        = Event{102, log.InfoLevel, "process draining"}
@@ -38,6 +39,21 @@
 	RecordInvalid   = Event{503, log.ErrorLevel, "configuration record not understood; kept out"}
 	RevisionHealed  = Event{504, log.InfoLevel, "configuration revision handed back by a peer"}
 
+	RequestAnswered   = Event{701, log.InfoLevel, "request answered"}
+	RequestTurnedAway = Event{702, log.InfoLevel, "request turned away before it ran"}
+	AttemptFailed     = Event{703, log.InfoLevel, "attempt at a server failed"}
+
+	TableApplied    = Event{711, log.InfoLevel, "route table in force"}
+	TableRefused    = Event{712, log.ErrorLevel, "route table not understood; the last one stays in force"}
+	ServersChanged  = Event{713, log.InfoLevel, "list of servers changed"}
+	ServerInvalid   = Event{714, log.WarnLevel, "entry of a server not understood; left out"}
+	ReadyChanged    = Event{715, log.InfoLevel, "readiness changed"}
+	StoreLost       = Event{716, log.WarnLevel, "platform's store lost"}
+	StoreRegained   = Event{717, log.InfoLevel, "platform's store regained"}
+	SettingsRead    = Event{718, log.InfoLevel, "settings read"}
+	SettingsRefused = Event{719, log.ErrorLevel, "settings not understood; the last ones stay in force"}
+	LinesDropped    = Event{720, log.WarnLevel, "log lines dropped"}
+
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
 
@@ -50,5 +66,8 @@
 		LinkUp, LinkDown, LinkSilent, LinkRefused, FrameDropped,
 		RevisionApplied, StoreFailed, RecordInvalid, RevisionHealed,
 		FaultSet,
+		RequestAnswered, RequestTurnedAway, AttemptFailed,
+		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
+		SettingsRead, SettingsRefused, LinesDropped,
 	}
 }
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,147 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/route"
+)
+
+// job is one request in progress. It belongs to one goroutine.
+type job struct {
+	w     http.ResponseWriter
+	r     *http.Request
+	meta  Meta
+	body  []byte
+	table *route.Table
+	route *route.Route
+	// service is the target that was drawn for this request.
+	service string
+	arrived time.Time
+	// deadline is when the client or the route gives up.
+	deadline time.Time
+	caller   httpserver.Caller
+
+	// sends counts requests that reached, or may have reached, a server.
+	sends int
+	// ran is set once a server may have begun to work on the request.
+	ran bool
+	// waited is how long the request waited for an engine.
+	waited time.Duration
+	// servers are the instances that the request was sent to.
+	servers []string
+	// started is set once a part of the answer went to the client.
+	started bool
+}
+
+func (j *job) left(now time.Time) time.Duration { return j.deadline.Sub(now) }
+
+// target is the request's path and query as the client sent them.
+func (j *job) target() string { return j.r.URL.RequestURI() }
+
+// refuse answers that the request has not run and never will. After is when to come
+// back; it must only be called when nothing can have run.
+func (f *Forwarder) refuse(j *job, reason outcome.Reason, after time.Duration) {
+	if after > 0 {
+		j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	f.finish(j, http.StatusServiceUnavailable, outcome.NotRun, reason)
+	event.RequestTurnedAway.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
+		Str("reason", string(reason)).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version()).Msg("")
+}
+
+// fail answers that the request failed or may have run. Where nothing was sent to any
+// server the honest answer is a refusal.
+func (f *Forwarder) fail(j *job, reason outcome.Reason) {
+	if !j.ran {
+		f.refuse(j, reason, f.comeBack(j))
+		return
+	}
+	status := http.StatusBadGateway
+	if reason == outcome.DeadlineExceeded {
+		status = http.StatusGatewayTimeout
+	}
+	f.finish(j, status, outcome.Failed, reason)
+}
+
+// reject answers a request that is not proper.
+func (f *Forwarder) reject(j *job, status int, reason outcome.Reason) {
+	f.finish(j, status, outcome.NotRun, reason)
+}
+
+// finish writes an answer of the router's own.
+func (f *Forwarder) finish(j *job, status int, kind outcome.Kind, reason outcome.Reason) {
+	f.Metrics.Refused(reason)
+	if !j.caller.Gone() {
+		f.closing(j)
+		j.w.Header().Set("Content-Length", "0")
+		j.w.WriteHeader(status)
+	}
+	f.ended(j, status, kind, reason)
+}
+
+// closing asks the client to use another connection while the process drains.
+func (f *Forwarder) closing(j *job) {
+	if f.draining.Load() {
+		j.w.Header().Set("Connection", "close")
+		j.r.Close = true
+	}
+}
+
+func (f *Forwarder) ended(j *job, status int, kind outcome.Kind, reason outcome.Reason) {
+	now := time.Now()
+	f.Metrics.Ended(kind)
+	f.Metrics.Timer("request_time." + j.kindName()).Update(now.Sub(j.arrived))
+	e := event.RequestAnswered.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
+		Str("service", j.service).Strs("servers", j.servers).Int("status", status).Str("outcome", kind.String())
+	if reason != "" {
+		e = e.Str("reason", string(reason))
+	}
+	e.Int("sends", j.sends).Dur("waited", j.waited).Dur("took", now.Sub(j.arrived)).
+		Dur("left", j.left(now)).Int64("version", j.version()).Msg("")
+}
+
+func (j *job) routeName() string {
+	if j.route == nil {
+		return ""
+	}
+	return j.route.Name
+}
+
+func (j *job) kindName() string {
+	if j.route == nil {
+		return "none"
+	}
+	return j.route.Kind.String()
+}
+
+func (j *job) version() int64 {
+	if j.table == nil {
+		return 0
+	}
+	return j.table.Version
+}
+
+// copyHead passes the head of a server's answer on.
+func copyHead(w http.ResponseWriter, head AnswerHead) {
+	h := w.Header()
+	for name, values := range head.Header {
+		h[name] = values
+	}
+}
+
+// attemptFailed notes why a request that was sent to s is not answered by it.
+func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
+	f.Metrics.Counter("attempt_failed." + string(reason)).Inc(1)
+	e := event.AttemptFailed.Log(f.Log).Str("request", j.meta.ID).Str("service", s.Service).Str("server", s.ID).
+		Str("stage", s.Stage.String()).Str("reason", string(reason)).Int("sends", j.sends).Dur("since", time.Since(j.arrived))
+	if err != nil {
+		e = e.Err(err)
+	}
+	e.Msg("")
+}
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,178 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
+	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+// Config is what a Forwarder needs. All fields are required.
+type Config struct {
+	Codec   Codec
+	Engines Engines
+	View    View
+	Pool    *upstream.Pool
+	Watcher *httpserver.Watcher
+	Log     *log.Logger
+	Metrics *metrics.Set
+	// VM and Zone are those of this process.
+	VM, Zone string
+	// Retry bounds the repeats over all routers.
+	Retry retrybudget.Limits
+}
+
+// Forwarder answers requests. It is an http.Handler, safe for concurrent use.
+type Forwarder struct {
+	Config
+	draining atomic.Bool
+
+	mu sync.Mutex
+	// services is the state for each service, by name; guarded by mu.
+	services map[string]*service
+}
+
+// service is what a process learned of one service. Fields are guarded by Forwarder.mu
+// but for engines, which has its own lock.
+type service struct {
+	budget      retrybudget.Budget
+	outliers    *outlier.Tracker
+	outstanding map[string]int
+	// reading counts the prompt tokens that were sent to prefill engines and not read yet.
+	reading map[string]int
+	// shunned holds prefill engines whose exports can't be fetched, until the time.
+	shunned map[string]time.Time
+	engines *engines
+}
+
+// New returns a Forwarder.
+func New(c Config) *Forwarder {
+	return &Forwarder{Config: c, services: map[string]*service{}}
+}
+
+// Drain makes all further answers close their connection.
+func (f *Forwarder) Drain() { f.draining.Store(true) }
+
+// service returns the state of a service.
+func (f *Forwarder) service(name string) *service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.services[name]
+	if !ok {
+		s = &service{
+			outliers: outlier.New(), outstanding: map[string]int{}, reading: map[string]int{},
+			shunned: map[string]time.Time{}, engines: newEngines(f.VM),
+		}
+		f.services[name] = s
+	}
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{w: w, r: r, arrived: time.Now(), caller: httpserver.CallerOf(w)}
+	if !f.admit(j) {
+		return
+	}
+	ctx, end := f.Watcher.Watch(j.caller, j.deadline)
+	defer end()
+	f.countRequest(j)
+	if j.streams() {
+		f.stream(ctx, j)
+		return
+	}
+	f.call(ctx, j)
+}
+
+// streams reports whether the request needs a prefill and a decode engine.
+func (j *job) streams() bool { return j.table.Services[j.service].Engine != nil }
+
+// admit finds the route of a request and reads it. When it returns false the request
+// has been answered.
+func (f *Forwarder) admit(j *job) bool {
+	var err error
+	j.meta, err = f.Codec.Read(j.r.Header)
+	j.table = f.View.Table()
+	if j.table == nil {
+		f.refuse(j, outcome.StaleRevision, unconfiguredRetry)
+		return false
+	}
+	j.route = j.table.Match(hostOf(j.r), j.r.URL.EscapedPath())
+	if j.route == nil {
+		f.reject(j, http.StatusNotFound, outcome.NotFound)
+		return false
+	}
+	if err != nil {
+		f.reject(j, http.StatusBadRequest, outcome.BadRequest)
+		return false
+	}
+	if j.r.Body != nil {
+		if j.body, err = io.ReadAll(j.r.Body); err != nil {
+			f.reject(j, http.StatusBadRequest, outcome.BadRequest)
+			return false
+		}
+	}
+	if limit := j.table.Limits.BodyBytes; limit > 0 && len(j.body) > limit {
+		f.reject(j, http.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
+		return false
+	}
+	j.service = j.route.Service(rand.Float64())
+	j.deadline = j.arrived.Add(j.route.Timeout)
+	if j.meta.Patience > 0 && j.meta.Patience < j.route.Timeout {
+		j.deadline = j.arrived.Add(j.meta.Patience)
+	}
+	return true
+}
+
+// unconfiguredRetry is when to come back to a process that knows no configuration yet;
+// one that has just started reads it within some tens of milliseconds.
+const unconfiguredRetry = 300 * time.Millisecond
+
+// hostOf is the host that a request names, without its port.
+func hostOf(r *http.Request) string {
+	if host, _, err := net.SplitHostPort(r.Host); err == nil {
+		return host
+	}
+	return r.Host
+}
+
+func (f *Forwarder) countRequest(j *job) {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.budget.Request(f.Retry, j.arrived)
+}
+
+// mayRepeat takes one repeat from the budget of the job's service.
+func (f *Forwarder) mayRepeat(j *job) bool {
+	s := f.service(j.service)
+	routers := f.View.Routers()
+	f.mu.Lock()
+	ok := s.budget.Repeat(f.Retry, routers, time.Now())
+	f.mu.Unlock()
+	if !ok {
+		f.Metrics.RetryDenied("budget")
+	}
+	return ok
+}
+
+// reasonOf tells why a request's context ended.
+func reasonOf(ctx context.Context) outcome.Reason {
+	if context.Cause(ctx) == httpserver.ErrCallerGone {
+		return outcome.CallerGone
+	}
+	return outcome.DeadlineExceeded
+}
--- /dev/null
+++ b/forward/relay.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+const (
+	// eventBuffer holds a few events of the usual 100 bytes.
+	eventBuffer = 4 << 10
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+)
+
+// errSilent ends an attempt whose engine sends no more events.
+var errSilent = errors.New("engine went silent")
+
+// relay hands the events of an engine to the client as they arrive. Only whole events
+// are handed on, so that a stream that breaks can go on elsewhere.
+func (r *run) relay(ctx context.Context, s registry.Server, head AnswerHead, res *upstream.Response) (bool, outcome.Reason) {
+	start := time.Now()
+	err := r.copyEvents(head, res)
+	r.f.observe(r.j, s, err == nil, time.Since(start))
+	if err == nil {
+		r.f.ended(r.j, http.StatusOK, outcome.Completed, "")
+		return true, ""
+	}
+	reason := r.f.explain(ctx, err)
+	if errors.Is(err, errClient) {
+		reason = outcome.CallerGone
+	}
+	r.f.attemptFailed(r.j, s, reason, err)
+	return false, reason
+}
+
+// errClient means that the client takes no more events.
+var errClient = errors.New("client left")
+
+func (r *run) copyEvents(head AnswerHead, res *upstream.Response) error {
+	stop := r.watchSilence(res)
+	defer stop.end()
+	br := bufio.NewReaderSize(res.Body, eventBuffer)
+	for {
+		event, err := readEvent(br)
+		if err != nil && err != io.EOF {
+			if stop.silent() {
+				return errSilent
+			}
+			return err
+		}
+		stop.reset()
+		if len(event) > 0 {
+			if werr := r.deliver(head, event, br.Buffered() == 0); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+	}
+}
+
+// deliver hands one event to the client. The head of the first engine goes before the
+// first event.
+func (r *run) deliver(head AnswerHead, event []byte, flush bool) error {
+	j := r.j
+	if !j.started {
+		j.started = true
+		copyHead(j.w, head)
+		r.f.closing(j)
+		j.w.WriteHeader(head.Status)
+		r.f.Metrics.Timer("first_event_time").Update(time.Since(j.arrived))
+	}
+	if id, ok := eventID(event); ok {
+		r.last = id
+	}
+	if _, err := j.w.Write(event); err != nil {
+		return errClient
+	}
+	if flush {
+		j.w.(http.Flusher).Flush()
+	}
+	return nil
+}
+
+// readEvent reads up to the empty line that ends an event. At the end of the stream it
+// returns what is left with io.EOF.
+func readEvent(br *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := br.ReadBytes('\n')
+		event = append(event, line...)
+		if err != nil {
+			return event, err
+		}
+		if len(event) > maxEvent {
+			return nil, errTooLarge
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
+			return event, nil
+		}
+	}
+}
+
+// eventID returns the id of an event.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(v)), true
+		}
+	}
+	return "", false
+}
+
+// silenceLimit is the pause after which a stream that can be resumed is given to
+// another engine. Clients leave after a pause of 3.6 s; usual pauses are far below 0.3 s.
+const silenceLimit = 1500 * time.Millisecond
+
+// silence closes an answer whose engine sends nothing for silenceLimit, where the stream
+// can go on elsewhere.
+type silence struct {
+	timer *time.Timer
+	fired *atomic.Bool
+}
+
+func (r *run) watchSilence(res *upstream.Response) silence {
+	if !r.j.route.Resumable || r.j.sends >= r.j.route.Attempts {
+		return silence{}
+	}
+	fired := new(atomic.Bool)
+	t := time.AfterFunc(silenceLimit, func() {
+		fired.Store(true)
+		_ = res.Body.Close()
+	})
+	return silence{timer: t, fired: fired}
+}
+
+func (s silence) reset() {
+	if s.timer != nil {
+		s.timer.Reset(silenceLimit)
+	}
+}
+
+func (s silence) end() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+func (s silence) silent() bool {
+	return s.fired != nil && s.fired.Load()
+}
--- /dev/null
+++ b/forward/reserve.go
@@ -0,0 +1,231 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+// engines joins the policies that place and queue requests for one service's decode
+// engines to goroutines and timers. It is safe for concurrent use.
+type engines struct {
+	terms waiting.Terms
+
+	mu     sync.Mutex
+	memory *kvmemory.Pool
+	line   waiting.Line
+	// turns are where waiting requests learn which engine to ask.
+	turns map[*waiting.Waiter]chan string
+	// retry is set while a timer will look at the line again.
+	retry bool
+}
+
+func newEngines(seed string) *engines {
+	return &engines{
+		terms:  waiting.DefaultTerms(),
+		memory: kvmemory.New(kvmemory.DefaultConfig(), seed),
+		turns:  map[*waiting.Waiter]chan string{},
+	}
+}
+
+const (
+	// passFor is how long smaller requests may go before a larger one that waits.
+	passFor = 300 * time.Millisecond
+	// lineCheck is the pause after which a line that does not move is looked at again;
+	// refusals of engines count as long.
+	lineCheck = 50 * time.Millisecond
+)
+
+// lease is room for one request at a decode engine. It belongs to the request's goroutine.
+type lease struct {
+	server registry.Server
+	need   int
+	// reservation is the engine's name for it; empty once it was used.
+	reservation string
+}
+
+// sync takes the list of engines that may get new work.
+func (e *engines) sync(servers []registry.Server, capacity, slots int) {
+	list := make([]kvmemory.Server, 0, len(servers))
+	for _, s := range servers {
+		if s.Stage == registry.Decode {
+			list = append(list, kvmemory.Server{ID: s.ID, Zone: s.Zone, Capacity: capacity, Slots: slots})
+		}
+	}
+	e.memory.Sync(list)
+}
+
+// reserve waits for room and reserves it. It returns a reason when there is none in time.
+func (f *Forwarder) reserve(ctx context.Context, j *job, need int, exclude []string) (*lease, outcome.Reason) {
+	e := f.service(j.service).engines
+	spec := j.table.Services[j.service].Engine
+	if need > spec.KVTokens {
+		return nil, outcome.PromptTooLong
+	}
+	late := j.late()
+	w := &waiting.Waiter{
+		Need: need, Arrived: j.arrived, Late: late, Priority: j.route.Priority,
+		Until: e.terms.Until(j.arrived, j.route.Objective, j.left(j.arrived), j.meta.PromptTokens, late),
+	}
+	start := time.Now()
+	defer func() { j.waited += time.Since(start) }()
+	for {
+		servers := f.View.Servers(j.service)
+		id, ok := e.await(ctx, w, servers, spec.KVTokens, spec.Slots, f.Zone, exclude)
+		if !ok {
+			if ctx.Err() != nil {
+				return nil, reasonOf(ctx)
+			}
+			return nil, outcome.NoPlace
+		}
+		s, ok := find(servers, id)
+		if !ok {
+			e.failed(id, need)
+			continue
+		}
+		reservation, err := f.Engines.Reserve(ctx, s, need, spec.MaxHold)
+		switch {
+		case err == nil:
+			return &lease{server: s, need: need, reservation: reservation}, ""
+		case errors.Is(err, ErrFull):
+			f.Metrics.Counter("reservation_refused").Inc(1)
+			e.refused(id, need)
+		case ctx.Err() != nil:
+			e.release(id, need)
+			return nil, reasonOf(ctx)
+		default:
+			f.attemptFailed(j, s, outcome.EngineLost, err)
+			e.failed(id, need)
+		}
+	}
+}
+
+// late reports whether the client has come back after a refusal: it then has less time
+// than the route gives.
+func (j *job) late() bool {
+	return j.meta.Patience > 0 && j.meta.Patience < j.route.Timeout-j.route.Objective/2
+}
+
+func find(servers []registry.Server, id string) (registry.Server, bool) {
+	for _, s := range servers {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return registry.Server{}, false
+}
+
+// await waits until the request's turn at an engine comes. The engine's memory is then
+// taken, until refused, failed or release is called.
+func (e *engines) await(ctx context.Context, w *waiting.Waiter, servers []registry.Server, capacity, slots int, zone string, exclude []string) (string, bool) {
+	e.mu.Lock()
+	e.sync(servers, capacity, slots)
+	turn := make(chan string, 1)
+	e.turns[w] = turn
+	e.line.Add(w)
+	e.dispatch(zone, exclude)
+	e.mu.Unlock()
+
+	t := time.NewTimer(time.Until(w.Until))
+	defer t.Stop()
+	select {
+	case id := <-turn:
+		return id, true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.line.Remove(w) {
+		delete(e.turns, w)
+		return "", false
+	}
+	return <-turn, true
+}
+
+// dispatch gives turns to waiting requests for which an engine is thought to have room.
+// The caller holds mu.
+func (e *engines) dispatch(zone string, exclude []string) {
+	now := time.Now()
+	for {
+		w := e.line.Next(func(need int) bool { return e.memory.Fits(need, now) }, passFor, now)
+		if w == nil {
+			break
+		}
+		id, ok := e.memory.Pick(w.Need, zone, exclude, now)
+		if !ok {
+			e.line.Add(w)
+			break
+		}
+		e.memory.Take(id, w.Need)
+		e.turns[w] <- id
+		delete(e.turns, w)
+	}
+	e.lookAgain(zone)
+}
+
+// lookAgain arranges that a line that is not empty is looked at again. The caller holds mu.
+func (e *engines) lookAgain(zone string) {
+	if e.retry || e.line.Len() == 0 {
+		return
+	}
+	e.retry = true
+	time.AfterFunc(lineCheck, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.retry = false
+		e.dispatch(zone, nil)
+	})
+}
+
+func (e *engines) refused(id string, need int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Refuse(id, need, time.Now())
+}
+
+func (e *engines) failed(id string, need int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Fail(id, need, time.Now())
+}
+
+// release notes that a request is over at an engine.
+func (e *engines) release(id string, need int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Release(id, need)
+	e.dispatch("", nil)
+}
+
+// giveBack ends a lease. A reservation that was not used is returned to the engine
+// without waiting for it; it lapses by itself when that fails.
+func (f *Forwarder) giveBack(j *job, l *lease) {
+	f.service(j.service).engines.release(l.server.ID, l.need)
+	if l.reservation == "" {
+		return
+	}
+	s, reservation := l.server, l.reservation
+	l.reservation = ""
+	go func() {
+		if err := f.Engines.Unreserve(context.Background(), s, reservation); err != nil {
+			f.attemptFailed(j, s, outcome.ReservationLapsed, err)
+		}
+	}()
+}
+
+// comeBack is when a client that is turned away should come back.
+func (f *Forwarder) comeBack(j *job) time.Duration {
+	if j.table == nil || j.route == nil {
+		return unconfiguredRetry
+	}
+	terms := f.service(j.service).engines.terms
+	return terms.ComeBack(j.left(time.Now()), rand.Float64())
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,314 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+// stream answers a request of a model service: memory for the whole run is reserved at
+// a decode engine first, then the prompt is read elsewhere, then tokens are generated.
+// So no prompt is read for which there is no room.
+func (f *Forwarder) stream(ctx context.Context, j *job) {
+	run := &run{f: f, j: j, last: j.meta.LastEventID}
+	reason := outcome.NoBackend
+	for {
+		var done bool
+		done, reason = run.attempt(ctx)
+		if done {
+			return
+		}
+		if !run.mayGoOn(ctx) {
+			break
+		}
+		f.Metrics.Retried(reason)
+	}
+	if j.started {
+		httpserver.Abort(j.w)
+		f.ended(j, http.StatusOK, outcome.Failed, reason)
+		return
+	}
+	if run.failure != nil {
+		f.pass(j, run.failure)
+		return
+	}
+	f.fail(j, reason)
+}
+
+// run is one stream over all its attempts. It belongs to the request's goroutine.
+type run struct {
+	f *Forwarder
+	j *job
+	// last is the last event that the client has.
+	last string
+	// tried are the decode engines that were asked.
+	tried []string
+	// failure is a failed answer of an engine, passed on when nothing better comes.
+	failure *answer
+}
+
+// mayGoOn reports whether the stream may be tried at another engine.
+func (r *run) mayGoOn(ctx context.Context) bool {
+	j := r.j
+	if ctx.Err() != nil || j.caller.Gone() {
+		return false
+	}
+	if j.ran && !j.route.Repeatable() {
+		return false
+	}
+	if len(r.tried) == 0 || j.sends >= j.route.Attempts {
+		return false
+	}
+	return r.f.mayRepeat(j)
+}
+
+// need is the memory of the whole run, in tokens.
+func (r *run) need() int { return r.j.meta.PromptTokens + r.j.meta.MaxTokens }
+
+// attempt runs the stream at one decode engine. It returns true once the request is
+// answered, or why it is not.
+func (r *run) attempt(ctx context.Context) (bool, outcome.Reason) {
+	l, reason := r.f.reserve(ctx, r.j, r.need(), r.tried)
+	if l == nil {
+		return false, reason
+	}
+	defer r.f.giveBack(r.j, l)
+	r.tried = append(r.tried, l.server.ID)
+	export := r.f.prefill(ctx, r.j, l.server.Zone)
+	if ctx.Err() != nil {
+		r.f.freeExport(r.j, export)
+		return false, reasonOf(ctx)
+	}
+	return r.decode(ctx, l, export)
+}
+
+// decode has tokens generated at the engine of the lease.
+func (r *run) decode(ctx context.Context, l *lease, export *source) (bool, outcome.Reason) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o := Send{Reservation: l.reservation, LastEventID: r.last}
+	if export != nil {
+		o.KVFrom = r.f.Codec.ExportSource(export.server, export.Handle)
+	}
+	l.reservation = ""
+	head, res, err := r.open(ctx, l.server, o)
+	if errors.Is(err, errNotRun) && export != nil {
+		// With its memory reserved, an engine refuses only because it could not fetch
+		// the KV cache; it can read the prompt itself.
+		r.f.shun(r.j, export.server)
+		r.f.attemptFailed(r.j, export.server, outcome.KVLost, err)
+		if r.f.mayRepeat(r.j) {
+			o.KVFrom = ""
+			o.Reservation = r.reserveAgain(ctx, l)
+			head, res, err = r.open(ctx, l.server, o)
+		}
+	}
+	if err != nil {
+		reason := r.f.explain(ctx, err)
+		r.f.attemptFailed(r.j, l.server, reason, err)
+		return false, reason
+	}
+	defer func() { _ = res.Body.Close() }()
+	if head.Status != http.StatusOK {
+		return r.failed(l.server, head, res)
+	}
+	return r.relay(ctx, l.server, head, res)
+}
+
+// reserveAgain reserves at the same engine after a reservation was used up by a request
+// that was refused. Without one the request waits in the engine's own queue.
+func (r *run) reserveAgain(ctx context.Context, l *lease) string {
+	life := r.j.table.Services[r.j.service].Engine.MaxHold
+	reservation, err := r.f.Engines.Reserve(ctx, l.server, l.need, life)
+	if err != nil {
+		r.f.attemptFailed(r.j, l.server, outcome.NoPlace, err)
+	}
+	return reservation
+}
+
+// open sends the request to a decode engine and reads the head of the answer.
+func (r *run) open(ctx context.Context, s registry.Server, o Send) (AnswerHead, *upstream.Response, error) {
+	res, err := r.f.send(ctx, r.j, s, o)
+	if err != nil {
+		return AnswerHead{}, nil, err
+	}
+	head := r.f.Codec.Answer(res.Status, res.Header)
+	if head.NotRun {
+		discard(res)
+		return head, nil, fmt.Errorf("%w: status %d", errNotRun, head.Status)
+	}
+	if head.Status == http.StatusOK && (!head.Stamped || head.Encoded) {
+		_ = res.Body.Close()
+		return head, nil, errNoStamp
+	}
+	return head, res, nil
+}
+
+// discard reads a short body to its end so that the connection can be used again.
+func discard(res *upstream.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswer))
+	_ = res.Body.Close()
+}
+
+// failed keeps a failure of an engine, to be passed on unless another engine does better.
+func (r *run) failed(s registry.Server, head AnswerHead, res *upstream.Response) (bool, outcome.Reason) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err == nil && !r.j.started {
+		r.failure = &answer{head: head, body: body}
+	}
+	r.f.attemptFailed(r.j, s, outcome.EngineError, fmt.Errorf("status %d", head.Status))
+	return false, outcome.EngineError
+}
+
+// source is an exported KV cache and the engine that holds it.
+type source struct {
+	Export
+	server registry.Server
+}
+
+// prefillTries bounds how often a prompt is sent to prefill engines before the decode
+// engine reads it itself.
+const prefillTries = 2
+
+// prefill has the prompt read and returns where the KV cache is, or nil when the decode
+// engine has to read it itself.
+func (f *Forwarder) prefill(ctx context.Context, j *job, zone string) *source {
+	var tried []string
+	for len(tried) < prefillTries {
+		s, ok := f.choosePrefill(j, zone, tried)
+		if !ok {
+			return nil
+		}
+		if len(tried) > 0 && !f.mayRepeat(j) {
+			return nil
+		}
+		tried = append(tried, s.ID)
+		export, err := f.read(ctx, j, s)
+		if err == nil {
+			return &source{Export: export, server: s}
+		}
+		f.attemptFailed(j, s, f.explain(ctx, err), err)
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Bounds of the time that a prefill engine may take before another way is taken.
+const (
+	// readBase is for the queue before the prompt, readPerToken for the prompt: ten
+	// times what an idle engine needs.
+	readBase     = 400 * time.Millisecond
+	readPerToken = 180 * time.Microsecond
+)
+
+// read sends the prompt to one prefill engine.
+func (f *Forwarder) read(ctx context.Context, j *job, s registry.Server) (Export, error) {
+	start := time.Now()
+	limit := readBase + time.Duration(j.meta.PromptTokens)*readPerToken
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	f.reading(j, s, j.meta.PromptTokens)
+	defer f.reading(j, s, -j.meta.PromptTokens)
+	export, err := f.askExport(ctx, j, s)
+	f.observe(j, s, err == nil, time.Since(start))
+	return export, err
+}
+
+func (f *Forwarder) askExport(ctx context.Context, j *job, s registry.Server) (Export, error) {
+	res, err := f.send(ctx, j, s, Send{PrefillOnly: true})
+	if err != nil {
+		return Export{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return Export{}, err
+	}
+	if res.Status != http.StatusOK {
+		return Export{}, fmt.Errorf("%w: status %d", errNotRun, res.Status)
+	}
+	return f.Codec.DecodeExport(body)
+}
+
+// freeExport frees a KV cache that will not be fetched, without waiting for it.
+func (f *Forwarder) freeExport(j *job, e *source) {
+	if e == nil {
+		return
+	}
+	go func() {
+		if err := f.Engines.FreeExport(context.Background(), e.server, e.Handle); err != nil {
+			f.attemptFailed(j, e.server, outcome.KVLost, err)
+		}
+	}()
+}
+
+func (f *Forwarder) reading(j *job, c registry.Server, tokens int) {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.reading[c.ID] += tokens; s.reading[c.ID] <= 0 {
+		delete(s.reading, c.ID)
+	}
+}
+
+// shunTime is how long an engine whose exports can't be fetched reads no prompts.
+const shunTime = 2 * time.Second
+
+func (f *Forwarder) shun(j *job, c registry.Server) {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.shunned[c.ID] = time.Now().Add(shunTime)
+}
+
+// Weights of the cost of a prefill engine, in prompt tokens waiting there.
+const (
+	// zoneReadCost is about what a hand-off between zones takes longer, with its price.
+	zoneReadCost = 1500
+	// failingReadCost is for an engine that fails every request.
+	failingReadCost = 100_000
+)
+
+// choosePrefill returns the engine that will have read the prompt first.
+func (f *Forwarder) choosePrefill(j *job, zone string, tried []string) (registry.Server, bool) {
+	now := time.Now()
+	servers := f.View.Servers(j.service)
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best registry.Server
+	bestCost := 0.0
+	for _, c := range servers {
+		if c.Stage != registry.Prefill || slices.Contains(tried, c.ID) || now.Before(s.shunned[c.ID]) {
+			continue
+		}
+		cost := f.readCost(s, c, zone, now)
+		if best.ID == "" || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, best.ID != ""
+}
+
+func (f *Forwarder) readCost(s *service, c registry.Server, zone string, now time.Time) float64 {
+	cost := float64(s.reading[c.ID])
+	if c.Zone != zone {
+		cost += zoneReadCost
+	}
+	cost += failingReadCost * s.outliers.Failing(c.ID, now)
+	if s.outliers.Suspect(c.ID, now) {
+		cost += failingReadCost
+	}
+	return cost
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/route"
+	"github.com/hibiscusspur/hibiscusspur/store"
+)
+
+// dependency logs each time that something the process depends on is lost or regained.
+// It belongs to one goroutine.
+type dependency struct {
+	s    *Service
+	what string
+	lost bool
+}
+
+func (d *dependency) note(err error) {
+	if err != nil {
+		d.s.met.Counter(metrics.StoreErrors).Inc(1)
+	}
+	if lost := err != nil; lost != d.lost {
+		d.lost = lost
+		if lost {
+			event.StoreLost.Log(d.s.log).Str("what", d.what).Err(err).Msg("")
+			return
+		}
+		event.StoreRegained.Log(d.s.log).Str("what", d.what).Msg("")
+	}
+}
+
+// followManifest keeps the route table up to date.
+func (s *Service) followManifest(ctx context.Context) {
+	dep := &dependency{s: s, what: "manifest"}
+	version, known := int64(0), false
+	for ctx.Err() == nil {
+		t, next, err := s.readManifest(ctx, version, known)
+		if ctx.Err() != nil {
+			return
+		}
+		switch {
+		case errors.Is(err, store.ErrNotFound):
+			err = nil
+			pause(ctx, storeRetry)
+		case err != nil:
+			known = false
+			pause(ctx, storeRetry)
+		default:
+			version, known = next, true
+			s.takeTable(t, "store")
+		}
+		dep.note(err)
+	}
+}
+
+// readManifest reads the whole table when none was read or the history was lost, and
+// waits for a change otherwise.
+func (s *Service) readManifest(ctx context.Context, version int64, known bool) (*route.Table, int64, error) {
+	if !known {
+		t, _, next, err := s.store.Manifest(ctx)
+		return t, next, err
+	}
+	t, _, next, err := s.store.NextManifest(ctx, version, manifestWait)
+	return t, next, err
+}
+
+// takeTable puts a table in force unless a newer one is.
+func (s *Service) takeTable(t *route.Table, from string) {
+	if t == nil || !s.view.applyTable(t) {
+		return
+	}
+	s.met.Gauge(metrics.ConfigRevision).Update(t.Version)
+	event.TableApplied.Log(s.log).Int64("version", t.Version).Int("routes", len(t.Routes)).Str("from", from).Msg("")
+}
+
+// followServers keeps the list of servers up to date.
+func (s *Service) followServers(ctx context.Context) {
+	dep := &dependency{s: s, what: "servers"}
+	for ctx.Err() == nil {
+		list, version, err := s.store.Servers(ctx, func(err error) {
+			event.ServerInvalid.Log(s.log).Err(err).Msg("")
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		dep.note(err)
+		if err != nil {
+			pause(ctx, storeRetry)
+			continue
+		}
+		if s.view.applyServers(version, list, time.Now()) {
+			event.ServersChanged.Log(s.log).Int64("version", version).Int("servers", len(list)).Str("from", "store").Msg("")
+		}
+		pause(ctx, jitter(serversInterval))
+	}
+}
+
+// jitter spreads d by a tenth to both sides.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.9 + 0.2*rand.Float64()))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,205 @@
+// Package gateway is the stateless process that stands before the backend servers of
+// the users' platform. It learns routes and servers, answers whether it is ready, and
+// hands requests to package forward.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/forward"
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/kernel"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/route"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+// ServiceName is the name of the gateway in a kernel.
+const ServiceName = "gateway"
+
+// Store is where configuration and servers are read. Its calls return promptly when
+// their context ends.
+type Store interface {
+	// Servers returns the list of backend servers and its version; entries that can't
+	// be decoded go to bad.
+	Servers(ctx context.Context, bad func(error)) ([]registry.Server, int64, error)
+	// Manifest returns the route table in force, its encoding, and the store's version.
+	Manifest(ctx context.Context) (*route.Table, []byte, int64, error)
+	// NextManifest waits for a table newer than version; it returns nil if none came.
+	NextManifest(ctx context.Context, version int64, wait time.Duration) (*route.Table, []byte, int64, error)
+}
+
+// Settings configure a gateway.
+type Settings struct {
+	// VM is the name of this VM and Zone its availability zone.
+	VM, Zone string
+	// Callers is where clients connect, Ready where readiness is asked, Control where
+	// metrics are served; each "ip:port". Control may be empty.
+	Callers, Ready, Control string
+	// Drain bounds a graceful shutdown.
+	Drain time.Duration
+	Retry retrybudget.Limits
+}
+
+// Intervals and bounds.
+const (
+	// serversInterval is the pause between two readings of the list of servers. A leaving
+	// server must get no new work 2 s after the store took its notice.
+	serversInterval = 700 * time.Millisecond
+	// manifestWait is how long the store may wait for a change; a connection that went
+	// silent is noticed after it.
+	manifestWait = 2 * time.Second
+	// storeRetry is the pause after a failed call, so that a store in trouble is not pressed.
+	storeRetry = 300 * time.Millisecond
+	// callerCheck is the interval at which departed callers are looked for.
+	callerCheck = 20 * time.Millisecond
+	// notice is how long connections are taken after readiness has ended: the balancer
+	// asks each second and acts on the second miss.
+	notice = 3 * time.Second
+	// sweepInterval is the pause between two looks for idle connections.
+	sweepInterval = time.Second
+)
+
+// Service is the gateway; it is a kernel.Service.
+type Service struct {
+	set   Settings
+	log   *log.Logger
+	batch *event.Batch
+	met   *metrics.Set
+	store Store
+	view  *view
+	fwd   *forward.Forwarder
+	watch *httpserver.Watcher
+	pool  *upstream.Pool
+
+	servers  []*httpserver.Server
+	callers  *httpserver.Server
+	draining atomic.Bool
+	ready    atomic.Bool
+	stop     context.CancelFunc
+	work     sync.WaitGroup
+}
+
+// Deps are the parts that a gateway is built from.
+type Deps struct {
+	Store   Store
+	Codec   forward.Codec
+	Engines forward.Engines
+	Pool    *upstream.Pool
+	Log     *log.Logger
+	Batch   *event.Batch
+	Metrics *metrics.Set
+}
+
+// New returns a gateway.
+func New(set Settings, d Deps) *Service {
+	s := &Service{
+		set: set, log: d.Log, batch: d.Batch, met: d.Metrics, store: d.Store, pool: d.Pool,
+		view: newView(), watch: httpserver.NewWatcher(),
+	}
+	s.fwd = forward.New(forward.Config{
+		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch,
+		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry,
+	})
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Start implements kernel.Service. It does not wait for the store.
+func (s *Service) Start(_ context.Context, _ *kernel.Kernel) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	s.work.Go(func() { s.watch.Run(ctx, callerCheck) })
+	s.work.Go(func() { s.followManifest(ctx) })
+	s.work.Go(func() { s.followServers(ctx) })
+	s.work.Go(func() { s.sweep(ctx) })
+	return s.listen()
+}
+
+func (s *Service) listen() error {
+	var err error
+	s.callers, err = s.serve("callers", s.set.Callers, s.fwd)
+	if err != nil {
+		return err
+	}
+	if _, err = s.serve("ready", s.set.Ready, http.HandlerFunc(s.answerReady)); err != nil {
+		return err
+	}
+	if s.set.Control == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", s.met)
+	_, err = s.serve("control", s.set.Control, mux)
+	return err
+}
+
+func (s *Service) serve(name, addr string, h http.Handler) (*httpserver.Server, error) {
+	server, err := httpserver.Start(httpserver.Options{Name: name, Addr: addr, Handler: h, Pollers: 1})
+	if err == nil && name != "callers" {
+		s.servers = append(s.servers, server)
+	}
+	return server, err
+}
+
+// answerReady tells the balancer whether new connections are welcome.
+func (s *Service) answerReady(w http.ResponseWriter, _ *http.Request) {
+	ready := s.view.informed() && !s.draining.Load()
+	if s.ready.Swap(ready) != ready {
+		event.ReadyChanged.Log(s.log).Bool("ready", ready).Bool("draining", s.draining.Load()).Msg("")
+	}
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// sweep closes idle connections and reports dropped log lines.
+func (s *Service) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		known := s.view.addresses()
+		s.pool.Sweep(func(addr string) bool { return known[addr] })
+		if n := s.batch.TakeDropped(); n > 0 {
+			event.LinesDropped.Log(s.log).Int64("lines", n).Msg("")
+		}
+	}
+}
+
+// Drain implements kernel.Service: readiness ends at once, connections are taken until
+// the balancer has noticed, and answers in progress are finished.
+func (s *Service) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	s.fwd.Drain()
+	select {
+	case <-ctx.Done():
+	case <-time.After(notice):
+	}
+	err := s.callers.Shutdown(ctx)
+	if err != nil {
+		event.DrainIncomplete.Emit(s.log)
+	}
+	for _, server := range s.servers {
+		server.Close()
+	}
+	s.stop()
+	s.work.Wait()
+	s.batch.Flush()
+	return err
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,153 @@
+// Package route holds the route table: which service a request goes to, whether it
+// may be repeated, and how long it may take. A Table is immutable once built, so
+// that a request keeps the table under which it was admitted.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what of a request may be repeated.
+type Kind uint8
+
+const (
+	// Unsafe requests run at most once.
+	Unsafe Kind = iota
+	// Safe requests are idempotent.
+	Safe
+	// Stream requests generate tokens; they run at most once unless the route is resumable.
+	Stream
+)
+
+// String returns the name of k for logs.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Stream:
+		return "stream"
+	default:
+		return "unsafe"
+	}
+}
+
+// Target is one service of a split route.
+type Target struct {
+	Service string
+	// Weight is the share of this target relative to the others.
+	Weight float64
+}
+
+// Route is one line of the table.
+type Route struct {
+	Name string
+	// Host and Prefix select the requests; a prefix begins and ends with a slash.
+	Host, Prefix string
+	Kind         Kind
+	// Timeout is the longest that a caller is kept waiting for the end of the answer.
+	Timeout time.Duration
+	// Objective is the time to the answer, for streams to the first event, that
+	// callers expect.
+	Objective time.Duration
+	// Priority is the rank of the route; zero is the most urgent.
+	Priority int
+	// Targets are the services, one unless the route is split.
+	Targets []Target
+	// Attempts is the most servers to which one request is sent.
+	Attempts int
+	// Resumable is set when a broken stream may go on at another server.
+	Resumable bool
+	// GapObjective is the longest pause between two events that is still on time.
+	GapObjective time.Duration
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
+}
+
+// Service returns the target for a request, drawn by weight with u in [0, 1).
+func (r *Route) Service(u float64) string {
+	var total float64
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := u * total
+	for _, t := range r.Targets {
+		if left -= t.Weight; left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Engine describes the model engines of a service. Zero means a plain service.
+type Engine struct {
+	// Slots is the number of requests that run at once on one server.
+	Slots int
+	// KVTokens is the memory of one server, in tokens.
+	KVTokens int
+	// KVTokenBytes is the memory of one token.
+	KVTokenBytes int
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+	// ExportLife is how long an engine keeps an exported KV cache.
+	ExportLife time.Duration
+	// SwitchTime is how long a change of stage takes once running work is done.
+	SwitchTime time.Duration
+	// MaxHold bounds the life of a reservation.
+	MaxHold time.Duration
+}
+
+// Service is a set of servers that answer the same requests.
+type Service struct {
+	Name string
+	// MaxConns is the number of connections that one server takes from all callers.
+	MaxConns int
+	// HealthPath is the path of the servers' health check.
+	HealthPath string
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what a client may send and how slowly.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Table is one version of the configuration. It must not be changed once shared.
+type Table struct {
+	// Version is the number of the operator's change; it only grows.
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Build prepares t for Match. It must be called once, before t is shared.
+func (t *Table) Build() {
+	t.byHost = make(map[string][]*Route)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, rs := range t.byHost {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Match returns the route with the longest prefix of path among those of host, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readBuffer is the size of a connection's read buffer: most answers of plain
+// services fit, and thousands of idle connections stay small.
+const readBuffer = 4 << 10
+
+// idleMargin is kept from the idle time that a server states, so that a request is
+// not sent just as the server closes.
+const idleMargin = 500 * time.Millisecond
+
+// conn is one connection to a server. It carries one request at a time.
+type conn struct {
+	net.Conn
+	br   *bufio.Reader
+	addr string
+	// usableUntil is when the server may close the connection; zero when it stated nothing.
+	usableUntil time.Time
+}
+
+func newConn(c net.Conn, addr string) *conn {
+	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), addr: addr}
+}
+
+// sound reports whether an idle connection may carry another request: nothing has
+// arrived on it unasked and the server has not closed it.
+func (c *conn) sound(now time.Time) bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	if !c.usableUntil.IsZero() && now.After(c.usableUntil) {
+		return false
+	}
+	return c.quiet()
+}
+
+// quiet looks for data or an end of file without blocking.
+func (c *conn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// noteKeepAlive takes the idle time that the server states in an answer.
+func (c *conn) noteKeepAlive(h http.Header, now time.Time) {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
+			c.usableUntil = now.Add(time.Duration(s)*time.Second - idleMargin)
+		}
+	}
+}
--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,206 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// smallBody is written together with the head; a longer one is written while the
+// answer is already being read, since a server may answer before it has read it.
+const smallBody = 8 << 10
+
+// maxForeign is the number of answers to other requests that are passed over on one
+// connection before it is given up.
+const maxForeign = 2
+
+// Request is one request to a server.
+type Request struct {
+	Method string
+	// Target is the path and query exactly as they go on the wire.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Mine tells an answer to this request from one to an earlier request that
+	// arrived late; nil accepts all.
+	Mine func(http.Header) bool
+}
+
+// Response is an answer whose head was read. Body must be read to its end or closed.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is that of the body, or -1 if it is not known beforehand.
+	Length int64
+	Body   io.ReadCloser
+}
+
+// errForeign ends a connection on which other requests' answers keep arriving.
+var errForeign = errors.New("answers to other requests on the connection")
+
+// Do sends r to addr and returns once the head of the answer was read. Cancelling ctx
+// closes the connection, also later while the body is read. An error wraps ErrNotSent
+// when the server can't have seen the request; after any other it may have run.
+func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	x := &exchange{pool: p, conn: c, written: make(chan struct{})}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if ctx.Err() != nil {
+		x.abandon()
+		return nil, errors.Join(ErrNotSent, context.Cause(ctx))
+	}
+	if err := x.send(r); err != nil {
+		x.abandon()
+		return nil, err
+	}
+	res, err := x.head(r)
+	if err != nil {
+		x.abandon()
+		return nil, err
+	}
+	return res, nil
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	pool *Pool
+	conn *conn
+	stop func() bool
+	// written is closed when the whole request was written; wrote is valid then.
+	written chan struct{}
+	wrote   error
+
+	keep bool
+	once sync.Once
+}
+
+func (x *exchange) send(r *Request) error {
+	head := encodeHead(r)
+	if len(r.Body) <= smallBody {
+		defer close(x.written)
+		_, x.wrote = x.conn.Write(append(head, r.Body...))
+		return x.wrote
+	}
+	if _, err := x.conn.Write(head); err != nil {
+		return err
+	}
+	go func() {
+		defer close(x.written)
+		_, x.wrote = x.conn.Write(r.Body)
+	}()
+	return nil
+}
+
+func encodeHead(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(1024 + min(len(r.Body), smallBody))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// head reads the head of the answer and passes over answers to other requests.
+func (x *exchange) head(r *Request) (*Response, error) {
+	for range maxForeign + 1 {
+		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Mine == nil || r.Mine(res.Header) {
+			return x.response(res), nil
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
+			return nil, errForeign
+		}
+	}
+	return nil, errForeign
+}
+
+func (x *exchange) response(res *http.Response) *Response {
+	now := time.Now()
+	x.conn.usableUntil = time.Time{}
+	x.conn.noteKeepAlive(res.Header, now)
+	x.keep = !res.Close
+	return &Response{
+		Status: res.StatusCode,
+		Header: res.Header,
+		Length: res.ContentLength,
+		Body:   &body{Reader: res.Body, x: x},
+	}
+}
+
+// abandon closes the connection.
+func (x *exchange) abandon() {
+	x.once.Do(func() {
+		x.stop()
+		_ = x.conn.Close()
+	})
+}
+
+// finish gives the connection back after the answer was read whole.
+func (x *exchange) finish() {
+	x.once.Do(func() {
+		if !x.stop() || !x.keep || !x.sent() || x.conn.br.Buffered() > 0 {
+			_ = x.conn.Close()
+			return
+		}
+		x.pool.put(x.conn)
+	})
+}
+
+// sent reports whether the request was written whole by now.
+func (x *exchange) sent() bool {
+	select {
+	case <-x.written:
+		return x.wrote == nil
+	default:
+		return false
+	}
+}
+
+// body is the body of an answer. Its end gives the connection back; closing it before
+// closes the connection, so that the server stops work.
+type body struct {
+	io.Reader
+	x *exchange
+}
+
+// Read implements io.Reader. io.EOF means that the body is whole.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		b.x.finish()
+	} else if err != nil {
+		b.x.abandon()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.x.abandon()
+	return nil
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,170 @@
+// Package upstream is the HTTP/1.1 client towards backend servers.
+//
+// It differs from a general client in what it promises: a connection carries one
+// request at a time and is used again only when its last answer was read whole and
+// nothing came after it; nothing is ever sent twice by itself; and each error says
+// whether the request can have reached the server. Heads are written and read by
+// net/http's own code.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrNotSent means that no byte of the request was handed to the network.
+var ErrNotSent = errors.New("request not sent")
+
+// Options tune a Pool. Zero fields take the defaults.
+type Options struct {
+	// Dial bounds a connection attempt.
+	Dial time.Duration
+	// Unacked is how long sent bytes may stay unacknowledged before the connection is
+	// given up: it finds hosts that are gone and connections that went silent.
+	Unacked time.Duration
+	// Idle is how long an unused connection is kept.
+	Idle time.Duration
+	// MaxIdle bounds the unused connections to one server.
+	MaxIdle int
+}
+
+// Defaults of Options.
+const (
+	// DefaultDial is several round trips between zones plus the second within which
+	// a lost opening packet is sent again.
+	DefaultDial = 1200 * time.Millisecond
+	// DefaultUnacked is below the shortest timeout of a lookup.
+	DefaultUnacked = 1500 * time.Millisecond
+	// DefaultIdle is below the usual idle timeout of servers that state none.
+	DefaultIdle    = 4 * time.Second
+	DefaultMaxIdle = 32
+)
+
+// Pool keeps connections to servers. It is safe for concurrent use.
+type Pool struct {
+	opts   Options
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	idle   map[string][]*idleConn
+	dialed int64
+}
+
+type idleConn struct {
+	*conn
+	since time.Time
+}
+
+// New returns an empty pool.
+func New(o Options) *Pool {
+	if o.Dial == 0 {
+		o.Dial = DefaultDial
+	}
+	if o.Unacked == 0 {
+		o.Unacked = DefaultUnacked
+	}
+	if o.Idle == 0 {
+		o.Idle = DefaultIdle
+	}
+	if o.MaxIdle == 0 {
+		o.MaxIdle = DefaultMaxIdle
+	}
+	p := &Pool{opts: o, idle: make(map[string][]*idleConn)}
+	p.dialer = net.Dialer{Timeout: o.Dial, KeepAlive: -1, Control: p.control}
+	return p
+}
+
+// control bounds the time that sent bytes may stay unacknowledged.
+func (p *Pool) control(_, _ string, raw syscall.RawConn) error {
+	var opt error
+	err := raw.Control(func(fd uintptr) {
+		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.opts.Unacked.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return opt
+}
+
+// Dialed is the number of connections opened so far.
+func (p *Pool) Dialed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.takeIdle(addr)
+		if c == nil {
+			break
+		}
+		if now.Sub(c.since) < p.opts.Idle && c.sound(now) {
+			return c.conn, nil
+		}
+		_ = c.Close()
+	}
+	c, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	return newConn(c, addr), nil
+}
+
+// takeIdle removes the connection that was used last, which is the least likely to
+// be closed by the server.
+func (p *Pool) takeIdle(addr string) *idleConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.addr]) >= p.opts.MaxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], &idleConn{conn: c, since: now})
+}
+
+// Sweep closes connections that were unused for too long, and all those to servers
+// for which keep returns false.
+func (p *Pool) Sweep(keep func(addr string) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if keep(addr) && now.Sub(c.since) < p.opts.Idle {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
