--- a/forward/answer.go
+++ b/forward/answer.go
@@ -33,6 +33,8 @@
 	ran bool
 	// waited is how long the request waited for an engine.
 	waited time.Duration
+	// read is how long the prompt took to be read, first when the first event came.
+	read, first time.Duration
 	// servers are the instances that the request was sent to.
 	servers []string
 	// started is set once a part of the answer went to the client.
@@ -102,6 +104,10 @@
 	if reason != "" {
 		e = e.Str("reason", string(reason))
 	}
+	if j.meta.PromptTokens > 0 {
+		e = e.Int("prompt", j.meta.PromptTokens).Int("max_tokens", j.meta.MaxTokens).Int("length_hint", j.meta.LengthHint).
+			Dur("read", j.read).Dur("first", j.first)
+	}
 	e.Int("sends", j.sends).Dur("waited", j.waited).Dur("took", now.Sub(j.arrived)).
 		Dur("left", j.left(now)).Int64("version", j.version()).Msg("")
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -79,7 +79,8 @@
 		copyHead(j.w, head)
 		r.f.closing(j)
 		j.w.WriteHeader(head.Status)
-		r.f.Metrics.Timer("first_event_time").Update(time.Since(j.arrived))
+		j.first = time.Since(j.arrived)
+		r.f.Metrics.Timer("first_event_time").Update(j.first)
 	}
 	if id, ok := eventID(event); ok {
 		r.last = id
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -71,8 +71,14 @@
 	return r.f.mayRepeat(j)
 }
 
-// need is the memory of the whole run, in tokens.
-func (r *run) need() int { return r.j.meta.PromptTokens + r.j.meta.MaxTokens }
+// need is the memory that the run is thought to take at its end, in tokens.
+func (r *run) need() int {
+	m := r.j.meta
+	if m.LengthHint <= 0 {
+		return m.PromptTokens + m.MaxTokens
+	}
+	return m.PromptTokens + min(m.LengthHint, m.MaxTokens)
+}
 
 // attempt runs the stream at one decode engine. It returns true once the request is
 // answered, or why it is not.
@@ -221,6 +227,7 @@
 	f.reading(j, s, j.meta.PromptTokens)
 	defer f.reading(j, s, -j.meta.PromptTokens)
 	export, err := f.askExport(ctx, j, s)
+	j.read += time.Since(start)
 	f.observe(j, s, err == nil, time.Since(start))
 	return export, err
 }
