Gateways tell each other tables, servers and placement

Ruled out: membership rows in the store (a call each, and no help in an outage). Change: package peer (drpc, exchange each 200 ms, seeds and hearsay), placement of others counts, SIGHUP and changed settings are read again, Shutdown closes idle connections first.

--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"context"
+	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -47,20 +50,28 @@
 	l, batch := event.NewBatched("gateway", set.VM, log.InfoLevel)
 	defer batch.Flush()
 	pool := upstream.New(upstream.Options{})
+	store := platform.NewStore(upstream.New(upstream.Options{}), set.Store, storeTimeout)
 	s := gateway.New(gatewaySettings(set), gateway.Deps{
-		Store:   platform.NewStore(upstream.New(upstream.Options{}), set.Store, storeTimeout),
+		Store:   store,
 		Codec:   platform.Codec{},
 		Engines: platform.NewEngines(pool, engineTimeout),
 		Pool:    pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
 	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go followSettings(ctx, l, path, func(set platform.Settings) {
+		store.Move(set.Store)
+		s.Reload(gatewaySettings(set))
+	})
 	return runDaemon(l, s, set.Drain-drainMargin)
 }
 
 func gatewaySettings(set platform.Settings) gateway.Settings {
 	return gateway.Settings{
 		VM: set.VM, Zone: set.Zone,
-		Callers: set.Callers, Ready: set.Ready, Control: set.Control,
-		Drain: set.Drain,
-		Retry: retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
+		Callers: set.Callers, Ready: set.Ready, Control: set.Control, Seeds: set.Seeds,
+		Metrics: net.JoinHostPort(set.IP, strconv.Itoa(set.Ports[0])),
+		Drain:   set.Drain,
+		Retry:   retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,6 +53,8 @@
 	SettingsRead    = Event{718, log.InfoLevel, "settings read"}
 	SettingsRefused = Event{719, log.ErrorLevel, "settings not understood; the last ones stay in force"}
 	LinesDropped    = Event{720, log.WarnLevel, "log lines dropped"}
+	PeerLost        = Event{721, log.WarnLevel, "gateway lost"}
+	PeerRegained    = Event{722, log.InfoLevel, "gateway regained"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -68,6 +70,6 @@
 		FaultSet,
 		RequestAnswered, RequestTurnedAway, AttemptFailed,
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
-		SettingsRead, SettingsRefused, LinesDropped,
+		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained,
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -74,7 +74,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, reading: map[string]int{},
-			shunned: map[string]time.Time{}, engines: newEngines(f.VM),
+			shunned: map[string]time.Time{}, engines: newEngines(f.VM, f.Zone),
 		}
 		f.services[name] = s
 	}
@@ -83,7 +83,8 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{w: w, r: r, arrived: time.Now(), caller: httpserver.CallerOf(w)}
+	now := time.Now()
+	j := &job{w: w, r: r, arrived: now, deadline: now, caller: httpserver.CallerOf(w)}
 	if !f.admit(j) {
 		return
 	}
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -17,6 +17,8 @@
 // engines to goroutines and timers. It is safe for concurrent use.
 type engines struct {
 	terms waiting.Terms
+	// zone is that of this process.
+	zone string
 
 	mu     sync.Mutex
 	memory *kvmemory.Pool
@@ -27,8 +29,9 @@
 	retry bool
 }
 
-func newEngines(seed string) *engines {
+func newEngines(seed, zone string) *engines {
 	return &engines{
+		zone:   zone,
 		terms:  waiting.DefaultTerms(),
 		memory: kvmemory.New(kvmemory.DefaultConfig(), seed),
 		turns:  map[*waiting.Waiter]chan string{},
@@ -71,14 +74,14 @@
 	}
 	late := j.late()
 	w := &waiting.Waiter{
-		Need: need, Arrived: j.arrived, Late: late, Priority: j.route.Priority,
+		Need: need, Arrived: j.arrived, Late: late, Priority: j.route.Priority, Exclude: exclude,
 		Until: e.terms.Until(j.arrived, j.route.Objective, j.left(j.arrived), j.meta.PromptTokens, late),
 	}
 	start := time.Now()
 	defer func() { j.waited += time.Since(start) }()
 	for {
 		servers := f.View.Servers(j.service)
-		id, ok := e.await(ctx, w, servers, spec.KVTokens, spec.Slots, f.Zone, exclude)
+		id, ok := e.await(ctx, w, servers, spec.KVTokens, spec.Slots)
 		if !ok {
 			if ctx.Err() != nil {
 				return nil, reasonOf(ctx)
@@ -124,13 +127,13 @@
 
 // await waits until the request's turn at an engine comes. The engine's memory is then
 // taken, until refused, failed or release is called.
-func (e *engines) await(ctx context.Context, w *waiting.Waiter, servers []registry.Server, capacity, slots int, zone string, exclude []string) (string, bool) {
+func (e *engines) await(ctx context.Context, w *waiting.Waiter, servers []registry.Server, capacity, slots int) (string, bool) {
 	e.mu.Lock()
 	e.sync(servers, capacity, slots)
 	turn := make(chan string, 1)
 	e.turns[w] = turn
 	e.line.Add(w)
-	e.dispatch(zone, exclude)
+	e.dispatch()
 	e.mu.Unlock()
 
 	t := time.NewTimer(time.Until(w.Until))
@@ -152,27 +155,27 @@
 
 // dispatch gives turns to waiting requests for which an engine is thought to have room.
 // The caller holds mu.
-func (e *engines) dispatch(zone string, exclude []string) {
+func (e *engines) dispatch() {
 	now := time.Now()
 	for {
-		w := e.line.Next(func(need int) bool { return e.memory.Fits(need, now) }, passFor, now)
+		var id string
+		w := e.line.Next(func(w *waiting.Waiter) bool {
+			var ok bool
+			id, ok = e.memory.Pick(w.Need, e.zone, w.Exclude, now)
+			return ok
+		}, passFor, now)
 		if w == nil {
 			break
 		}
-		id, ok := e.memory.Pick(w.Need, zone, exclude, now)
-		if !ok {
-			e.line.Add(w)
-			break
-		}
 		e.memory.Take(id, w.Need)
 		e.turns[w] <- id
 		delete(e.turns, w)
 	}
-	e.lookAgain(zone)
+	e.lookAgain()
 }
 
 // lookAgain arranges that a line that is not empty is looked at again. The caller holds mu.
-func (e *engines) lookAgain(zone string) {
+func (e *engines) lookAgain() {
 	if e.retry || e.line.Len() == 0 {
 		return
 	}
@@ -181,7 +184,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.retry = false
-		e.dispatch(zone, nil)
+		e.dispatch()
 	})
 }
 
@@ -202,7 +205,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.memory.Release(id, need)
-	e.dispatch("", nil)
+	e.dispatch()
 }
 
 // giveBack ends a lease. A reservation that was not used is returned to the engine
@@ -221,6 +224,42 @@
 	}()
 }
 
+// Placed is the memory that this process placed on decode engines, in tokens.
+func (f *Forwarder) Placed() []kvmemory.Share {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []kvmemory.Share
+	for _, s := range f.services {
+		out = append(out, s.engines.own()...)
+	}
+	return out
+}
+
+func (e *engines) own() []kvmemory.Share {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.memory.Own()
+}
+
+// SetOthers takes the memory that other processes placed, by engine. Waiting requests
+// are looked at again, since memory may have become free.
+func (f *Forwarder) SetOthers(tokens map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services {
+		s.engines.setOthers(tokens)
+	}
+}
+
+func (e *engines) setOthers(tokens map[string]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.SetOthers(tokens)
+	if e.line.Len() > 0 {
+		e.dispatch()
+	}
+}
+
 // comeBack is when a client that is turned away should come back.
 func (f *Forwarder) comeBack(j *job) time.Duration {
 	if j.table == nil || j.route == nil {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -39,7 +40,7 @@
 	dep := &dependency{s: s, what: "manifest"}
 	version, known := int64(0), false
 	for ctx.Err() == nil {
-		t, next, err := s.readManifest(ctx, version, known)
+		t, encoded, next, err := s.readManifest(ctx, version, known)
 		if ctx.Err() != nil {
 			return
 		}
@@ -52,7 +53,7 @@
 			pause(ctx, storeRetry)
 		default:
 			version, known = next, true
-			s.takeTable(t, "store")
+			s.takeTable(t, encoded, "store")
 		}
 		dep.note(err)
 	}
@@ -60,20 +61,19 @@
 
 // readManifest reads the whole table when none was read or the history was lost, and
 // waits for a change otherwise.
-func (s *Service) readManifest(ctx context.Context, version int64, known bool) (*route.Table, int64, error) {
+func (s *Service) readManifest(ctx context.Context, version int64, known bool) (*route.Table, []byte, int64, error) {
 	if !known {
-		t, _, next, err := s.store.Manifest(ctx)
-		return t, next, err
+		return s.store.Manifest(ctx)
 	}
-	t, _, next, err := s.store.NextManifest(ctx, version, manifestWait)
-	return t, next, err
+	return s.store.NextManifest(ctx, version, manifestWait)
 }
 
-// takeTable puts a table in force unless a newer one is.
-func (s *Service) takeTable(t *route.Table, from string) {
-	if t == nil || !s.view.applyTable(t) {
+// takeTable puts a table in force unless a newer one is, and has the other gateways told.
+func (s *Service) takeTable(t *route.Table, encoded []byte, from string) {
+	if t == nil || !s.view.applyTable(t, encoded) {
 		return
 	}
+	s.peers.Announce()
 	s.met.Gauge(metrics.ConfigRevision).Update(t.Version)
 	event.TableApplied.Log(s.log).Int64("version", t.Version).Int("routes", len(t.Routes)).Str("from", from).Msg("")
 }
@@ -93,13 +93,22 @@
 			pause(ctx, storeRetry)
 			continue
 		}
-		if s.view.applyServers(version, list, time.Now()) {
-			event.ServersChanged.Log(s.log).Int64("version", version).Int("servers", len(list)).Str("from", "store").Msg("")
-		}
+		s.view.noteRead(time.Now())
+		s.takeServers(version, list, "store")
 		pause(ctx, jitter(serversInterval))
 	}
 }
 
+// takeServers takes a list of servers unless a newer one is known, and has the other
+// gateways told of a change.
+func (s *Service) takeServers(version int64, list []registry.Server, from string) {
+	if !s.view.applyServers(version, list, time.Now()) {
+		return
+	}
+	s.peers.Announce()
+	event.ServersChanged.Log(s.log).Int64("version", version).Int("servers", len(list)).Str("from", from).Msg("")
+}
+
 // jitter spreads d by a tenth to both sides.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.9 + 0.2*rand.Float64()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -34,6 +35,8 @@
 	Servers(ctx context.Context, bad func(error)) ([]registry.Server, int64, error)
 	// Manifest returns the route table in force, its encoding, and the store's version.
 	Manifest(ctx context.Context) (*route.Table, []byte, int64, error)
+	// DecodeManifest decodes a route table that another gateway read.
+	DecodeManifest(encoded []byte) (*route.Table, error)
 	// NextManifest waits for a table newer than version; it returns nil if none came.
 	NextManifest(ctx context.Context, version int64, wait time.Duration) (*route.Table, []byte, int64, error)
 }
@@ -43,8 +46,10 @@
 	// VM is the name of this VM and Zone its availability zone.
 	VM, Zone string
 	// Callers is where clients connect, Ready where readiness is asked, Control where
-	// metrics are served; each "ip:port". Control may be empty.
-	Callers, Ready, Control string
+	// other gateways connect, Metrics where metrics are served; each "ip:port".
+	Callers, Ready, Control, Metrics string
+	// Seeds are addresses of other gateways; they may be stale.
+	Seeds []string
 	// Drain bounds a graceful shutdown.
 	Drain time.Duration
 	Retry retrybudget.Limits
@@ -64,7 +69,7 @@
 	callerCheck = 20 * time.Millisecond
 	// notice is how long connections are taken after readiness has ended: the balancer
 	// asks each second and acts on the second miss.
-	notice = 3 * time.Second
+	notice = 2500 * time.Millisecond
 	// sweepInterval is the pause between two looks for idle connections.
 	sweepInterval = time.Second
 )
@@ -80,6 +85,9 @@
 	fwd   *forward.Forwarder
 	watch *httpserver.Watcher
 	pool  *upstream.Pool
+	peers *peer.Service
+	// placed is what other gateways told of their placement.
+	placed *placed
 
 	servers  []*httpserver.Server
 	callers  *httpserver.Server
@@ -104,8 +112,9 @@
 func New(set Settings, d Deps) *Service {
 	s := &Service{
 		set: set, log: d.Log, batch: d.Batch, met: d.Metrics, store: d.Store, pool: d.Pool,
-		view: newView(), watch: httpserver.NewWatcher(),
+		view: newView(), placed: newPlaced(), watch: httpserver.NewWatcher(),
 	}
+	s.peers = peer.New(set.Control, set.Seeds, s)
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch,
 		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry,
@@ -124,6 +133,7 @@
 	s.work.Go(func() { s.followManifest(ctx) })
 	s.work.Go(func() { s.followServers(ctx) })
 	s.work.Go(func() { s.sweep(ctx) })
+	s.work.Go(func() { s.meet(ctx) })
 	return s.listen()
 }
 
@@ -136,12 +146,9 @@
 	if _, err = s.serve("ready", s.set.Ready, http.HandlerFunc(s.answerReady)); err != nil {
 		return err
 	}
-	if s.set.Control == "" {
-		return nil
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.met)
-	_, err = s.serve("control", s.set.Control, mux)
+	_, err = s.serve("metrics", s.set.Metrics, mux)
 	return err
 }
 
@@ -174,6 +181,7 @@
 			return
 		case <-t.C:
 		}
+		s.view.routers.Store(int64(s.peers.Count()))
 		known := s.view.addresses()
 		s.pool.Sweep(func(addr string) bool { return known[addr] })
 		if n := s.batch.TakeDropped(); n > 0 {
@@ -187,6 +195,7 @@
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.fwd.Drain()
+	s.peers.Leave()
 	select {
 	case <-ctx.Done():
 	case <-time.After(notice):
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+var _ peer.Beliefs = (*Service)(nil)
+
+// placedLife is how long what a gateway told of its placement counts after it was last
+// heard: several exchanges.
+const placedLife = 1500 * time.Millisecond
+
+// placed is what the other gateways placed. It is safe for concurrent use.
+type placed struct {
+	mu      sync.Mutex
+	reports map[string]placedReport
+}
+
+type placedReport struct {
+	at     time.Time
+	tokens map[string]int
+}
+
+func newPlaced() *placed { return &placed{reports: map[string]placedReport{}} }
+
+func (p *placed) take(addr string, shares []*peer.Share, now time.Time) {
+	tokens := make(map[string]int, len(shares))
+	for _, s := range shares {
+		tokens[s.GetServer()] = int(s.GetTokens())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports[addr] = placedReport{at: now, tokens: tokens}
+}
+
+// sum returns what all others placed, by engine, and drops what is too old.
+func (p *placed) sum(now time.Time) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	for addr, r := range p.reports {
+		if now.Sub(r.at) >= placedLife {
+			delete(p.reports, addr)
+			continue
+		}
+		for id, n := range r.tokens {
+			out[id] += n
+		}
+	}
+	return out
+}
+
+// meet runs the exchange with the other gateways. Without it the process goes on with
+// what it learns itself.
+func (s *Service) meet(ctx context.Context) {
+	if s.set.Control == "" {
+		return
+	}
+	if err := s.peers.Run(ctx); err != nil && ctx.Err() == nil {
+		event.PeerLost.Log(s.log).Str("peer", "all").Err(err).Msg("")
+	}
+}
+
+// Report implements peer.Beliefs.
+func (s *Service) Report(table, servers int64) *peer.Report {
+	r := &peer.Report{Vm: s.set.VM}
+	if e := s.view.encoded.Load(); e != nil {
+		r.TableVersion = e.version
+		if e.version > table {
+			r.Table = e.data
+		}
+	}
+	var list []registry.Server
+	r.ServersVersion, list = s.view.serversSince(servers)
+	for _, v := range list {
+		r.Servers = append(r.Servers, &peer.Server{
+			Id: v.ID, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
+			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving,
+		})
+	}
+	r.ReadAgeMs = uint32(s.view.readAge(time.Now()).Milliseconds())
+	for _, share := range s.fwd.Placed() {
+		r.Shares = append(r.Shares, &peer.Share{Server: share.ID, Tokens: uint32(share.Tokens)})
+	}
+	return r
+}
+
+// Take implements peer.Beliefs.
+func (s *Service) Take(r *peer.Report) {
+	now := time.Now()
+	from := "gateway " + r.GetVm()
+	if len(r.GetTable()) > 0 {
+		t, err := s.store.DecodeManifest(r.GetTable())
+		if err != nil {
+			event.TableRefused.Log(s.log).Int64("version", r.GetTableVersion()).Str("from", from).Err(err).Msg("")
+		} else {
+			s.takeTable(t, r.GetTable(), from)
+		}
+	}
+	if len(r.GetServers()) > 0 {
+		s.takeServers(r.GetServersVersion(), decodeServers(r.GetServers()), from)
+	}
+	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
+	s.placed.take(r.GetAddr(), r.GetShares(), now)
+	s.fwd.SetOthers(s.placed.sum(now))
+}
+
+func decodeServers(list []*peer.Server) []registry.Server {
+	out := make([]registry.Server, 0, len(list))
+	for _, v := range list {
+		out = append(out, registry.Server{
+			ID: v.GetId(), Service: v.GetService(), Addr: v.GetAddr(), Zone: v.GetZone(),
+			Slots: int(v.GetSlots()), Stage: registry.Stage(v.GetStage()), Leaving: v.GetLeaving(),
+		})
+	}
+	return out
+}
+
+// Lost implements peer.Beliefs.
+func (s *Service) Lost(addr string, err error) {
+	event.PeerLost.Log(s.log).Str("peer", addr).Err(err).Msg("")
+}
+
+// Regained implements peer.Beliefs.
+func (s *Service) Regained(addr string) {
+	event.PeerRegained.Log(s.log).Str("peer", addr).Msg("")
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -12,6 +12,8 @@
 // view is what the process believes; it implements forward.View.
 type view struct {
 	table atomic.Pointer[route.Table]
+	// encoded is the table as the store holds it, for other gateways.
+	encoded atomic.Pointer[encodedTable]
 	// routers is the number of gateways, this one included.
 	routers atomic.Int64
 
@@ -19,8 +21,18 @@
 	registry *registry.Registry
 	// usable caches the registry's answer for each service until the next change.
 	usable map[string][]registry.Server
-	// listed is set once a list of servers was read.
+	// listed is set once a list of servers is known.
 	listed bool
+	// changed is the version of the store at which the list last changed, and read when
+	// this process last read it itself.
+	changed int64
+	read    time.Time
+}
+
+// encodedTable is the encoding of one version of the table.
+type encodedTable struct {
+	version int64
+	data    []byte
 }
 
 func newView() *view {
@@ -48,16 +60,16 @@
 }
 
 // applyTable takes t unless a newer one is in force, and reports whether it did.
-func (v *view) applyTable(t *route.Table) bool {
-	for {
-		old := v.table.Load()
-		if old != nil && t.Version <= old.Version {
-			return false
-		}
-		if v.table.CompareAndSwap(old, t) {
-			return true
-		}
+func (v *view) applyTable(t *route.Table, encoded []byte) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.table.Load()
+	if old != nil && t.Version <= old.Version {
+		return false
 	}
+	v.table.Store(t)
+	v.encoded.Store(&encodedTable{version: t.Version, data: encoded})
+	return true
 }
 
 // applyServers takes a list of servers and reports whether it changed anything.
@@ -68,15 +80,23 @@
 	if !v.registry.Apply(version, list, now) {
 		return false
 	}
-	v.listed = true
 	after := v.registry.List()
-	if equal(before, after) {
+	if v.listed && equal(before, after) {
 		return false
 	}
+	v.listed = true
+	v.changed = version
 	clear(v.usable)
 	return true
 }
 
+// noteRead notes that this process read the list from the store.
+func (v *view) noteRead(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.read = now
+}
+
 func equal(a, b []registry.Server) bool {
 	if len(a) != len(b) {
 		return false
@@ -89,6 +109,42 @@
 	return true
 }
 
+// serversSince returns the list and the version at which it changed, or no list when
+// version is not older.
+func (v *view) serversSince(version int64) (int64, []registry.Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.listed || v.changed <= version {
+		return v.changed, nil
+	}
+	return v.changed, v.registry.List()
+}
+
+// readAge is how long ago this process read the list from the store.
+func (v *view) readAge(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.read.IsZero() {
+		return never
+	}
+	return now.Sub(v.read)
+}
+
+// never stands for the age of something that has not happened.
+const never = time.Hour
+
+// confirm notes that another process read the same list from the store a moment ago.
+func (v *view) confirm(version int64, age time.Duration, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if version == v.changed && age < confirmAge {
+		v.registry.Touch(now)
+	}
+}
+
+// confirmAge is the age up to which another's reading of the list confirms ours.
+const confirmAge = 1500 * time.Millisecond
+
 // informed reports whether requests can be answered.
 func (v *view) informed() bool {
 	v.mu.Lock()
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -10,9 +10,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -200,8 +202,8 @@
 	s.opts.Handler.ServeHTTP(res, r)
 }
 
-// Shutdown stops listening, waits until every answer in progress has been sent,
-// and closes all connections. When ctx ends before, answers are cut off and the
+// Shutdown stops listening, closes connections that wait for a request, waits until
+// every answer in progress has been sent, and closes what is left. When ctx ends before, answers are cut off and the
 // error is that of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.closing.Store(true)
@@ -231,7 +233,7 @@
 func (s *Server) waitIdle(ctx context.Context) error {
 	t := time.NewTicker(shutdownCheck)
 	defer t.Stop()
-	for s.busy() {
+	for s.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("answers in progress: %w", ctx.Err())
@@ -241,13 +243,19 @@
 	return nil
 }
 
-func (s *Server) busy() bool {
+// closeIdle closes the connections without an answer in progress and returns the
+// number of the others.
+func (s *Server) closeIdle() int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
+	open := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	busy := 0
+	for _, c := range open {
 		if c.busy() {
-			return true
+			busy++
+			continue
 		}
+		_ = c.out.raw.Close()
 	}
-	return false
+	return busy
 }
--- a/link/serve.go
+++ b/link/serve.go
@@ -16,5 +16,10 @@
 	if err := wire.DRPCRegisterSidecar(mux, s); err != nil {
 		return err
 	}
+	return ServeMux(ctx, lis, mux)
+}
+
+// ServeMux serves the calls of mux on the connections of lis until ctx ends, and closes lis.
+func ServeMux(ctx context.Context, lis net.Listener, mux *drpcmux.Mux) error {
 	return drpcserver.NewWithOptions(mux, serverOptions()).Serve(ctx, lis)
 }
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,306 @@
+// Package peer joins the gateways. Each tells the others, a few times a second, which
+// route table and list of servers it has, and how much memory it placed on which
+// engine. So a gateway that can't reach the platform's store learns changes from those
+// that can, one that starts while the store is down gets everything from its peers,
+// and placement counts what others placed.
+//
+// There is no agreement among gateways: versions only grow, each takes the newest that
+// it hears of, and what is told of placement is a hint that lapses.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/hibiscusspur/hibiscusspur/link"
+)
+
+// Beliefs are what a gateway tells and takes. It must be safe for concurrent use.
+type Beliefs interface {
+	// Report returns what is told to a peer that has these versions of the route table
+	// and of the list of servers; what it lacks is included. Members are left out.
+	Report(table, servers int64) *Report
+	// Take takes what a peer told.
+	Take(r *Report)
+	// Lost and Regained are called when a peer is not heard any more, and when it is again.
+	Lost(addr string, err error)
+	Regained(addr string)
+}
+
+// Intervals and bounds.
+const (
+	// interval is the pause between two exchanges with a peer. A run lasts some seconds,
+	// so that placement of a fifth of a second ago is nearly true.
+	interval = 200 * time.Millisecond
+	// fewPeers is the number of peers up to which the interval holds; with more it grows
+	// so that the bytes of a gateway stay the same.
+	fewPeers = 8
+	// callTimeout bounds an exchange: some round trips between zones, and the wait for a
+	// processor that is busy.
+	callTimeout = 700 * time.Millisecond
+	// coveredFor is the number of pauses after which a peer that makes the exchanges of a
+	// pair counts as silent.
+	coveredFor = 3
+	// redial is the pause after a failed exchange.
+	redial = 300 * time.Millisecond
+	// memberCheck is the interval at which members are looked at for new ones.
+	memberCheck = 250 * time.Millisecond
+)
+
+// Service exchanges reports with the other gateways.
+type Service struct {
+	beliefs Beliefs
+	self    string
+	meter   link.Meter
+
+	mu      sync.Mutex
+	members *Members
+	seeds   []string
+	links   map[string]*peerLink
+	// asked is when each peer last made an exchange.
+	asked map[string]time.Time
+	// kick is closed, and made anew, when all peers are to be told at once.
+	kick    chan struct{}
+	leaving bool
+}
+
+// peerLink is the connection to one peer. Its loop owns all fields.
+type peerLink struct {
+	addr string
+	conn *drpcconn.Conn
+	// table and servers are the versions that the peer was last known to have.
+	table, servers int64
+	lost           bool
+	cancel         context.CancelFunc
+}
+
+// New returns the service of the gateway that listens at self.
+func New(self string, seeds []string, b Beliefs) *Service {
+	return &Service{
+		beliefs: b, self: self, members: NewMembers(self), seeds: seeds,
+		links: map[string]*peerLink{}, asked: map[string]time.Time{}, kick: make(chan struct{}),
+	}
+}
+
+// Run listens and exchanges reports until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	lis, err := net.Listen("tcp", s.self)
+	if err != nil {
+		return err
+	}
+	mux := drpcmux.New()
+	if err := DRPCRegisterPeers(mux, s); err != nil {
+		return err
+	}
+	go s.follow(ctx)
+	return link.ServeMux(ctx, lis, mux)
+}
+
+// SetSeeds replaces the addresses that are tried besides the known members.
+func (s *Service) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = seeds
+}
+
+// Announce has all peers told at once.
+func (s *Service) Announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.kick)
+	s.kick = make(chan struct{})
+}
+
+// Leave tells the peers that this gateway takes no new work.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.Announce()
+}
+
+// Count is the number of live gateways, this one included.
+func (s *Service) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members.Live(time.Now())) + 1
+}
+
+// Exchange implements DRPCPeersServer.
+func (s *Service) Exchange(_ context.Context, in *Report) (*Report, error) {
+	s.mu.Lock()
+	s.asked[in.GetAddr()] = time.Now()
+	s.mu.Unlock()
+	s.take(in)
+	return s.report(in.GetTableVersion(), in.GetServersVersion()), nil
+}
+
+func (s *Service) take(in *Report) {
+	now := time.Now()
+	s.mu.Lock()
+	if in.GetLeaving() {
+		s.members.Left(in.GetAddr(), now)
+	} else {
+		s.members.Heard(in.GetAddr(), now)
+	}
+	for _, m := range in.GetMembers() {
+		s.members.Told(m.GetAddr(), time.Duration(m.GetAgeMs())*time.Millisecond, now)
+	}
+	s.mu.Unlock()
+	s.beliefs.Take(in)
+}
+
+func (s *Service) report(table, servers int64) *Report {
+	r := s.beliefs.Report(table, servers)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.Addr, r.Leaving = s.self, s.leaving
+	r.Members = s.members.Report(time.Now())
+	return r
+}
+
+// follow keeps one loop for each live member and seed.
+func (s *Service) follow(ctx context.Context) {
+	t := time.NewTicker(memberCheck)
+	defer t.Stop()
+	for {
+		s.adjust(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Service) adjust(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, addr := range s.members.Live(time.Now()) {
+		wanted[addr] = true
+	}
+	for _, addr := range s.seeds {
+		wanted[addr] = addr != s.self
+	}
+	for addr, want := range wanted {
+		if _, ok := s.links[addr]; want && !ok {
+			lctx, cancel := context.WithCancel(ctx)
+			l := &peerLink{addr: addr, cancel: cancel}
+			s.links[addr] = l
+			go s.loop(lctx, l)
+		}
+	}
+	for addr, l := range s.links {
+		if !wanted[addr] {
+			l.cancel()
+			delete(s.links, addr)
+			delete(s.asked, addr)
+		}
+	}
+}
+
+// loop exchanges reports with one peer until ctx ends.
+func (s *Service) loop(ctx context.Context, l *peerLink) {
+	defer l.hangUp()
+	for ctx.Err() == nil {
+		if s.covered(l.addr) {
+			s.wait(ctx, s.pace())
+			continue
+		}
+		again, err := s.exchange(ctx, l)
+		if ctx.Err() != nil {
+			return
+		}
+		s.note(l, err)
+		switch {
+		case err != nil:
+			l.hangUp()
+			s.wait(ctx, redial)
+		case !again:
+			s.wait(ctx, s.pace())
+		}
+	}
+}
+
+// covered reports whether the peer makes the exchanges of this pair: they go both ways,
+// so that the side with the lower address makes them as long as it is heard.
+func (s *Service) covered(addr string) bool {
+	if addr > s.self {
+		return false
+	}
+	pace := s.pace()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.asked[addr]) < coveredFor*pace
+}
+
+// exchange makes one exchange. It reports whether another should follow at once, since
+// the peer turned out to be behind.
+func (s *Service) exchange(ctx context.Context, l *peerLink) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if l.conn == nil {
+		conn, err := link.Dial(ctx, l.addr, nil, callTimeout, &s.meter)
+		if err != nil {
+			return false, err
+		}
+		l.conn = conn
+	}
+	out := s.report(l.table, l.servers)
+	in, err := NewDRPCPeersClient(l.conn).Exchange(ctx, out)
+	if err != nil {
+		return false, err
+	}
+	s.take(in)
+	sentTable, sentServers := out.GetTable() != nil, len(out.GetServers()) > 0
+	l.table, l.servers = in.GetTableVersion(), in.GetServersVersion()
+	behind := out.GetTableVersion() > l.table && !sentTable || out.GetServersVersion() > l.servers && !sentServers
+	return behind, nil
+}
+
+func (s *Service) note(l *peerLink, err error) {
+	if lost := err != nil; lost != l.lost {
+		l.lost = lost
+		if lost {
+			s.beliefs.Lost(l.addr, err)
+			return
+		}
+		s.beliefs.Regained(l.addr)
+	}
+}
+
+func (l *peerLink) hangUp() {
+	if l.conn == nil {
+		return
+	}
+	// The connection is given up; how its closing ends makes no difference.
+	_ = l.conn.Close()
+	l.conn = nil
+}
+
+// pace is the pause between two exchanges with one peer.
+func (s *Service) pace() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return interval * time.Duration(max(len(s.links), fewPeers)) / fewPeers
+}
+
+// wait pauses for d or until there is something to announce.
+func (s *Service) wait(ctx context.Context, d time.Duration) {
+	s.mu.Lock()
+	kick := s.kick
+	s.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-kick:
+	}
+}
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -121,16 +121,6 @@
 	return best.ID, true
 }
 
-// Fits reports whether Pick would return an engine.
-func (p *Pool) Fits(need int, now time.Time) bool {
-	for _, s := range p.servers {
-		if s.fits(need, now) {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *server) free() int { return s.Capacity - s.own - s.others }
 
 func (s *server) fits(need int, now time.Time) bool {
--- a/policy/waiting/waiting.go
+++ b/policy/waiting/waiting.go
@@ -25,6 +25,8 @@
 	Arrived, Until time.Time
 	// Late is set when it can't be answered within its objective any more.
 	Late bool
+	// Exclude are engines that must not get the request.
+	Exclude []string
 	// Priority is the rank of its route; zero is the most urgent.
 	Priority int
 }
@@ -68,9 +70,9 @@
 // Next takes out the first request that fits, or returns nil. A large request is not
 // passed by for ever: those behind it may go before it only while it has waited for
 // less than hold.
-func (l *Line) Next(fits func(need int) bool, hold time.Duration, now time.Time) *Waiter {
+func (l *Line) Next(fits func(*Waiter) bool, hold time.Duration, now time.Time) *Waiter {
 	for i, w := range l.waiters {
-		if fits(w.Need) {
+		if fits(w) {
 			l.waiters = slices.Delete(l.waiters, i, i+1)
 			return w
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -110,6 +110,10 @@
 	return true
 }
 
+// Touch notes that another process has read the store at now and found the list
+// unchanged.
+func (r *Registry) Touch(now time.Time) { r.lastRead = now }
+
 func (r *Registry) update(s Server) {
 	if _, gone := r.gone[s.ID]; gone {
 		s.Leaving = true
