--- a/forward/answer.go
+++ b/forward/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -98,7 +99,7 @@
 func (f *Forwarder) ended(j *job, status int, kind outcome.Kind, reason outcome.Reason) {
 	now := time.Now()
 	f.Metrics.Ended(kind)
-	f.Metrics.Timer("request_time." + j.kindName()).Update(now.Sub(j.arrived))
+	f.Metrics.Timer(metrics.RequestTimePrefix + j.kindName()).Update(now.Sub(j.arrived))
 	e := event.RequestAnswered.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
 		Str("service", j.service).Strs("servers", j.servers).Int("status", status).Str("outcome", kind.String())
 	if reason != "" {
@@ -143,7 +144,7 @@
 
 // attemptFailed notes why a request that was sent to s is not answered by it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
-	f.Metrics.Counter("attempt_failed." + string(reason)).Inc(1)
+	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
 	e := event.AttemptFailed.Log(f.Log).Str("request", j.meta.ID).Str("service", s.Service).Str("server", s.ID).
 		Str("stage", s.Stage.String()).Str("reason", string(reason)).Int("sends", j.sends).Dur("since", time.Since(j.arrived))
 	if err != nil {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -80,7 +81,7 @@
 		r.f.closing(j)
 		j.w.WriteHeader(head.Status)
 		j.first = time.Since(j.arrived)
-		r.f.Metrics.Timer("first_event_time").Update(j.first)
+		r.f.Metrics.Timer(metrics.FirstEventTime).Update(j.first)
 	}
 	if id, ok := eventID(event); ok {
 		r.last = id
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
@@ -98,7 +99,7 @@
 		case err == nil:
 			return &lease{server: s, need: need, reservation: reservation}, ""
 		case errors.Is(err, ErrFull):
-			f.Metrics.Counter("reservation_refused").Inc(1)
+			f.Metrics.Counter(metrics.ReservationsRefused).Inc(1)
 			e.refused(id, need)
 		case ctx.Err() != nil:
 			e.release(id, need)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,9 @@
 		view: newView(), placed: newPlaced(), watch: httpserver.NewWatcher(),
 	}
 	s.peers = peer.New(set.Control, set.Seeds, s)
+	s.met.GaugeFunc(metrics.UpstreamDials, d.Pool.Dialed)
+	s.met.GaugeFunc(metrics.LinkBytesSent, s.peers.Sent)
+	s.met.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch,
 		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry,
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -32,5 +32,10 @@
 		{LinkBytesSent, Gauge},
 		{LinkBytesReceived, Gauge},
 		{ConfigRevision, Gauge},
+		{AttemptFailedPrefix, Counter},
+		{RequestTimePrefix, Timer},
+		{FirstEventTime, Timer},
+		{ReservationsRefused, Counter},
+		{UpstreamDials, Gauge},
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -19,6 +19,10 @@
 	// RetryDeniedPrefix is followed by why a failed attempt was the last one.
 	RetryDeniedPrefix = "retry_denied."
 	EndedPrefix       = "ended."
+	// AttemptFailedPrefix is followed by the reason for which an attempt failed.
+	AttemptFailedPrefix = "attempt_failed."
+	// RequestTimePrefix is followed by the kind of the route.
+	RequestTimePrefix = "request_time."
 )
 
 // Set is the metrics of one process. It is safe for concurrent use.
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -11,4 +11,8 @@
 	LinkBytesSent     = "link_bytes_sent"
 	LinkBytesReceived = "link_bytes_received"
 	ConfigRevision    = "config_revision"
+	FirstEventTime    = "first_event_time"
+	// ReservationsRefused counts engines that had less room than was thought.
+	ReservationsRefused = "reservations_refused"
+	UpstreamDials       = "upstream_dials"
 )
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -131,6 +131,12 @@
 	return len(s.members.Live(time.Now())) + 1
 }
 
+// Sent and Received count the bytes of the links that this side dialled.
+func (s *Service) Sent() int64 { return s.meter.Sent() }
+
+// Received counts the bytes received; see Sent.
+func (s *Service) Received() int64 { return s.meter.Received() }
+
 // Exchange implements DRPCPeersServer.
 func (s *Service) Exchange(_ context.Context, in *Report) (*Report, error) {
 	s.mu.Lock()
