Engines change their stage with the load, under a fenced lease

Ruled out: decode engines reading prompts themselves (half speed, and it slows the runs beside it); moving during a burst (a change takes six seconds). Change: policy/stages (use of both kinds compared, one move at a time, band and pause), package fencing (one holder in a row of the store, by compare-and-set, taken over only after it was seen unchanged for term and gap), orders with the count of orders taken, switching engines told to the other gateways and given no requests.

--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/fencing"
 	"github.com/hibiscusspur/hibiscusspur/gateway"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
@@ -20,6 +21,9 @@
 )
 
 const (
+	// ordersTable and ordersKey are the row that says who gives orders to engines.
+	ordersTable = "hibiscusspur"
+	ordersKey   = "orders"
 	// storeTimeout bounds a call to the platform's store, which answers in some
 	// milliseconds, or in a third of a second when it is slow.
 	storeTimeout = 1500 * time.Millisecond
@@ -51,10 +55,13 @@
 	defer batch.Flush()
 	pool := upstream.New(upstream.Options{})
 	store := platform.NewStore(upstream.New(upstream.Options{}), set.Store, storeTimeout)
+	engines := platform.NewEngines(pool, engineTimeout)
 	s := gateway.New(gatewaySettings(set), gateway.Deps{
 		Store:   store,
 		Codec:   platform.Codec{},
-		Engines: platform.NewEngines(pool, engineTimeout),
+		Engines: engines,
+		Orders:  engines,
+		Lease:   fencing.New(store.Table(ordersTable), ordersKey, set.VM, nil),
 		Pool:    pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,8 @@
 	LinesDropped    = Event{720, log.WarnLevel, "log lines dropped"}
 	PeerLost        = Event{721, log.WarnLevel, "gateway lost"}
 	PeerRegained    = Event{722, log.InfoLevel, "gateway regained"}
+	StageOrdered    = Event{723, log.InfoLevel, "engine ordered to another stage"}
+	StageFailed     = Event{724, log.WarnLevel, "order to change a stage failed"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -70,6 +72,6 @@
 		FaultSet,
 		RequestAnswered, RequestTurnedAway, AttemptFailed,
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
-		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained,
+		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -56,6 +57,10 @@
 	// shunned holds prefill engines whose exports can't be fetched, until the time.
 	shunned map[string]time.Time
 	engines *engines
+	// arriving is the rate of prompts, in tokens per second; rate is how fast one engine
+	// reads them.
+	arriving stages.Mean
+	rate     stages.Rate
 }
 
 // New returns a Forwarder.
@@ -155,6 +160,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.budget.Request(f.Retry, j.arrived)
+	if j.streams() {
+		s.arriving.Add(float64(j.meta.PromptTokens), j.arrived)
+	}
 }
 
 // mayRepeat takes one repeat from the budget of the job's service.
@@ -170,6 +178,33 @@
 	return ok
 }
 
+// ReadRates is the rate of prompts that reach this process, by service, in tokens per
+// second.
+func (f *Forwarder) ReadRates() map[string]float64 {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]float64{}
+	for name, s := range f.services {
+		if rate := s.arriving.At(now); rate > 1 {
+			out[name] = rate
+		}
+	}
+	return out
+}
+
+// Use is the use of one service's engines as far as this process knows it: how fast one
+// engine reads, the prompts that arrive here, and the memory that all processes placed.
+func (f *Forwarder) Use(name string) stages.Load {
+	s := f.service(name)
+	held := s.engines.held()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return stages.Load{
+		ReadRate: s.arriving.At(time.Now()), EngineRate: s.rate.PerSecond(), Held: float64(held),
+	}
+}
+
 // reasonOf tells why a request's context ended.
 func reasonOf(ctx context.Context) outcome.Reason {
 	if context.Cause(ctx) == httpserver.ErrCallerGone {
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -242,6 +242,14 @@
 	return e.memory.Own()
 }
 
+// held is the memory that all processes placed, in tokens.
+func (e *engines) held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, used := e.memory.Capacity()
+	return used
+}
+
 // SetOthers takes the memory that other processes placed, by engine. Waiting requests
 // are looked at again, since memory may have become free.
 func (f *Forwarder) SetOthers(tokens map[string]int) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -229,9 +229,19 @@
 	export, err := f.askExport(ctx, j, s)
 	j.read += time.Since(start)
 	f.observe(j, s, err == nil, time.Since(start))
+	if err == nil {
+		f.observeRead(j, time.Since(start))
+	}
 	return export, err
 }
 
+func (f *Forwarder) observeRead(j *job, took time.Duration) {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.rate.Observe(j.meta.PromptTokens, took)
+}
+
 func (f *Forwarder) askExport(ctx context.Context, j *job, s registry.Server) (Export, error) {
 	res, err := f.send(ctx, j, s, Send{PrefillOnly: true})
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/fencing"
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
@@ -76,16 +77,18 @@
 
 // Service is the gateway; it is a kernel.Service.
 type Service struct {
-	set   Settings
-	log   *log.Logger
-	batch *event.Batch
-	met   *metrics.Set
-	store Store
-	view  *view
-	fwd   *forward.Forwarder
-	watch *httpserver.Watcher
-	pool  *upstream.Pool
-	peers *peer.Service
+	set    Settings
+	log    *log.Logger
+	batch  *event.Batch
+	met    *metrics.Set
+	store  Store
+	view   *view
+	fwd    *forward.Forwarder
+	watch  *httpserver.Watcher
+	pool   *upstream.Pool
+	peers  *peer.Service
+	orders Orders
+	lease  *fencing.Lease
 	// placed is what other gateways told of their placement.
 	placed *placed
 
@@ -102,6 +105,9 @@
 	Store   Store
 	Codec   forward.Codec
 	Engines forward.Engines
+	// Orders gives orders to engines; Lease is the right to.
+	Orders  Orders
+	Lease   *fencing.Lease
 	Pool    *upstream.Pool
 	Log     *log.Logger
 	Batch   *event.Batch
@@ -112,6 +118,7 @@
 func New(set Settings, d Deps) *Service {
 	s := &Service{
 		set: set, log: d.Log, batch: d.Batch, met: d.Metrics, store: d.Store, pool: d.Pool,
+		orders: d.Orders, lease: d.Lease,
 		view: newView(), placed: newPlaced(), watch: httpserver.NewWatcher(),
 	}
 	s.peers = peer.New(set.Control, set.Seeds, s)
@@ -137,6 +144,7 @@
 	s.work.Go(func() { s.followServers(ctx) })
 	s.work.Go(func() { s.sweep(ctx) })
 	s.work.Go(func() { s.meet(ctx) })
+	s.work.Go(func() { s.planStages(ctx) })
 	return s.listen()
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,18 +25,34 @@
 type placedReport struct {
 	at     time.Time
 	tokens map[string]int
+	// reading is the rate of prompts by service, in tokens per second.
+	reading map[string]float64
 }
 
 func newPlaced() *placed { return &placed{reports: map[string]placedReport{}} }
 
-func (p *placed) take(addr string, shares []*peer.Share, now time.Time) {
-	tokens := make(map[string]int, len(shares))
-	for _, s := range shares {
-		tokens[s.GetServer()] = int(s.GetTokens())
+func (p *placed) take(r *peer.Report, now time.Time) {
+	report := placedReport{at: now, tokens: map[string]int{}, reading: map[string]float64{}}
+	for _, s := range r.GetShares() {
+		report.tokens[s.GetServer()] = int(s.GetTokens())
 	}
+	for _, s := range r.GetReadings() {
+		report.reading[s.GetService()] = s.GetTokensPerS()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports[r.GetAddr()] = report
+}
+
+// reading is the rate of prompts that reach all others, in tokens per second.
+func (p *placed) reading(service string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reports[addr] = placedReport{at: now, tokens: tokens}
+	var sum float64
+	for _, r := range p.reports {
+		sum += r.reading[service]
+	}
+	return sum
 }
 
 // sum returns what all others placed, by engine, and drops what is too old.
@@ -88,6 +104,13 @@
 	for _, share := range s.fwd.Placed() {
 		r.Shares = append(r.Shares, &peer.Share{Server: share.ID, Tokens: uint32(share.Tokens)})
 	}
+	now := time.Now()
+	for service, rate := range s.fwd.ReadRates() {
+		r.Readings = append(r.Readings, &peer.Reading{Service: service, TokensPerS: rate})
+	}
+	for id, w := range s.view.switches() {
+		r.Switches = append(r.Switches, &peer.Switch{Server: id, Stage: uint32(w.to), AgeMs: uint32(now.Sub(w.at).Milliseconds())})
+	}
 	return r
 }
 
@@ -107,7 +130,10 @@
 		s.takeServers(r.GetServersVersion(), decodeServers(r.GetServers()), from)
 	}
 	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
-	s.placed.take(r.GetAddr(), r.GetShares(), now)
+	for _, w := range r.GetSwitches() {
+		s.view.switchTo(w.GetServer(), registry.Stage(w.GetStage()), time.Duration(w.GetAgeMs())*time.Millisecond, now)
+	}
+	s.placed.take(r, now)
 	s.fwd.SetOthers(s.placed.sum(now))
 }
 
--- /dev/null
+++ b/gateway/stages.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/fencing"
+	"github.com/hibiscusspur/hibiscusspur/policy/stages"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/route"
+)
+
+// Orders gives orders to engines. Calls return promptly when their context ends.
+type Orders interface {
+	// OrdersTaken is the number of orders that an engine has taken since its start.
+	OrdersTaken(ctx context.Context, s registry.Server) (int64, error)
+	// SetStage orders an engine to another stage if it has taken no order since.
+	SetStage(ctx context.Context, s registry.Server, to registry.Stage, holder string, fence, taken int64) error
+}
+
+const (
+	// planInterval is the pause between two looks at the split of engines.
+	planInterval = 500 * time.Millisecond
+	// planWarmup is how long a process has to be up before it plans: what it knows of
+	// load and of other gateways takes some seconds to become true.
+	planWarmup = 3 * time.Second
+	// switchWork is how long an engine may finish running work before it switches.
+	switchWork = 2 * time.Second
+)
+
+// planStages keeps the split of engines into prefill and decode in line with the load.
+// Only the first of the live gateways plans; the lease sees to it that two that can't
+// hear each other do not both give orders.
+func (s *Service) planStages(ctx context.Context) {
+	planners := map[string]*stages.Planner{}
+	pause(ctx, planWarmup)
+	for ctx.Err() == nil {
+		now := time.Now()
+		s.view.settle(now)
+		t := s.view.Table()
+		if t != nil && s.peers.First() && !s.draining.Load() {
+			for name, service := range t.Services {
+				if service.Engine == nil {
+					continue
+				}
+				p, ok := planners[name]
+				if !ok {
+					p = stages.New(stages.DefaultConfig())
+					planners[name] = p
+				}
+				s.planService(ctx, p, service, now)
+			}
+		}
+		pause(ctx, planInterval)
+	}
+}
+
+func (s *Service) planService(ctx context.Context, p *stages.Planner, service route.Service, now time.Time) {
+	servers, moving := s.view.all(service.Name)
+	load := s.fwd.Use(service.Name)
+	load.ReadRate += s.placed.reading(service.Name)
+	load.EngineTokens = float64(service.Engine.KVTokens)
+	m, ok := p.Next(servers, moving, load, now)
+	if !ok {
+		return
+	}
+	fence, err := s.order(ctx, m)
+	if err != nil {
+		if !errors.Is(err, fencing.ErrHeld) {
+			event.StageFailed.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).Err(err).Msg("")
+		}
+		pause(ctx, planInterval)
+		return
+	}
+	p.Moved(m, now)
+	s.view.switchTo(m.Server.ID, m.To, 0, now)
+	s.peers.Announce()
+	event.StageOrdered.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).
+		Float64("read", load.ReadRate/load.EngineRate).Float64("held", load.Held/load.EngineTokens).Msg("")
+}
+
+// order gives one order under the lease.
+func (s *Service) order(ctx context.Context, m stages.Move) (int64, error) {
+	if _, held := s.lease.Fence(); !held {
+		if err := s.lease.Acquire(ctx); err != nil {
+			return 0, err
+		}
+	}
+	taken, err := s.orders.OrdersTaken(ctx, m.Server)
+	if err != nil {
+		return 0, err
+	}
+	fence, held := s.lease.Fence()
+	if !held {
+		return fence, fencing.ErrHeld
+	}
+	return fence, s.orders.SetStage(ctx, m.Server, m.To, s.set.VM, fence, taken)
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +22,8 @@
 	mu       sync.Mutex
 	registry *registry.Registry
 	// usable caches the registry's answer for each service until the next change.
-	usable map[string][]registry.Server
+	usable    map[string][]registry.Server
+	switching map[string]switching
 	// listed is set once a list of servers is known.
 	listed bool
 	// changed is the version of the store at which the list last changed, and read when
@@ -36,7 +39,7 @@
 }
 
 func newView() *view {
-	v := &view{registry: registry.New(), usable: map[string][]registry.Server{}}
+	v := &view{registry: registry.New(), usable: map[string][]registry.Server{}, switching: map[string]switching{}}
 	v.routers.Store(1)
 	return v
 }
@@ -53,12 +56,89 @@
 	defer v.mu.Unlock()
 	list, ok := v.usable[service]
 	if !ok {
-		list = v.registry.Usable(service)
+		list = slices.DeleteFunc(v.registry.Usable(service), func(s registry.Server) bool {
+			_, moving := v.switching[s.ID]
+			return moving
+		})
 		v.usable[service] = list
 	}
 	return list
 }
 
+// all returns the servers of a service that are not leaving, also those that change
+// their stage, and to which stage.
+func (v *view) all(service string) ([]registry.Server, map[string]registry.Stage) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	moving := make(map[string]registry.Stage, len(v.switching))
+	for id, w := range v.switching {
+		moving[id] = w.to
+	}
+	return v.registry.Usable(service), moving
+}
+
+// switchTo notes that an engine was ordered to another stage some time ago. It gets no
+// requests until it has it.
+func (v *view) switchTo(id string, to registry.Stage, age time.Duration, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := now.Add(-age)
+	if old, ok := v.switching[id]; ok && !at.After(old.at.Add(switchSlack)) {
+		return
+	}
+	if age >= switchLimit || v.stageOf(id) == to {
+		return
+	}
+	v.switching[id] = switching{to: to, at: at}
+	clear(v.usable)
+}
+
+// stageOf returns the stage of an engine as listed. The caller holds mu.
+func (v *view) stageOf(id string) registry.Stage {
+	for _, s := range v.registry.List() {
+		if s.ID == id {
+			return s.Stage
+		}
+	}
+	return registry.Whole
+}
+
+// settle ends the switches that are done, or that took too long to be believed.
+func (v *view) settle(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, w := range v.switching {
+		age := now.Sub(w.at)
+		if age >= switchLimit || (age >= w.least && v.stageOf(id) == w.to) {
+			delete(v.switching, id)
+			clear(v.usable)
+		}
+	}
+}
+
+// switches returns the engines that change their stage.
+func (v *view) switches() map[string]switching {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.switching)
+}
+
+// switching is an engine that changes its stage.
+type switching struct {
+	to registry.Stage
+	at time.Time
+	// least is the time that a change takes at least.
+	least time.Duration
+}
+
+const (
+	// switchLimit is when a change that is not seen in the list is given up: running
+	// work is finished first, which takes some seconds.
+	switchLimit = 20 * time.Second
+	// switchSlack is by how much two tellings of one change may differ in age.
+	switchSlack = 2 * time.Second
+)
+
 // applyTable takes t unless a newer one is in force, and reports whether it did.
 func (v *view) applyTable(t *route.Table, encoded []byte) bool {
 	v.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -131,6 +131,15 @@
 	return len(s.members.Live(time.Now())) + 1
 }
 
+// First reports whether this gateway is the first of the live ones, by address. At most
+// one at a time is, unless gateways can't hear each other.
+func (s *Service) First() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live := s.members.Live(time.Now())
+	return len(live) == 0 || s.self < live[0]
+}
+
 // Sent and Received count the bytes of the links that this side dialled.
 func (s *Service) Sent() int64 { return s.meter.Sent() }
 
--- /dev/null
+++ b/policy/stages/stages.go
@@ -0,0 +1,163 @@
+// Package stages decides how many engines of a service read prompts and how many
+// generate tokens.
+//
+// Load pattern: traffic shifts between long prompts and long answers, and bursts of
+// about twice the mean fill the memory of the decode engines while prefill engines are
+// half idle. An engine that changes its stage serves nothing for some seconds, so that
+// no change can follow a burst; the split has to be right before. Both kinds of engine
+// are compared by their share of use, and moved one at a time, with a band in which
+// nothing is moved and a pause after each move.
+//
+// A Planner takes the time from its caller and is not safe for concurrent use.
+package stages
+
+import (
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+// Config tunes a Planner.
+type Config struct {
+	// Slack is the share of use of the prefill engines, relative to that of the decode
+	// engines, that a move must leave: a prompt that waits delays the first event,
+	// while decode engines are well used up to the last token of their memory.
+	Slack float64
+	// Back is the ratio above which an engine is moved back, if the prefill engines are
+	// used to the share Full at least.
+	Back, Full float64
+	// MinUse is the use of the busier kind below which nothing is moved.
+	MinUse float64
+	// Dwell is the pause between two moves in one direction, Turn that before a move in
+	// the other direction.
+	Dwell, Turn time.Duration
+	// PerMove is the number of engines for each of which one may be switching at once.
+	PerMove int
+}
+
+// DefaultConfig returns the values that were measured; see docs/MEASUREMENTS.md.
+func DefaultConfig() Config {
+	return Config{
+		Slack: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
+		Dwell: time.Second, Turn: 20 * time.Second, PerMove: 10,
+	}
+}
+
+// Load is the use of the engines of one service, averaged over some seconds.
+type Load struct {
+	// ReadRate is the prompt tokens that arrive in a second, EngineRate those that one
+	// engine reads in a second.
+	ReadRate, EngineRate float64
+	// Held is the tokens of memory that runs hold, EngineTokens the memory of one engine.
+	Held, EngineTokens float64
+}
+
+// Move is one change of stage.
+type Move struct {
+	Server registry.Server
+	To     registry.Stage
+}
+
+// Planner remembers its last moves.
+type Planner struct {
+	cfg  Config
+	last time.Time
+	to   registry.Stage
+}
+
+// New returns a planner.
+func New(cfg Config) *Planner { return &Planner{cfg: cfg} }
+
+// Next returns the next move, if there is to be one. Switching holds the engines that
+// change their stage at the moment, with the stage that they will have.
+func (p *Planner) Next(servers []registry.Server, switching map[string]registry.Stage, l Load, now time.Time) (Move, bool) {
+	prefill, decode, moving := count(servers, switching)
+	if prefill == 0 || decode == 0 || l.EngineRate <= 0 || l.EngineTokens <= 0 {
+		return Move{}, false
+	}
+	if moving >= max(1, (prefill+decode)/p.cfg.PerMove) {
+		return Move{}, false
+	}
+	to, ok := p.wanted(l, prefill, decode)
+	if !ok || !p.rested(to, now) {
+		return Move{}, false
+	}
+	s, ok := candidate(servers, switching, to)
+	if !ok {
+		return Move{}, false
+	}
+	return Move{Server: s, To: to}, true
+}
+
+// Moved notes that a move was made.
+func (p *Planner) Moved(m Move, now time.Time) { p.last, p.to = now, m.To }
+
+// wanted returns the stage that one more engine should have.
+func (p *Planner) wanted(l Load, prefill, decode int) (registry.Stage, bool) {
+	read := l.ReadRate / l.EngineRate
+	held := l.Held / l.EngineTokens
+	if max(read/float64(prefill), held/float64(decode)) < p.cfg.MinUse {
+		return 0, false
+	}
+	if prefill > 1 && read/float64(prefill-1) <= p.cfg.Slack*held/float64(decode+1) {
+		return registry.Decode, true
+	}
+	use := read / float64(prefill)
+	if decode > 1 && use >= p.cfg.Full && use >= p.cfg.Back*held/float64(decode) {
+		return registry.Prefill, true
+	}
+	return 0, false
+}
+
+// rested reports whether the pause after the last move is over.
+func (p *Planner) rested(to registry.Stage, now time.Time) bool {
+	if p.last.IsZero() {
+		return true
+	}
+	pause := p.cfg.Dwell
+	if to != p.to {
+		pause = p.cfg.Turn
+	}
+	return now.Sub(p.last) >= pause
+}
+
+// count returns the engines by the stage that they will have, and how many of them are
+// switching.
+func count(servers []registry.Server, switching map[string]registry.Stage) (prefill, decode, moving int) {
+	for _, s := range servers {
+		stage := s.Stage
+		if to, ok := switching[s.ID]; ok {
+			stage = to
+			moving++
+		}
+		switch stage {
+		case registry.Prefill:
+			prefill++
+		case registry.Decode:
+			decode++
+		}
+	}
+	return prefill, decode, moving
+}
+
+// candidate returns an engine to move: one of the zone that has most of those that have
+// the other stage, so that zones stay alike.
+func candidate(servers []registry.Server, switching map[string]registry.Stage, to registry.Stage) (registry.Server, bool) {
+	zones := map[string]int{}
+	movable := func(s registry.Server) bool {
+		_, busy := switching[s.ID]
+		return !busy && s.Stage != to && s.Stage != registry.Whole
+	}
+	for _, s := range servers {
+		if movable(s) {
+			zones[s.Zone]++
+		}
+	}
+	var best registry.Server
+	for _, s := range servers {
+		if movable(s) && (best.ID == "" || zones[s.Zone] > zones[best.Zone]) {
+			best = s
+		}
+	}
+	return best, best.ID != ""
+}
