Servers that ended or were replaced get nothing; readings give up by recent times

Cause: after a crash, reservations were granted by the server that came back at the same address (hold-take does not tell instances apart), and runs then refused with 421; a reading whose answer was lost cost 1.3 s. Change: refused connections and 421 take a server out of the view; an engine that grants and then refuses is left alone, longer each time; readings are bounded by three times what they took lately.

--- a/forward/call.go
+++ b/forward/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
@@ -161,6 +162,7 @@
 		Header: f.Codec.Outgoing(j.r.Header, o), Body: j.body,
 		Mine: func(h http.Header) bool { return f.Codec.Mine(j.meta.ID, h) },
 	})
+	f.noteReach(s, err)
 	if errors.Is(err, upstream.ErrNotSent) {
 		return nil, err
 	}
@@ -172,12 +174,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if !o.PrefillOnly && f.Codec.Answer(res.Status, res.Header).NotRun {
+	head := f.Codec.Answer(res.Status, res.Header)
+	if !o.PrefillOnly && head.NotRun {
 		j.ran = before
 	}
+	if head.Replaced {
+		f.View.Replaced(s)
+	}
 	return res, nil
 }
 
+// noteReach notes a server that has ended: its address refuses connections.
+func (f *Forwarder) noteReach(s registry.Server, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		f.View.Down(s)
+	}
+}
+
 // pass hands a whole answer to the client.
 func (f *Forwarder) pass(j *job, a *answer) {
 	copyHead(j.w, a.head)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -49,9 +49,10 @@
 // service is what a process learned of one service. Fields are guarded by Forwarder.mu
 // but for engines, which has its own lock.
 type service struct {
-	budget      retrybudget.Budget
-	outliers    *outlier.Tracker
-	outstanding map[string]int
+	budget retrybudget.Budget
+	// outliers is what was observed of whole answers, readers of readings of prompts.
+	outliers, readers *outlier.Tracker
+	outstanding       map[string]int
 	// reading counts the prompt tokens that were sent to prefill engines and not read yet.
 	reading map[string]int
 	// shunned holds prefill engines whose exports can't be fetched, until the time.
@@ -78,7 +79,7 @@
 	s, ok := f.services[name]
 	if !ok {
 		s = &service{
-			outliers: outlier.New(), outstanding: map[string]int{}, reading: map[string]int{},
+			outliers: outlier.New(), readers: outlier.New(), outstanding: map[string]int{}, reading: map[string]int{},
 			shunned: map[string]time.Time{}, engines: newEngines(f.VM, f.Zone),
 		}
 		f.services[name] = s
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -53,6 +53,8 @@
 	need   int
 	// reservation is the engine's name for it; empty once it was used.
 	reservation string
+	// refused is set when the engine took no run though it had granted memory.
+	refused bool
 }
 
 // sync takes the list of engines that may get new work.
@@ -105,6 +107,7 @@
 			e.release(id, need)
 			return nil, reasonOf(ctx)
 		default:
+			f.noteReach(s, err)
 			f.attemptFailed(j, s, outcome.EngineLost, err)
 			e.failed(id, need)
 		}
@@ -201,6 +204,13 @@
 	e.memory.Fail(id, need, time.Now())
 }
 
+// worked notes that an engine ran a request.
+func (e *engines) worked(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Worked(id)
+}
+
 // release notes that a request is over at an engine.
 func (e *engines) release(id string, need int) {
 	e.mu.Lock()
@@ -212,7 +222,12 @@
 // giveBack ends a lease. A reservation that was not used is returned to the engine
 // without waiting for it; it lapses by itself when that fails.
 func (f *Forwarder) giveBack(j *job, l *lease) {
-	f.service(j.service).engines.release(l.server.ID, l.need)
+	e := f.service(j.service).engines
+	if l.refused {
+		e.failed(l.server.ID, l.need)
+	} else {
+		e.release(l.server.ID, l.need)
+	}
 	if l.reservation == "" {
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -107,7 +107,7 @@
 	}
 	l.reservation = ""
 	head, res, err := r.open(ctx, l.server, o)
-	if errors.Is(err, errNotRun) && export != nil {
+	if errors.Is(err, errNotRun) && export != nil && !head.Replaced {
 		// With its memory reserved, an engine refuses only because it could not fetch
 		// the KV cache; it can read the prompt itself.
 		r.f.shun(r.j, export.server)
@@ -120,10 +120,12 @@
 	}
 	if err != nil {
 		reason := r.f.explain(ctx, err)
+		l.refused = ctx.Err() == nil
 		r.f.attemptFailed(r.j, l.server, reason, err)
 		return false, reason
 	}
 	defer func() { _ = res.Body.Close() }()
+	r.f.service(r.j.service).engines.worked(l.server.ID)
 	if head.Status != http.StatusOK {
 		return r.failed(l.server, head, res)
 	}
@@ -212,34 +214,45 @@
 
 // Bounds of the time that a prefill engine may take before another way is taken.
 const (
-	// readBase is for the queue before the prompt, readPerToken for the prompt: ten
-	// times what an idle engine needs.
-	readBase     = 400 * time.Millisecond
-	readPerToken = 180 * time.Microsecond
+	// readTimes is how many times the usual time a reading may take: answers of prompts
+	// that wait behind two others still come.
+	readTimes = 3
+	// minReadLimit and maxReadLimit bound the result. The first holds while nothing is
+	// known, too: an idle engine needs some 200 ms.
+	minReadLimit = 450 * time.Millisecond
+	maxReadLimit = 1500 * time.Millisecond
 )
 
+// readLimit is how long a prefill engine may take, from what readings took lately.
+func (f *Forwarder) readLimit(j *job, c registry.Server) time.Duration {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usual := s.readers.Latency(c.ID, time.Now())
+	return min(max(readTimes*usual, minReadLimit), maxReadLimit)
+}
+
 // read sends the prompt to one prefill engine.
 func (f *Forwarder) read(ctx context.Context, j *job, s registry.Server) (Export, error) {
 	start := time.Now()
-	limit := readBase + time.Duration(j.meta.PromptTokens)*readPerToken
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, f.readLimit(j, s))
 	defer cancel()
 	f.reading(j, s, j.meta.PromptTokens)
 	defer f.reading(j, s, -j.meta.PromptTokens)
 	export, err := f.askExport(ctx, j, s)
 	j.read += time.Since(start)
-	f.observe(j, s, err == nil, time.Since(start))
-	if err == nil {
-		f.observeRead(j, time.Since(start))
-	}
+	f.observeRead(j, s, err == nil, time.Since(start))
 	return export, err
 }
 
-func (f *Forwarder) observeRead(j *job, took time.Duration) {
+func (f *Forwarder) observeRead(j *job, c registry.Server, ok bool, took time.Duration) {
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.rate.Observe(j.meta.PromptTokens, took)
+	s.readers.Observe(c.ID, ok, took, time.Now())
+	if ok {
+		s.rate.Observe(j.meta.PromptTokens, took)
+	}
 }
 
 func (f *Forwarder) askExport(ctx context.Context, j *job, s registry.Server) (Export, error) {
@@ -323,8 +336,8 @@
 	if c.Zone != zone {
 		cost += zoneReadCost
 	}
-	cost += failingReadCost * s.outliers.Failing(c.ID, now)
-	if s.outliers.Suspect(c.ID, now) {
+	cost += failingReadCost * s.readers.Failing(c.ID, now)
+	if s.readers.Suspect(c.ID, now) {
 		cost += failingReadCost
 	}
 	return cost
--- a/forward/types.go
+++ b/forward/types.go
@@ -61,8 +61,8 @@
 	Stamped bool
 	// Encoded is set when the body is not the server's own bytes.
 	Encoded bool
-	// Leaving is set when the server closes the connection after this answer.
-	Leaving bool
+	// Replaced is set when another server than the one that was meant answered.
+	Replaced bool
 }
 
 // Export is a KV cache that an engine keeps for another one to fetch.
@@ -104,6 +104,10 @@
 	Table() *route.Table
 	// Servers are those of a service that may get new work.
 	Servers(service string) []registry.Server
+	// Down notes that nothing listens at a server's address: it has ended.
+	Down(s registry.Server)
+	// Replaced notes that another server answers at a server's address.
+	Replaced(s registry.Server)
 	// Routers is the number of processes that forward requests, this one included.
 	Routers() int
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -24,6 +24,8 @@
 	// usable caches the registry's answer for each service until the next change.
 	usable    map[string][]registry.Server
 	switching map[string]switching
+	// down are servers that have ended though they are still listed, until a time.
+	down map[string]time.Time
 	// listed is set once a list of servers is known.
 	listed bool
 	// changed is the version of the store at which the list last changed, and read when
@@ -39,7 +41,7 @@
 }
 
 func newView() *view {
-	v := &view{registry: registry.New(), usable: map[string][]registry.Server{}, switching: map[string]switching{}}
+	v := &view{registry: registry.New(), usable: map[string][]registry.Server{}, switching: map[string]switching{}, down: map[string]time.Time{}}
 	v.routers.Store(1)
 	return v
 }
@@ -58,7 +60,8 @@
 	if !ok {
 		list = slices.DeleteFunc(v.registry.Usable(service), func(s registry.Server) bool {
 			_, moving := v.switching[s.ID]
-			return moving
+			_, down := v.down[s.ID]
+			return moving || down
 		})
 		v.usable[service] = list
 	}
@@ -103,10 +106,38 @@
 	return registry.Whole
 }
 
-// settle ends the switches that are done, or that took too long to be believed.
+// downLife is how long a server that refuses connections gets no requests. Its entry
+// lapses after three heartbeats of some 1.2 s.
+const downLife = 5 * time.Second
+
+// Down implements forward.View.
+func (v *view) Down(s registry.Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down[s.ID] = time.Now().Add(downLife)
+	clear(v.usable)
+}
+
+// Replaced implements forward.View.
+func (v *view) Replaced(s registry.Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.registry.MarkLeaving(s.ID) {
+		clear(v.usable)
+	}
+}
+
+// settle ends the switches that are done, or that took too long to be believed, and
+// tries servers again that were down.
 func (v *view) settle(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for id, until := range v.down {
+		if now.After(until) {
+			delete(v.down, id)
+			clear(v.usable)
+		}
+	}
 	for id, w := range v.switching {
 		age := now.Sub(w.at)
 		if age >= switchLimit || (age >= w.least && v.stageOf(id) == w.to) {
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -65,6 +65,8 @@
 	refused int
 	blocked time.Time
 	home    float64
+	// fails counts failures since a request last worked.
+	fails int
 }
 
 // New returns an empty pool. Seed differs between routers.
@@ -170,10 +172,25 @@
 	p.block(id, need, need, now.Add(p.cfg.Backoff))
 }
 
-// Fail notes that an engine gave no answer when need tokens were asked for: it gets
-// nothing for a while.
+// Fail notes that an engine gave no answer when need tokens were asked for, or took no
+// run though it had granted memory: it gets nothing for a while, longer each time.
 func (p *Pool) Fail(id string, need int, now time.Time) {
-	p.block(id, need, 0, now.Add(p.cfg.FailBackoff))
+	s, ok := p.servers[id]
+	if !ok {
+		return
+	}
+	p.block(id, need, 0, now.Add(p.cfg.FailBackoff<<min(s.fails, maxDoublings)))
+	s.fails++
+}
+
+// maxDoublings bounds the pauses of an engine that goes on failing to eight times the first.
+const maxDoublings = 3
+
+// Worked notes that an engine ran a request.
+func (p *Pool) Worked(id string) {
+	if s, ok := p.servers[id]; ok {
+		s.fails = 0
+	}
 }
 
 func (p *Pool) block(id string, taken, refused int, until time.Time) {
