Crowded prefill engines: decode engines read themselves, and engines move back sooner

Change: expected reading time chooses the engine and decides how many prompts the decode engines read; moves back need no long pause when the prefill engines are full; the rate of an engine is learned from the shortest readings; the slack of the retry budget grows over a window after a start; memory is reserved for three quarters of the hinted length.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -77,7 +78,7 @@
 	if m.LengthHint <= 0 {
 		return m.PromptTokens + m.MaxTokens
 	}
-	return m.PromptTokens + min(m.LengthHint, m.MaxTokens)
+	return m.PromptTokens + min(m.LengthHint*75/100, m.MaxTokens)
 }
 
 // attempt runs the stream at one decode engine. It returns true once the request is
@@ -219,7 +220,7 @@
 	readTimes = 3
 	// minReadLimit and maxReadLimit bound the result. The first holds while nothing is
 	// known, too: an idle engine needs some 200 ms.
-	minReadLimit = 450 * time.Millisecond
+	minReadLimit = 600 * time.Millisecond
 	maxReadLimit = 1500 * time.Millisecond
 )
 
@@ -302,15 +303,39 @@
 	s.shunned[c.ID] = time.Now().Add(shunTime)
 }
 
-// Weights of the cost of a prefill engine, in prompt tokens waiting there.
+// The cost of a prefill engine is the time until it will have read the prompt, in seconds,
+// with these additions.
 const (
 	// zoneReadCost is about what a hand-off between zones takes longer, with its price.
-	zoneReadCost = 1500
+	zoneReadCost = 0.027
 	// failingReadCost is for an engine that fails every request.
-	failingReadCost = 100_000
+	failingReadCost = 2
+	// readPerToken stands for the time to read a token while none was learned.
+	readPerToken = 20e-6
 )
 
-// choosePrefill returns the engine that will have read the prompt first.
+// Shares of the objective for the first event that reading at the best prefill engine
+// takes, between which more and more prompts are read by the decode engine itself: it
+// needs about twice the time and slows the runs beside it.
+const (
+	crowdedFrom = 0.45
+	crowdedTo   = 0.9
+	// crowdedMost is the share of prompts that then go the other way; the rest shows
+	// when there is room again.
+	crowdedMost = 0.8
+)
+
+// crowded decides whether the prompt is better read by the decode engine, with u in [0, 1).
+func crowded(reading, objective time.Duration, u float64) bool {
+	if objective <= 0 {
+		return false
+	}
+	share := (float64(reading)/float64(objective) - crowdedFrom) / (crowdedTo - crowdedFrom)
+	return u < min(share, crowdedMost)
+}
+
+// choosePrefill returns the engine that will have read the prompt first, or none when all
+// are so crowded that the decode engine is faster.
 func (f *Forwarder) choosePrefill(j *job, zone string, tried []string) (registry.Server, bool) {
 	now := time.Now()
 	servers := f.View.Servers(j.service)
@@ -328,11 +353,18 @@
 			best, bestCost = c, cost
 		}
 	}
-	return best, best.ID != ""
+	if best.ID == "" || crowded(s.readers.Latency(best.ID, now), j.route.Objective, rand.Float64()) {
+		return registry.Server{}, false
+	}
+	return best, true
 }
 
 func (f *Forwarder) readCost(s *service, c registry.Server, zone string, now time.Time) float64 {
-	cost := float64(s.reading[c.ID])
+	perToken := readPerToken
+	if rate := s.rate.PerSecond(); rate > 0 {
+		perToken = 1 / rate
+	}
+	cost := s.readers.Latency(c.ID, now).Seconds() + perToken*float64(s.reading[c.ID])
 	if c.Zone != zone {
 		cost += zoneReadCost
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,7 +192,7 @@
 			return
 		case <-t.C:
 		}
-		s.view.routers.Store(int64(s.peers.Count()))
+		s.view.routers.Store(int64(max(s.peers.Count(), len(s.set.Seeds))))
 		known := s.view.addresses()
 		s.pool.Sweep(func(addr string) bool { return known[addr] })
 		if n := s.batch.TakeDropped(); n > 0 {
--- a/policy/outlier/outlier.go
+++ b/policy/outlier/outlier.go
@@ -28,7 +28,7 @@
 
 type record struct {
 	at time.Time
-	// ok, failed and slow are decayed counts; latency is a decayed sum over ok.
+	// ok and failed are decayed counts; latency is a decayed sum over both.
 	ok, failed float64
 	latency    float64
 	// lastFailure is when a request last failed.
@@ -48,9 +48,9 @@
 		t.servers[id] = r
 	}
 	r.decay(now)
+	r.latency += latency.Seconds()
 	if ok {
 		r.ok++
-		r.latency += latency.Seconds()
 		r.streak = 0
 		return
 	}
@@ -103,13 +103,13 @@
 	return failed / (ok + failed + prior)
 }
 
-// Latency is the mean time of successful requests at a server, or of its service when
-// too few were observed there.
+// Latency is the mean time of requests at a server, or of its service when too few were
+// observed there. A request that was given up counts with the time until then.
 func (t *Tracker) Latency(id string, now time.Time) time.Duration {
 	var count, total float64
 	for other, r := range t.servers {
 		if other != id {
-			count += r.ok
+			count += r.ok + r.failed
 			total += r.latency
 		}
 	}
@@ -121,7 +121,7 @@
 	if !known {
 		return time.Duration(mean * float64(time.Second))
 	}
-	own := (r.latency + prior*mean) / (r.ok + prior)
+	own := (r.latency + prior*mean) / (r.ok + r.failed + prior)
 	return time.Duration(own * float64(time.Second))
 }
 
--- a/policy/retrybudget/retrybudget.go
+++ b/policy/retrybudget/retrybudget.go
@@ -6,6 +6,9 @@
 // sliding window, over all routers together. No store is on the path: each router
 // keeps to the share of its own requests, and to its part of the fixed slack.
 //
+// A process that has just started does not know what it, or the one that it replaces,
+// sent again a moment ago. Its part of the slack grows over one window.
+//
 // A Budget takes the time from its caller and is not safe for concurrent use.
 package retrybudget
 
@@ -28,6 +31,8 @@
 
 // Budget counts the requests and repeats of one service at one router.
 type Budget struct {
+	// began is when the first request was counted.
+	began             time.Time
 	requests, repeats [buckets]float64
 	// first is the number of the newest bucket, counted from the zero time.
 	newest int64
@@ -36,6 +41,9 @@
 // Request counts a request for the service.
 func (b *Budget) Request(l Limits, now time.Time) {
 	b.advance(l, now)
+	if b.began.IsZero() {
+		b.began = now
+	}
 	b.requests[b.newest%buckets]++
 }
 
@@ -43,7 +51,7 @@
 // 1/routers, and reports whether it is.
 func (b *Budget) Repeat(l Limits, routers int, now time.Time) bool {
 	b.advance(l, now)
-	allowed := safety * (l.Ratio*sum(b.requests) + l.Slack/float64(max(routers, 1)))
+	allowed := safety * (l.Ratio*sum(b.requests) + b.grown(l, now)*l.Slack/float64(max(routers, 1)))
 	if sum(b.repeats)+1 > allowed {
 		return false
 	}
@@ -51,6 +59,14 @@
 	return true
 }
 
+// grown is the part of the slack that is there, in [0, 1].
+func (b *Budget) grown(l Limits, now time.Time) float64 {
+	if b.began.IsZero() || l.Window <= 0 {
+		return 0
+	}
+	return min(now.Sub(b.began).Seconds()/l.Window.Seconds(), 1)
+}
+
 func (b *Budget) advance(l Limits, now time.Time) {
 	width := l.Window / buckets
 	if width <= 0 {
--- a/policy/stages/rate.go
+++ b/policy/stages/rate.go
@@ -5,38 +5,60 @@
 	"time"
 )
 
-// Rate learns how many tokens an engine reads in a second from the times that reading
-// took: the slope of time over tokens, since a part of the time does not depend on the
-// length. It takes the time from its caller and is not safe for concurrent use.
+// Rate learns how many tokens an engine reads in a second from the times that readings
+// took. Under load a reading waits behind others, so only the shortest time that was
+// seen for each length counts; a part of it does not depend on the length, so the rate
+// is the slope over lengths. It is not safe for concurrent use.
 type Rate struct {
-	n, sx, sy, sxx, sxy float64
+	shortest [rateLengths]sample
+}
+
+type sample struct {
+	seen   int
+	tokens float64
+	took   float64
 }
 
 const (
-	// rateSamples is the number of readings from which the slope is used.
-	rateSamples = 30
-	// rateDecay is what an older reading counts beside the next.
-	rateDecay = 0.99
+	// rateLengths is the number of classes of length, each rateWidth tokens wide.
+	rateLengths = 16
+	rateWidth   = 1024
+	// rateSeen is the number of readings in a class from which its shortest counts.
+	rateSeen = 3
+	// rateForget lets the shortest time grow with each reading, so that an engine that
+	// has become slower is noticed after some hundred.
+	rateForget = 1.002
 )
 
 // Observe notes that reading tokens took d.
 func (r *Rate) Observe(tokens int, d time.Duration) {
-	x, y := float64(tokens), d.Seconds()
-	r.n = r.n*rateDecay + 1
-	r.sx = r.sx*rateDecay + x
-	r.sy = r.sy*rateDecay + y
-	r.sxx = r.sxx*rateDecay + x*x
-	r.sxy = r.sxy*rateDecay + x*y
+	s := &r.shortest[min(max(tokens/rateWidth, 0), rateLengths-1)]
+	s.seen++
+	s.took *= rateForget
+	if s.seen == 1 || d.Seconds() < s.took {
+		s.tokens, s.took = float64(tokens), d.Seconds()
+	}
 }
 
 // PerSecond is the rate of one engine, or zero when too little is known.
 func (r *Rate) PerSecond() float64 {
-	if r.n < rateSamples*rateDecay/2 {
+	var n, sx, sy, sxx, sxy float64
+	for _, s := range r.shortest {
+		if s.seen < rateSeen {
+			continue
+		}
+		n++
+		sx += s.tokens
+		sy += s.took
+		sxx += s.tokens * s.tokens
+		sxy += s.tokens * s.took
+	}
+	variance := n*sxx - sx*sx
+	if n < 3 || variance <= 0 {
 		return 0
 	}
-	variance := r.n*r.sxx - r.sx*r.sx
-	slope := (r.n*r.sxy - r.sx*r.sy) / variance
-	if variance <= 0 || slope <= 0 {
+	slope := (n*sxy - sx*sy) / variance
+	if slope <= 0 {
 		return 0
 	}
 	return 1 / slope
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -29,8 +29,9 @@
 	// MinUse is the use of the busier kind below which nothing is moved.
 	MinUse float64
 	// Dwell is the pause between two moves in one direction, Turn that before a move in
-	// the other direction.
+	// the other direction, unless the engines of that kind are used to the share Over.
 	Dwell, Turn time.Duration
+	Over        float64
 	// PerMove is the number of engines for each of which one may be switching at once.
 	PerMove int
 }
@@ -39,7 +40,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Slack: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
-		Dwell: time.Second, Turn: 20 * time.Second, PerMove: 10,
+		Dwell: time.Second, Turn: 20 * time.Second, Over: 0.9, PerMove: 10,
 	}
 }
 
@@ -79,7 +80,8 @@
 		return Move{}, false
 	}
 	to, ok := p.wanted(l, prefill, decode)
-	if !ok || !p.rested(to, now) {
+	pressed := to == registry.Prefill && l.ReadRate/l.EngineRate >= p.cfg.Over*float64(prefill)
+	if !ok || !p.rested(to, pressed, now) {
 		return Move{}, false
 	}
 	s, ok := candidate(servers, switching, to)
@@ -110,12 +112,12 @@
 }
 
 // rested reports whether the pause after the last move is over.
-func (p *Planner) rested(to registry.Stage, now time.Time) bool {
+func (p *Planner) rested(to registry.Stage, pressed bool, now time.Time) bool {
 	if p.last.IsZero() {
 		return true
 	}
 	pause := p.cfg.Dwell
-	if to != p.to {
+	if to != p.to && !pressed {
 		pause = p.cfg.Turn
 	}
 	return now.Sub(p.last) >= pause
