Gateways share what they learned of the engines' rate

Cause: on the grown fleets the first gateway alone saw too few readings to know an engine's rate before the first burst, and the mean of arrivals began at zero. Change: rates of all gateways, their median; mean corrected for its beginning.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,16 +181,15 @@
 	return ok
 }
 
-// ReadRates is the rate of prompts that reach this process, by service, in tokens per
-// second.
-func (f *Forwarder) ReadRates() map[string]float64 {
-	now := time.Now()
+// Uses is the use of the engines of each model service; see Use.
+func (f *Forwarder) Uses() map[string]stages.Load {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := map[string]float64{}
-	for name, s := range f.services {
-		if rate := s.arriving.At(now); rate > 1 {
-			out[name] = rate
+	names := slices.Collect(maps.Keys(f.services))
+	f.mu.Unlock()
+	out := map[string]stages.Load{}
+	for _, name := range names {
+		if use := f.Use(name); use.ReadRate > 0 {
+			out[name] = use
 		}
 	}
 	return out
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -23,36 +23,40 @@
 }
 
 type placedReport struct {
-	at     time.Time
-	tokens map[string]int
-	// reading is the rate of prompts by service, in tokens per second.
-	reading map[string]float64
+	at       time.Time
+	tokens   map[string]int
+	readings []*peer.Reading
 }
 
 func newPlaced() *placed { return &placed{reports: map[string]placedReport{}} }
 
 func (p *placed) take(r *peer.Report, now time.Time) {
-	report := placedReport{at: now, tokens: map[string]int{}, reading: map[string]float64{}}
+	report := placedReport{at: now, tokens: map[string]int{}, readings: r.GetReadings()}
 	for _, s := range r.GetShares() {
 		report.tokens[s.GetServer()] = int(s.GetTokens())
 	}
-	for _, s := range r.GetReadings() {
-		report.reading[s.GetService()] = s.GetTokensPerS()
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reports[r.GetAddr()] = report
 }
 
-// reading is the rate of prompts that reach all others, in tokens per second.
-func (p *placed) reading(service string) float64 {
+// reading is the rate of prompts that reach all others, and what they know of the rate of
+// one engine, in tokens per second.
+func (p *placed) reading(service string) (arriving float64, engine []float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var sum float64
-	for _, r := range p.reports {
-		sum += r.reading[service]
+	for _, report := range p.reports {
+		for _, r := range report.readings {
+			if r.GetService() != service {
+				continue
+			}
+			arriving += r.GetTokensPerS()
+			if rate := r.GetEngineTokensPerS(); rate > 0 {
+				engine = append(engine, rate)
+			}
+		}
 	}
-	return sum
+	return arriving, engine
 }
 
 // sum returns what all others placed, by engine, and drops what is too old.
@@ -105,8 +109,10 @@
 		r.Shares = append(r.Shares, &peer.Share{Server: share.ID, Tokens: uint32(share.Tokens)})
 	}
 	now := time.Now()
-	for service, rate := range s.fwd.ReadRates() {
-		r.Readings = append(r.Readings, &peer.Reading{Service: service, TokensPerS: rate})
+	for service, use := range s.fwd.Uses() {
+		r.Readings = append(r.Readings, &peer.Reading{
+			Service: service, TokensPerS: use.ReadRate, EngineTokensPerS: use.EngineRate,
+		})
 	}
 	for id, w := range s.view.switches() {
 		r.Switches = append(r.Switches, &peer.Switch{Server: id, Stage: uint32(w.to), AgeMs: uint32(now.Sub(w.at).Milliseconds())})
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
@@ -60,7 +61,9 @@
 func (s *Service) planService(ctx context.Context, p *stages.Planner, service route.Service, now time.Time) {
 	servers, moving := s.view.all(service.Name)
 	load := s.fwd.Use(service.Name)
-	load.ReadRate += s.placed.reading(service.Name)
+	arriving, rates := s.placed.reading(service.Name)
+	load.ReadRate += arriving
+	load.EngineRate = median(append(rates, load.EngineRate))
 	load.EngineTokens = float64(service.Engine.KVTokens)
 	m, ok := p.Next(servers, moving, load, now)
 	if !ok {
@@ -81,6 +84,16 @@
 		Float64("read", load.ReadRate/load.EngineRate).Float64("held", load.Held/load.EngineTokens).Msg("")
 }
 
+// median is the middle one of the rates that are known, or zero.
+func median(rates []float64) float64 {
+	rates = slices.DeleteFunc(rates, func(r float64) bool { return r <= 0 })
+	if len(rates) == 0 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2]
+}
+
 // order gives one order under the lease.
 func (s *Service) order(ctx context.Context, m stages.Move) (int64, error) {
 	if _, held := s.lease.Fence(); !held {
--- a/policy/stages/rate.go
+++ b/policy/stages/rate.go
@@ -66,8 +66,8 @@
 
 // Mean is a mean of what arrives in a second, over the last seconds.
 type Mean struct {
-	value float64
-	at    time.Time
+	value     float64
+	began, at time.Time
 }
 
 // meanLife is the time in which an arrival loses most of its weight.
@@ -75,11 +75,25 @@
 
 // Add notes that v arrived.
 func (m *Mean) Add(v float64, now time.Time) {
-	m.value = m.At(now) + v/meanLife.Seconds()
+	if m.began.IsZero() {
+		m.began, m.at = now, now
+	}
+	m.value = m.decayed(now) + v/meanLife.Seconds()
 	m.at = now
 }
 
-// At is the mean at now.
+// At is the mean at now. Soon after the first arrival it is the mean since then.
 func (m *Mean) At(now time.Time) float64 {
+	if m.began.IsZero() {
+		return 0
+	}
+	known := 1 - math.Exp(-float64(now.Sub(m.began))/float64(meanLife))
+	return m.decayed(now) / max(known, meanKnown)
+}
+
+// meanKnown bounds the correction for a mean that has just begun.
+const meanKnown = 0.2
+
+func (m *Mean) decayed(now time.Time) float64 {
 	return m.value * math.Exp(-float64(now.Sub(m.at))/float64(meanLife))
 }
