Few gateways read the list of servers; connections are kept longer

Change: the first two gateways by address read the list, others when no reading is known for 1.5 s; the others wait longer in the feed; idle connections are kept 20 s.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -65,7 +65,21 @@
 	if !known {
 		return s.store.Manifest(ctx)
 	}
-	return s.store.NextManifest(ctx, version, manifestWait)
+	wait := manifestWait
+	if s.peers.Rank() >= readers {
+		wait = manifestIdleWait
+	}
+	return s.store.NextManifest(ctx, version, wait)
+}
+
+// reads reports whether this process is to read the list of servers from the store: the
+// first few gateways do, and all others when nobody has told of a reading for a while.
+func (s *Service) reads() bool {
+	if s.peers.Rank() < readers {
+		return true
+	}
+	now := time.Now()
+	return !s.view.informed() || min(s.view.readAge(now), s.placed.readAge(now)) >= readersSilent
 }
 
 // takeTable puts a table in force unless a newer one is, and has the other gateways told.
@@ -82,6 +96,10 @@
 func (s *Service) followServers(ctx context.Context) {
 	dep := &dependency{s: s, what: "servers"}
 	for ctx.Err() == nil {
+		if !s.reads() {
+			pause(ctx, jitter(serversInterval))
+			continue
+		}
 		list, version, err := s.store.Servers(ctx, func(err error) {
 			event.ServerInvalid.Log(s.log).Err(err).Msg("")
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,14 @@
 	// manifestWait is how long the store may wait for a change; a connection that went
 	// silent is noticed after it.
 	manifestWait = 2 * time.Second
+	// manifestIdleWait is the same for gateways that are not among the readers.
+	manifestIdleWait = 15 * time.Second
+	// readers is the number of gateways that read the list of servers; the others hear
+	// from them. Two, so that one that is cut off is not missed.
+	readers = 2
+	// readersSilent is the age of the newest known reading from which a gateway reads
+	// the list itself.
+	readersSilent = 1500 * time.Millisecond
 	// storeRetry is the pause after a failed call, so that a store in trouble is not pressed.
 	storeRetry = 300 * time.Millisecond
 	// callerCheck is the interval at which departed callers are looked for.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -26,12 +26,15 @@
 	at       time.Time
 	tokens   map[string]int
 	readings []*peer.Reading
+	// read is when the gateway last read the list of servers from the store.
+	read time.Time
 }
 
 func newPlaced() *placed { return &placed{reports: map[string]placedReport{}} }
 
 func (p *placed) take(r *peer.Report, now time.Time) {
 	report := placedReport{at: now, tokens: map[string]int{}, readings: r.GetReadings()}
+	report.read = now.Add(-time.Duration(r.GetReadAgeMs()) * time.Millisecond)
 	for _, s := range r.GetShares() {
 		report.tokens[s.GetServer()] = int(s.GetTokens())
 	}
@@ -40,6 +43,17 @@
 	p.reports[r.GetAddr()] = report
 }
 
+// readAge is how long ago any other gateway read the list of servers from the store.
+func (p *placed) readAge(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	age := never
+	for _, r := range p.reports {
+		age = min(age, now.Sub(r.read))
+	}
+	return age
+}
+
 // reading is the rate of prompts that reach all others, and what they know of the rate of
 // one engine, in tokens per second.
 func (p *placed) reading(service string) (arriving float64, engine []float64) {
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -41,7 +41,7 @@
 		now := time.Now()
 		s.view.settle(now)
 		t := s.view.Table()
-		if t != nil && s.peers.First() && !s.draining.Load() {
+		if t != nil && s.peers.Rank() == 0 && !s.draining.Load() {
 			for name, service := range t.Services {
 				if service.Engine == nil {
 					continue
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -131,13 +131,18 @@
 	return len(s.members.Live(time.Now())) + 1
 }
 
-// First reports whether this gateway is the first of the live ones, by address. At most
-// one at a time is, unless gateways can't hear each other.
-func (s *Service) First() bool {
+// Rank is the number of live gateways before this one, by address. At most one at a time
+// has rank zero, unless gateways can't hear each other.
+func (s *Service) Rank() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := s.members.Live(time.Now())
-	return len(live) == 0 || s.self < live[0]
+	rank := 0
+	for _, addr := range s.members.Live(time.Now()) {
+		if addr < s.self {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Sent and Received count the bytes of the links that this side dialled.
@@ -223,9 +228,10 @@
 // loop exchanges reports with one peer until ctx ends.
 func (s *Service) loop(ctx context.Context, l *peerLink) {
 	defer l.hangUp()
+	kicked := false
 	for ctx.Err() == nil {
-		if s.covered(l.addr) {
-			s.wait(ctx, s.pace())
+		if !kicked && s.covered(l.addr) {
+			kicked = s.wait(ctx, s.pace())
 			continue
 		}
 		again, err := s.exchange(ctx, l)
@@ -236,9 +242,9 @@
 		switch {
 		case err != nil:
 			l.hangUp()
-			s.wait(ctx, redial)
+			kicked = s.wait(ctx, redial)
 		case !again:
-			s.wait(ctx, s.pace())
+			kicked = s.wait(ctx, s.pace())
 		}
 	}
 }
@@ -306,8 +312,8 @@
 	return interval * time.Duration(max(len(s.links), fewPeers)) / fewPeers
 }
 
-// wait pauses for d or until there is something to announce.
-func (s *Service) wait(ctx context.Context, d time.Duration) {
+// wait pauses for d or until there is something to announce, and reports whether there is.
+func (s *Service) wait(ctx context.Context, d time.Duration) bool {
 	s.mu.Lock()
 	kick := s.kick
 	s.mu.Unlock()
@@ -317,5 +323,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-kick:
+		return true
 	}
+	return false
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,8 +41,9 @@
 	DefaultDial = 1200 * time.Millisecond
 	// DefaultUnacked is below the shortest timeout of a lookup.
 	DefaultUnacked = 1500 * time.Millisecond
-	// DefaultIdle is below the usual idle timeout of servers that state none.
-	DefaultIdle    = 4 * time.Second
+	// DefaultIdle bounds what is kept for a server that states no idle timeout; whether it
+	// has closed the connection is looked at before each use.
+	DefaultIdle    = 20 * time.Second
 	DefaultMaxIdle = 32
 )
 
