--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -66,6 +66,10 @@
 	// reads them.
 	arriving stages.Mean
 	rate     stages.Rate
+	// wanting is the rate of memory that requests ask for, in tokens per second; hold is
+	// the mean time that a run holds it.
+	wanting stages.Mean
+	hold    time.Duration
 }
 
 // New returns a Forwarder.
@@ -177,6 +181,7 @@
 	s.budget.Request(f.Retry, j.arrived)
 	if j.streams() {
 		s.arriving.Add(float64(j.meta.PromptTokens), j.arrived)
+		s.wanting.Add(float64(j.need()), j.arrived)
 	}
 }
 
@@ -207,15 +212,15 @@
 	return out
 }
 
-// Use is the use of one service's engines as far as this process knows it: how fast one
-// engine reads, the prompts that arrive here, and the memory that all processes placed.
+// Use is the use of one service's engines by this process: how fast one engine reads, the
+// prompts that arrive, and the memory that they would hold if none had to wait.
 func (f *Forwarder) Use(name string) stages.Load {
 	s := f.service(name)
-	held := s.engines.held()
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return stages.Load{
-		ReadRate: s.arriving.At(time.Now()), EngineRate: s.rate.PerSecond(), Held: float64(held),
+		ReadRate: s.arriving.At(now), EngineRate: s.rate.PerSecond(), Held: s.wanting.At(now) * s.hold.Seconds(),
 	}
 }
 
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -60,6 +60,8 @@
 	need   int
 	// reservation is the engine's name for it; empty once it was used.
 	reservation string
+	// since is when it was granted.
+	since time.Time
 	// refused is set when the engine took no run though it had granted memory.
 	refused bool
 }
@@ -106,7 +108,7 @@
 		reservation, err := f.Engines.Reserve(ctx, s, need, spec.MaxHold)
 		switch {
 		case err == nil:
-			return &lease{server: s, need: need, reservation: reservation}, ""
+			return &lease{server: s, need: need, reservation: reservation, since: time.Now()}, ""
 		case errors.Is(err, ErrFull):
 			f.Metrics.Counter(metrics.ReservationsRefused).Inc(1)
 			e.refused(id, need)
@@ -257,6 +259,7 @@
 	if l.refused {
 		e.failed(l.server.ID, l.need)
 	} else {
+		f.observeHold(j, time.Since(l.since))
 		e.release(l.server.ID, l.need)
 	}
 	if l.reservation == "" {
@@ -301,8 +304,9 @@
 	return out
 }
 
-// held is the memory that all processes placed, in tokens.
-func (e *engines) held() int {
+// Held is the memory that all processes placed on the engines of a service, in tokens.
+func (f *Forwarder) Held(service string) int {
+	e := f.service(service).engines
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, used := e.memory.Capacity()
@@ -330,6 +334,19 @@
 	}
 }
 
+// holdWeight is what the last run counts in the mean time that runs hold memory.
+const holdWeight = 0.05
+
+func (f *Forwarder) observeHold(j *job, took time.Duration) {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.hold == 0 {
+		s.hold = took
+	}
+	s.hold += time.Duration(holdWeight * float64(took-s.hold))
+}
+
 // comeBack is when a client that is turned away should come back.
 func (f *Forwarder) comeBack(j *job) time.Duration {
 	if j.table == nil || j.route == nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -73,8 +73,8 @@
 }
 
 // need is the memory that the run is thought to take at its end, in tokens.
-func (r *run) need() int {
-	m := r.j.meta
+func (j *job) need() int {
+	m := j.meta
 	if m.LengthHint <= 0 {
 		return m.PromptTokens + m.MaxTokens
 	}
@@ -84,7 +84,7 @@
 // attempt runs the stream at one decode engine. It returns true once the request is
 // answered, or why it is not.
 func (r *run) attempt(ctx context.Context) (bool, outcome.Reason) {
-	l, reason := r.f.reserve(ctx, r.j, r.need(), r.tried)
+	l, reason := r.f.reserve(ctx, r.j, r.j.need(), r.tried)
 	if l == nil {
 		return false, reason
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -87,8 +87,8 @@
 }
 
 // reading is the rate of prompts that reach all others, and what they know of the rate of
-// one engine, in tokens per second.
-func (p *placed) reading(service string) (arriving float64, engine []float64) {
+// one engine, in tokens per second, and the memory that their requests want, in tokens.
+func (p *placed) reading(service string) (arriving, wanted float64, engine []float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, report := range p.reports {
@@ -97,12 +97,13 @@
 				continue
 			}
 			arriving += r.GetTokensPerS()
+			wanted += r.GetWantedTokens()
 			if rate := r.GetEngineTokensPerS(); rate > 0 {
 				engine = append(engine, rate)
 			}
 		}
 	}
-	return arriving, engine
+	return arriving, wanted, engine
 }
 
 // sum returns what all others placed, for each of the engines and those that others
@@ -159,7 +160,7 @@
 	now := time.Now()
 	for service, use := range s.fwd.Uses() {
 		r.Readings = append(r.Readings, &peer.Reading{
-			Service: service, TokensPerS: use.ReadRate, EngineTokensPerS: use.EngineRate,
+			Service: service, TokensPerS: use.ReadRate, EngineTokensPerS: use.EngineRate, WantedTokens: use.Held,
 		})
 	}
 	for id, w := range s.view.switches() {
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -27,8 +27,6 @@
 	// planWarmup is how long a process has to be up before it plans: what it knows of
 	// load and of other gateways takes some seconds to become true.
 	planWarmup = 3 * time.Second
-	// switchWork is how long an engine may finish running work before it switches.
-	switchWork = 2 * time.Second
 )
 
 // planStages keeps the split of engines into prefill and decode in line with the load.
@@ -61,8 +59,9 @@
 func (s *Service) planService(ctx context.Context, p *stages.Planner, service route.Service, now time.Time) {
 	servers, moving := s.view.all(service.Name)
 	load := s.fwd.Use(service.Name)
-	arriving, rates := s.placed.reading(service.Name)
+	arriving, wanted, rates := s.placed.reading(service.Name)
 	load.ReadRate += arriving
+	load.Held = max(load.Held+wanted, float64(s.fwd.Held(service.Name)))
 	load.EngineRate = median(append(rates, load.EngineRate))
 	load.EngineTokens = float64(service.Engine.KVTokens)
 	m, ok := p.Next(servers, moving, load, now)
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -23,6 +23,8 @@
 	// engines, that a move must leave: a prompt that waits delays the first event,
 	// while decode engines are well used up to the last token of their memory.
 	Slack float64
+	// Most is the share of use of the prefill engines that a move must leave at most.
+	Most float64
 	// Back is the ratio above which an engine is moved back, if the prefill engines are
 	// used to the share Full at least.
 	Back, Full float64
@@ -39,7 +41,7 @@
 // DefaultConfig returns the values that were measured; see docs/MEASUREMENTS.md.
 func DefaultConfig() Config {
 	return Config{
-		Slack: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
+		Slack: 0.75, Most: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
 		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Over: 0.9, PerMove: 8,
 	}
 }
@@ -49,7 +51,8 @@
 	// ReadRate is the prompt tokens that arrive in a second, EngineRate those that one
 	// engine reads in a second.
 	ReadRate, EngineRate float64
-	// Held is the tokens of memory that runs hold, EngineTokens the memory of one engine.
+	// Held is the memory, in tokens, that runs hold or would hold if none had to wait;
+	// EngineTokens is the memory of one engine.
 	Held, EngineTokens float64
 }
 
@@ -101,7 +104,8 @@
 	if max(read/float64(prefill), held/float64(decode)) < p.cfg.MinUse {
 		return 0, false
 	}
-	if prefill > 1 && read/float64(prefill-1) <= p.cfg.Slack*held/float64(decode+1) {
+	left := read / float64(prefill-1)
+	if prefill > 1 && left <= p.cfg.Most && left <= p.cfg.Slack*held/float64(decode+1) {
 		return registry.Decode, true
 	}
 	use := read / float64(prefill)
