--- a/forward/stream.go
+++ b/forward/stream.go
@@ -78,7 +78,7 @@
 	if m.LengthHint <= 0 {
 		return m.PromptTokens + m.MaxTokens
 	}
-	return m.PromptTokens + min(m.LengthHint*75/100, m.MaxTokens)
+	return m.PromptTokens + min(m.LengthHint, m.MaxTokens)
 }
 
 // attempt runs the stream at one decode engine. It returns true once the request is
