Requests that are turned away come back after the burst

Cause: bursts last four to five seconds; who came back after 2.5 s met the same burst and was refused for good.

--- a/policy/waiting/patience.go
+++ b/policy/waiting/patience.go
@@ -21,8 +21,8 @@
 		ReadPerToken: 36 * time.Microsecond,
 		Overhead:     120 * time.Millisecond,
 		LateWait:     3 * time.Second,
-		BackMin:      2500 * time.Millisecond,
-		BackMax:      4500 * time.Millisecond,
+		BackMin:      3500 * time.Millisecond,
+		BackMax:      4600 * time.Millisecond,
 	}
 }
 
