--- a/policy/waiting/waiting.go
+++ b/policy/waiting/waiting.go
@@ -69,14 +69,19 @@
 
 // Next takes out the first request that fits, or returns nil. A large request is not
 // passed by for ever: those behind it may go before it only while it has waited for
-// less than hold.
+// less than hold, and only those that are not late.
 func (l *Line) Next(fits func(*Waiter) bool, hold time.Duration, now time.Time) *Waiter {
+	passed := false
 	for i, w := range l.waiters {
+		if w.Late && passed {
+			return nil
+		}
 		if fits(w) {
 			l.waiters = slices.Delete(l.waiters, i, i+1)
 			return w
 		}
-		if !w.Late && now.Sub(w.Arrived) >= hold {
+		passed = passed || !w.Late
+		if passed && now.Sub(w.Arrived) >= hold {
 			return nil
 		}
 	}
