--- a/policy/waiting/waiting.go
+++ b/policy/waiting/waiting.go
@@ -69,19 +69,14 @@
 
 // Next takes out the first request that fits, or returns nil. A large request is not
 // passed by for ever: those behind it may go before it only while it has waited for
-// less than hold, and only those that are not late.
+// less than hold.
 func (l *Line) Next(fits func(*Waiter) bool, hold time.Duration, now time.Time) *Waiter {
-	passed := false
 	for i, w := range l.waiters {
-		if w.Late && passed {
-			return nil
-		}
 		if fits(w) {
 			l.waiters = slices.Delete(l.waiters, i, i+1)
 			return w
 		}
-		passed = passed || !w.Late
-		if passed && now.Sub(w.Arrived) >= hold {
+		if !w.Late && now.Sub(w.Arrived) >= hold {
 			return nil
 		}
 	}
