Who can't be served in time is told at once

Change: a request whose wait, by the memory before it and the rate at which this process frees memory, is half as long again as it can wait is turned away without waiting.

--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -91,6 +91,9 @@
 	}
 	start := time.Now()
 	defer func() { j.waited += time.Since(start) }()
+	if e.hopeless(w, f.holdTime(j), start) {
+		return nil, outcome.NoPlace
+	}
 	for {
 		servers := f.View.Servers(j.service)
 		id, ok := e.await(ctx, w, servers, spec.KVTokens, spec.Slots)
@@ -130,6 +133,25 @@
 	return j.meta.Patience > 0 && j.meta.Patience < j.route.Timeout-waiting.DefaultTerms().BackMin
 }
 
+// hopeless reports whether a request is to be turned away without waiting.
+func (e *engines) hopeless(w *waiting.Waiter, hold time.Duration, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if hold <= 0 || e.line.Len() == 0 {
+		return false
+	}
+	rate := float64(e.memory.OwnTotal()) / hold.Seconds()
+	return e.terms.Hopeless(e.line.Ahead(w), rate, w.Until.Sub(now))
+}
+
+// holdTime is the mean time that a run holds memory; zero while it is not known.
+func (f *Forwarder) holdTime(j *job) time.Duration {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.hold
+}
+
 func find(servers []registry.Server, id string) (registry.Server, bool) {
 	for _, s := range servers {
 		if s.ID == id {
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -226,6 +226,15 @@
 	return out
 }
 
+// OwnTotal is what this router placed on all engines, in tokens.
+func (p *Pool) OwnTotal() int {
+	sum := 0
+	for _, s := range p.servers {
+		sum += s.own
+	}
+	return sum
+}
+
 // OwnAt is what this router placed on one engine, in tokens.
 func (p *Pool) OwnAt(id string) int {
 	if s, ok := p.servers[id]; ok {
--- a/policy/waiting/patience.go
+++ b/policy/waiting/patience.go
@@ -9,6 +9,10 @@
 	ReadPerToken, Overhead time.Duration
 	// LateWait is how long a request that came back waits.
 	LateWait time.Duration
+	// Doubt is by how much the expected wait has to exceed what a request can wait before
+	// it is turned away at once: the rate at which memory is freed for one router is
+	// known roughly.
+	Doubt float64
 	// BackMin and BackMax bound when a request that is turned away comes back. Bursts
 	// last some four seconds; returners are spread so that they are no second burst.
 	BackMin, BackMax time.Duration
@@ -21,6 +25,7 @@
 		ReadPerToken: 36 * time.Microsecond,
 		Overhead:     120 * time.Millisecond,
 		LateWait:     3 * time.Second,
+		Doubt:        1.5,
 		BackMin:      3500 * time.Millisecond,
 		BackMax:      4600 * time.Millisecond,
 	}
@@ -35,6 +40,13 @@
 	return arrived.Add(max(objective-t.Overhead-time.Duration(prompt)*t.ReadPerToken, 0))
 }
 
+// Hopeless reports whether a request need not wait at all: by the rate at which memory is
+// freed, in tokens per second, those before it alone take far longer than it can wait. A
+// rate of zero means that it is not known.
+func (t Terms) Hopeless(ahead int, rate float64, wait time.Duration) bool {
+	return rate > 0 && float64(ahead)/rate > t.Doubt*wait.Seconds()
+}
+
 // ComeBack is when a request that is turned away should come back, with u in [0, 1).
 // A caller honours up to a third of the time that it has left.
 func (t Terms) ComeBack(left time.Duration, u float64) time.Duration {
--- a/policy/waiting/waiting.go
+++ b/policy/waiting/waiting.go
@@ -83,6 +83,17 @@
 	return nil
 }
 
+// Ahead is the memory, in tokens, that requests need which go before w.
+func (l *Line) Ahead(w *Waiter) int {
+	sum := 0
+	for _, other := range l.waiters {
+		if compare(other, w) <= 0 {
+			sum += other.Need
+		}
+	}
+	return sum
+}
+
 // Len is the number of waiting requests.
 func (l *Line) Len() int { return len(l.waiters) }
 
