--- /dev/null
+++ b/policy/kvmemory/kvmemory_test.go
@@ -0,0 +1,158 @@
+package kvmemory_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+)
+
+var start = time.Unix(1000, 0)
+
+func ms(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+
+func pool(seed string, n int) *kvmemory.Pool {
+	p := kvmemory.New(kvmemory.DefaultConfig(), seed)
+	p.Sync(servers(n))
+	return p
+}
+
+func servers(n int) []kvmemory.Server {
+	out := make([]kvmemory.Server, n)
+	for i := range out {
+		out[i] = kvmemory.Server{ID: string(rune('a' + i)), Zone: "z" + string(rune('1'+i%3)), Capacity: 50_000, Slots: 48}
+	}
+	return out
+}
+
+func TestPickKeepsToMemory(t *testing.T) {
+	p := pool("g", 2)
+	placed := map[string]int{}
+	for {
+		id, ok := p.Pick(6000, "z1", nil, start)
+		if !ok {
+			break
+		}
+		p.Take(id, 6000)
+		placed[id] += 6000
+	}
+	assert.DeepEqual(t, placed, map[string]int{"a": 48_000, "b": 48_000})
+	p.Release("b", 6000)
+	id, ok := p.Pick(6000, "z1", nil, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, "b")
+}
+
+func TestPickCountsOthers(t *testing.T) {
+	p := pool("g", 2)
+	p.SetOthers("a", 45_000)
+	p.SetOthers("b", 10_000)
+	id, ok := p.Pick(6000, "z1", nil, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, "b", "although a is in the zone")
+	p.SetOthers("b", 45_000)
+	_, ok = p.Pick(6000, "z1", nil, start)
+	assert.Assert(t, !ok)
+	id, ok = p.Pick(5000, "z1", nil, start)
+	assert.Assert(t, ok, "a smaller one fits")
+	assert.Equal(t, id, "a")
+}
+
+func TestZoneIsPreferredWhenUseIsAlike(t *testing.T) {
+	p := pool("g", 3)
+	for _, zone := range []string{"z1", "z2", "z3"} {
+		id, ok := p.Pick(6000, zone, nil, start)
+		assert.Assert(t, ok)
+		assert.Equal(t, zone, "z"+string(rune('1'+id[0]-'a')))
+	}
+}
+
+func TestExcluded(t *testing.T) {
+	p := pool("g", 2)
+	id, ok := p.Pick(6000, "", []string{"a"}, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, "b")
+	_, ok = p.Pick(6000, "", []string{"a", "b"}, start)
+	assert.Assert(t, !ok)
+}
+
+// TestRefusal replays what a burst does with several routers: an engine that others have
+// filled refuses, and is asked again once it may have room.
+func TestRefusal(t *testing.T) {
+	backoff := kvmemory.DefaultConfig().Backoff
+	for _, c := range []struct {
+		name string
+		then func(p *kvmemory.Pool)
+		at   time.Time
+		need int
+		ok   bool
+	}{
+		{"not asked again at once", func(*kvmemory.Pool) {}, ms(1), 6000, false},
+		{"smaller ones may be asked for", func(*kvmemory.Pool) {}, ms(1), 5000, true},
+		{"asked again after the pause", func(*kvmemory.Pool) {}, start.Add(backoff), 6000, true},
+		{"asked again once a run has ended there", func(p *kvmemory.Pool) { p.Release("a", 6000) }, ms(1), 6000, true},
+		{"asked again once others placed less", func(p *kvmemory.Pool) { p.SetOthers("a", 1000) }, ms(1), 6000, true},
+		{"not when others placed more", func(p *kvmemory.Pool) { p.SetOthers("a", 7000) }, ms(1), 6000, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := pool("g", 1)
+			p.SetOthers("a", 6000)
+			p.Take("a", 6000)
+			p.Take("a", 6000)
+			p.Refuse("a", 6000, start)
+			c.then(p)
+			_, ok := p.Pick(c.need, "", nil, c.at)
+			assert.Equal(t, ok, c.ok)
+		})
+	}
+}
+
+// TestFailureBacksOff replays a server that grants memory and then takes no run, as one
+// does that changes its stage.
+func TestFailureBacksOff(t *testing.T) {
+	p := pool("g", 1)
+	now := start
+	var pauses []time.Duration
+	for range 5 {
+		p.Take("a", 6000)
+		p.Fail("a", 6000, now)
+		began := now
+		for {
+			now = now.Add(100 * time.Millisecond)
+			if _, ok := p.Pick(6000, "", nil, now); ok {
+				break
+			}
+		}
+		pauses = append(pauses, now.Sub(began))
+	}
+	assert.DeepEqual(t, pauses, []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second})
+	p.Worked("a")
+	p.Take("a", 6000)
+	p.Fail("a", 6000, now)
+	_, ok := p.Pick(6000, "", nil, now.Add(time.Second))
+	assert.Assert(t, ok, "after it worked the pause is short again")
+}
+
+func TestRoutersWithEqualViewsChooseDifferently(t *testing.T) {
+	chosen := map[string]bool{}
+	for _, seed := range []string{"g1", "g2", "g3", "g4", "g5", "g6"} {
+		id, ok := pool(seed, 12).Pick(6000, "nowhere", nil, start)
+		assert.Assert(t, ok)
+		chosen[id] = true
+	}
+	assert.Assert(t, len(chosen) >= 4, "%v", chosen)
+}
+
+func TestUnlistedServerKeepsItsRuns(t *testing.T) {
+	p := pool("g", 2)
+	p.Take("a", 6000)
+	p.Sync(servers(2)[1:])
+	assert.Equal(t, p.OwnAt("a"), 6000)
+	_, ok := p.Pick(6000, "", []string{"b"}, start)
+	assert.Assert(t, !ok, "a leaving engine gets nothing")
+	p.Release("a", 6000)
+	assert.Equal(t, p.OwnTotal(), 0)
+	assert.Equal(t, len(p.Own()), 0)
+}
--- /dev/null
+++ b/policy/outlier/outlier_test.go
@@ -0,0 +1,87 @@
+package outlier_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
+)
+
+var start = time.Unix(1000, 0)
+
+// observe notes n requests at each server, a tenth of a second apart.
+func observe(tr *outlier.Tracker, n int, failing map[string]float64) time.Time {
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := start
+	for range n {
+		now = now.Add(100 * time.Millisecond)
+		for _, id := range []string{"a", "b", "c"} {
+			tr.Observe(id, rng.Float64() >= failing[id], 15*time.Millisecond, now)
+		}
+	}
+	return now
+}
+
+// TestGreyServer replays a server that fails two of five requests while its health check
+// is good, in a service that fails a seventh of all requests anyway.
+func TestGreyServer(t *testing.T) {
+	tr := outlier.New()
+	now := observe(tr, 60, map[string]float64{"a": 0.4, "b": 0.14, "c": 0.14})
+	assert.Assert(t, tr.Failing("a", now) > 0.15, "%v", tr.Failing("a", now))
+	for _, id := range []string{"b", "c"} {
+		assert.Assert(t, tr.Failing(id, now) < 0.1, "%s: %v", id, tr.Failing(id, now))
+	}
+}
+
+func TestUsualFailuresAreNoOutlier(t *testing.T) {
+	tr := outlier.New()
+	now := observe(tr, 60, map[string]float64{"a": 0.14, "b": 0.14, "c": 0.14})
+	for _, id := range []string{"a", "b", "c"} {
+		assert.Assert(t, tr.Failing(id, now) < 0.12, "%s: %v", id, tr.Failing(id, now))
+	}
+}
+
+func TestRecoveredServerIsTrusted(t *testing.T) {
+	tr := outlier.New()
+	now := observe(tr, 60, map[string]float64{"a": 1})
+	assert.Assert(t, tr.Failing("a", now) > 0.5)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		tr.Observe("a", true, time.Millisecond, now)
+	}
+	assert.Assert(t, tr.Failing("a", now) < 0.15)
+}
+
+func TestSuspect(t *testing.T) {
+	tr := outlier.New()
+	for i := range 3 {
+		assert.Assert(t, !tr.Suspect("a", start), "after %d", i)
+		tr.Observe("a", false, time.Millisecond, start)
+	}
+	assert.Assert(t, tr.Suspect("a", start.Add(time.Second)))
+	assert.Assert(t, !tr.Suspect("a", start.Add(3*time.Second)), "it is tried again")
+	tr.Observe("a", true, time.Millisecond, start.Add(3*time.Second))
+	assert.Assert(t, !tr.Suspect("a", start.Add(3*time.Second)))
+}
+
+func TestLatency(t *testing.T) {
+	tr := outlier.New()
+	for range 30 {
+		tr.Observe("a", true, 200*time.Millisecond, start)
+		tr.Observe("b", true, time.Second, start)
+	}
+	assert.Assert(t, tr.Latency("a", start) < 350*time.Millisecond)
+	assert.Assert(t, tr.Latency("b", start) > 850*time.Millisecond)
+	unknown := tr.Latency("new", start)
+	assert.Assert(t, unknown > 500*time.Millisecond && unknown < 700*time.Millisecond, "%v", unknown)
+}
+
+func TestForget(t *testing.T) {
+	tr := outlier.New()
+	tr.Observe("a", false, 0, start)
+	tr.Forget(func(string) bool { return false })
+	assert.Equal(t, tr.Failing("a", start), 0.0)
+}
--- /dev/null
+++ b/policy/retrybudget/retrybudget_test.go
@@ -0,0 +1,85 @@
+package retrybudget_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+)
+
+var limits = retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
+
+var start = time.Unix(1000, 0)
+
+// replay sends requests at a rate for a time, each of which is sent again if that is
+// allowed, and returns the times of the repeats.
+func replay(budgets []*retrybudget.Budget, from time.Time, perSecond int, d time.Duration) []time.Time {
+	var repeats []time.Time
+	step := time.Second / time.Duration(perSecond)
+	for i, now := 0, from; now.Before(from.Add(d)); i, now = i+1, now.Add(step) {
+		b := budgets[i%len(budgets)]
+		b.Request(limits, now)
+		if b.Repeat(limits, len(budgets), now) {
+			repeats = append(repeats, now)
+		}
+	}
+	return repeats
+}
+
+// worst is the largest number of repeats within one window.
+func worst(repeats []time.Time) int {
+	most := 0
+	for i, from := range repeats {
+		n := 0
+		for _, r := range repeats[i:] {
+			if r.Sub(from) < limits.Window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func budgets(n int) []*retrybudget.Budget {
+	out := make([]*retrybudget.Budget, n)
+	for i := range out {
+		out[i] = &retrybudget.Budget{}
+	}
+	return out
+}
+
+// TestEveryAnswerLost replays a service all of whose answers are lost while load is
+// steady, at one router and at several.
+func TestEveryAnswerLost(t *testing.T) {
+	for _, n := range []int{1, 4, 26} {
+		repeats := replay(budgets(n), start, 60, time.Minute)
+		bound := int(limits.Ratio*600 + limits.Slack)
+		assert.Assert(t, worst(repeats) <= bound, "%d routers: %d of %d", n, worst(repeats), bound)
+		assert.Assert(t, worst(repeats) >= bound/2, "%d routers: %d of %d", n, worst(repeats), bound)
+	}
+}
+
+// TestRestart replays a loss of power after which all routers start with nothing known:
+// what the ones before them spent still counts.
+func TestRestart(t *testing.T) {
+	before := replay(budgets(4), start, 20, 25*time.Second)
+	after := replay(budgets(4), start.Add(25500*time.Millisecond), 20, 30*time.Second)
+	bound := int(limits.Ratio*200 + limits.Slack)
+	got := worst(append(before, after...))
+	assert.Assert(t, got <= bound, "%d of %d", got, bound)
+}
+
+func TestIdleBudgetAllowsLittle(t *testing.T) {
+	b := &retrybudget.Budget{}
+	assert.Assert(t, !b.Repeat(limits, 4, start), "nothing was requested yet")
+	b.Request(limits, start)
+	later := start.Add(20 * time.Second)
+	n := 0
+	for b.Repeat(limits, 4, later) {
+		n++
+	}
+	assert.Equal(t, n, int(0.8*limits.Slack/4))
+}
--- /dev/null
+++ b/policy/stages/stages_test.go
@@ -0,0 +1,165 @@
+package stages_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/stages"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func fleet(prefill, decode int) []registry.Server {
+	var out []registry.Server
+	for i := range prefill + decode {
+		s := registry.Server{ID: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%3), Stage: registry.Decode}
+		if i < prefill {
+			s.Stage = registry.Prefill
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// load is a load in engines: how many prompts keep reading, and memories that runs hold.
+func load(read, held float64) stages.Load {
+	return stages.Load{ReadRate: read * 55_000, EngineRate: 55_000, Held: held * 53_125, EngineTokens: 53_125}
+}
+
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		prefill, decode int
+		load            stages.Load
+		want            string
+	}{
+		{"18 engines at the mean load", 6, 12, load(1.7, 7), "decode"},
+		{"after one move the same load is in the band", 5, 13, load(1.7, 7), ""},
+		{"9 engines", 3, 6, load(1.0, 3.1), ""},
+		{"9 engines in a burst", 3, 6, load(1.2, 6), "decode"},
+		{"long prompts, short answers", 3, 15, load(2.9, 5), "prefill"},
+		{"idle", 6, 12, load(0.3, 1), ""},
+		{"the last prefill engine stays", 1, 5, load(0.1, 5), ""},
+		{"prefill engines keep room", 4, 14, load(2.5, 20), ""},
+		{"rate not known", 6, 12, stages.Load{ReadRate: 1e5, Held: 5e5, EngineTokens: 53_125}, ""},
+		{"all of one kind", 0, 5, load(1, 3), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m, ok := stages.New(stages.DefaultConfig()).Next(fleet(c.prefill, c.decode), nil, c.load, start)
+			got := ""
+			if ok {
+				got = m.To.String()
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+func TestPausesAndConcurrency(t *testing.T) {
+	p := stages.New(stages.DefaultConfig())
+	servers := fleet(6, 12)
+	heavy := load(1.7, 12)
+	m, ok := p.Next(servers, nil, heavy, start)
+	assert.Assert(t, ok)
+	p.Moved(m, start)
+	moving := map[string]registry.Stage{m.Server.ID: m.To}
+	_, ok = p.Next(servers, moving, heavy, start.Add(100*time.Millisecond))
+	assert.Assert(t, !ok, "a pause between moves")
+	m2, ok := p.Next(servers, moving, heavy, start.Add(time.Second))
+	assert.Assert(t, ok, "two of 18 at once")
+	assert.Assert(t, m2.Server.ID != m.Server.ID && m2.Server.Zone != m.Server.Zone, "zones stay alike")
+	moving[m2.Server.ID] = m2.To
+	_, ok = p.Next(servers, moving, heavy, start.Add(5*time.Second))
+	assert.Assert(t, !ok, "not three")
+}
+
+func TestTurnIsSlowUnlessPressed(t *testing.T) {
+	p := stages.New(stages.DefaultConfig())
+	p.Moved(stages.Move{To: registry.Decode}, start)
+	_, ok := p.Next(fleet(3, 15), nil, load(2.2, 5), start.Add(5*time.Second))
+	assert.Assert(t, !ok, "no turn after five seconds")
+	_, ok = p.Next(fleet(3, 15), nil, load(2.2, 5), start.Add(21*time.Second))
+	assert.Assert(t, ok)
+	_, ok = p.Next(fleet(3, 15), nil, load(2.9, 5), start.Add(5*time.Second))
+	assert.Assert(t, ok, "prefill engines that are full do not wait")
+}
+
+// TestLoadShifts replays the traffic of a day that turns from long prompts to long
+// answers and back, with engines that need six seconds for a change: the planner follows
+// it with few moves.
+func TestLoadShifts(t *testing.T) {
+	p := stages.New(stages.DefaultConfig())
+	servers := fleet(6, 12)
+	moving, done := map[string]registry.Stage{}, map[string]time.Time{}
+	moves := 0
+	split := func() int {
+		n := 0
+		for _, s := range servers {
+			if s.Stage == registry.Prefill {
+				n++
+			}
+		}
+		return n
+	}
+	run := func(l stages.Load, from, to int) {
+		for now := start.Add(time.Duration(from) * time.Second); now.Before(start.Add(time.Duration(to) * time.Second)); now = now.Add(500 * time.Millisecond) {
+			for i, s := range servers {
+				if at, ok := done[s.ID]; ok && !now.Before(at) {
+					servers[i].Stage = moving[s.ID]
+					delete(moving, s.ID)
+					delete(done, s.ID)
+				}
+			}
+			if m, ok := p.Next(servers, moving, l, now); ok {
+				p.Moved(m, now)
+				moving[m.Server.ID], done[m.Server.ID] = m.To, now.Add(6*time.Second)
+				moves++
+			}
+		}
+	}
+	run(load(1.7, 8), 0, 60)
+	assert.Equal(t, split(), 4, "long answers")
+	run(load(4.4, 4), 60, 180)
+	long := split()
+	assert.Assert(t, long >= 6, "long prompts: %d", long)
+	run(load(1.7, 8), 180, 300)
+	assert.Equal(t, split(), 4, "long answers again")
+	assert.Assert(t, moves <= 2+2*(long-4)+2, "%d moves", moves)
+}
+
+func TestRateFromReadingsUnderLoad(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var r stages.Rate
+	assert.Equal(t, r.PerSecond(), 0.0)
+	for range 200 {
+		tokens := 1000 + rng.IntN(9000)
+		wait := time.Duration(rng.ExpFloat64() * float64(150*time.Millisecond))
+		r.Observe(tokens, 80*time.Millisecond+time.Duration(tokens)*18*time.Microsecond+wait)
+	}
+	got := r.PerSecond()
+	assert.Assert(t, got > 40_000 && got < 75_000, "%v", got)
+}
+
+func TestMean(t *testing.T) {
+	var m stages.Mean
+	assert.Equal(t, m.At(start), 0.0)
+	now := start
+	for range 20 {
+		m.Add(100, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	early := m.At(now)
+	assert.Assert(t, early > 800 && early < 1300, "after two seconds: %v", early)
+	for range 300 {
+		m.Add(100, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	late := m.At(now)
+	assert.Assert(t, late > 900 && late < 1100, "after half a minute: %v", late)
+	assert.Assert(t, m.At(now.Add(time.Minute)) < 1)
+}
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,109 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func server(id string) registry.Server {
+	return registry.Server{ID: id, Service: "svc", Addr: "10.0.0.1:80"}
+}
+
+func leaving(id string) registry.Server {
+	s := server(id)
+	s.Leaving = true
+	return s
+}
+
+func usable(r *registry.Registry) string {
+	ids := ""
+	for _, s := range r.Usable("svc") {
+		ids += s.ID
+	}
+	return ids
+}
+
+// snapshot is one reading of the list.
+type snapshot struct {
+	at      float64
+	version int64
+	list    []registry.Server
+	want    string
+}
+
+func TestSnapshots(t *testing.T) {
+	a, b, c := server("a"), server("b"), server("c")
+	for _, tc := range []struct {
+		name  string
+		steps []snapshot
+	}{
+		{"comes and goes", []snapshot{
+			{0, 1, []registry.Server{a, b}, "ab"},
+			{1, 2, []registry.Server{b}, "b"},
+			{2, 3, []registry.Server{a, b}, "ab"},
+		}},
+		{"older snapshot changes nothing", []snapshot{
+			{0, 5, []registry.Server{a, b}, "ab"},
+			{1, 4, []registry.Server{c}, "ab"},
+		}},
+		{"leaving gets no work and never comes back", []snapshot{
+			{0, 1, []registry.Server{a, b}, "ab"},
+			{1, 2, []registry.Server{leaving("a"), b}, "b"},
+			{2, 3, []registry.Server{a, b}, "b"},
+			{3, 4, []registry.Server{b}, "b"},
+			{4, 5, []registry.Server{a, b}, "b"},
+		}},
+		{"an address used again is another server", []snapshot{
+			{0, 1, []registry.Server{leaving("a")}, ""},
+			{1, 2, []registry.Server{b}, "b"},
+		}},
+		{"entries that lapsed in an outage count for two seconds more", []snapshot{
+			{0, 1, []registry.Server{a, b}, "ab"},
+			{10, 2, []registry.Server{b}, "ab"},
+			{11, 3, []registry.Server{b}, "ab"},
+			{12.1, 4, []registry.Server{b}, "b"},
+			{13, 5, []registry.Server{a, b}, "ab"},
+		}},
+		{"the grace is not for servers that were leaving", []snapshot{
+			{0, 1, []registry.Server{leaving("a"), b}, "b"},
+			{10, 2, []registry.Server{b}, "b"},
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := registry.New()
+			for _, s := range tc.steps {
+				r.Apply(s.version, s.list, at(s.at))
+				assert.Equal(t, usable(r), s.want, "at %v", s.at)
+			}
+		})
+	}
+}
+
+func TestTouchStandsForReading(t *testing.T) {
+	r := registry.New()
+	r.Apply(1, []registry.Server{server("a"), server("b")}, at(0))
+	for s := 1.0; s < 10; s++ {
+		r.Touch(at(s))
+	}
+	r.Apply(2, []registry.Server{server("b")}, at(10))
+	assert.Equal(t, usable(r), "b", "no outage, no grace")
+}
+
+func TestMarkLeaving(t *testing.T) {
+	r := registry.New()
+	r.Apply(1, []registry.Server{server("a")}, at(0))
+	assert.Assert(t, r.MarkLeaving("a"))
+	assert.Assert(t, !r.MarkLeaving("a"))
+	assert.Assert(t, !r.MarkLeaving("unknown"))
+	assert.Equal(t, usable(r), "")
+	r.Apply(2, []registry.Server{server("a")}, at(1))
+	assert.Equal(t, usable(r), "", "a later snapshot does not bring it back")
+}
