--- /dev/null
+++ b/standin/site/server.go
@@ -0,0 +1,308 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// Behaviour is how a backend server answers one request.
+type Behaviour int
+
+// Behaviours of backend servers.
+const (
+	Answer Behaviour = iota
+	// Fail answers 500, Shed refuses with proof that nothing ran.
+	Fail
+	Shed
+	// Reset runs the request and closes the connection without an answer.
+	Reset
+	// Mute runs the request and never answers.
+	Mute
+	// Unstamped answers without the server's mark.
+	Unstamped
+	// Short breaks off in the middle of the body.
+	Short
+	// LostKV refuses to fetch a KV cache.
+	LostKV
+	// CutStream breaks off after two events, Silent sends no more after two.
+	CutStream
+	Silent
+)
+
+// Events is the number of events of a whole stream.
+const Events = 5
+
+// Call is one request that reached a server.
+type Call struct {
+	Server, Kind, Path, ID string
+	// Tokens and Hold are those of a reservation, KVFrom and LastEvent of a run.
+	Tokens    int
+	Hold      string
+	KVFrom    string
+	LastEvent string
+	Header    http.Header
+	Body      string
+}
+
+// Kinds of calls.
+const (
+	Plain   = "plain"
+	Prefill = "prefill"
+	Decode  = "decode"
+	Hold    = "hold"
+	Drop    = "drop"
+	Free    = "free"
+	Order   = "order"
+	Report  = "report"
+)
+
+// Log is the calls of several servers in order. It is safe for concurrent use.
+type Log struct {
+	mu    sync.Mutex
+	calls []Call
+	left  []Call
+	wake  chan struct{}
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{wake: make(chan struct{})} }
+
+func (l *Log) add(list *[]Call, c Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*list = append(*list, c)
+	close(l.wake)
+	l.wake = make(chan struct{})
+}
+
+// Calls returns the calls so far.
+func (l *Log) Calls() []Call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Call(nil), l.calls...)
+}
+
+// Kinds returns the kinds of the calls so far, with the names of their servers.
+func (l *Log) Kinds() string {
+	var out []string
+	for _, c := range l.Calls() {
+		out = append(out, c.Kind+" "+c.Server)
+	}
+	return strings.Join(out, ", ")
+}
+
+// Wait blocks until a call satisfies match, or a request whose caller left does.
+func (l *Log) Wait(t testing.TB, left bool, match func(Call) bool) Call {
+	t.Helper()
+	for {
+		l.mu.Lock()
+		list, wake := l.calls, l.wake
+		if left {
+			list = l.left
+		}
+		l.mu.Unlock()
+		for _, c := range list {
+			if match(c) {
+				return c
+			}
+		}
+		select {
+		case <-wake:
+		case <-t.Context().Done():
+			t.Fatal("the call did not come")
+		}
+	}
+}
+
+// Server is a backend server: a plain service or a model engine.
+type Server struct {
+	*httptest.Server
+	// ID is the instance.
+	ID  string
+	log *Log
+
+	mu   sync.Mutex
+	next []Behaviour
+	then Behaviour
+	full bool
+	hold int
+}
+
+// NewServer starts a server that ends with the test.
+func NewServer(t testing.TB, id string, l *Log) *Server {
+	s := &Server{ID: id, log: l}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/hold-take", s.takeHold)
+	mux.HandleFunc("DELETE /api/hold-drop/{id}", s.note(Drop))
+	mux.HandleFunc("DELETE /api/kv-handle/{id}", s.note(Free))
+	mux.HandleFunc("POST /api/order", s.order)
+	mux.HandleFunc("GET /api/report", s.report)
+	mux.HandleFunc("/", s.request)
+	s.Server = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s
+}
+
+// Addr is "ip:port".
+func (s *Server) Addr() string { return s.Listener.Addr().String() }
+
+// Behave sets how the next requests are answered, one each, and how all after them.
+func (s *Server) Behave(then Behaviour, next ...Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.then, s.next = then, next
+}
+
+// SetFull makes the server refuse reservations.
+func (s *Server) SetFull(full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = full
+}
+
+func (s *Server) behaviour() Behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.next) == 0 {
+		return s.then
+	}
+	b := s.next[0]
+	s.next = s.next[1:]
+	return b
+}
+
+func (s *Server) note(kind string) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		s.log.add(&s.log.calls, Call{Server: s.ID, Kind: kind, Path: r.PathValue("id"), Header: r.Header})
+	}
+}
+
+func (s *Server) takeHold(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Tokens int `json:"tokens"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	full := s.full
+	s.hold++
+	id := fmt.Sprint(s.ID, "-hold-", s.hold)
+	s.mu.Unlock()
+	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Hold, Tokens: body.Tokens, Hold: id})
+	if full {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, http.StatusOK, map[string]string{"hold": id})
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Order, Body: string(body)})
+	switch s.behaviour() {
+	case Shed:
+		w.WriteHeader(http.StatusConflict)
+	case Reset:
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Report})
+	reply(w, http.StatusOK, map[string]any{"stage": "prefill", "seq": 2, "busy": false})
+}
+
+func (s *Server) request(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	c := Call{
+		Server: s.ID, Kind: Plain, Path: r.RequestURI, ID: r.Header.Get("Hibiscusspur-Request-Id"),
+		Hold: r.Header.Get("Hibiscusspur-Hold"), KVFrom: r.Header.Get("Hibiscusspur-Kv-From"),
+		LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header, Body: string(body),
+	}
+	switch {
+	case r.Header.Get("Hibiscusspur-Stage") == "prefill":
+		c.Kind = Prefill
+	case r.Header.Get("Hibiscusspur-Tokens") != "":
+		c.Kind = Decode
+	}
+	s.log.add(&s.log.calls, c)
+	w.Header().Set("Hibiscusspur-Request-Id", c.ID)
+	if want := r.Header.Get("Hibiscusspur-Expect-Instance"); want != "" && want != s.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.answer(w, r, c, s.behaviour())
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, c Call, b Behaviour) {
+	switch {
+	case b == Shed, b == LostKV && c.KVFrom != "":
+		w.Header().Set("Hibiscusspur-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case b == Reset:
+		panic(http.ErrAbortHandler)
+	case b == Mute:
+		<-r.Context().Done()
+		s.log.add(&s.log.left, c)
+		return
+	}
+	if b != Unstamped {
+		w.Header().Set("Hibiscusspur-Stamp", s.ID)
+	}
+	switch {
+	case b == Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "failed at "+s.ID)
+	case c.Kind == Prefill:
+		reply(w, http.StatusOK, map[string]any{"kv_handle": "kv-" + c.ID, "tokens": 100, "version": 1})
+	case c.Kind == Decode:
+		s.stream(w, r, c, b)
+	case b == Short:
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+	default:
+		_, _ = io.WriteString(w, "answer of "+s.ID+" to "+c.Path)
+	}
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, c Call, b Behaviour) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if _, err := fmt.Sscan(c.LastEvent, &first); err == nil {
+		first++
+	}
+	for i := first; i <= Events; i++ {
+		if i > 2 && b == CutStream {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: par", i)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if i > 2 && b == Silent {
+			<-r.Context().Done()
+			s.log.add(&s.log.left, c)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+		w.(http.Flusher).Flush()
+	}
+}
--- /dev/null
+++ b/standin/site/store.go
@@ -0,0 +1,230 @@
+// Package site is a stand-in of the users' platform, as far as tests without it need
+// one: its store and its backend servers, speaking its protocol over HTTP on loopback,
+// with faults that tests switch.
+package site
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Row is one row of the store.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// StoreFault makes the store misbehave.
+type StoreFault int
+
+// Faults of the store.
+const (
+	Well StoreFault = iota
+	// Busy answers 503, Many 429; nothing was done.
+	Busy
+	Many
+	// Lost does what was asked and closes the connection without an answer.
+	Lost
+	// Compacted answers 410 to feeds.
+	Compacted
+	// Garbled answers 200 with bytes that are no JSON.
+	Garbled
+)
+
+// Store is the platform's store. It is safe for concurrent use.
+type Store struct {
+	*httptest.Server
+	mu      sync.Mutex
+	fault   StoreFault
+	ver     int64
+	rows    map[string]Row
+	history []Row
+	calls   int
+	changed chan struct{}
+}
+
+// NewStore starts a store that ends with the test.
+func NewStore(t testing.TB) *Store {
+	s := &Store{rows: map[string]Row{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/rows-tx", s.tx)
+	mux.HandleFunc("GET /api/rows-get", s.get)
+	mux.HandleFunc("GET /api/rows-feed", s.feed)
+	s.Server = httptest.NewServer(s.faulty(mux))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Addr is "ip:port".
+func (s *Store) Addr() string { return s.Listener.Addr().String() }
+
+// Set switches a fault.
+func (s *Store) Set(f StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls is the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as the operator or a server would; nil removes it.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.apply(Row{Table: table, Key: key, Value: value, Deleted: value == nil})
+}
+
+func (s *Store) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		fault := s.fault
+		s.calls++
+		s.mu.Unlock()
+		switch fault {
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Many:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case Lost:
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		case Garbled:
+			_, _ = w.Write([]byte(`{"rows":[`))
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func name(table, part, key string) string { return table + "\x00" + part + "\x00" + key }
+
+// apply writes a row under the present version. The caller holds mu.
+func (s *Store) apply(r Row) {
+	r.Ver = s.ver
+	if r.Deleted {
+		delete(s.rows, name(r.Table, r.Part, r.Key))
+	} else {
+		s.rows[name(r.Table, r.Part, r.Key)] = r
+	}
+	s.history = append(s.history, r)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) tx(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected []Row `json:"expected"`
+		SetKeys  []Row `json:"set_keys"`
+		Remove   []Row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var have []Row
+	conflict := false
+	for _, e := range body.Expected {
+		row, ok := s.rows[name(e.Table, e.Part, e.Key)]
+		if ok {
+			have = append(have, row)
+		}
+		conflict = conflict || row.Ver != e.Ver
+	}
+	if conflict {
+		reply(w, http.StatusPreconditionFailed, map[string]any{"rows": have, "ver": s.ver})
+		return
+	}
+	s.ver++
+	for _, row := range body.SetKeys {
+		s.apply(row)
+	}
+	for _, row := range body.Remove {
+		row.Deleted = true
+		s.apply(row)
+	}
+	reply(w, http.StatusOK, map[string]any{"ver": s.ver})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit := 500
+	if n, err := strconv.Atoi(q.Get("limit")); err == nil {
+		limit = n
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := []Row{}
+	for _, row := range s.rows {
+		if row.Table == q.Get("table") && row.Part == q.Get("part") && row.Key >= q.Get("from") &&
+			(q.Get("to") == "" || row.Key < q.Get("to")) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	truncated := len(rows) > limit
+	if truncated {
+		rows = rows[:limit]
+	}
+	reply(w, http.StatusOK, map[string]any{"rows": rows, "truncated": truncated, "ver": s.ver})
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		rows := []Row{}
+		for _, row := range s.history {
+			if row.Table == q.Get("table") && row.Ver > after {
+				rows = append(rows, row)
+			}
+		}
+		ver, changed, compacted := s.ver, s.changed, s.fault == Compacted
+		s.mu.Unlock()
+		if compacted {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			reply(w, http.StatusOK, map[string]any{"rows": rows, "ver": ver})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			reply(w, http.StatusOK, map[string]any{"rows": rows, "ver": ver})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has left reads nothing; the test sees that at its side.
+	_ = json.NewEncoder(w).Encode(body)
+}
