--- a/event/batch.go
+++ b/event/batch.go
@@ -26,13 +26,16 @@
 	pending []byte
 	spare   []byte
 	dropped int64
-	armed   bool
-	writing sync.Mutex
+	// armed is set from when a line waits until it was written: one timer or one
+	// writer is under way then, never more.
+	armed bool
+	// writing is held while bytes are written.
+	writing chan struct{}
 }
 
 // NewBatched returns a logger that writes JSON lines to standard output in batches.
 func NewBatched(program, vm string, level log.Level) (*log.Logger, *Batch) {
-	b := &Batch{out: os.Stdout}
+	b := NewBatch(os.Stdout)
 	return &log.Logger{
 		Level:   level,
 		Context: log.NewContext(nil).Str("program", program).Str("vm", vm).Value(),
@@ -40,6 +43,9 @@
 	}, b
 }
 
+// NewBatch returns a batch that writes to out.
+func NewBatch(out io.Writer) *Batch { return &Batch{out: out, writing: make(chan struct{}, 1)} }
+
 // Write implements io.Writer. It always takes the whole line or drops it.
 func (b *Batch) Write(line []byte) (int, error) {
 	b.mu.Lock()
@@ -51,19 +57,29 @@
 	b.pending = append(b.pending, line...)
 	if !b.armed {
 		b.armed = true
-		time.AfterFunc(batchInterval, b.Flush)
+		time.AfterFunc(batchInterval, b.tick)
 	}
 	return len(line), nil
 }
 
+// tick writes what waits, and comes again when more has come meanwhile.
+func (b *Batch) tick() {
+	b.Flush()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.armed = len(b.pending) > 0
+	if b.armed {
+		time.AfterFunc(batchInterval, b.tick)
+	}
+}
+
 // Flush writes what waits. It blocks as long as the reader does.
 func (b *Batch) Flush() {
-	b.writing.Lock()
-	defer b.writing.Unlock()
+	b.writing <- struct{}{}
+	defer func() { <-b.writing }()
 	b.mu.Lock()
 	lines := b.pending
 	b.pending, b.spare = b.spare[:0], nil
-	b.armed = false
 	b.mu.Unlock()
 	if len(lines) > 0 {
 		// There is nowhere to report that standard output is gone.
--- /dev/null
+++ b/event/batch_test.go
@@ -0,0 +1,57 @@
+package event_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+)
+
+func TestBatchWritesLinesTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		b := event.NewBatch(&out)
+		for range 3 {
+			_, err := b.Write([]byte("line\n"))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, out.Len(), 0)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, out.String(), "line\nline\nline\n")
+		_, err := b.Write([]byte("next\n"))
+		assert.NilError(t, err)
+		b.Flush()
+		assert.Equal(t, out.String(), "line\nline\nline\nnext\n")
+	})
+}
+
+// stuck is an output that takes nothing until it is let go.
+type stuck struct{ let chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.let
+	return len(p), nil
+}
+
+func TestBatchNeverBlocksItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := stuck{let: make(chan struct{})}
+		b := event.NewBatch(out)
+		line := []byte(strings.Repeat("x", 1000) + "\n")
+		for range 200 {
+			_, err := b.Write(line)
+			assert.NilError(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		dropped := b.TakeDropped()
+		assert.Assert(t, dropped > 50 && dropped < 200, "%d", dropped)
+		assert.Equal(t, b.TakeDropped(), int64(0))
+		close(out.let)
+	})
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// gateway is a gateway with a table and a list, for tests.
+type gateway struct {
+	*Service
+	mu             sync.Mutex
+	table, servers int64
+	placed         map[string]uint32
+	wake           chan struct{}
+}
+
+func (g *gateway) Report(table, servers int64) *Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := &Report{TableVersion: g.table, ServersVersion: g.servers}
+	if g.table > table {
+		r.Table = []byte(fmt.Sprint("table ", g.table))
+	}
+	if g.servers > servers {
+		r.Servers = []*Server{{Id: fmt.Sprint("list ", g.servers)}}
+	}
+	return r
+}
+
+func (g *gateway) Take(r *Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(r.GetTable()) > 0 {
+		g.table = max(g.table, r.GetTableVersion())
+	}
+	if len(r.GetServers()) > 0 {
+		g.servers = max(g.servers, r.GetServersVersion())
+	}
+	g.changed()
+}
+
+func (g *gateway) TakePlacement(p *Placement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range p.GetShares() {
+		g.placed[s.GetServer()] = s.GetTokens()
+	}
+	g.changed()
+}
+
+// changed wakes those who wait. The caller holds mu.
+func (g *gateway) changed() {
+	close(g.wake)
+	g.wake = make(chan struct{})
+}
+
+func (g *gateway) Lost(string, error) {}
+func (g *gateway) Regained(string)    {}
+
+// await blocks until the state satisfies ok.
+func (g *gateway) await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for {
+		g.mu.Lock()
+		done, wake := ok(), g.wake
+		g.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-wake:
+		case <-t.Context().Done():
+			t.Fatal(what)
+		}
+	}
+}
+
+func address(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+func run(t *testing.T, addr string, seeds ...string) *gateway {
+	g := &gateway{placed: map[string]uint32{}, wake: make(chan struct{})}
+	g.Service = New(addr, 0, seeds, g)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return g
+}
+
+// TestChangesSpread: one gateway alone knows of a change; another that only knows a third
+// one as its seed learns it, also when it starts later.
+func TestChangesSpread(t *testing.T) {
+	a, b, c, d := address(t), address(t), address(t), address(t)
+	first := run(t, a, b)
+	run(t, b, a)
+	third := run(t, c, b)
+	first.mu.Lock()
+	first.table, first.servers = 7, 40
+	first.mu.Unlock()
+	first.Announce()
+	third.await(t, "the change", func() bool { return third.table == 7 && third.servers == 40 })
+	late := run(t, d, c)
+	late.await(t, "what was before its start", func() bool { return late.table == 7 && late.servers == 40 })
+	assert.Assert(t, late.Count() >= 2)
+}
+
+func TestRank(t *testing.T) {
+	s := New("b", 0, nil, &gateway{wake: make(chan struct{})})
+	assert.Equal(t, s.Rank(), 0, "alone")
+	s.take(&Report{Addr: "c"})
+	assert.Equal(t, s.Rank(), 0)
+	s.take(&Report{Addr: "a"})
+	assert.Equal(t, s.Rank(), 1)
+	s.take(&Report{Addr: "a", Leaving: true})
+	assert.Equal(t, s.Rank(), 0, "who leaves does not count")
+}
+
+func TestPlacementIsTold(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	port := conn.LocalAddr().(*net.UDPAddr).Port
+	assert.NilError(t, conn.Close())
+	got := make(chan *Placement, 1)
+	in := newDatagrams(port)
+	assert.NilError(t, in.listen(t.Context(), "127.0.0.1:1", func(p *Placement) { got <- p }))
+	in.send([]string{"127.0.0.1:9", "no address"}, &Placement{Addr: "x", Shares: []*Share{{Server: "i-1", Tokens: 5}}})
+	p := <-got
+	assert.Equal(t, p.GetNumber(), uint64(1))
+	assert.Equal(t, in.last(), uint64(1))
+	assert.Equal(t, p.GetShares()[0].GetTokens(), uint32(5))
+}
