--- a/event/batch_test.go
+++ b/event/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,15 +13,33 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 )
 
+// buffer is a bytes.Buffer for several goroutines.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
 func TestBatchWritesLinesTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var out bytes.Buffer
-		b := event.NewBatch(&out)
+		out := &buffer{}
+		b := event.NewBatch(out)
 		for range 3 {
 			_, err := b.Write([]byte("line\n"))
 			assert.NilError(t, err)
 		}
-		assert.Equal(t, out.Len(), 0)
+		assert.Equal(t, out.String(), "")
 		time.Sleep(time.Second)
 		synctest.Wait()
 		assert.Equal(t, out.String(), "line\nline\nline\n")
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -61,7 +61,7 @@
 		}
 		stop.reset()
 		if len(event) > 0 {
-			if werr := r.deliver(head, event, br.Buffered() == 0); werr != nil {
+			if werr := r.deliver(head, event, !wholeEventBuffered(br)); werr != nil {
 				return werr
 			}
 		}
@@ -114,6 +114,12 @@
 	}
 }
 
+// wholeEventBuffered reports whether the next event can be read without waiting.
+func wholeEventBuffered(br *bufio.Reader) bool {
+	next, err := br.Peek(br.Buffered())
+	return err == nil && (bytes.Contains(next, []byte("\n\n")) || bytes.Contains(next, []byte("\n\r\n")))
+}
+
 // eventID returns the id of an event.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
