--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -79,7 +79,7 @@
 		Callers: set.Callers, Ready: set.Ready, Control: set.Control, Seeds: set.Seeds,
 		Datagrams: set.Ports[0],
 		Metrics:   net.JoinHostPort(set.IP, strconv.Itoa(set.Ports[0])),
-		Drain:     set.Drain,
-		Retry:     retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
+		Drain:     set.Drain, Notice: gateway.DefaultNotice,
+		Retry: retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
 	}
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -105,8 +105,11 @@
 // proves that it did not run the request yields errNotRun.
 func (f *Forwarder) attempt(ctx context.Context, j *job, s registry.Server) (*answer, error) {
 	start := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, start.Add(f.attemptTime(j, start)))
-	defer cancel()
+	if f.mayHedge(j) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(hedgeShare*float64(j.left(start))))
+		defer cancel()
+	}
 	f.begin(j, s)
 	defer f.end(j, s)
 	a, err := f.exchange(ctx, j, s)
@@ -119,13 +122,10 @@
 // another server: a mute server then costs half of the time and not all of it.
 const hedgeShare = 0.5
 
-// attemptTime is how long one server may take.
-func (f *Forwarder) attemptTime(j *job, now time.Time) time.Duration {
-	left := j.left(now)
-	if j.route.Repeatable() && j.sends+1 < j.route.Attempts {
-		return time.Duration(hedgeShare * float64(left))
-	}
-	return left
+// mayHedge reports whether another server may be asked when one is slow. Without it the
+// request's own deadline is the only one, so that its end is told for what it is.
+func (f *Forwarder) mayHedge(j *job) bool {
+	return j.route.Repeatable() && j.sends+1 < j.route.Attempts
 }
 
 func (f *Forwarder) exchange(ctx context.Context, j *job, s registry.Server) (*answer, error) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -38,7 +38,7 @@
 // followManifest keeps the route table up to date.
 func (s *Service) followManifest(ctx context.Context) {
 	dep := &dependency{s: s, what: "manifest"}
-	version, known := int64(0), false
+	version, known, refused := int64(0), false, ""
 	for ctx.Err() == nil {
 		t, encoded, next, err := s.readManifest(ctx, version, known)
 		if ctx.Err() != nil {
@@ -48,6 +48,13 @@
 		case errors.Is(err, store.ErrNotFound):
 			err = nil
 			pause(ctx, storeRetry)
+		case errors.Is(err, store.ErrMalformed):
+			if err.Error() != refused {
+				refused = err.Error()
+				event.TableRefused.Log(s.log).Str("from", "store").Err(err).Msg("")
+			}
+			known, err = false, nil
+			pause(ctx, serversInterval)
 		case err != nil:
 			known = false
 			pause(ctx, storeRetry)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,9 +53,10 @@
 	Datagrams int
 	// Seeds are addresses of other gateways; they may be stale.
 	Seeds []string
-	// Drain bounds a graceful shutdown.
-	Drain time.Duration
-	Retry retrybudget.Limits
+	// Drain bounds a graceful shutdown. Notice is how long connections are taken in it
+	// after readiness has ended, until the balancer has noticed.
+	Drain, Notice time.Duration
+	Retry         retrybudget.Limits
 }
 
 // Intervals and bounds.
@@ -78,9 +79,9 @@
 	storeRetry = 300 * time.Millisecond
 	// callerCheck is the interval at which departed callers are looked for.
 	callerCheck = 20 * time.Millisecond
-	// notice is how long connections are taken after readiness has ended: the balancer
-	// asks each second and acts on the second miss.
-	notice = 2500 * time.Millisecond
+	// DefaultNotice is two questions of the balancer, which asks each second and acts on
+	// the second miss, and half a second to spare.
+	DefaultNotice = 2500 * time.Millisecond
 	// sweepInterval is the pause between two looks for idle connections.
 	sweepInterval = time.Second
 )
@@ -220,7 +221,7 @@
 	s.peers.Leave()
 	select {
 	case <-ctx.Done():
-	case <-time.After(notice):
+	case <-time.After(s.set.Notice):
 	}
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,208 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/fencing"
+	"github.com/hibiscusspur/hibiscusspur/gateway"
+	"github.com/hibiscusspur/hibiscusspur/kernel"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/standin/site"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+// process is a gateway run as its program runs it.
+type process struct {
+	set   gateway.Settings
+	s     *gateway.Service
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func freeAddr(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+func start(t *testing.T, store *site.Store, vm string, seeds ...string) *process {
+	set := gateway.Settings{
+		VM: vm, Zone: "z1", Callers: freeAddr(t), Ready: freeAddr(t), Control: freeAddr(t), Metrics: freeAddr(t),
+		Seeds: seeds, Drain: 10 * time.Second, Notice: 50 * time.Millisecond,
+		Retry: retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+	}
+	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	pool := upstream.New(upstream.Options{})
+	client := platform.NewStore(upstream.New(upstream.Options{}), store.Addr(), time.Second)
+	engines := platform.NewEngines(pool, time.Second)
+	p := &process{set: set, ended: make(chan error, 1)}
+	p.s = gateway.New(set, gateway.Deps{
+		Store: client, Codec: platform.Codec{}, Engines: engines, Orders: engines,
+		Lease: fencing.New(client.Table("hibiscusspur"), "orders", vm, nil),
+		Pool:  pool, Log: l, Batch: event.NewBatch(io.Discard), Metrics: metrics.NewSet(),
+	})
+	k := kernel.New()
+	k.Register(p.s)
+	var ctx context.Context
+	ctx, p.stop = context.WithCancel(context.Background())
+	go func() { p.ended <- k.Run(ctx, set.Drain) }()
+	t.Cleanup(func() {
+		p.stop()
+		if p.ended != nil {
+			<-p.ended
+		}
+	})
+	return p
+}
+
+// ready asks like the balancer until the answer is the wanted one.
+func (p *process) ready(t *testing.T, want int) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		res, err := http.Get("http://" + p.set.Ready)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, res.Body.Close())
+		if res.StatusCode == want {
+			return
+		}
+	}
+	t.Fatalf("never %d", want)
+}
+
+// ask sends a request and returns the status and the body of the answer.
+func (p *process) ask(t *testing.T, path string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, "http://"+p.set.Callers+path, nil)
+	assert.NilError(t, err)
+	r.Host = "h"
+	r.Header.Set("Hibiscusspur-Request-Id", "id-1")
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return res.StatusCode, string(body)
+}
+
+func manifest(version int, service string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"safe","timeout_ms":30000,"slo_ms":1000,"attempts":2,"service":%q}],"services":[{"name":%q}]}`,
+		version, service, service)
+}
+
+func entry(s *site.Server, service, state string) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"z1","slots":6,"state":%q}`, service, s.Addr(), state)
+}
+
+// until calls do until its result is ok.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for !ok() {
+		if t.Context().Err() != nil {
+			t.Fatal(what)
+		}
+	}
+}
+
+// TestLife: not ready without configuration and servers, then serving, following changes
+// of both, and leaving without cutting anything off.
+func TestLife(t *testing.T) {
+	store, calls := site.NewStore(t), site.NewLog()
+	a, b := site.NewServer(t, "a", calls), site.NewServer(t, "b", calls)
+	p := start(t, store, "g1")
+	p.ready(t, http.StatusServiceUnavailable)
+	status, _ := p.ask(t, "/a/1")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	store.Put("servers", "a", entry(a, "one", "ready"))
+	store.Put("servers", "b", entry(b, "two", "ready"))
+	store.Put("op", "config", manifest(3, "one"))
+	p.ready(t, http.StatusOK)
+	until(t, "the server", func() bool { _, body := p.ask(t, "/a/1"); return body == "answer of a to /a/1" })
+	store.Put("op", "config", []byte(`{"version":"broken"}`))
+	store.Put("op", "config", manifest(5, "two"))
+	until(t, "the new service", func() bool { _, body := p.ask(t, "/a/1"); return strings.Contains(body, "of b") })
+	store.Put("op", "config", manifest(4, "one"))
+	store.Put("op", "config", manifest(5, "one"))
+	store.Put("servers", "b", entry(b, "two", "draining"))
+	until(t, "the server that leaves gets nothing", func() bool { status, _ := p.ask(t, "/a/1"); return status == http.StatusServiceUnavailable })
+	res, err := http.Get("http://" + p.set.Metrics + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	var shown map[string]any
+	assert.NilError(t, json.NewDecoder(res.Body).Decode(&shown))
+	assert.DeepEqual(t, shown[metrics.ConfigRevision], map[string]any{"value": 5.0})
+}
+
+// TestStoreDown: a gateway that starts while the store refuses it learns everything from
+// another one.
+func TestStoreDown(t *testing.T) {
+	store, calls := site.NewStore(t), site.NewLog()
+	a := site.NewServer(t, "a", calls)
+	store.Put("servers", "a", entry(a, "one", "ready"))
+	store.Put("op", "config", manifest(3, "one"))
+	first := start(t, store, "g1")
+	first.ready(t, http.StatusOK)
+	store.Set(site.Busy)
+	second := start(t, store, "g2", first.set.Control)
+	second.ready(t, http.StatusOK)
+	_, body := second.ask(t, "/a/1")
+	assert.Equal(t, body, "answer of a to /a/1")
+}
+
+// TestDrain: readiness ends at once, a request in progress is finished.
+func TestDrain(t *testing.T) {
+	store, calls := site.NewStore(t), site.NewLog()
+	a := site.NewServer(t, "a", calls)
+	b := site.NewServer(t, "b", calls)
+	store.Put("servers", "a", entry(a, "one", "ready"))
+	store.Put("servers", "b", entry(b, "one", "ready"))
+	store.Put("op", "config", []byte(strings.ReplaceAll(string(manifest(3, "one")), "30000", "4000")))
+	p := start(t, store, "g1")
+	p.ready(t, http.StatusOK)
+	a.Behave(site.Mute)
+	b.Behave(site.Mute)
+	answered := make(chan string, 1)
+	go func() {
+		_, body := p.ask(t, "/a/1")
+		answered <- body
+	}()
+	calls.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Plain })
+	a.Behave(site.Answer)
+	b.Behave(site.Answer)
+	p.stop()
+	p.ready(t, http.StatusServiceUnavailable)
+	// The server that took it stays mute; the second attempt is answered.
+	assert.Assert(t, strings.HasPrefix(<-answered, "answer of "))
+	assert.NilError(t, <-p.ended)
+	p.ended = nil
+}
+
+func TestReloadTakesSeeds(t *testing.T) {
+	store := site.NewStore(t)
+	store.Put("op", "config", manifest(3, "one"))
+	first := start(t, store, "g1")
+	first.ready(t, http.StatusOK)
+	store.Set(site.Busy)
+	second := start(t, store, "g2")
+	second.ready(t, http.StatusServiceUnavailable)
+	set := second.set
+	set.Seeds = []string{first.set.Control}
+	second.s.Reload(set)
+	second.ready(t, http.StatusOK)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -148,7 +148,7 @@
 		}
 	}
 	var list []registry.Server
-	r.ServersVersion, list = s.view.serversSince(servers)
+	r.ServersVersion, list, r.ServersTold = s.view.serversSince(servers)
 	for _, v := range list {
 		r.Servers = append(r.Servers, &peer.Server{
 			Id: v.ID, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
@@ -181,7 +181,7 @@
 			s.takeTable(t, r.GetTable(), from)
 		}
 	}
-	if len(r.GetServers()) > 0 {
+	if r.GetServersTold() {
 		s.takeServers(r.GetServersVersion(), decodeServers(r.GetServers()), from)
 	}
 	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -220,15 +220,15 @@
 	return true
 }
 
-// serversSince returns the list and the version at which it changed, or no list when
-// version is not older.
-func (v *view) serversSince(version int64) (int64, []registry.Server) {
+// serversSince returns the version at which the list changed, and the list if it is newer
+// than version.
+func (v *view) serversSince(version int64) (changed int64, list []registry.Server, newer bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.listed || v.changed <= version {
-		return v.changed, nil
+		return v.changed, nil, false
 	}
-	return v.changed, v.registry.List()
+	return v.changed, v.registry.List(), true
 }
 
 // readAge is how long ago this process read the list from the store.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -299,7 +299,7 @@
 		return false, err
 	}
 	s.take(in)
-	sentTable, sentServers := out.GetTable() != nil, len(out.GetServers()) > 0
+	sentTable, sentServers := out.GetTable() != nil, out.GetServersTold()
 	l.table, l.servers = in.GetTableVersion(), in.GetServersVersion()
 	behind := out.GetTableVersion() > l.table && !sentTable || out.GetServersVersion() > l.servers && !sentServers
 	return behind, nil
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -27,7 +27,7 @@
 		r.Table = []byte(fmt.Sprint("table ", g.table))
 	}
 	if g.servers > servers {
-		r.Servers = []*Server{{Id: fmt.Sprint("list ", g.servers)}}
+		r.ServersTold = true
 	}
 	return r
 }
@@ -38,7 +38,7 @@
 	if len(r.GetTable()) > 0 {
 		g.table = max(g.table, r.GetTableVersion())
 	}
-	if len(r.GetServers()) > 0 {
+	if r.GetServersTold() {
 		g.servers = max(g.servers, r.GetServersVersion())
 	}
 	g.changed()
--- a/store/store.go
+++ b/store/store.go
@@ -21,6 +21,8 @@
 	ErrIndeterminate = errors.New("platform gave no answer; the write may have taken effect")
 	// ErrNotFound means that there is no such row or object.
 	ErrNotFound = errors.New("not found")
+	// ErrMalformed means that what was read can't be understood.
+	ErrMalformed = errors.New("malformed content")
 	// ErrInvalid means that the platform refused the call as malformed.
 	ErrInvalid = errors.New("invalid platform call")
 )
