A drain goes on taking what it can finish

Change: the listener stays open until streams in progress have ended; streams are begun during the notice only, calls while they end in time; others are told at once when to come back, by whether another gateway lives.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -90,7 +90,7 @@
 
 // closing asks the client to use another connection while the process drains.
 func (f *Forwarder) closing(j *job) {
-	if f.draining.Load() {
+	if f.draining() {
 		j.w.Header().Set("Connection", "close")
 		j.r.Close = true
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -31,12 +31,14 @@
 	mu       sync.Mutex
 	table    *route.Table
 	servers  []registry.Server
+	others   int
 	down     []string
 	replaced []string
 }
 
 func (v *view) Table() *route.Table { return v.table }
 func (v *view) Routers() int        { return 1 }
+func (v *view) Others() int         { return v.others }
 
 func (v *view) Servers(service string) []registry.Server {
 	v.mu.Lock()
@@ -389,7 +391,7 @@
 // TestDraining answers all the same, and asks for another connection.
 func TestDraining(t *testing.T) {
 	w := plain(t)
-	w.fwd.Drain()
+	w.fwd.Drain(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
 	conn, err := net.Dial("tcp", w.addr)
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
@@ -401,6 +403,22 @@
 	assert.Assert(t, res.Close)
 }
 
+// TestDrainTakesWhatItCanFinish: what would be cut off by the end of the process is turned
+// away at once, with proof and when to come back.
+func TestDrainTakesWhatItCanFinish(t *testing.T) {
+	w := engines(t)
+	w.add(t, "p1", "plain", registry.Whole)
+	w.fwd.Drain(time.Now(), time.Now().Add(10*time.Second))
+	got := w.post(t, "/draft/1")
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.header.Get("Retry-After"), "3.00", "once the next process is ready here")
+	w.others = 1
+	assert.Equal(t, w.post(t, "/draft/1").header.Get("Retry-After"), "0.50", "to another one")
+	assert.Equal(t, w.post(t, "/safe/1").status, 503, "its timeout is thirty seconds")
+	assert.Equal(t, w.post(t, "/brief/1").status, 200)
+	assert.Equal(t, w.log.Kinds(), "plain p1")
+}
+
 // TestPlacementIsTold as it changes, and ends with the run.
 func TestPlacementIsTold(t *testing.T) {
 	w := engines(t)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -41,7 +41,10 @@
 // Forwarder answers requests. It is an http.Handler, safe for concurrent use.
 type Forwarder struct {
 	Config
-	draining atomic.Bool
+	// drain is nil while the process does not drain.
+	drain atomic.Pointer[drain]
+	// streams is the number of streams in progress.
+	streams atomic.Int64
 	// placed is sent to when the placement on decode engines has changed.
 	placed chan struct{}
 
@@ -87,8 +90,47 @@
 	}
 }
 
-// Drain makes all further answers close their connection.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
+// drain is how a process ends: it begins no stream from streams on, and is gone at end.
+type drain struct{ streams, end time.Time }
+
+// Drain makes all further answers close their connection. Streams are begun until streams,
+// and calls as long as they will be answered before the process ends.
+func (f *Forwarder) Drain(streams, end time.Time) { f.drain.Store(&drain{streams: streams, end: end}) }
+
+func (f *Forwarder) draining() bool { return f.drain.Load() != nil }
+
+// Streams is the number of streams in progress.
+func (f *Forwarder) Streams() int { return int(f.streams.Load()) }
+
+const (
+	// drainRetry is when to come back to another gateway.
+	drainRetry = 500 * time.Millisecond
+	// restartRetry is when to come back where there is no other: streams in progress take
+	// some four seconds to end, and the next process half a second to be ready.
+	restartRetry = 3 * time.Second
+)
+
+// drained answers a request that this process will not begin any more.
+func (f *Forwarder) drained(j *job) {
+	after := drainRetry
+	if f.View.Others() == 0 {
+		after = restartRetry
+	}
+	f.refuse(j, outcome.Draining, min(after, j.left(j.arrived)/3))
+}
+
+// fitsDrain reports whether a request may be begun though the process drains.
+func (f *Forwarder) fitsDrain(j *job) bool {
+	d := f.drain.Load()
+	switch {
+	case d == nil:
+		return true
+	case j.streams():
+		return j.arrived.Before(d.streams)
+	default:
+		return d.end.After(j.deadline)
+	}
+}
 
 // service returns the state of a service.
 func (f *Forwarder) service(name string) *service {
@@ -112,10 +154,16 @@
 	if !f.admit(j) {
 		return
 	}
+	if !f.fitsDrain(j) {
+		f.drained(j)
+		return
+	}
 	ctx, end := f.Watcher.Watch(j.caller, j.deadline)
 	defer end()
 	f.countRequest(j)
 	if j.streams() {
+		f.streams.Add(1)
+		defer f.streams.Add(-1)
 		f.stream(ctx, j)
 		return
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -108,6 +108,8 @@
 	Down(s registry.Server)
 	// Replaced notes that another server answers at a server's address.
 	Replaced(s registry.Server)
+	// Others is the number of other processes that are known to take requests.
+	Others() int
 	// Routers is the number of processes that forward requests, this one included.
 	Routers() int
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,10 @@
 	// DefaultNotice is two questions of the balancer, which asks each second and acts on
 	// the second miss, and half a second to spare.
 	DefaultNotice = 2500 * time.Millisecond
+	// closeMargin is kept from the time of a drain for lookups in progress.
+	closeMargin = time.Second
+	// drainCheck is the interval at which a drain looks for streams in progress.
+	drainCheck = 20 * time.Millisecond
 	// sweepInterval is the pause between two looks for idle connections.
 	sweepInterval = time.Second
 )
@@ -204,7 +208,9 @@
 			return
 		case <-t.C:
 		}
-		s.view.routers.Store(int64(max(s.peers.Count(), len(s.set.Seeds))))
+		live := s.peers.Count()
+		s.view.others.Store(int64(live - 1))
+		s.view.routers.Store(int64(max(live, len(s.set.Seeds))))
 		known := s.view.addresses()
 		s.pool.Sweep(func(addr string) bool { return known[addr] })
 		if n := s.batch.TakeDropped(); n > 0 {
@@ -213,15 +219,23 @@
 	}
 }
 
-// Drain implements kernel.Service: readiness ends at once, connections are taken until
-// the balancer has noticed, and answers in progress are finished.
+// Drain implements kernel.Service: readiness ends at once. Requests that can be answered
+// in time are taken until the balancer has noticed and all streams have ended: when all
+// gateways are restarted at once, there is no other to turn to. Then what is in progress
+// is finished.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	s.fwd.Drain()
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = time.Now().Add(s.set.Drain)
+	}
+	s.fwd.Drain(time.Now().Add(s.set.Notice), end)
 	s.peers.Leave()
-	select {
-	case <-ctx.Done():
-	case <-time.After(s.set.Notice):
+	ending, cancel := context.WithDeadline(ctx, end.Add(-closeMargin))
+	defer cancel()
+	pause(ending, s.set.Notice)
+	for s.fwd.Streams() > 0 && ending.Err() == nil {
+		pause(ending, drainCheck)
 	}
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -16,8 +16,9 @@
 	table atomic.Pointer[route.Table]
 	// encoded is the table as the store holds it, for other gateways.
 	encoded atomic.Pointer[encodedTable]
-	// routers is the number of gateways, this one included.
-	routers atomic.Int64
+	// routers is the number of gateways, this one included, for shares of budgets; others
+	// are those known to live.
+	routers, others atomic.Int64
 
 	mu       sync.Mutex
 	registry *registry.Registry
@@ -52,6 +53,9 @@
 // Routers implements forward.View.
 func (v *view) Routers() int { return int(v.routers.Load()) }
 
+// Others implements forward.View.
+func (v *view) Others() int { return int(v.others.Load()) }
+
 // Servers implements forward.View.
 func (v *view) Servers(service string) []registry.Server {
 	v.mu.Lock()
