Gateways have incarnations; no engine leaves decode while memory is short

And a gateway that was started again at the same address counted its placements anew, so that the others kept those of its predecessor. Ruled out: the retry budget, the store (list known 0.3 s after the start). Change: Load.Short (a request waited for memory within five seconds) forbids moves to prefill and shortens the pause before one to decode; incarnation in reports and datagrams. Tests: policy/stages TestAfterARestart, gateway TestPlacedKeepsTheNewest (seen failing).

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -265,9 +265,11 @@
 func (f *Forwarder) Use(name string) stages.Load {
 	s := f.service(name)
 	now := time.Now()
+	short := s.engines.isShort(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return stages.Load{
+		Short:    short,
 		ReadRate: s.arriving.At(now), EngineRate: s.rate.PerSecond(), Held: s.wanting.At(now) * s.hold.Seconds(),
 	}
 }
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -30,6 +30,8 @@
 	turns map[*waiting.Waiter]chan string
 	// retry is set while a timer will look at the line again.
 	retry bool
+	// short is when a request last waited for memory.
+	short time.Time
 	// changed are the engines whose placement changed since it was last told.
 	changed map[string]struct{}
 	// tell is called, with mu held, when changed is no longer empty; it must not block.
@@ -170,6 +172,9 @@
 	e.turns[w] = turn
 	e.line.Add(w)
 	e.dispatch()
+	if e.line.Len() > 0 {
+		e.short = time.Now()
+	}
 	e.mu.Unlock()
 
 	t := time.NewTimer(time.Until(w.Until))
@@ -327,6 +332,16 @@
 	return out
 }
 
+// shortLife is how long a request that waited for memory counts as a sign that it is short.
+const shortLife = 5 * time.Second
+
+// isShort reports whether a request waited for memory a moment ago.
+func (e *engines) isShort(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.short) < shortLife
+}
+
 // Held is the memory that all processes placed on the engines of a service, in tokens.
 func (f *Forwarder) Held(service string) int {
 	e := f.service(service).engines
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,10 +25,10 @@
 
 type placedReport struct {
 	at time.Time
-	// number is that of the newest placement told.
-	number   uint64
-	tokens   map[string]int
-	readings []*peer.Reading
+	// number is that of the newest placement told by this incarnation.
+	incarnation, number uint64
+	tokens              map[string]int
+	readings            []*peer.Reading
 	// read is when the gateway last read the list of servers from the store.
 	read time.Time
 }
@@ -36,7 +36,7 @@
 func newPlaced() *placed { return &placed{reports: map[string]placedReport{}} }
 
 func (p *placed) take(r *peer.Report, now time.Time) {
-	report := placedReport{at: now, number: r.GetPlacement(), tokens: map[string]int{}, readings: r.GetReadings()}
+	report := placedReport{at: now, incarnation: r.GetIncarnation(), number: r.GetPlacement(), tokens: map[string]int{}, readings: r.GetReadings()}
 	report.read = now.Add(-time.Duration(r.GetReadAgeMs()) * time.Millisecond)
 	for _, s := range r.GetShares() {
 		report.tokens[s.GetServer()] = int(s.GetTokens())
@@ -44,7 +44,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.reports[r.GetAddr()]
-	if report.number < old.number {
+	if report.incarnation == old.incarnation && report.number < old.number {
 		// Datagrams that came since tell more than the report.
 		report.number, report.tokens = old.number, old.tokens
 	}
@@ -57,7 +57,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.reports[c.GetAddr()]
-	if !ok || c.GetNumber() <= r.number {
+	if !ok || c.GetIncarnation() != r.incarnation || c.GetNumber() <= r.number {
 		return nil
 	}
 	r.at, r.number = now, c.GetNumber()
--- /dev/null
+++ b/gateway/placed_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/peer"
+)
+
+var start = time.Unix(1000, 0)
+
+func report(incarnation, number uint64, tokens uint32) *peer.Report {
+	return &peer.Report{Addr: "b", Incarnation: incarnation, Placement: number, Shares: []*peer.Share{{Server: "i-1", Tokens: tokens}}}
+}
+
+func told(incarnation, number uint64, tokens uint32) *peer.Placement {
+	return &peer.Placement{Addr: "b", Incarnation: incarnation, Number: number, Shares: []*peer.Share{{Server: "i-1", Tokens: tokens}}}
+}
+
+// TestPlacedKeepsTheNewest: datagrams and reports overtake each other, and a gateway that
+// was started again begins to count anew.
+func TestPlacedKeepsTheNewest(t *testing.T) {
+	p := newPlaced()
+	placed := func() int { return p.sum([]string{"i-1"}, start)["i-1"] }
+	p.change(told(1, 1, 5), start)
+	assert.Equal(t, placed(), 0, "nothing is known of that gateway yet")
+	p.take(report(1, 1, 100), start)
+	assert.Equal(t, placed(), 100)
+	assert.DeepEqual(t, p.change(told(1, 3, 300), start), map[string]int{"i-1": 300})
+	assert.Assert(t, p.change(told(1, 2, 200), start) == nil, "a datagram that was overtaken")
+	p.take(report(1, 2, 200), start)
+	assert.Equal(t, placed(), 300, "a report that was overtaken")
+	p.take(report(1, 3, 310), start)
+	assert.Equal(t, placed(), 310)
+	p.take(report(2, 0, 0), start)
+	assert.Equal(t, placed(), 0, "started again: nothing of the old process is left")
+	assert.Assert(t, p.change(told(1, 4, 400), start) == nil, "a datagram of the old process")
+	p.change(told(2, 1, 50), start)
+	assert.Equal(t, placed(), 50)
+	assert.Equal(t, p.sum([]string{"i-1"}, start.Add(placedLife))["i-1"], 0, "silent for too long")
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -57,10 +58,12 @@
 
 // Service exchanges reports with the other gateways.
 type Service struct {
-	beliefs   Beliefs
-	self      string
-	meter     link.Meter
-	datagrams *datagrams
+	beliefs Beliefs
+	self    string
+	// incarnation tells this process from the ones before it at the same address.
+	incarnation uint64
+	meter       link.Meter
+	datagrams   *datagrams
 
 	mu      sync.Mutex
 	members *Members
@@ -87,8 +90,8 @@
 // Datagrams are exchanged on port, the same at every gateway; zero means none.
 func New(self string, port int, seeds []string, b Beliefs) *Service {
 	return &Service{
-		datagrams: newDatagrams(port),
-		beliefs:   b, self: self, members: NewMembers(self), seeds: seeds,
+		datagrams: newDatagrams(port), incarnation: rand.Uint64(),
+		beliefs: b, self: self, members: NewMembers(self), seeds: seeds,
 		links: map[string]*peerLink{}, asked: map[string]time.Time{}, kick: make(chan struct{}),
 	}
 }
@@ -122,7 +125,7 @@
 	s.mu.Lock()
 	live := s.members.Live(time.Now())
 	s.mu.Unlock()
-	s.datagrams.send(live, &Placement{Addr: s.self, Shares: shares})
+	s.datagrams.send(live, &Placement{Addr: s.self, Incarnation: s.incarnation, Shares: shares})
 }
 
 // Announce has all peers told at once.
@@ -198,7 +201,7 @@
 	r := s.beliefs.Report(table, servers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.Addr, r.Leaving = s.self, s.leaving
+	r.Addr, r.Incarnation, r.Leaving = s.self, s.incarnation, s.leaving
 	r.Placement = number
 	r.Members = s.members.Report(time.Now())
 	return r
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -31,9 +31,10 @@
 	// MinUse is the use of the busier kind below which nothing is moved.
 	MinUse float64
 	// Dwell is the pause between two moves in one direction, Turn that before a move in
-	// the other direction, unless the engines of that kind are used to the share Over.
-	Dwell, Turn time.Duration
-	Over        float64
+	// the other direction. Pressed takes the place of Turn when prefill engines are used
+	// to the share Over, or requests wait for memory: a move takes about as long.
+	Dwell, Turn, Pressed time.Duration
+	Over                 float64
 	// PerMove is the number of engines for each of which one may be switching at once.
 	PerMove int
 }
@@ -42,7 +43,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Slack: 0.75, Most: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
-		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Over: 0.9, PerMove: 8,
+		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Pressed: 5 * time.Second, Over: 0.9, PerMove: 8,
 	}
 }
 
@@ -54,6 +55,8 @@
 	// Held is the memory, in tokens, that runs hold or would hold if none had to wait;
 	// EngineTokens is the memory of one engine.
 	Held, EngineTokens float64
+	// Short is set when requests waited for memory a moment ago, or were turned away.
+	Short bool
 }
 
 // Move is one change of stage.
@@ -83,7 +86,8 @@
 		return Move{}, false
 	}
 	to, ok := p.wanted(l, prefill, decode)
-	pressed := to == registry.Prefill && l.ReadRate/l.EngineRate >= p.cfg.Over*float64(prefill)
+	pressed := to == registry.Prefill && l.ReadRate/l.EngineRate >= p.cfg.Over*float64(prefill) ||
+		to == registry.Decode && l.Short
 	if !ok || !p.rested(to, pressed, now) {
 		return Move{}, false
 	}
@@ -109,7 +113,7 @@
 		return registry.Decode, true
 	}
 	use := read / float64(prefill)
-	if decode > 1 && use >= p.cfg.Full && use >= p.cfg.Back*held/float64(decode) {
+	if decode > 1 && !l.Short && use >= p.cfg.Full && use >= p.cfg.Back*held/float64(decode) {
 		return registry.Prefill, true
 	}
 	return 0, false
@@ -121,7 +125,11 @@
 		return true
 	}
 	pause := p.cfg.Dwell
-	if to != p.to && !pressed {
+	switch {
+	case to == p.to:
+	case pressed:
+		pause = p.cfg.Pressed
+	default:
 		pause = p.cfg.Turn
 	}
 	return now.Sub(p.last) >= pause
--- a/policy/stages/stages_test.go
+++ b/policy/stages/stages_test.go
@@ -89,6 +89,22 @@
 	assert.Assert(t, ok, "prefill engines that are full do not wait")
 }
 
+// TestAfterARestart replays what a gateway sees that has just been started with all others,
+// at full load: many prompts arrive, and little memory is held yet. Engines that are short
+// of memory keep their stage, and one that was moved by mistake comes back soon.
+func TestAfterARestart(t *testing.T) {
+	seen := load(2.4, 2)
+	seen.Short = true
+	p := stages.New(stages.DefaultConfig())
+	_, ok := p.Next(fleet(3, 5), nil, seen, start)
+	assert.Assert(t, !ok)
+	p.Moved(stages.Move{To: registry.Prefill}, start)
+	full := load(1, 8)
+	full.Short = true
+	m, ok := p.Next(fleet(4, 4), nil, full, start.Add(5*time.Second))
+	assert.Assert(t, ok && m.To == registry.Decode)
+}
+
 // TestLoadShifts replays the traffic of a day that turns from long prompts to long
 // answers and back, with engines that need six seconds for a change: the planner follows
 // it with few moves.
