--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -246,6 +246,17 @@
 	return ok
 }
 
+// Forget drops what was learned of servers that known does not name.
+func (f *Forwarder) Forget(known func(id string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services {
+		s.outliers.Forget(known)
+		s.readers.Forget(known)
+		maps.DeleteFunc(s.shunned, func(id string, _ time.Time) bool { return !known(id) })
+	}
+}
+
 // Uses is the use of the engines of each model service; see Use.
 func (f *Forwarder) Uses() map[string]stages.Load {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,7 +198,8 @@
 	}
 }
 
-// sweep closes idle connections and reports dropped log lines.
+// sweep closes idle connections, forgets servers that are gone, and reports dropped log
+// lines.
 func (s *Service) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
@@ -211,8 +212,9 @@
 		live := s.peers.Count()
 		s.view.others.Store(int64(live - 1))
 		s.view.routers.Store(int64(max(live, len(s.set.Seeds))))
-		known := s.view.addresses()
-		s.pool.Sweep(func(addr string) bool { return known[addr] })
+		addrs, ids := s.view.known()
+		s.pool.Sweep(func(addr string) bool { return addrs[addr] })
+		s.fwd.Forget(func(id string) bool { return ids[id] })
 		if n := s.batch.TakeDropped(); n > 0 {
 			event.LinesDropped.Log(s.log).Int64("lines", n).Msg("")
 		}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -280,13 +280,13 @@
 	return out
 }
 
-// addresses are those of all known servers.
-func (v *view) addresses() map[string]bool {
+// known are the addresses and the instances of all servers.
+func (v *view) known() (addrs, ids map[string]bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := map[string]bool{}
+	addrs, ids = map[string]bool{}, map[string]bool{}
 	for _, s := range v.registry.List() {
-		out[s.Addr] = true
+		addrs[s.Addr], ids[s.ID] = true, true
 	}
-	return out
+	return addrs, ids
 }
