A reading that fails is a repeat, whatever is sent next

Ruled out: the safety margin (0.8 of the bounds is used; the rest was eaten by this). Change: what follows a failed reading is taken from the budget, also the decode engine's own reading. Test: forward TestFailedReadingIsARepeat, seen failing (200 in place of 503).

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -79,7 +79,12 @@
 	patience = "30000"
 )
 
-func newWorld(t *testing.T) *world {
+// unlimited is a budget that is never spent.
+var unlimited = retrybudget.Limits{Ratio: 1, Window: time.Hour, Slack: 1e9}
+
+func newWorld(t *testing.T) *world { return newWorldWith(t, unlimited) }
+
+func newWorldWith(t *testing.T, limits retrybudget.Limits) *world {
 	w := &world{log: site.NewLog(), servers: map[string]*site.Server{}}
 	table := &route.Table{
 		Version: 1,
@@ -110,7 +115,7 @@
 	w.fwd = forward.New(forward.Config{
 		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, seconds), View: w.view, Pool: pool, Watcher: watcher,
 		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Metrics: metrics.NewSet(),
-		VM: "g1", Zone: "z1", Retry: retrybudget.Limits{Ratio: 1, Window: time.Hour, Slack: 1e9},
+		VM: "g1", Zone: "z1", Retry: limits,
 	})
 	server, err := httpserver.Start(httpserver.Options{Addr: "127.0.0.1:0", Handler: w.fwd, Pollers: 1})
 	assert.NilError(t, err)
@@ -143,8 +148,10 @@
 	return w
 }
 
-func engines(t *testing.T) *world {
-	w := newWorld(t)
+func engines(t *testing.T) *world { return enginesWith(t, unlimited) }
+
+func enginesWith(t *testing.T, limits retrybudget.Limits) *world {
+	w := newWorldWith(t, limits)
 	w.add(t, "pre", "llm", registry.Prefill)
 	w.add(t, "d1", "llm", registry.Decode)
 	w.add(t, "d2", "llm", registry.Decode)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -90,11 +90,14 @@
 	}
 	defer r.f.giveBack(r.j, l)
 	r.tried = append(r.tried, l.server.ID)
-	export := r.f.prefill(ctx, r.j, l.server.Zone)
+	export, owed := r.f.prefill(ctx, r.j, l.server.Zone)
 	if ctx.Err() != nil {
 		r.f.freeExport(r.j, export)
 		return false, reasonOf(ctx)
 	}
+	if owed && !r.f.mayRepeat(r.j) {
+		return false, outcome.RetryBudgetSpent
+	}
 	return r.decode(ctx, l, export)
 }
 
@@ -189,28 +192,29 @@
 const prefillTries = 2
 
 // prefill has the prompt read and returns where the KV cache is, or nil when the decode
-// engine has to read it itself.
-func (f *Forwarder) prefill(ctx context.Context, j *job, zone string) *source {
+// engine has to read it itself. A reading that did not succeed makes whatever is sent next a
+// repeat; owed is set when that was not taken from the budget yet.
+func (f *Forwarder) prefill(ctx context.Context, j *job, zone string) (export *source, owed bool) {
 	var tried []string
 	for len(tried) < prefillTries {
 		s, ok := f.choosePrefill(j, zone, tried)
 		if !ok {
-			return nil
+			return nil, len(tried) > 0
 		}
 		if len(tried) > 0 && !f.mayRepeat(j) {
-			return nil
+			return nil, true
 		}
 		tried = append(tried, s.ID)
 		export, err := f.read(ctx, j, s)
 		if err == nil {
-			return &source{Export: export, server: s}
+			return &source{Export: export, server: s}, false
 		}
 		f.attemptFailed(j, s, f.explain(ctx, err), err)
 		if ctx.Err() != nil {
-			return nil
+			return nil, true
 		}
 	}
-	return nil
+	return nil, true
 }
 
 // Bounds of the time that a prefill engine may take before another way is taken.
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -3,9 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -100,3 +102,16 @@
 	got = w.post(t, "/draft/1", "Hibiscusspur-Tokens", "20000,10")
 	assert.Equal(t, got.status, 503, "larger than any engine")
 }
+
+// TestFailedReadingIsARepeat: a reading that fails counts against the budget, whatever
+// comes after it. With nothing left the request is turned away, and has not run.
+func TestFailedReadingIsARepeat(t *testing.T) {
+	w := enginesWith(t, retrybudget.Limits{Window: time.Hour})
+	got := w.post(t, "/draft/1")
+	assert.Equal(t, got.status, 200, "the usual way needs no repeat")
+	w.servers["pre"].Behave(site.Fail)
+	got = w.post(t, "/draft/2")
+	assert.Equal(t, got.status, 503)
+	calls := w.log.Calls()
+	assert.Assert(t, calls[len(calls)-1].Kind != site.Decode, "%s", w.log.Kinds())
+}
