A new route table is not handed from all gateways to all

Change: versions are told at once, the table itself only to a gateway that lacks it after half a second; a copy of a version that is in force is not decoded. Test: gateway TestLargeTableIsNotHandedAround.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,6 +13,11 @@
 
 var _ peer.Beliefs = (*Service)(nil)
 
+// tableAge is how long a route table is in force before it is handed to a gateway that
+// lacks it: nearly all read it from the store by then, and a large one to all from all
+// would fill small links.
+const tableAge = 500 * time.Millisecond
+
 // placedLife is how long what a gateway told of its placement counts after it was last
 // heard: several exchanges.
 const placedLife = 1500 * time.Millisecond
@@ -143,7 +148,7 @@
 	r := &peer.Report{Vm: s.set.VM}
 	if e := s.view.encoded.Load(); e != nil {
 		r.TableVersion = e.version
-		if e.version > table {
+		if e.version > table && time.Since(e.since) >= tableAge {
 			r.Table = e.data
 		}
 	}
@@ -173,7 +178,7 @@
 func (s *Service) Take(r *peer.Report) {
 	now := time.Now()
 	from := "gateway " + r.GetVm()
-	if len(r.GetTable()) > 0 {
+	if len(r.GetTable()) > 0 && r.GetTableVersion() > s.view.version() {
 		t, err := s.store.DecodeManifest(r.GetTable())
 		if err != nil {
 			event.TableRefused.Log(s.log).Int64("version", r.GetTableVersion()).Str("from", from).Err(err).Msg("")
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -39,6 +39,8 @@
 type encodedTable struct {
 	version int64
 	data    []byte
+	// since is when it came in force here.
+	since time.Time
 }
 
 func newView() *view {
@@ -53,6 +55,14 @@
 // Routers implements forward.View.
 func (v *view) Routers() int { return int(v.routers.Load()) }
 
+// version is that of the route table in force, or -1.
+func (v *view) version() int64 {
+	if t := v.table.Load(); t != nil {
+		return t.Version
+	}
+	return -1
+}
+
 // Others implements forward.View.
 func (v *view) Others() int { return int(v.others.Load()) }
 
@@ -183,7 +193,7 @@
 		return false
 	}
 	v.table.Store(t)
-	v.encoded.Store(&encodedTable{version: t.Version, data: encoded})
+	v.encoded.Store(&encodedTable{version: t.Version, data: encoded, since: time.Now()})
 	return true
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -82,8 +83,13 @@
 	conn *drpcconn.Conn
 	// table and servers are the versions that the peer was last known to have.
 	table, servers int64
-	lost           bool
-	cancel         context.CancelFunc
+	// asked is the version of the own table at the last exchange: with a newer one the
+	// peer is asked first whether it lacks it.
+	asked int64
+	// again is set when the last exchange followed another at once.
+	again  bool
+	lost   bool
+	cancel context.CancelFunc
 }
 
 // New returns the service of the gateway that listens at self.
@@ -296,7 +302,11 @@
 		}
 		l.conn = conn
 	}
-	out := s.report(l.table, l.servers)
+	known := l.table
+	if own := s.report(math.MaxInt64, math.MaxInt64).GetTableVersion(); own != l.asked {
+		l.asked, known = own, math.MaxInt64
+	}
+	out := s.report(known, l.servers)
 	in, err := NewDRPCPeersClient(l.conn).Exchange(ctx, out)
 	if err != nil {
 		return false, err
@@ -305,7 +315,8 @@
 	sentTable, sentServers := out.GetTable() != nil, out.GetServersTold()
 	l.table, l.servers = in.GetTableVersion(), in.GetServersVersion()
 	behind := out.GetTableVersion() > l.table && !sentTable || out.GetServersVersion() > l.servers && !sentServers
-	return behind, nil
+	l.again = behind && !l.again
+	return l.again, nil
 }
 
 func (s *Service) note(l *peerLink, err error) {
