One report an exchange between gateways

Cause: read once more: each exchange built a whole report only to learn the version of the own route table, and then the report that is sent. Ruled out: keeping the version beside the link's state; the report that is sent holds it. Change: the report is built once, and its table left out when the version is new to the peer.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -302,11 +301,10 @@
 		}
 		l.conn = conn
 	}
-	known := l.table
-	if own := s.report(math.MaxInt64, math.MaxInt64).GetTableVersion(); own != l.asked {
-		l.asked, known = own, math.MaxInt64
+	out := s.report(l.table, l.servers)
+	if out.GetTableVersion() != l.asked {
+		l.asked, out.Table = out.GetTableVersion(), nil
 	}
-	out := s.report(known, l.servers)
 	in, err := NewDRPCPeersClient(l.conn).Exchange(ctx, out)
 	if err != nil {
 		return false, err
