One life of a request: the gateway's calls and streams run on package life

Cause: the gateway had two loops over attempts, the entry a third, each with its own rule of when to go on. Calls and streams of the gateway are now life.Requests; the entry follows. Found on the way, by reading the two loops side by side: a stream whose engine was lost, with no room elsewhere, asked for room over and over until its turn in the line was over, and took a repeat from its service's budget each time.

Test seen failing first: forward TestNoRoomAfterAFailure counted 79 repeats where one is due. Ruled out: the engine's refusals (ErrFull costs no repeat, before and after).

Change: Place waits in the line and ends the request when there is no room; Reserve asks the engine; what follows an attempt is decided in one place, course.ended. engines and the reading of prompts have files of their own.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -38,8 +38,9 @@
 	read, first time.Duration
 	// servers are the instances that the request was sent to.
 	servers []string
-	// started is set once a part of the answer went to the client.
+	// started is set once the head of the answer went to the client, status is its status.
 	started bool
+	status  int
 }
 
 func (j *job) left(now time.Time) time.Duration { return j.deadline.Sub(now) }
@@ -58,13 +59,8 @@
 		Str("reason", string(reason)).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version()).Msg("")
 }
 
-// fail answers that the request failed or may have run. Where nothing was sent to any
-// server the honest answer is a refusal.
+// fail answers that the request failed or may have run.
 func (f *Forwarder) fail(j *job, reason outcome.Reason) {
-	if !j.ran {
-		f.refuse(j, reason, f.comeBack(j))
-		return
-	}
 	status := http.StatusBadGateway
 	if reason == outcome.DeadlineExceeded {
 		status = http.StatusGatewayTimeout
@@ -80,12 +76,28 @@
 // finish writes an answer of the router's own.
 func (f *Forwarder) finish(j *job, status int, kind outcome.Kind, reason outcome.Reason) {
 	f.Metrics.Refused(reason)
+	j.status = status
 	if !j.caller.Gone() {
-		f.closing(j)
-		j.w.Header().Set("Content-Length", "0")
-		j.w.WriteHeader(status)
+		f.head(j, AnswerHead{Status: status}, 0)
 	}
-	f.ended(j, status, kind, reason)
+	f.ended(j, kind, reason)
+}
+
+// unknownLength is the length of an answer that is handed on as it comes.
+const unknownLength = -1
+
+// head writes the head of the answer, once.
+func (f *Forwarder) head(j *job, head AnswerHead, length int) {
+	j.started, j.status = true, head.Status
+	h := j.w.Header()
+	for name, values := range head.Header {
+		h[name] = values
+	}
+	f.closing(j)
+	if length != unknownLength {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	j.w.WriteHeader(head.Status)
 }
 
 // closing asks the client to use another connection while the process drains.
@@ -96,12 +108,12 @@
 	}
 }
 
-func (f *Forwarder) ended(j *job, status int, kind outcome.Kind, reason outcome.Reason) {
+func (f *Forwarder) ended(j *job, kind outcome.Kind, reason outcome.Reason) {
 	now := time.Now()
 	f.Metrics.Ended(kind)
 	f.Metrics.Timer(metrics.RequestTimePrefix + j.kindName()).Update(now.Sub(j.arrived))
 	e := event.RequestAnswered.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
-		Str("service", j.service).Strs("servers", j.servers).Int("status", status).Str("outcome", kind.String())
+		Str("service", j.service).Strs("servers", j.servers).Int("status", j.status).Str("outcome", kind.String())
 	if reason != "" {
 		e = e.Str("reason", string(reason))
 	}
@@ -134,14 +146,6 @@
 	return j.table.Version
 }
 
-// copyHead passes the head of a server's answer on.
-func copyHead(w http.ResponseWriter, head AnswerHead) {
-	h := w.Header()
-	for name, values := range head.Header {
-		h[name] = values
-	}
-}
-
 // attemptFailed notes why a request that was sent to s is not answered by it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
 	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
--- a/forward/call.go
+++ b/forward/call.go
@@ -32,60 +32,59 @@
 	errNotRun   = errors.New("refused by the server")
 )
 
-// call answers a request of a plain service.
-func (f *Forwarder) call(ctx context.Context, j *job) {
-	var tried []string
-	var last *answer
-	reason := outcome.NoBackend
-	for {
-		s, ok := f.choose(j, tried)
-		if !ok {
-			break
-		}
-		if len(tried) > 0 && !f.mayRepeat(j) {
-			reason = outcome.RetryBudgetSpent
-			break
-		}
-		tried = append(tried, s.ID)
-		a, err := f.attempt(ctx, j, s)
-		if err == nil && !f.worthRepeating(j, a) {
-			f.pass(j, a)
-			return
-		}
-		if err == nil {
-			last = a
-		}
-		reason = f.explain(ctx, err)
-		f.attemptFailed(j, s, reason, err)
-		if ctx.Err() != nil || !f.mayGoOn(j, err) {
-			break
-		}
-		f.Metrics.Retried(reason)
-	}
-	if last != nil {
-		f.pass(j, last)
-		return
+// call is a request of a plain service over all its attempts.
+type call struct{ course }
+
+// callAttempt is one try of a call at one server. It implements life.Attempt; a server of
+// a plain service needs nothing reserved and reads no prompt ahead.
+type callAttempt struct {
+	c      *call
+	server registry.Server
+}
+
+// Place implements life.Request.
+func (c *call) Place(context.Context) (*callAttempt, outcome.Outcome, bool) {
+	s, ok := c.f.choose(c.j, c.tried)
+	if !ok {
+		return nil, c.noServer(outcome.NoBackend), false
 	}
-	f.fail(j, reason)
+	c.tried = append(c.tried, s.ID)
+	return &callAttempt{c: c, server: s}, outcome.Outcome{}, true
 }
 
-// worthRepeating reports whether a failure of a server may be put right by another.
-func (f *Forwarder) worthRepeating(j *job, a *answer) bool {
-	return a.head.Status >= http.StatusInternalServerError && j.route.Repeatable()
+// Ended implements life.Request.
+func (c *call) Ended(ctx context.Context, _ *callAttempt, o outcome.Outcome) (outcome.Outcome, bool) {
+	return c.ended(ctx, o)
 }
 
-// mayGoOn reports whether the request may be sent to one more server after err.
-func (f *Forwarder) mayGoOn(j *job, err error) bool {
-	if errors.Is(err, upstream.ErrNotSent) {
-		return true
+// Reserve implements life.Attempt.
+func (a *callAttempt) Reserve(context.Context) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, true
+}
+
+// Prefill implements life.Attempt.
+func (a *callAttempt) Prefill(context.Context) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, true
+}
+
+// Answer implements life.Attempt.
+func (a *callAttempt) Answer(ctx context.Context) outcome.Outcome {
+	f, j := a.c.f, a.c.j
+	got, err := f.attempt(ctx, j, a.server)
+	if err == nil && got.head.Status < http.StatusInternalServerError {
+		return f.pass(j, got)
 	}
-	if j.sends >= j.route.Attempts {
-		f.Metrics.RetryDenied("attempts")
-		return false
+	if err == nil {
+		a.c.failure = got
 	}
-	return !j.ran || j.route.Repeatable()
+	reason := f.explain(ctx, err)
+	f.attemptFailed(j, a.server, reason, err)
+	return j.unanswered(reason)
 }
 
+// Release implements life.Attempt.
+func (a *callAttempt) Release() {}
+
 func (f *Forwarder) explain(ctx context.Context, err error) outcome.Reason {
 	switch {
 	case ctx.Err() != nil:
@@ -192,20 +191,15 @@
 }
 
 // pass hands a whole answer to the client.
-func (f *Forwarder) pass(j *job, a *answer) {
-	copyHead(j.w, a.head)
-	f.closing(j)
-	j.w.Header().Set("Content-Length", fmt.Sprint(len(a.body)))
-	j.w.WriteHeader(a.head.Status)
-	kind := outcome.Completed
-	if a.head.Status >= http.StatusInternalServerError {
-		kind = outcome.Failed
-	}
+func (f *Forwarder) pass(j *job, a *answer) outcome.Outcome {
+	f.head(j, a.head, len(a.body))
 	if _, err := j.w.Write(a.body); err != nil {
-		f.ended(j, a.head.Status, outcome.Failed, outcome.CallerGone)
-		return
+		return outcome.Fail(outcome.CallerGone, err.Error())
+	}
+	if a.head.Status >= http.StatusInternalServerError {
+		return outcome.Fail(outcome.EngineError, "")
 	}
-	f.ended(j, a.head.Status, kind, "")
+	return outcome.Outcome{Kind: outcome.Completed}
 }
 
 // choose returns the server for the next attempt.
--- /dev/null
+++ b/forward/engines.go
@@ -0,0 +1,217 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+// engines joins the policies that place and queue requests for one service's decode
+// engines to goroutines and timers. It is safe for concurrent use.
+type engines struct {
+	terms waiting.Terms
+	// zone is that of this process.
+	zone string
+
+	mu     sync.Mutex
+	memory *kvmemory.Pool
+	line   waiting.Line
+	// turns are where waiting requests learn which engine to ask.
+	turns map[*waiting.Waiter]chan string
+	// retry is set while a timer will look at the line again.
+	retry bool
+	// short is when a request last waited for memory.
+	short time.Time
+	// changed are the engines whose placement changed since it was last told.
+	changed map[string]struct{}
+	// tell is called, with mu held, when changed is no longer empty; it must not block.
+	tell func()
+}
+
+func newEngines(seed, zone string, tell func()) *engines {
+	return &engines{
+		changed: map[string]struct{}{}, tell: tell,
+		zone:   zone,
+		terms:  waiting.DefaultTerms(),
+		memory: kvmemory.New(kvmemory.DefaultConfig(), seed),
+		turns:  map[*waiting.Waiter]chan string{},
+	}
+}
+
+const (
+	// passFor is how long smaller requests may go before a larger one that waits.
+	passFor = 300 * time.Millisecond
+	// lineCheck is the pause after which a line that does not move is looked at again;
+	// refusals of engines count as long.
+	lineCheck = 50 * time.Millisecond
+)
+
+// sync takes the list of engines that may get new work.
+func (e *engines) sync(servers []registry.Server, capacity, slots int) {
+	list := make([]kvmemory.Server, 0, len(servers))
+	for _, s := range servers {
+		if s.Stage == registry.Decode {
+			list = append(list, kvmemory.Server{ID: s.ID, Zone: s.Zone, Capacity: capacity, Slots: slots})
+		}
+	}
+	e.memory.Sync(list)
+}
+
+// hopeless reports whether a request is to be turned away without waiting.
+func (e *engines) hopeless(w *waiting.Waiter, hold time.Duration, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if hold <= 0 || e.line.Len() == 0 {
+		return false
+	}
+	rate := float64(e.memory.OwnTotal()) / hold.Seconds()
+	return e.terms.Hopeless(e.line.Ahead(w), rate, w.Until.Sub(now))
+}
+
+// await waits until the request's turn at an engine comes. The engine's memory is then
+// taken, until refused, failed or release is called.
+func (e *engines) await(ctx context.Context, w *waiting.Waiter, servers []registry.Server, capacity, slots int) (string, bool) {
+	e.mu.Lock()
+	e.sync(servers, capacity, slots)
+	turn := make(chan string, 1)
+	e.turns[w] = turn
+	e.line.Add(w)
+	e.dispatch()
+	if e.line.Len() > 0 {
+		e.short = time.Now()
+	}
+	e.mu.Unlock()
+
+	t := time.NewTimer(time.Until(w.Until))
+	defer t.Stop()
+	select {
+	case id := <-turn:
+		return id, true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.line.Remove(w) {
+		delete(e.turns, w)
+		return "", false
+	}
+	return <-turn, true
+}
+
+// dispatch gives turns to waiting requests for which an engine is thought to have room.
+// The caller holds mu.
+func (e *engines) dispatch() {
+	now := time.Now()
+	for {
+		var id string
+		w := e.line.Next(func(w *waiting.Waiter) bool {
+			var ok bool
+			id, ok = e.memory.Pick(w.Need, e.zone, w.Exclude, now)
+			return ok
+		}, passFor, now)
+		if w == nil {
+			break
+		}
+		e.memory.Take(id, w.Need)
+		e.note(id)
+		e.turns[w] <- id
+		delete(e.turns, w)
+	}
+	e.lookAgain()
+}
+
+// lookAgain arranges that a line that is not empty is looked at again. The caller holds mu.
+func (e *engines) lookAgain() {
+	if e.retry || e.line.Len() == 0 {
+		return
+	}
+	e.retry = true
+	time.AfterFunc(lineCheck, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.retry = false
+		e.dispatch()
+	})
+}
+
+func (e *engines) refused(id string, need int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Refuse(id, need, time.Now())
+	e.note(id)
+}
+
+// note marks an engine whose placement changed. The caller holds mu.
+func (e *engines) note(id string) {
+	if len(e.changed) == 0 {
+		e.tell()
+	}
+	e.changed[id] = struct{}{}
+}
+
+// takeChanged returns what this process placed on the engines that changed.
+func (e *engines) takeChanged() []kvmemory.Share {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]kvmemory.Share, 0, len(e.changed))
+	for id := range e.changed {
+		out = append(out, kvmemory.Share{ID: id, Tokens: e.memory.OwnAt(id)})
+	}
+	clear(e.changed)
+	return out
+}
+
+func (e *engines) failed(id string, need int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Fail(id, need, time.Now())
+	e.note(id)
+}
+
+// worked notes that an engine ran a request.
+func (e *engines) worked(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Worked(id)
+}
+
+// release notes that a request is over at an engine.
+func (e *engines) release(id string, need int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Release(id, need)
+	e.note(id)
+	e.dispatch()
+}
+
+func (e *engines) own() []kvmemory.Share {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.memory.Own()
+}
+
+// shortLife is how long a request that waited for memory counts as a sign that it is short.
+const shortLife = 5 * time.Second
+
+// isShort reports whether a request waited for memory a moment ago.
+func (e *engines) isShort(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.short) < shortLife
+}
+
+func (e *engines) setOthers(tokens map[string]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, n := range tokens {
+		e.memory.SetOthers(id, n)
+	}
+	if e.line.Len() > 0 {
+		e.dispatch()
+	}
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -71,6 +71,7 @@
 	servers map[string]*site.Server
 	addr    string
 	fwd     *forward.Forwarder
+	met     *metrics.Set
 }
 
 const (
@@ -85,7 +86,7 @@
 func newWorld(t *testing.T) *world { return newWorldWith(t, unlimited) }
 
 func newWorldWith(t *testing.T, limits retrybudget.Limits) *world {
-	w := &world{log: site.NewLog(), servers: map[string]*site.Server{}}
+	w := &world{log: site.NewLog(), servers: map[string]*site.Server{}, met: metrics.NewSet()}
 	table := &route.Table{
 		Version: 1,
 		Routes: []route.Route{
@@ -114,7 +115,7 @@
 	}()
 	w.fwd = forward.New(forward.Config{
 		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, seconds), View: w.view, Pool: pool, Watcher: watcher,
-		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Metrics: metrics.NewSet(),
+		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Metrics: w.met,
 		VM: "g1", Zone: "z1", Retry: limits,
 	})
 	server, err := httpserver.Start(httpserver.Options{Addr: "127.0.0.1:0", Handler: w.fwd, Pollers: 1})
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/life"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
@@ -164,10 +165,12 @@
 	if j.streams() {
 		f.streams.Add(1)
 		defer f.streams.Add(-1)
-		f.stream(ctx, j)
+		r := &stream{course: course{f: f, j: j}, lastEvent: j.meta.LastEventID}
+		r.finish(life.Run(ctx, r))
 		return
 	}
-	f.call(ctx, j)
+	c := &call{course{f: f, j: j}}
+	c.finish(life.Run(ctx, c))
 }
 
 // streams reports whether the request needs a prefill and a decode engine.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -12,7 +12,6 @@
 
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
-	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -28,26 +27,26 @@
 
 // relay hands the events of an engine to the client as they arrive. Only whole events
 // are handed on, so that a stream that breaks can go on elsewhere.
-func (r *run) relay(ctx context.Context, s registry.Server, head AnswerHead, res *upstream.Response) (bool, outcome.Reason) {
+func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
+	f, j, s := a.r.f, a.r.j, a.lease.server
 	start := time.Now()
-	err := r.copyEvents(head, res)
-	r.f.observe(r.j, s, err == nil, time.Since(start))
+	err := a.r.copyEvents(head, res)
+	f.observe(j, s, err == nil, time.Since(start))
 	if err == nil {
-		r.f.ended(r.j, http.StatusOK, outcome.Completed, "")
-		return true, ""
+		return outcome.Outcome{Kind: outcome.Completed}
 	}
-	reason := r.f.explain(ctx, err)
+	reason := f.explain(ctx, err)
 	if errors.Is(err, errClient) {
 		reason = outcome.CallerGone
 	}
-	r.f.attemptFailed(r.j, s, reason, err)
-	return false, reason
+	f.attemptFailed(j, s, reason, err)
+	return j.unanswered(reason)
 }
 
 // errClient means that the client takes no more events.
 var errClient = errors.New("client left")
 
-func (r *run) copyEvents(head AnswerHead, res *upstream.Response) error {
+func (r *stream) copyEvents(head AnswerHead, res *upstream.Response) error {
 	stop := r.watchSilence(res)
 	defer stop.end()
 	br := bufio.NewReaderSize(res.Body, eventBuffer)
@@ -73,18 +72,15 @@
 
 // deliver hands one event to the client. The head of the first engine goes before the
 // first event.
-func (r *run) deliver(head AnswerHead, event []byte, flush bool) error {
+func (r *stream) deliver(head AnswerHead, event []byte, flush bool) error {
 	j := r.j
 	if !j.started {
-		j.started = true
-		copyHead(j.w, head)
-		r.f.closing(j)
-		j.w.WriteHeader(head.Status)
+		r.f.head(j, head, unknownLength)
 		j.first = time.Since(j.arrived)
 		r.f.Metrics.Timer(metrics.FirstEventTime).Update(j.first)
 	}
 	if id, ok := eventID(event); ok {
-		r.last = id
+		r.lastEvent = id
 	}
 	if _, err := j.w.Write(event); err != nil {
 		return errClient
@@ -141,7 +137,7 @@
 	fired *atomic.Bool
 }
 
-func (r *run) watchSilence(res *upstream.Response) silence {
+func (r *stream) watchSilence(res *upstream.Response) silence {
 	if !r.j.route.Resumable || r.j.sends >= r.j.route.Attempts {
 		return silence{}
 	}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -7,7 +7,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -115,3 +118,15 @@
 	calls := w.log.Calls()
 	assert.Assert(t, calls[len(calls)-1].Kind != site.Decode, "%s", w.log.Kinds())
 }
+
+// TestNoRoomAfterAFailure: a stream whose engine was lost asks for room elsewhere once, and
+// ends when there is none. It does not use up the repeats of others by asking again.
+func TestNoRoomAfterAFailure(t *testing.T) {
+	w := newWorldWith(t, retrybudget.Limits{Ratio: 100, Window: time.Hour})
+	w.add(t, "d1", "llm", registry.Decode)
+	w.servers["d1"].Behave(site.Reset)
+	got := w.post(t, "/resume/1")
+	assert.Equal(t, got.status, 502)
+	assert.Equal(t, w.met.Counter(metrics.RetriedPrefix+string(outcome.EngineLost)).Count(), int64(1))
+	assert.Equal(t, w.met.Counter(metrics.RetriedPrefix+string(outcome.NoPlace)).Count(), int64(0))
+}
