One life of a request: the entry runs on package life too

An answer of a sidecar that is neither a grant nor a refusal used to end an attempt with an empty outcome; it now proves that nothing was started.

Ruled out: giving the gateway a link to engines; the platform has no sidecars, so it would be code that nothing runs.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,9 +12,8 @@
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
-// attempt is one try at a request on one placement. A decode place is reserved
-// first, then the prompt is prefilled, then the decode is started; only the
-// start counts as a run.
+// attempt is one try at a request on one placement, through the sidecars of its servers.
+// It implements life.Attempt; only the start of the decode counts as a run.
 type attempt struct {
 	s   *Service
 	r   *request
@@ -24,7 +23,9 @@
 	decode *flow
 	// incarnation is that of the decode sidecar when the attempt began.
 	incarnation string
-	started     bool
+	// kv is the exported KV cache; nil when the decode server reads the prompt.
+	kv      *wire.Prefilled
+	started bool
 	// acked is the position last acknowledged.
 	acked int
 	// worked tells that a prefill was done or begun.
@@ -33,37 +34,30 @@
 	fault *peer
 }
 
-// run returns the end of the attempt.
-func (a *attempt) run(ctx context.Context) outcome.Outcome {
-	a.decode = a.sv.decode.open(a.key)
-	defer a.decode.close()
-	defer a.release()
-	a.incarnation = a.sv.decode.incarnation()
+// newAttempt returns an attempt that receives from its decode sidecar.
+func newAttempt(s *Service, r *request, n uint32, sv servers) *attempt {
+	a := &attempt{s: s, r: r, key: wire.Key{RequestID: r.id, Attempt: n}, sv: sv}
+	a.decode = sv.decode.open(a.key)
+	a.incarnation = sv.decode.incarnation()
+	return a
+}
+
+// Reserve implements life.Attempt. A baseline reserves only once the prompt was read.
+func (a *attempt) Reserve(ctx context.Context) (outcome.Outcome, bool) {
 	if !a.s.set.Policy.Reserve {
-		return a.runUnreserved(ctx)
+		return outcome.Outcome{}, true
 	}
-	out, ok := a.reserve(ctx)
-	if !ok {
-		return out
-	}
-	kv, out, ok := a.prefill(ctx)
-	if !ok {
-		return out
-	}
-	return a.answer(ctx, kv)
+	return a.reserve(ctx)
 }
 
-// runUnreserved is the baseline that prefills first and asks for a decode place
-// only when the KV cache is there.
-func (a *attempt) runUnreserved(ctx context.Context) outcome.Outcome {
-	kv, out, ok := a.prefill(ctx)
-	if !ok {
-		return out
-	}
-	if out, ok := a.reserve(ctx); !ok {
-		return out
+// Answer implements life.Attempt.
+func (a *attempt) Answer(ctx context.Context) outcome.Outcome {
+	if !a.s.set.Policy.Reserve {
+		if o, ok := a.reserve(ctx); !ok {
+			return o
+		}
 	}
-	return a.answer(ctx, kv)
+	return a.answer(ctx)
 }
 
 // ending describes the end of the attempt to the retry policy.
@@ -75,9 +69,10 @@
 	return endingAt(o, at, a.worked || a.started)
 }
 
-// release tells both sidecars that the attempt is over: what they still hold for
-// it is given up, and nothing of it needs to be kept or sent again.
-func (a *attempt) release() {
+// Release implements life.Attempt: it tells both sidecars that the attempt is over. What
+// they still hold for it is given up, and nothing of it needs to be kept or sent again.
+func (a *attempt) Release() {
+	defer a.decode.close()
 	_ = a.decode.send(cancelFrame(a.key))
 	if a.sv.prefill != nil {
 		_ = a.sv.prefill.send(cancelFrame(a.key))
@@ -111,7 +106,7 @@
 	if ref := f.GetRefused(); ref != nil {
 		return refused(ref), false
 	}
-	return outcome.Outcome{}, f.GetGranted() != nil
+	return outcome.Refuse(outcome.LinkDown, 0), f.GetGranted() != nil
 }
 
 // placeWait bounds how long the sidecar may keep the reservation waiting for a
@@ -123,45 +118,51 @@
 	return admission.DefaultMaxWait
 }
 
-// prefill returns the exported KV cache, or nil when the decode server prefills.
-func (a *attempt) prefill(ctx context.Context) (*wire.Prefilled, outcome.Outcome, bool) {
+// Prefill implements life.Attempt. The KV cache is exported, unless the decode server
+// reads the prompt.
+func (a *attempt) Prefill(ctx context.Context) (outcome.Outcome, bool) {
 	if a.sv.prefill == nil {
-		return nil, outcome.Outcome{}, true
+		return outcome.Outcome{}, true
 	}
 	fl := a.sv.prefill.open(a.key)
 	defer fl.close()
 	wait := a.s.set.Timing.Answer + 2*a.sv.prefilled
-	err := fl.send(&wire.EntryFrame{Body: &wire.EntryFrame_Prefill{Prefill: &wire.Prefill{
-		Ref:          a.key.Ref(),
-		Terms:        a.r.terms(),
-		Model:        a.r.model,
-		Prompt:       a.r.prompt + string(a.r.text),
-		PromptTokens: uint32(a.r.tokens),
-		MaxWaitMs:    uint32(wait.Milliseconds()),
-	}}})
 	a.fault = a.sv.prefill
-	if err != nil {
-		return nil, outcome.Refuse(outcome.LinkDown, 0), false
+	if err := fl.send(a.prefillFrame(wait)); err != nil {
+		return outcome.Refuse(outcome.LinkDown, 0), false
 	}
 	a.worked = true
 	ctx, cancel := context.WithTimeoutCause(ctx, 2*wait, errNoAnswer)
 	defer cancel()
 	f, err := fl.recv(ctx)
 	if err != nil {
-		return nil, notStarted(err), false
+		return notStarted(err), false
 	}
 	if ref := f.GetRefused(); ref != nil {
 		a.worked = false
-		return nil, refused(ref), false
+		return refused(ref), false
 	}
 	a.fault = nil
-	a.s.placer.prefilled(a.sv.prefill, a.r, int(f.GetPrefilled().GetCachedTokens()))
-	return f.GetPrefilled(), outcome.Outcome{}, f.GetPrefilled() != nil
+	a.kv = f.GetPrefilled()
+	a.s.placer.prefilled(a.sv.prefill, a.r, int(a.kv.GetCachedTokens()))
+	return outcome.Refuse(outcome.LinkDown, 0), a.kv != nil
+}
+
+// prefillFrame asks for the prompt to be read, with wait as the most that it may queue.
+func (a *attempt) prefillFrame(wait time.Duration) *wire.EntryFrame {
+	return &wire.EntryFrame{Body: &wire.EntryFrame_Prefill{Prefill: &wire.Prefill{
+		Ref:          a.key.Ref(),
+		Terms:        a.r.terms(),
+		Model:        a.r.model,
+		Prompt:       a.r.prompt + string(a.r.text),
+		PromptTokens: uint32(a.r.tokens),
+		MaxWaitMs:    uint32(wait.Milliseconds()),
+	}}}
 }
 
 // answer starts the decode and receives until the end.
-func (a *attempt) answer(ctx context.Context, kv *wire.Prefilled) outcome.Outcome {
-	if err := a.start(kv); err != nil {
+func (a *attempt) answer(ctx context.Context) outcome.Outcome {
+	if err := a.start(); err != nil {
 		return outcome.Refuse(outcome.LinkDown, 0)
 	}
 	a.started = true
@@ -184,90 +185,24 @@
 
 // start sends the start over the present link. One that broke before is of no
 // account: a sidecar that was restarted since refuses the start.
-func (a *attempt) start(kv *wire.Prefilled) error {
+func (a *attempt) start() error {
 	a.decode.forgetDown()
 	a.incarnation = a.sv.decode.incarnation()
 	return a.decode.send(&wire.EntryFrame{Body: &wire.EntryFrame_Start{Start: &wire.Start{
 		Ref:          a.key.Ref(),
 		Terms:        a.r.terms(),
 		Model:        a.r.model,
-		Handle:       kv.GetHandle(),
-		Source:       kv.GetSource(),
+		Handle:       a.kv.GetHandle(),
+		Source:       a.kv.GetSource(),
 		Prompt:       a.r.prompt,
 		PromptTokens: uint32(a.r.tokens),
 		MaxTokens:    uint32(a.r.max),
 		Position:     uint32(a.r.received),
 		Prior:        string(a.r.text),
-		KvBytes:      kv.GetKvBytes(),
+		KvBytes:      a.kv.GetKvBytes(),
 	}}})
 }
 
-// take handles one frame of the run; it reports whether the attempt ended.
-func (a *attempt) take(f *wire.SidecarFrame) (outcome.Outcome, bool) {
-	switch b := f.GetBody().(type) {
-	case *wire.SidecarFrame_Chunk:
-		return a.chunk(b.Chunk)
-	case *wire.SidecarFrame_Refused:
-		return a.ended(refused(b.Refused)), true
-	case *wire.SidecarFrame_Done:
-		return a.done(b.Done)
-	}
-	return outcome.Outcome{}, false
-}
-
-// chunk takes tokens in order; what was received before is dropped, and a gap is
-// fetched again.
-func (a *attempt) chunk(c *wire.Chunk) (outcome.Outcome, bool) {
-	pos := int(c.GetPosition())
-	if pos > a.r.received {
-		a.attach()
-		return outcome.Outcome{}, false
-	}
-	skip := a.r.received - pos
-	if skip >= len(c.GetTokens()) {
-		return outcome.Outcome{}, false
-	}
-	fresh := c.GetTokens()[skip:]
-	for _, t := range fresh {
-		a.r.text = append(a.r.text, t...)
-	}
-	a.r.received += len(fresh)
-	if err := a.r.out.tokens(fresh); err != nil {
-		return outcome.Fail(outcome.CallerGone, err.Error()), true
-	}
-	if a.r.received-a.acked >= wire.AckEvery {
-		a.ack()
-	}
-	return outcome.Outcome{}, false
-}
-
-func (a *attempt) ack() {
-	a.acked = a.r.received
-	_ = a.decode.send(&wire.EntryFrame{Body: &wire.EntryFrame_Ack{Ack: &wire.Ack{Ref: a.key.Ref(), Position: uint32(a.r.received)}}})
-}
-
-// done checks that the answer is whole before it is ended.
-func (a *attempt) done(d *wire.Done) (outcome.Outcome, bool) {
-	if int(d.GetTotal()) > a.r.received {
-		a.attach()
-		return outcome.Outcome{}, false
-	}
-	if int(d.GetTotal()) < a.r.received {
-		return outcome.Fail(outcome.AnswerIncomplete, "answer longer than its end says"), true
-	}
-	if a.sv.prefill == nil {
-		a.s.placer.prefilled(a.sv.decode, a.r, int(d.GetCachedTokens()))
-	}
-	if err := a.r.out.done(d); err != nil {
-		return outcome.Fail(outcome.CallerGone, err.Error()), true
-	}
-	return outcome.Outcome{Kind: outcome.Completed}, true
-}
-
-func (a *attempt) attach() {
-	_ = a.decode.send(&wire.EntryFrame{Body: &wire.EntryFrame_Attach{Attach: &wire.Attach{Ref: a.key.Ref(), Position: uint32(a.r.received)}}})
-}
-
 // reattach waits for the link and re-joins the run at the received position.
 func (a *attempt) reattach(ctx context.Context) (outcome.Outcome, bool) {
 	wait, cancel := context.WithTimeoutCause(ctx, a.patience(), errNoAnswer)
--- a/entry/request.go
+++ b/entry/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/life"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
@@ -67,22 +68,40 @@
 // execute runs r to its one end, over as many attempts as are allowed.
 func (s *Service) execute(ctx context.Context, r *request) outcome.Outcome {
 	t := s.retrier.tracker(r.customer, r.class.Unrepeatable, r.deadline)
-	for n := uint32(1); ; n++ {
-		sv, ok := s.placer.place(s.pool, r, t.next)
-		if !ok {
-			return t.conclude(outcome.Refuse(outcome.NoBackend, noBackendRetry))
-		}
-		a := &attempt{s: s, r: r, key: wire.Key{RequestID: r.id, Attempt: n}, sv: sv}
-		out := a.run(ctx)
-		final, again := t.ended(ctx, a.ending(out), sv.expected, r.received)
-		if !again {
-			return final
-		}
-		event.RequestRetried.Log(s.log).Str("request", r.id).Uint32("attempt", n).Str("outcome", out.String()).Msg("")
-		if o, ok := s.resolve(r); !ok {
-			return t.conclude(o)
+	return life.Run(ctx, &course{s: s, r: r, tracker: t})
+}
+
+// course is a request over all its attempts. It implements life.Request.
+type course struct {
+	s       *Service
+	r       *request
+	tracker *tracker
+	// attempts is the number of attempts that were placed.
+	attempts uint32
+}
+
+// Place implements life.Request. Before another attempt the contract is looked at again.
+func (c *course) Place(context.Context) (*attempt, outcome.Outcome, bool) {
+	if c.attempts > 0 {
+		if o, ok := c.s.resolve(c.r); !ok {
+			return nil, c.tracker.conclude(o), false
 		}
 	}
+	sv, ok := c.s.placer.place(c.s.pool, c.r, c.tracker.next)
+	if !ok {
+		return nil, c.tracker.conclude(outcome.Refuse(outcome.NoBackend, noBackendRetry)), false
+	}
+	c.attempts++
+	return newAttempt(c.s, c.r, c.attempts, sv), outcome.Outcome{}, true
+}
+
+// Ended implements life.Request.
+func (c *course) Ended(ctx context.Context, a *attempt, o outcome.Outcome) (outcome.Outcome, bool) {
+	final, again := c.tracker.ended(ctx, a.ending(o), a.sv.expected, c.r.received)
+	if again {
+		event.RequestRetried.Log(c.s.log).Str("request", c.r.id).Uint32("attempt", c.attempts).Str("outcome", o.String()).Msg("")
+	}
+	return final, again
 }
 
 // noBackendRetry is the retry-after when no server is known to serve the model.
