Requests that came back leave a quarter of an engine's memory free

A router's own line puts returners last, but where a router has only returners waiting they took what others lacked.

Change: kvmemory.Ask; a late request is placed only where a quarter of the engine's memory stays free (trunk reservation).

So some who came back are told so a second time.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -111,7 +111,7 @@
 		var id string
 		w := e.line.Next(func(w *waiting.Waiter) bool {
 			var ok bool
-			id, ok = e.memory.Pick(w.Need, e.zone, w.Exclude, now)
+			id, ok = e.memory.Pick(kvmemory.Ask{Need: w.Need, Late: w.Late, Zone: e.zone, Exclude: w.Exclude}, now)
 			return ok
 		}, passFor, now)
 		if w == nil {
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -7,6 +7,13 @@
 // waiting request costs calls and time, so a router keeps what it knows: what it
 // placed itself, what others told of theirs, and who refused what, a moment ago.
 //
+// Requests that were turned away come back late, when an answer is worth a fraction to
+// their callers. Each router lets them wait behind those that can be in time, but it does
+// not see who waits at the others: where one has only returners, they took the memory for
+// which others turned requests away, which made more returners. So a late request takes an
+// engine's memory only where room is left beside it (trunk reservation): in a lull there
+// is, at the height of a burst there isn't.
+//
 // A Pool is deterministic and takes the time from its caller. It is not safe for
 // concurrent use.
 package kvmemory
@@ -32,11 +39,14 @@
 	// HomeBonus is the most that chance counts, as a share of an engine's memory. It
 	// differs by router, so that routers whose views are equal choose differently.
 	HomeBonus float64
+	// LateSpare is the share of an engine's memory that stays free when a late request is
+	// placed there: about two requests of the usual size.
+	LateSpare float64
 }
 
 // DefaultConfig returns the values that were measured; see docs/MEASUREMENTS.md.
 func DefaultConfig() Config {
-	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, HomeBonus: 0.1}
+	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, HomeBonus: 0.1, LateSpare: 0.25}
 }
 
 // Server is a decode engine.
@@ -103,16 +113,28 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// Pick returns the engine to ask for room for need tokens, other than those excluded.
-// It returns false when none is thought to have it.
-func (p *Pool) Pick(need int, zone string, exclude []string, now time.Time) (string, bool) {
+// Ask is what a request asks of a pool.
+type Ask struct {
+	// Need is the memory that it needs, in tokens.
+	Need int
+	// Late is set when it can't be answered within its objective any more.
+	Late bool
+	// Zone is that of the router.
+	Zone string
+	// Exclude are engines that must not get the request.
+	Exclude []string
+}
+
+// Pick returns the engine to ask for room. It returns false when none is thought to have
+// it.
+func (p *Pool) Pick(a Ask, now time.Time) (string, bool) {
 	var best *server
 	var bestScore float64
 	for id, s := range p.servers {
-		if !s.fits(need, now) || slices.Contains(exclude, id) {
+		if !p.fits(s, a, now) || slices.Contains(a.Exclude, id) {
 			continue
 		}
-		score := p.score(s, zone)
+		score := p.score(s, a.Zone)
 		if best == nil || score > bestScore || (score == bestScore && id < best.ID) {
 			best, bestScore = s, score
 		}
@@ -125,14 +147,18 @@
 
 func (s *server) free() int { return s.Capacity - s.own - s.others }
 
-func (s *server) fits(need int, now time.Time) bool {
-	if !s.listed || s.free() < need {
+func (p *Pool) fits(s *server, a Ask, now time.Time) bool {
+	room := a.Need
+	if a.Late {
+		room += int(p.cfg.LateSpare * float64(s.Capacity))
+	}
+	if !s.listed || s.free() < room {
 		return false
 	}
 	if s.Slots > 0 && s.runs >= s.Slots {
 		return false
 	}
-	return need < s.refused || !now.Before(s.blocked)
+	return a.Need < s.refused || !now.Before(s.blocked)
 }
 
 func (p *Pool) score(s *server, zone string) float64 {
--- a/policy/kvmemory/kvmemory_test.go
+++ b/policy/kvmemory/kvmemory_test.go
@@ -31,7 +31,7 @@
 	p := pool("g", 2)
 	placed := map[string]int{}
 	for {
-		id, ok := p.Pick(6000, "z1", nil, start)
+		id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
 		if !ok {
 			break
 		}
@@ -40,7 +40,7 @@
 	}
 	assert.DeepEqual(t, placed, map[string]int{"a": 48_000, "b": 48_000})
 	p.Release("b", 6000)
-	id, ok := p.Pick(6000, "z1", nil, start)
+	id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "b")
 }
@@ -49,13 +49,13 @@
 	p := pool("g", 2)
 	p.SetOthers("a", 45_000)
 	p.SetOthers("b", 10_000)
-	id, ok := p.Pick(6000, "z1", nil, start)
+	id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "b", "although a is in the zone")
 	p.SetOthers("b", 45_000)
-	_, ok = p.Pick(6000, "z1", nil, start)
+	_, ok = p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
 	assert.Assert(t, !ok)
-	id, ok = p.Pick(5000, "z1", nil, start)
+	id, ok = p.Pick(kvmemory.Ask{Need: 5000, Zone: "z1"}, start)
 	assert.Assert(t, ok, "a smaller one fits")
 	assert.Equal(t, id, "a")
 }
@@ -63,7 +63,7 @@
 func TestZoneIsPreferredWhenUseIsAlike(t *testing.T) {
 	p := pool("g", 3)
 	for _, zone := range []string{"z1", "z2", "z3"} {
-		id, ok := p.Pick(6000, zone, nil, start)
+		id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: zone}, start)
 		assert.Assert(t, ok)
 		assert.Equal(t, zone, "z"+string(rune('1'+id[0]-'a')))
 	}
@@ -71,10 +71,10 @@
 
 func TestExcluded(t *testing.T) {
 	p := pool("g", 2)
-	id, ok := p.Pick(6000, "", []string{"a"}, start)
+	id, ok := p.Pick(kvmemory.Ask{Need: 6000, Exclude: []string{"a"}}, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "b")
-	_, ok = p.Pick(6000, "", []string{"a", "b"}, start)
+	_, ok = p.Pick(kvmemory.Ask{Need: 6000, Exclude: []string{"a", "b"}}, start)
 	assert.Assert(t, !ok)
 }
 
@@ -103,7 +103,7 @@
 			p.Take("a", 6000)
 			p.Refuse("a", 6000, start)
 			c.then(p)
-			_, ok := p.Pick(c.need, "", nil, c.at)
+			_, ok := p.Pick(kvmemory.Ask{Need: c.need}, c.at)
 			assert.Equal(t, ok, c.ok)
 		})
 	}
@@ -121,7 +121,7 @@
 		began := now
 		for {
 			now = now.Add(100 * time.Millisecond)
-			if _, ok := p.Pick(6000, "", nil, now); ok {
+			if _, ok := p.Pick(kvmemory.Ask{Need: 6000}, now); ok {
 				break
 			}
 		}
@@ -131,14 +131,14 @@
 	p.Worked("a")
 	p.Take("a", 6000)
 	p.Fail("a", 6000, now)
-	_, ok := p.Pick(6000, "", nil, now.Add(time.Second))
+	_, ok := p.Pick(kvmemory.Ask{Need: 6000}, now.Add(time.Second))
 	assert.Assert(t, ok, "after it worked the pause is short again")
 }
 
 func TestRoutersWithEqualViewsChooseDifferently(t *testing.T) {
 	chosen := map[string]bool{}
 	for _, seed := range []string{"g1", "g2", "g3", "g4", "g5", "g6"} {
-		id, ok := pool(seed, 12).Pick(6000, "nowhere", nil, start)
+		id, ok := pool(seed, 12).Pick(kvmemory.Ask{Need: 6000, Zone: "nowhere"}, start)
 		assert.Assert(t, ok)
 		chosen[id] = true
 	}
@@ -150,9 +150,28 @@
 	p.Take("a", 6000)
 	p.Sync(servers(2)[1:])
 	assert.Equal(t, p.OwnAt("a"), 6000)
-	_, ok := p.Pick(6000, "", []string{"b"}, start)
+	_, ok := p.Pick(kvmemory.Ask{Need: 6000, Exclude: []string{"b"}}, start)
 	assert.Assert(t, !ok, "a leaving engine gets nothing")
 	p.Release("a", 6000)
 	assert.Equal(t, p.OwnTotal(), 0)
 	assert.Equal(t, len(p.Own()), 0)
 }
+
+// TestLateLeavesRoom: one that is late takes only what would leave room beside it.
+func TestLateLeavesRoom(t *testing.T) {
+	for _, c := range []struct {
+		others int
+		late   bool
+		ok     bool
+	}{
+		{44_000, false, true},
+		{44_000, true, false},
+		{31_500, true, true},
+		{31_501, true, false},
+	} {
+		p := pool("g", 1)
+		p.SetOthers("a", c.others)
+		_, ok := p.Pick(kvmemory.Ask{Need: 6000, Late: c.late}, start)
+		assert.Equal(t, ok, c.ok, "%+v", c)
+	}
+}
