A sixth of the engines may change their stage at once

Cause: on the grown fleets six of 48 engines were ordered to generate within three seconds of the first burst, and no more, as an eighth at once was the bound; the burst began with 31 of the 37 that it needed. Ruled out: beginning sooner.

--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -43,7 +43,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Slack: 0.75, Most: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
-		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Pressed: 5 * time.Second, Over: 0.9, PerMove: 8,
+		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Pressed: 5 * time.Second, Over: 0.9, PerMove: 6,
 	}
 }
 
