A soak of gateways as processes: faults from seeds, judged by what clients and servers see

Found by seed 1: a time to come back was rounded to hundredths, and so could be more than the third of its time that a client honours (1.67 s of 5). Test seen failing: forward TestRetryAfterIsRoundedDown. Now it is cut. Seed 6 was the harness: a relay that swallows the end of a connection for good leaves a mute server at work.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test check proofs chaos demo compare capacity generate setup
+.PHONY: build test check proofs chaos soak demo compare capacity generate setup
 
 build:
 	go build -o bin/ ./cmd/...
@@ -26,6 +26,10 @@
 chaos: build
 	HIBISCUSSPUR_CHAOS=$(or $(FAULTS),200) HIBISCUSSPUR_SEED=$(or $(SEED),1) scripts/proofs.sh -run TestRandomFaults
 
+# Random faults over gateways as processes, drawn from seeds: make soak SEED=7 SEEDS=20 FAULTS=30
+soak: build
+	HIBISCUSSPUR_SOAK=$(or $(FAULTS),20) HIBISCUSSPUR_SEED=$(or $(SEED),1) HIBISCUSSPUR_SOAK_SEEDS=$(or $(SEEDS),1) scripts/proofs.sh -run 'TestSoak$$'
+
 demo: build
 	scripts/demo.sh
 
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -48,10 +48,15 @@
 // target is the request's path and query as the client sent them.
 func (j *job) target() string { return j.r.URL.RequestURI() }
 
+// retryUnit is the precision of the header; times are cut to it, since a client honours at
+// most a third of the time that it has left.
+const retryUnit = 10 * time.Millisecond
+
 // refuse answers that the request has not run and never will. After is when to come
 // back; it must only be called when nothing can have run.
 func (f *Forwarder) refuse(j *job, reason outcome.Reason, after time.Duration) {
 	if after > 0 {
+		after = after.Truncate(retryUnit)
 		j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	f.finish(j, http.StatusServiceUnavailable, outcome.NotRun, reason)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -347,3 +347,12 @@
 	w.fwd.SetOthers(map[string]int{"d1": 10_000, "d2": 10_000})
 	assert.Equal(t, w.post(t, "/draft/1").status, 503, "others have placed everything")
 }
+
+// TestRetryAfterIsRoundedDown: a client honours at most a third of the time that it has left.
+func TestRetryAfterIsRoundedDown(t *testing.T) {
+	w := engines(t)
+	w.servers["d1"].SetFull(true)
+	w.servers["d2"].SetFull(true)
+	got := w.post(t, "/draft/1", "Hibiscusspur-Tokens", "20000,10", "Hibiscusspur-Deadline-Ms", "5000")
+	assert.Equal(t, got.header.Get("Retry-After"), "1.66")
+}
--- a/proofs/process.go
+++ b/proofs/process.go
@@ -21,6 +21,8 @@
 	name string
 	args []string
 	log  string
+	// env is added to the environment.
+	env []string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -30,7 +32,13 @@
 // start runs a program of binDir and kills it at the end of the test.
 func start(t *testing.T, dir, name, program string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, args: append([]string{filepath.Join(binDir, program)}, args...), log: filepath.Join(dir, name+".log")}
+	return startWith(t, nil, dir, name, program, args...)
+}
+
+// startWith is start with additions to the environment.
+func startWith(t *testing.T, env []string, dir, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, env: env, args: append([]string{filepath.Join(binDir, program)}, args...), log: filepath.Join(dir, name+".log")}
 	p.restart()
 	t.Cleanup(func() {
 		p.kill()
@@ -50,6 +58,7 @@
 	}
 	cmd := exec.Command(p.args[0], p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), p.env...)
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/proofs/relay.go
+++ b/proofs/relay.go
@@ -152,6 +152,20 @@
 		_ = p.server.Close()
 	}
 }
+
+// cutSilent closes the connections that were silenced for good, as a network does that is
+// well again.
+func (r *relay) cutSilent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		if p.upSilent.Load() || p.downSilent.Load() {
+			_ = p.client.Close()
+			_ = p.server.Close()
+		}
+	}
+}
+
 func (r *relay) unblock() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Runs the process-level tests against the built programs and prints one line per
-# row of the table; the output of rows that failed follows. Arguments are passed
+# row of the table, or a seed of random faults; the output of those that failed comes first. Arguments are passed
 # on to go test, such as -run TestMemoryIsFreed.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -10,4 +10,5 @@
 code=$?
 [ $code = 0 ] || grep -vE '^(point|=== )' "$out"
 grep -E '^point' "$out" | sort -k2n
+grep -oE 'seed [0-9]+: [0-9]+ faults.*' "$out"
 exit $code
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -48,6 +49,8 @@
 	LastEvent string
 	Header    http.Header
 	Body      string
+	// Refused is set when the server did not run the request.
+	Refused bool
 }
 
 // Kinds of calls.
@@ -68,14 +71,25 @@
 	calls []Call
 	left  []Call
 	wake  chan struct{}
+	watch func(Call)
 }
 
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{wake: make(chan struct{})} }
 
+// Watch has f called with each call from now on, in order.
+func (l *Log) Watch(f func(Call)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch = f
+}
+
 func (l *Log) add(list *[]Call, c Call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.watch != nil && list == &l.calls {
+		l.watch(c)
+	}
 	*list = append(*list, c)
 	close(l.wake)
 	l.wake = make(chan struct{})
@@ -127,6 +141,8 @@
 	ID  string
 	log *Log
 
+	active atomic.Int64
+
 	mu   sync.Mutex
 	next []Behaviour
 	then Behaviour
@@ -244,18 +260,27 @@
 	case r.Header.Get("Hibiscusspur-Tokens") != "":
 		c.Kind = Decode
 	}
-	s.log.add(&s.log.calls, c)
 	w.Header().Set("Hibiscusspur-Request-Id", c.ID)
 	if want := r.Header.Get("Hibiscusspur-Expect-Instance"); want != "" && want != s.ID {
+		c.Refused = true
+		s.log.add(&s.log.calls, c)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	s.answer(w, r, c, s.behaviour())
+	b := s.behaviour()
+	c.Refused = b == Shed || b == LostKV && c.KVFrom != ""
+	s.log.add(&s.log.calls, c)
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	s.answer(w, r, c, b)
 }
 
+// Active is the number of requests that the server works on.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, c Call, b Behaviour) {
 	switch {
-	case b == Shed, b == LostKV && c.KVFrom != "":
+	case c.Refused:
 		w.Header().Set("Hibiscusspur-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
