--- a/forward/call.go
+++ b/forward/call.go
@@ -70,7 +70,7 @@
 // Answer implements life.Attempt.
 func (a *callAttempt) Answer(ctx context.Context) outcome.Outcome {
 	f, j := a.c.f, a.c.j
-	got, err := f.attempt(ctx, j, a.server)
+	got, err := f.ask(ctx, j, a.server)
 	if err == nil && got.head.Status < http.StatusInternalServerError {
 		return f.pass(j, got)
 	}
@@ -100,9 +100,9 @@
 	}
 }
 
-// attempt sends the request to one server and reads its whole answer. A server that
+// ask sends the request to one server and reads its whole answer. A server that
 // proves that it did not run the request yields errNotRun.
-func (f *Forwarder) attempt(ctx context.Context, j *job, s registry.Server) (*answer, error) {
+func (f *Forwarder) ask(ctx context.Context, j *job, s registry.Server) (*answer, error) {
 	start := time.Now()
 	if f.mayHedge(j) {
 		var cancel context.CancelFunc
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -17,7 +17,7 @@
 // generated. So no prompt is read for which there is no room.
 type stream struct {
 	course
-	// last is the last event that the client has.
+	// lastEvent is the last event that the client has.
 	lastEvent string
 	// waiter is the request's turn in the line for memory; nil before it first waits.
 	waiter *waiting.Waiter
--- a/policy/waiting/waiting.go
+++ b/policy/waiting/waiting.go
@@ -96,12 +96,3 @@
 
 // Len is the number of waiting requests.
 func (l *Line) Len() int { return len(l.waiters) }
-
-// Need is the memory that all waiting requests need, in tokens.
-func (l *Line) Need() int {
-	sum := 0
-	for _, w := range l.waiters {
-		sum += w.Need
-	}
-	return sum
-}
--- a/policy/waiting/waiting_test.go
+++ b/policy/waiting/waiting_test.go
@@ -51,7 +51,7 @@
 	var l waiting.Line
 	w := &waiting.Waiter{Need: 7}
 	l.Add(w)
-	assert.Equal(t, l.Need(), 7)
+	assert.Equal(t, l.Ahead(w), 7)
 	assert.Assert(t, l.Remove(w))
 	assert.Assert(t, !l.Remove(w))
 	assert.Equal(t, l.Len(), 0)
