The registry's model has old heartbeats too

As first committed it passed with the memory of servers that have left taken out, against what its note says: the store of the model never forgot that the server leaves. An old heartbeat that lists it as ready again now does, and the model fails without that memory.

--- a/registry/model_test.go
+++ b/registry/model_test.go
@@ -74,7 +74,7 @@
 }{
 	{"leaves", func(m *model) { m.leaving, m.version = true, m.version+1 }},
 	{"entry goes", func(m *model) { m.listed, m.version = false, m.version+1 }},
-	{"entry is back", func(m *model) { m.listed, m.version = true, m.version+1 }},
+	{"an old heartbeat brings the entry back", func(m *model) { m.listed, m.leaving, m.version = true, false, m.version+1 }},
 	{"reader reads", func(m *model) { m.apply(0, m.store()) }},
 	{"hearer reads", func(m *model) { m.apply(1, m.store()) }},
 	{"answer is kept back", func(m *model) { m.kept = m.store() }},
