A stream that broke waits for room at another engine for a second

Cause: found by reading what the end of the repeated looks at the line (see "One life of a request") means for a stream that breaks midway: the time until which it could begin in time has passed by then, so it got one look at the engines, and was lost when none had room. Before, it got looks until the repeats of its service were spent.

Test seen failing: forward TestResumedOnceThereIsRoom. Terms: waiting TestAgain.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -133,6 +133,8 @@
 func (w *world) add(t *testing.T, id, service string, stage registry.Stage) *site.Server {
 	s := site.NewServer(t, id, w.log)
 	w.servers[id] = s
+	w.view.mu.Lock()
+	defer w.view.mu.Unlock()
 	zone := "z1"
 	if len(w.view.servers) > 0 && stage == registry.Whole {
 		zone = "z2"
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
@@ -46,12 +47,18 @@
 }
 
 // Ended implements life.Request. An engine that grants nothing costs no repeat, since
-// nothing of the request was sent to it.
+// nothing of the request was sent to it. After a run that broke the stream waits for room
+// anew.
 func (r *stream) Ended(ctx context.Context, a *streamAttempt, o outcome.Outcome) (outcome.Outcome, bool) {
 	if !a.granted && ctx.Err() == nil {
 		return outcome.Outcome{}, true
 	}
-	return r.ended(ctx, o)
+	final, again := r.ended(ctx, o)
+	if again {
+		terms := r.f.service(r.j.service).engines.terms
+		r.waiter.Until = terms.Again(r.waiter.Until, time.Now(), r.j.deadline)
+	}
+	return final, again
 }
 
 // Prefill implements life.Attempt.
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -130,3 +130,21 @@
 	assert.Equal(t, w.met.Counter(metrics.RetriedPrefix+string(outcome.EngineLost)).Count(), int64(1))
 	assert.Equal(t, w.met.Counter(metrics.RetriedPrefix+string(outcome.NoPlace)).Count(), int64(0))
 }
+
+// TestResumedOnceThereIsRoom: a stream that breaks when no other engine has room waits for
+// it a moment, although the time in which it could begin in time has passed.
+func TestResumedOnceThereIsRoom(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "d1", "llm", registry.Decode)
+	w.servers["d1"].Behave(site.Silent)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/resume/1") }()
+	w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Decode })
+	w.add(t, "d2", "llm", registry.Decode)
+	w.servers["d2"].SetFull(true)
+	w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Hold && c.Server == "d2" })
+	w.servers["d2"].SetFull(false)
+	got := <-done
+	assert.Equal(t, got.body, whole)
+	assert.Assert(t, !got.cut)
+}
--- a/policy/waiting/patience.go
+++ b/policy/waiting/patience.go
@@ -9,6 +9,9 @@
 	ReadPerToken, Overhead time.Duration
 	// LateWait is how long a request that came back waits.
 	LateWait time.Duration
+	// AgainWait is how long a request waits for room once its run has broken: clients leave
+	// after a pause of 3.6 s, of which a silent engine has taken 1.5 s already.
+	AgainWait time.Duration
 	// Doubt is by how much the expected wait has to exceed what a request can wait before
 	// it is turned away at once: the rate at which memory is freed for one router is
 	// known roughly.
@@ -25,6 +28,7 @@
 		ReadPerToken: 36 * time.Microsecond,
 		Overhead:     120 * time.Millisecond,
 		LateWait:     3 * time.Second,
+		AgainWait:    time.Second,
 		Doubt:        1.5,
 		BackMin:      3500 * time.Millisecond,
 		BackMax:      4600 * time.Millisecond,
@@ -40,6 +44,18 @@
 	return arrived.Add(max(objective-t.Overhead-time.Duration(prompt)*t.ReadPerToken, 0))
 }
 
+// Again is when a request whose run has broken gives up waiting for another engine; until is
+// when it would have given up before.
+func (t Terms) Again(until, now, deadline time.Time) time.Time {
+	if again := now.Add(t.AgainWait); again.After(until) {
+		until = again
+	}
+	if until.After(deadline) {
+		return deadline
+	}
+	return until
+}
+
 // Hopeless reports whether a request need not wait at all: by the rate at which memory is
 // freed, in tokens per second, those before it alone take far longer than it can wait. A
 // rate of zero means that it is not known.
--- a/policy/waiting/waiting_test.go
+++ b/policy/waiting/waiting_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+func TestAgain(t *testing.T) {
+	terms := waiting.DefaultTerms()
+	for _, c := range []struct{ until, now, deadline, want int }{
+		{600, 3000, 14_000, 4000},
+		{600, 100, 14_000, 1100},
+		{5000, 3000, 14_000, 5000},
+		{600, 13_500, 14_000, 14_000},
+	} {
+		assert.Equal(t, terms.Again(ms(c.until), ms(c.now), ms(c.deadline)), ms(c.want), "%+v", c)
+	}
+}
+
 func TestComeBack(t *testing.T) {
 	terms := waiting.DefaultTerms()
 	assert.Equal(t, terms.ComeBack(14*time.Second, 0), terms.BackMin)
