The soak notices a gateway that ignores servers that leave

Tried on gateways that were broken on purpose: repeats of what may run once, and refusals of what has run, were noticed at once; servers that leave were not, as the run ended before the bound, and the server that was drawn got no requests at that load. Clients now go on for the bound after the last fault, and the server asked last is the one that leaves or is replaced.

--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -27,16 +28,19 @@
 const (
 	soakGateways = 3
 	soakClients  = 10
+	// soakTail is how long clients go on after the last fault, so that what it may break by
+	// the bounds shows.
+	soakTail = 2*time.Second + longestFault
 	// soakRecover is how long after the last fault every gateway has to serve each kind of
 	// request, and servers to be at rest.
 	soakRecover = 12 * time.Second
 )
 
-// soakBounds are the users' bounds, and the longest faults that may hold meanwhile.
+// soakBounds are the users' bounds, and the longest fault that may hold meanwhile.
 func soakBounds() invariant.Bounds {
 	b := invariant.DefaultBounds()
-	b.Leaving = 2*time.Second + 2*longestFault
-	b.Revision = 2*time.Second + 2*longestFault
+	b.Leaving = 2*time.Second + longestFault
+	b.Revision = 2*time.Second + longestFault
 	return b
 }
 
@@ -78,6 +82,7 @@
 	}
 	x.run(n, x.kinds())
 	c.store.Set(site.Well)
+	time.Sleep(soakTail)
 	w.recovers(soakRecover)
 	close(stop)
 	clients.Wait()
@@ -211,7 +216,7 @@
 
 // replace ends a server without a word; its entry goes later, and another one starts.
 func (x *soaker) replace(i int) (string, func()) {
-	s := x.server(i)
+	s := x.lastAsked(x.server(i).stage)
 	if !x.take(s.ID) {
 		return "", nil
 	}
@@ -224,9 +229,23 @@
 	}
 }
 
+// lastAsked is the server that was asked last among those of one stage: at low load gateways
+// send most to the same ones, and the end of another would change nothing.
+func (x *soaker) lastAsked(stage registry.Stage) *siteServer {
+	calls, all := x.c.log.Calls(), x.c.all()
+	for _, call := range slices.Backward(calls) {
+		for _, s := range all {
+			if s.ID == call.Server && s.stage == stage {
+				return s
+			}
+		}
+	}
+	return all[0]
+}
+
 // leave has a server say that it leaves; it serves on, and another one starts.
 func (x *soaker) leave(i int) (string, func()) {
-	s := x.server(i)
+	s := x.lastAsked(x.server(i).stage)
 	if !x.take(s.ID) {
 		return "", nil
 	}
