An equal list of servers is handed over once

Two gateways read the list of servers at different versions of the store; who had the list under the older version was handed the equal one at every exchange, for ever, as an equal list left its own version as it was.

An equal list that is told takes its version over.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -119,17 +119,15 @@
 			continue
 		}
 		s.view.noteRead(time.Now())
-		s.takeServers(version, list, "store")
+		if s.view.applyServers(version, list, time.Now()) {
+			s.serversChanged(version, list, "store")
+		}
 		pause(ctx, jitter(serversInterval))
 	}
 }
 
-// takeServers takes a list of servers unless a newer one is known, and has the other
-// gateways told of a change.
-func (s *Service) takeServers(version int64, list []registry.Server, from string) {
-	if !s.view.applyServers(version, list, time.Now()) {
-		return
-	}
+// serversChanged has the other gateways told of a change of the list of servers.
+func (s *Service) serversChanged(version int64, list []registry.Server, from string) {
 	s.peers.Announce()
 	event.ServersChanged.Log(s.log).Int64("version", version).Int("servers", len(list)).Str("from", from).Msg("")
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -187,7 +187,9 @@
 		}
 	}
 	if r.GetServersTold() {
-		s.takeServers(r.GetServersVersion(), decodeServers(r.GetServers()), from)
+		if list := decodeServers(r.GetServers()); s.view.toldServers(r.GetServersVersion(), list, now) {
+			s.serversChanged(r.GetServersVersion(), list, from)
+		}
 	}
 	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
 	for _, w := range r.GetSwitches() {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -215,6 +215,17 @@
 	return true
 }
 
+// toldServers takes a list that another gateway told, and reports whether it changed
+// anything. An equal list of a newer version takes that version over, so that it is known
+// here for what the other calls it, and not handed over again.
+func (v *view) toldServers(version int64, list []registry.Server, now time.Time) bool {
+	changed := v.applyServers(version, list, now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.changed = max(v.changed, version)
+	return changed
+}
+
 // noteRead notes that this process read the list from the store.
 func (v *view) noteRead(now time.Time) {
 	v.mu.Lock()
