Gateways tell what has changed in the list of servers, and eight members a report

Cause: each change of the list went whole, some 65 kB at a thousand servers, from all gateways to all, as each found itself newer than the others; and every report, forty a second, named all other gateways.

A report names eight members in turn.

Tests: gateway TestChangesAreTold, peer TestReportNamesFew.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,7 +8,6 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -120,15 +119,16 @@
 		}
 		s.view.noteRead(time.Now())
 		if s.view.applyServers(version, list, time.Now()) {
-			s.serversChanged(version, list, "store")
+			s.serversChanged(version, "store")
 		}
 		pause(ctx, jitter(serversInterval))
 	}
 }
 
 // serversChanged has the other gateways told of a change of the list of servers.
-func (s *Service) serversChanged(version int64, list []registry.Server, from string) {
+func (s *Service) serversChanged(version int64, from string) {
 	s.peers.Announce()
+	list, _ := s.view.list()
 	event.ServersChanged.Log(s.log).Int64("version", version).Int("servers", len(list)).Str("from", from).Msg("")
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -152,13 +152,11 @@
 			r.Table = e.data
 		}
 	}
-	var list []registry.Server
-	r.ServersVersion, list, r.ServersTold = s.view.serversSince(servers)
-	for _, v := range list {
-		r.Servers = append(r.Servers, &peer.Server{
-			Id: v.ID, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
-			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving,
-		})
+	changed, told := s.view.serversSince(servers)
+	r.ServersVersion = changed
+	if told != nil {
+		r.ServersTold, r.ServersBase, r.RemovedServers = true, told.base, told.removed
+		r.Servers = encodeServers(told.servers)
 	}
 	r.ReadAgeMs = uint32(s.view.readAge(time.Now()).Milliseconds())
 	r.Shares = sharesOf(s.fwd.Placed())
@@ -187,8 +185,12 @@
 		}
 	}
 	if r.GetServersTold() {
-		if list := decodeServers(r.GetServers()); s.view.toldServers(r.GetServersVersion(), list, now) {
-			s.serversChanged(r.GetServersVersion(), list, from)
+		told := serversTold{
+			base: r.GetServersBase(), version: r.GetServersVersion(),
+			servers: decodeServers(r.GetServers()), removed: r.GetRemovedServers(),
+		}
+		if s.view.toldServers(told, now) {
+			s.serversChanged(told.version, from)
 		}
 	}
 	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
@@ -233,6 +235,17 @@
 	return out
 }
 
+func encodeServers(list []registry.Server) []*peer.Server {
+	out := make([]*peer.Server, 0, len(list))
+	for _, v := range list {
+		out = append(out, &peer.Server{
+			Id: v.ID, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
+			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving,
+		})
+	}
+	return out
+}
+
 func decodeServers(list []*peer.Server) []registry.Server {
 	out := make([]registry.Server, 0, len(list))
 	for _, v := range list {
--- a/gateway/table_test.go
+++ b/gateway/table_test.go
@@ -41,14 +41,51 @@
 	assert.Assert(t, first.applyServers(100, list, now))
 	assert.Assert(t, second.applyServers(103, list, now))
 
-	version, told, newer := second.serversSince(100)
-	assert.Assert(t, newer)
-	assert.Assert(t, !first.toldServers(version, told, now), "nothing has changed")
-	known, _, _ := first.serversSince(0)
-	_, _, newer = second.serversSince(known)
-	assert.Assert(t, !newer, "the list is known by then")
+	_, told := second.serversSince(100)
+	assert.Assert(t, told != nil)
+	assert.Assert(t, !first.toldServers(*told, now), "nothing has changed")
+	known, _ := first.serversSince(0)
+	_, told = second.serversSince(known)
+	assert.Assert(t, told == nil, "the list is known by then")
 
 	assert.Assert(t, !second.applyServers(110, list, now))
-	_, _, newer = second.serversSince(known)
-	assert.Assert(t, !newer, "reading the same once more is no news")
+	_, told = second.serversSince(known)
+	assert.Assert(t, told == nil, "reading the same once more is no news")
+}
+
+// TestChangesAreTold: a gateway that has the list of an earlier version is told what has
+// changed, one that has another list or none the whole.
+func TestChangesAreTold(t *testing.T) {
+	server := func(id, zone string) registry.Server {
+		return registry.Server{ID: id, Service: "s", Addr: "10.0.0.1:80", Zone: zone}
+	}
+	a, b, c := server("a", "z1"), server("b", "z1"), server("c", "z1")
+	moved := server("b", "z2")
+	now := time.Now()
+	reader, hearer := newView(), newView()
+	reader.applyServers(100, []registry.Server{a, b}, now)
+	_, told := reader.serversSince(0)
+	assert.Equal(t, told.base, int64(0))
+	assert.Assert(t, hearer.toldServers(*told, now))
+
+	reader.applyServers(200, []registry.Server{a, b, c}, now)
+	reader.applyServers(300, []registry.Server{moved, c}, now)
+	_, told = reader.serversSince(100)
+	assert.DeepEqual(t, told.servers, []registry.Server{moved, c})
+	assert.DeepEqual(t, told.removed, []string{"a"})
+
+	stranger := newView()
+	stranger.applyServers(150, []registry.Server{a}, now)
+	assert.Assert(t, !stranger.toldServers(*told, now), "changes to a list that it does not have")
+	assert.Assert(t, hearer.toldServers(*told, now))
+	assert.DeepEqual(t, hearer.registry.List(), []registry.Server{moved, c})
+	assert.Assert(t, !hearer.toldServers(*told, now), "told twice")
+
+	_, told = reader.serversSince(150)
+	assert.Equal(t, told.base, int64(0), "the whole list")
+	assert.Assert(t, stranger.toldServers(*told, now))
+	assert.DeepEqual(t, stranger.registry.List(), []registry.Server{moved, c})
+
+	_, told = hearer.serversSince(100)
+	assert.Equal(t, told.base, int64(100), "who has heard tells changes as well")
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -29,9 +29,10 @@
 	down map[string]time.Time
 	// listed is set once a list of servers is known.
 	listed bool
-	// changed is the version of the store at which the list last changed, and read when
-	// this process last read it itself.
+	// changed is the version of the store at which the list last changed, steps how it came
+	// there, and read when this process last read it itself.
 	changed int64
+	steps   changes
 	read    time.Time
 }
 
@@ -209,23 +210,45 @@
 	if v.listed && equal(before, after) {
 		return false
 	}
+	if v.listed {
+		v.steps.add(v.changed, version, before, after)
+	}
 	v.listed = true
 	v.changed = version
 	clear(v.usable)
 	return true
 }
 
-// toldServers takes a list that another gateway told, and reports whether it changed
-// anything. An equal list of a newer version takes that version over, so that it is known
-// here for what the other calls it, and not handed over again.
-func (v *view) toldServers(version int64, list []registry.Server, now time.Time) bool {
-	changed := v.applyServers(version, list, now)
+// toldServers takes what another gateway told, and reports whether it changed anything.
+// Changes to a list that is not the one known here are of no use: the whole list follows
+// once the other has heard which version is. An equal list of a newer version takes that
+// version over, so that it is known here for what the other calls it, and not told again.
+func (v *view) toldServers(told serversTold, now time.Time) bool {
+	list := told.servers
+	if told.base != 0 {
+		known, version := v.list()
+		if version != told.base {
+			return false
+		}
+		list = told.over(known)
+	}
+	changed := v.applyServers(told.version, list, now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.changed = max(v.changed, version)
+	if told.version > v.changed {
+		v.steps.add(v.changed, told.version, nil, nil)
+		v.changed = told.version
+	}
 	return changed
 }
 
+// list is the list of servers and the version at which it last changed.
+func (v *view) list() ([]registry.Server, int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.List(), v.changed
+}
+
 // noteRead notes that this process read the list from the store.
 func (v *view) noteRead(now time.Time) {
 	v.mu.Lock()
@@ -245,15 +268,18 @@
 	return true
 }
 
-// serversSince returns the version at which the list changed, and the list if it is newer
-// than version.
-func (v *view) serversSince(version int64) (changed int64, list []registry.Server, newer bool) {
+// serversSince returns the version at which the list changed, and what to tell a gateway
+// that has the list of another version; nothing if that is as new.
+func (v *view) serversSince(version int64) (changed int64, told *serversTold) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.listed || v.changed <= version {
-		return v.changed, nil, false
+		return v.changed, nil
+	}
+	if t, ok := v.steps.since(version); ok {
+		return v.changed, &t
 	}
-	return v.changed, v.registry.List(), true
+	return v.changed, &serversTold{version: v.changed, servers: v.registry.List()}
 }
 
 // readAge is how long ago this process read the list from the store.
--- a/peer/members.go
+++ b/peer/members.go
@@ -13,7 +13,9 @@
 // Members are the gateways that are thought to live. It is a pure state machine and not
 // safe for concurrent use. Gateways are known by the address at which they listen.
 type Members struct {
-	self  string
+	self string
+	// next is where the next report begins in the list of live gateways.
+	next  int
 	heard map[string]time.Time
 	// left holds when a gateway said that it leaves, so that hearsay does not bring it back.
 	left map[string]time.Time
@@ -60,9 +62,20 @@
 	return slices.Sorted(maps.Keys(m.heard))
 }
 
-// Report returns the live gateways with the time since each was heard.
+// membersTold is the number of gateways that one report names. A gateway exchanges some forty
+// reports a second, so that each of a hundred is named several times a second; all of them
+// in each report would make most of its bytes.
+const membersTold = 8
+
+// Report returns live gateways, at most membersTold of them in turn, with the time since
+// each was heard.
 func (m *Members) Report(now time.Time) []*Member {
 	live := m.Live(now)
+	if len(live) > membersTold {
+		from := m.next % len(live)
+		m.next = from + membersTold
+		live = append(live[from:], live[:from]...)[:membersTold]
+	}
 	out := make([]*Member, 0, len(live))
 	for _, addr := range live {
 		out = append(out, &Member{Addr: addr, AgeMs: uint32(now.Sub(m.heard[addr]).Milliseconds())})
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,20 @@
 	m.Heard("a", at(2))
 	assert.Equal(t, live(m, 2), "a", "it is back")
 }
+
+// TestReportNamesFew: at many gateways one report names some of them, and some reports all.
+func TestReportNamesFew(t *testing.T) {
+	m := NewMembers("self")
+	for i := range 100 {
+		m.Heard(fmt.Sprint("gateway-", i), at(0))
+	}
+	named := map[string]bool{}
+	for range 13 {
+		report := m.Report(at(1))
+		assert.Equal(t, len(report), membersTold)
+		for _, told := range report {
+			named[told.GetAddr()] = true
+		}
+	}
+	assert.Equal(t, len(named), 100)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -310,7 +310,8 @@
 		return false, err
 	}
 	s.take(in)
-	sentTable, sentServers := out.GetTable() != nil, out.GetServersTold()
+	// Changes are of use only to a peer that has the version before them.
+	sentTable, sentServers := out.GetTable() != nil, out.GetServersTold() && out.GetServersBase() == 0
 	l.table, l.servers = in.GetTableVersion(), in.GetServersVersion()
 	behind := out.GetTableVersion() > l.table && !sentTable || out.GetServersVersion() > l.servers && !sentServers
 	l.again = behind && !l.again
