Placements count as long as reports take to come round

Cause: reports of one gateway come every 0.2 s x peers / 8, 2.4 s at 98 gateways, and what it had placed was dropped after 1.5 s without one. Datagrams renew it, but only where something changes.

Test: gateway TestPlacedLivesAsLongAsReportsTake; 1.5 s as before up to some 20 gateways.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -212,7 +212,7 @@
 		live := s.peers.Count()
 		s.view.others.Store(int64(live - 1))
 		s.view.routers.Store(int64(max(live, len(s.set.Seeds))))
-		s.fwd.SetOthers(s.placed.refresh(time.Now()))
+		s.fwd.SetOthers(s.placed.refresh(s.peers.Pace(), time.Now()))
 		addrs, ids := s.view.known()
 		s.pool.Sweep(func(addr string) bool { return addrs[addr] })
 		s.fwd.Forget(func(id string) bool { return ids[id] })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -20,8 +20,11 @@
 const tableAge = 500 * time.Millisecond
 
 // placedLife is how long what a gateway told of its placement counts after it was last
-// heard: several exchanges.
-const placedLife = 1500 * time.Millisecond
+// heard, at least; with many gateways it is as long as placedPaces exchanges take.
+const (
+	placedLife  = 1500 * time.Millisecond
+	placedPaces = 3
+)
 
 // placed is what the other gateways placed. It is safe for concurrent use.
 type placed struct {
@@ -33,6 +36,8 @@
 	totals map[string]int
 	// refreshed is when all totals were last handed on.
 	refreshed time.Time
+	// life is how long a report counts.
+	life time.Duration
 }
 
 type placedReport struct {
@@ -46,7 +51,7 @@
 }
 
 func newPlaced() *placed {
-	return &placed{reports: map[string]placedReport{}, totals: map[string]int{}}
+	return &placed{reports: map[string]placedReport{}, totals: map[string]int{}, life: placedLife}
 }
 
 // refreshInterval is the interval at which all totals are handed on and not just those that
@@ -80,11 +85,13 @@
 	return changed
 }
 
-// refresh drops what is too old, and returns all totals and those that fell to zero. It is
-// for gateways that hear no other one any more.
-func (p *placed) refresh(now time.Time) map[string]int {
+// refresh drops what is too old when exchanges with one gateway come at that pace, and
+// returns all totals and those that fell to zero. It is also for gateways that hear no other
+// one any more.
+func (p *placed) refresh(pace time.Duration, now time.Time) map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.life = max(placedLife, placedPaces*pace)
 	changed := map[string]int{}
 	p.expire(now, changed)
 	maps.Copy(changed, p.totals)
@@ -105,7 +112,7 @@
 // expire drops reports that are too old. The caller holds mu.
 func (p *placed) expire(now time.Time, changed map[string]int) {
 	for addr, r := range p.reports {
-		if now.Sub(r.at) >= placedLife {
+		if now.Sub(r.at) >= p.life {
 			p.count(r.tokens, -1, changed)
 			delete(p.reports, addr)
 		}
--- a/gateway/placed_test.go
+++ b/gateway/placed_test.go
@@ -39,7 +39,7 @@
 	assert.Assert(t, p.change(told(1, 4, 400), start) == nil, "a datagram of the old process")
 	p.change(told(2, 1, 50), start)
 	assert.Equal(t, placed(), 50)
-	assert.DeepEqual(t, p.refresh(start.Add(placedLife)), map[string]int{"i-1": 0})
+	assert.DeepEqual(t, p.refresh(0, start.Add(placedLife)), map[string]int{"i-1": 0})
 	assert.Equal(t, placed(), 0, "silent for too long")
 }
 
@@ -54,3 +54,12 @@
 	gone := &peer.Report{Addr: "c", Incarnation: 2}
 	assert.DeepEqual(t, p.take(gone, start.Add(refreshInterval)), map[string]int{"i-2": 0})
 }
+
+// TestPlacedLivesAsLongAsReportsTake: before a hundred gateways each is heard every 2.4 s.
+func TestPlacedLivesAsLongAsReportsTake(t *testing.T) {
+	p := newPlaced()
+	p.take(report(1, 1, 100), start)
+	const pace = 2400 * time.Millisecond
+	assert.DeepEqual(t, p.refresh(pace, start.Add(pace)), map[string]int{"i-1": 100})
+	assert.DeepEqual(t, p.refresh(pace, start.Add(placedPaces*pace)), map[string]int{"i-1": 0})
+}
--- a/gateway/size_bench_test.go
+++ b/gateway/size_bench_test.go
@@ -38,7 +38,7 @@
 	})
 	b.Run("refresh", func(b *testing.B) {
 		for b.Loop() {
-			p.refresh(now)
+			p.refresh(time.Second, now)
 		}
 	})
 	b.Run("known", func(b *testing.B) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -259,7 +259,7 @@
 	kicked := false
 	for ctx.Err() == nil {
 		if !kicked && s.covered(l.addr) {
-			kicked = s.wait(ctx, s.pace())
+			kicked = s.wait(ctx, s.Pace())
 			continue
 		}
 		again, err := s.exchange(ctx, l)
@@ -272,7 +272,7 @@
 			l.hangUp()
 			kicked = s.wait(ctx, redial)
 		case !again:
-			kicked = s.wait(ctx, s.pace())
+			kicked = s.wait(ctx, s.Pace())
 		}
 	}
 }
@@ -283,7 +283,7 @@
 	if addr > s.self {
 		return false
 	}
-	pace := s.pace()
+	pace := s.Pace()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return time.Since(s.asked[addr]) < coveredFor*pace
@@ -338,8 +338,9 @@
 	l.conn = nil
 }
 
-// pace is the pause between two exchanges with one peer.
-func (s *Service) pace() time.Duration {
+// Pace is the pause between two exchanges with one peer: it grows with their number, so that
+// a gateway makes as many exchanges a second before a hundred peers as before eight.
+func (s *Service) Pace() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return interval * time.Duration(max(len(s.links), fewPeers)) / fewPeers
