--- a/proofs/site.go
+++ b/proofs/site.go
@@ -105,12 +105,7 @@
 		s.service, s.relay.addr, state, stage))
 }
 
-// unlist removes a server from the store and from those that are drawn for faults.
-func (c *siteCluster) unlist(s *siteServer) {
-	c.store.Put("servers", s.ID, nil)
-	c.retire(s)
-}
-
+// retire takes a server from those that are drawn for faults.
 func (c *siteCluster) retire(s *siteServer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
