--- a/gateway/placed.go
+++ b/gateway/placed.go
@@ -21,7 +21,7 @@
 	reports map[string]placedReport
 	// totals is the sum over all reports, by engine. It is kept up to date with each report:
 	// at a hundred gateways some eighty reports a second come in, and summing up all of them
-	// anew for each took a tenth of a small VM.
+	// anew for each took half of a small VM's processor.
 	totals map[string]int
 	// refreshed is when all totals were last handed on.
 	refreshed time.Time
