What a choice among servers needs is worked out once, not for each server

Cause, found in the last read of the change: to compare a server with the others, outlier summed up all others anew for each server, so that a choice grew with the square of the servers that were observed; the time by token was fitted anew for each prefill engine; each stream told the pool of memory the whole list of engines, also when it was the same; and the stage of one engine was looked up by copying and sorting the list of all.

Change: outlier keeps the sum and takes one server's share out of it, summing up anew where that would be rounding; the other three are done once.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -19,6 +19,8 @@
 
 	mu     sync.Mutex
 	memory *kvmemory.Pool
+	// synced is what memory was last told of the engines.
+	synced engineList
 	line   waiting.Line
 	// turns are where waiting requests learn which engine to ask.
 	turns map[*waiting.Waiter]chan string
@@ -50,8 +52,24 @@
 	lineCheck = 50 * time.Millisecond
 )
 
-// sync takes the list of engines that may get new work.
+// engineList is a list of servers as the view hands it out, which is the same slice until
+// something changes, and what the route table says of each engine.
+type engineList struct {
+	first           *registry.Server
+	length          int
+	capacity, slots int
+}
+
+// sync takes the list of engines that may get new work. The caller holds mu.
 func (e *engines) sync(servers []registry.Server, capacity, slots int) {
+	now := engineList{length: len(servers), capacity: capacity, slots: slots}
+	if len(servers) > 0 {
+		now.first = &servers[0]
+	}
+	if now == e.synced {
+		return
+	}
+	e.synced = now
 	list := make([]kvmemory.Server, 0, len(servers))
 	for _, s := range servers {
 		if s.Stage == registry.Decode {
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -178,9 +178,10 @@
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	perToken := s.perToken()
 	best, ok := cheapest(servers, func(c registry.Server) (float64, bool) {
 		may := c.Stage == registry.Prefill && !slices.Contains(tried, c.ID) && !now.Before(s.shunned[c.ID])
-		return f.readCost(s, c, zone, now), may
+		return s.readCost(c, zone, perToken, now), may
 	})
 	if !ok || crowded(s.readers.Latency(best.ID, now), j.route.Objective, rand.Float64()) {
 		return registry.Server{}, false
@@ -188,11 +189,15 @@
 	return best, true
 }
 
-func (f *Forwarder) readCost(s *service, c registry.Server, zone string, now time.Time) float64 {
-	perToken := readPerToken
+// perToken is the time in which an engine reads a token, in seconds.
+func (s *service) perToken() float64 {
 	if rate := s.rate.PerSecond(); rate > 0 {
-		perToken = 1 / rate
+		return 1 / rate
 	}
+	return readPerToken
+}
+
+func (s *service) readCost(c registry.Server, zone string, perToken float64, now time.Time) float64 {
 	cost := s.readers.Latency(c.ID, now).Seconds() + perToken*float64(s.reading[c.ID])
 	if c.Zone != zone {
 		cost += zoneReadCost
--- a/forward/types.go
+++ b/forward/types.go
@@ -102,7 +102,8 @@
 type View interface {
 	// Table is the configuration in force, or nil while none is known.
 	Table() *route.Table
-	// Servers are those of a service that may get new work.
+	// Servers are those of a service that may get new work. Nobody changes a list that was
+	// returned; a changed one is another slice.
 	Servers(service string) []registry.Server
 	// Down notes that nothing listens at a server's address: it has ended.
 	Down(s registry.Server)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -111,14 +111,10 @@
 	clear(v.usable)
 }
 
-// stageOf returns the stage of an engine as listed. The caller holds mu.
+// stageOf returns the stage of an engine as listed; Whole if it is not. The caller holds mu.
 func (v *view) stageOf(id string) registry.Stage {
-	for _, s := range v.registry.List() {
-		if s.ID == id {
-			return s.Stage
-		}
-	}
-	return registry.Whole
+	s, _ := v.registry.Get(id)
+	return s.Stage
 }
 
 // downLife is how long a server that refuses connections gets no requests. Its entry
--- a/policy/outlier/outlier.go
+++ b/policy/outlier/outlier.go
@@ -24,13 +24,35 @@
 // Tracker holds what was observed of the servers of one service.
 type Tracker struct {
 	servers map[string]*record
+	// at is the time to which all counts have decayed, all their sum over the servers: a
+	// choice asks for each server how it compares with the others.
+	at  time.Time
+	all counts
 }
 
+// counts are decayed: ok and failed requests, and the sum of their latencies in seconds.
+type counts struct{ ok, failed, latency float64 }
+
+func (c *counts) scale(f float64) {
+	c.ok *= f
+	c.failed *= f
+	c.latency *= f
+}
+
+func (c *counts) add(o counts) {
+	c.ok += o.ok
+	c.failed += o.failed
+	c.latency += o.latency
+}
+
+func (c counts) requests() float64 { return c.ok + c.failed }
+
+// rounding is the share of a sum below which a difference from it may be nothing but
+// rounding.
+const rounding = 1e-6
+
 type record struct {
-	at time.Time
-	// ok and failed are decayed counts; latency is a decayed sum over both.
-	ok, failed float64
-	latency    float64
+	counts
 	// lastFailure is when a request last failed.
 	lastFailure time.Time
 	// streak is the number of failures since the last success.
@@ -42,38 +64,64 @@
 
 // Observe notes the end of a request at a server.
 func (t *Tracker) Observe(id string, ok bool, latency time.Duration, now time.Time) {
+	t.decay(now)
 	r, known := t.servers[id]
 	if !known {
-		r = &record{at: now}
+		r = &record{}
 		t.servers[id] = r
 	}
-	r.decay(now)
-	r.latency += latency.Seconds()
+	seen := counts{latency: latency.Seconds()}
 	if ok {
-		r.ok++
+		seen.ok = 1
 		r.streak = 0
-		return
+	} else {
+		seen.failed = 1
+		r.streak++
+		r.lastFailure = now
 	}
-	r.failed++
-	r.streak++
-	r.lastFailure = now
+	r.add(seen)
+	t.all.add(seen)
 }
 
 // Forget drops all servers that keep does not want.
 func (t *Tracker) Forget(keep func(id string) bool) {
-	for id := range t.servers {
+	t.all = counts{}
+	for id, r := range t.servers {
 		if !keep(id) {
 			delete(t.servers, id)
+			continue
 		}
+		t.all.add(r.counts)
+	}
+}
+
+// decay brings all counts to now.
+func (t *Tracker) decay(now time.Time) {
+	if now.Equal(t.at) {
+		return
+	}
+	f := math.Exp2(-float64(now.Sub(t.at)) / float64(halfLife))
+	t.at, t.all = now, counts{}
+	for _, r := range t.servers {
+		r.scale(f)
+		t.all.add(r.counts)
 	}
 }
 
-func (r *record) decay(now time.Time) {
-	f := math.Exp2(-float64(now.Sub(r.at)) / float64(halfLife))
-	r.ok *= f
-	r.failed *= f
-	r.latency *= f
-	r.at = now
+// others is the sum over the other servers of the one with the counts own. It is summed up
+// anew where nearly all of the sum is that server's own.
+func (t *Tracker) others(id string, own counts) counts {
+	left := counts{t.all.ok - own.ok, t.all.failed - own.failed, t.all.latency - own.latency}
+	if left.requests() > rounding*t.all.requests() {
+		return left
+	}
+	left = counts{}
+	for other, r := range t.servers {
+		if other != id {
+			left.add(r.counts)
+		}
+	}
+	return left
 }
 
 // Failing is the estimated probability that a request fails at a server beyond what is
@@ -83,48 +131,35 @@
 	if !ok {
 		return 0
 	}
-	r.decay(now)
-	usual := t.usual(id, now)
-	rate := (r.failed + prior*usual) / (r.ok + r.failed + prior)
+	t.decay(now)
+	others := t.others(id, r.counts)
+	usual := others.failed / (others.requests() + prior)
+	rate := (r.failed + prior*usual) / (r.requests() + prior)
 	return max(rate-usual, 0)
 }
 
-// usual is the failure rate of the other servers.
-func (t *Tracker) usual(except string, now time.Time) float64 {
-	var ok, failed float64
-	for id, r := range t.servers {
-		if id == except {
-			continue
-		}
-		r.decay(now)
-		ok += r.ok
-		failed += r.failed
-	}
-	return failed / (ok + failed + prior)
-}
-
 // Latency is the mean time of requests at a server, or of its service when too few were
 // observed there. A request that was given up counts with the time until then.
 func (t *Tracker) Latency(id string, now time.Time) time.Duration {
-	var count, total float64
-	for other, r := range t.servers {
-		if other != id {
-			count += r.ok + r.failed
-			total += r.latency
-		}
+	t.decay(now)
+	var own counts
+	r, known := t.servers[id]
+	if known {
+		own = r.counts
 	}
+	others := t.others(id, own)
 	mean := 0.0
-	if count > 0 {
-		mean = total / count
+	if n := others.requests(); n > 0 {
+		mean = others.latency / n
 	}
-	r, known := t.servers[id]
 	if !known {
-		return time.Duration(mean * float64(time.Second))
+		return seconds(mean)
 	}
-	own := (r.latency + prior*mean) / (r.ok + r.failed + prior)
-	return time.Duration(own * float64(time.Second))
+	return seconds((own.latency + prior*mean) / (own.requests() + prior))
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // Suspect reports whether a server should get no request that is lost when it fails: it
 // failed several in a row, the last of them a moment ago.
 func (t *Tracker) Suspect(id string, now time.Time) bool {
--- a/policy/outlier/outlier_test.go
+++ b/policy/outlier/outlier_test.go
@@ -1,6 +1,7 @@
 package outlier_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -85,3 +86,22 @@
 	tr.Forget(func(string) bool { return false })
 	assert.Equal(t, tr.Failing("a", start), 0.0)
 }
+
+// BenchmarkChoice is what one choice among many servers costs, each asked for its failures
+// and its latency.
+func BenchmarkChoice(b *testing.B) {
+	tr := outlier.New()
+	ids := make([]string, 350)
+	for i := range ids {
+		ids[i] = fmt.Sprint("i-", i)
+		tr.Observe(ids[i], i%7 != 0, 200*time.Millisecond, start)
+	}
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		for _, id := range ids {
+			_ = tr.Latency(id, now)
+			_ = tr.Failing(id, now)
+		}
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -166,6 +166,15 @@
 	return out
 }
 
+// Get returns the server of an instance.
+func (r *Registry) Get(id string) (Server, bool) {
+	e, ok := r.servers[id]
+	if !ok {
+		return Server{}, false
+	}
+	return e.Server, true
+}
+
 // List returns all servers, ordered by instance.
 func (r *Registry) List() []Server {
 	out := make([]Server, 0, len(r.servers))
