--- a/forward/call.go
+++ b/forward/call.go
@@ -135,7 +135,7 @@
 	defer func() { _ = res.Body.Close() }()
 	head := f.Codec.Answer(res.Status, res.Header)
 	if head.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswer))
+		discard(res)
 		return nil, fmt.Errorf("%w: status %d", errNotRun, head.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -79,7 +79,7 @@
 	life := j.table.Services[j.service].Engine.MaxHold
 	reservation, err := f.Engines.Reserve(ctx, l.server, l.need, life)
 	if err == nil {
-		l.reservation, l.since, a.granted = reservation, time.Now(), true
+		l.reservation, l.since = reservation, time.Now()
 		a.r.tried = append(a.r.tried, l.server.ID)
 		return outcome.Outcome{}, true
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -38,10 +38,8 @@
 // streamAttempt is one try of a stream at one decode engine. It implements life.Attempt.
 type streamAttempt struct {
 	r *stream
-	// lease is the room at the engine; nil once it was given back.
+	// lease is the room at the engine; nil when the engine did not grant it.
 	lease *lease
-	// granted is set when the engine has reserved the memory.
-	granted bool
 	// export is where the KV cache of the prompt is; nil if the engine reads the prompt.
 	export *source
 }
@@ -50,7 +48,7 @@
 // nothing of the request was sent to it. After a run that broke the stream waits for room
 // anew.
 func (r *stream) Ended(ctx context.Context, a *streamAttempt, o outcome.Outcome) (outcome.Outcome, bool) {
-	if !a.granted && ctx.Err() == nil {
+	if a.lease == nil && ctx.Err() == nil {
 		return outcome.Outcome{}, true
 	}
 	final, again := r.ended(ctx, o)
--- a/gateway/placed.go
+++ b/gateway/placed.go
@@ -67,13 +67,18 @@
 	p.count(report.tokens, 1, changed)
 	p.reports[r.GetAddr()] = report
 	if now.Sub(p.refreshed) >= refreshInterval {
-		p.expire(now, changed)
-		p.refreshed = now
-		maps.Copy(changed, p.totals)
+		p.all(now, changed)
 	}
 	return changed
 }
 
+// all drops what is too old, and adds all totals to changed. The caller holds mu.
+func (p *placed) all(now time.Time, changed map[string]int) {
+	p.refreshed = now
+	p.expire(now, changed)
+	maps.Copy(changed, p.totals)
+}
+
 // refresh drops what is too old when exchanges with one gateway come at that pace, and
 // returns all totals and those that fell to zero. It is also for gateways that hear no other
 // one any more.
@@ -82,8 +87,7 @@
 	defer p.mu.Unlock()
 	p.life = max(placedLife, placedPaces*pace)
 	changed := map[string]int{}
-	p.expire(now, changed)
-	maps.Copy(changed, p.totals)
+	p.all(now, changed)
 	return changed
 }
 
--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net"
-	"strconv"
+	"net/netip"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -73,15 +73,11 @@
 		return
 	}
 	for _, addr := range addrs {
-		host, _, err := net.SplitHostPort(addr)
-		if err != nil {
-			continue
-		}
-		to, err := net.ResolveUDPAddr("udp4", net.JoinHostPort(host, strconv.Itoa(d.port)))
+		to, err := netip.ParseAddrPort(addr)
 		if err != nil {
 			continue
 		}
 		// A datagram that can't be sent is as good as lost.
-		_, _ = conn.WriteToUDP(data, to)
+		_, _ = conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(to.Addr(), uint16(d.port)))
 	}
 }
