What has to fit an engine is the most that all its runs will hold at one moment

Hypothesis: a run's memory doubles while it generates, and its length is known to a factor of two. The sum of prompts and hints is too little for the long runs and leaves memory empty that old runs free before young ones need it. Change: lengths are learned by route, relative to the hint, as a hazard with right-censored runs (policy/runlength). Each gateway forecasts the mean and variance of what its runs hold at eight moments ahead, tells them with its placement, and a request goes where the sum stays two standard deviations below the memory at every moment (policy/kvmemory). Runs of others count for slots. An iteration over a map made the replay differ; engines are in order now.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/runlength"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
@@ -23,7 +24,9 @@
 	synced engineList
 	line   waiting.Line
 	// turns are where waiting requests learn which engine to ask.
-	turns map[*waiting.Waiter]chan string
+	turns map[*waiting.Waiter]turn
+	// lengths is what was learned of the lengths of runs, by route.
+	lengths map[string]*runlength.Learner
 	// retry is set while a timer will look at the line again.
 	retry bool
 	// short is when a request last waited for memory.
@@ -34,13 +37,20 @@
 	tell func()
 }
 
+// turn is a request in the line.
+type turn struct {
+	run *kvmemory.Run
+	// engine is sent the engine to ask.
+	engine chan string
+}
+
 func newEngines(seed, zone string, tell func()) *engines {
 	return &engines{
 		changed: map[string]struct{}{}, tell: tell,
 		zone:   zone,
 		terms:  waiting.DefaultTerms(),
 		memory: kvmemory.New(kvmemory.DefaultConfig(), seed),
-		turns:  map[*waiting.Waiter]chan string{},
+		turns:  map[*waiting.Waiter]turn{}, lengths: map[string]*runlength.Learner{},
 	}
 }
 
@@ -79,6 +89,25 @@
 	e.memory.Sync(list)
 }
 
+// newRun is what memory is told of a request of a route.
+func (e *engines) newRun(routeName string, m *Meta, need int) *kvmemory.Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l, ok := e.lengths[routeName]
+	if !ok {
+		l = runlength.New()
+		e.lengths[routeName] = l
+	}
+	return &kvmemory.Run{Need: need, Prompt: m.PromptTokens, Length: l.Begin(m.LengthHint, m.MaxTokens)}
+}
+
+// finished notes that a run has come to its own end.
+func (e *engines) finished(r *kvmemory.Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.Finish()
+}
+
 // hopeless reports whether a request is to be turned away without waiting.
 func (e *engines) hopeless(w *waiting.Waiter, hold time.Duration, now time.Time) bool {
 	e.mu.Lock()
@@ -91,12 +120,12 @@
 }
 
 // await waits until the request's turn at an engine comes. The engine's memory is then
-// taken, until refused, failed or release is called.
-func (e *engines) await(ctx context.Context, w *waiting.Waiter, servers []registry.Server, capacity, slots int) (string, bool) {
+// taken for the run, until refused, failed or release is called.
+func (e *engines) await(ctx context.Context, w *waiting.Waiter, run *kvmemory.Run, servers []registry.Server, capacity, slots int) (string, bool) {
 	e.mu.Lock()
 	e.sync(servers, capacity, slots)
-	turn := make(chan string, 1)
-	e.turns[w] = turn
+	engine := make(chan string, 1)
+	e.turns[w] = turn{run: run, engine: engine}
 	e.line.Add(w)
 	e.dispatch()
 	if e.line.Len() > 0 {
@@ -107,7 +136,7 @@
 	t := time.NewTimer(time.Until(w.Until))
 	defer t.Stop()
 	select {
-	case id := <-turn:
+	case id := <-engine:
 		return id, true
 	case <-t.C:
 	case <-ctx.Done():
@@ -118,7 +147,7 @@
 		delete(e.turns, w)
 		return "", false
 	}
-	return <-turn, true
+	return <-engine, true
 }
 
 // dispatch gives turns to waiting requests for which an engine is thought to have room.
@@ -129,15 +158,16 @@
 		var id string
 		w := e.line.Next(func(w *waiting.Waiter) bool {
 			var ok bool
-			id, ok = e.memory.Pick(kvmemory.Ask{Need: w.Need, Late: w.Late, Zone: e.zone, Exclude: w.Exclude}, now)
+			id, ok = e.memory.Pick(kvmemory.Ask{Run: e.turns[w].run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude}, now)
 			return ok
 		}, passFor, now)
 		if w == nil {
 			break
 		}
-		e.memory.Take(id, w.Need)
+		t := e.turns[w]
+		e.memory.Take(id, t.run)
 		e.note(id)
-		e.turns[w] <- id
+		t.engine <- id
 		delete(e.turns, w)
 	}
 	e.lookAgain()
@@ -157,10 +187,10 @@
 	})
 }
 
-func (e *engines) refused(id string, need int) {
+func (e *engines) refused(id string, r *kvmemory.Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.memory.Refuse(id, need, time.Now())
+	e.memory.Refuse(id, r, time.Now())
 	e.note(id)
 }
 
@@ -176,18 +206,19 @@
 func (e *engines) takeChanged() []kvmemory.Share {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	out := make([]kvmemory.Share, 0, len(e.changed))
 	for id := range e.changed {
-		out = append(out, kvmemory.Share{ID: id, Tokens: e.memory.OwnAt(id)})
+		out = append(out, kvmemory.Share{ID: id, Load: e.memory.OwnAt(id, now)})
 	}
 	clear(e.changed)
 	return out
 }
 
-func (e *engines) failed(id string, need int) {
+func (e *engines) failed(id string, r *kvmemory.Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.memory.Fail(id, need, time.Now())
+	e.memory.Fail(id, r, time.Now())
 	e.note(id)
 }
 
@@ -199,10 +230,10 @@
 }
 
 // release notes that a request is over at an engine.
-func (e *engines) release(id string, need int) {
+func (e *engines) release(id string, r *kvmemory.Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.memory.Release(id, need)
+	e.memory.Release(id, r)
 	e.note(id)
 	e.dispatch()
 }
@@ -210,7 +241,7 @@
 func (e *engines) own() []kvmemory.Share {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.memory.Own()
+	return e.memory.Own(time.Now())
 }
 
 // shortLife is how long a request that waited for memory counts as a sign that it is short.
@@ -223,11 +254,11 @@
 	return now.Sub(e.short) < shortLife
 }
 
-func (e *engines) setOthers(tokens map[string]int) {
+func (e *engines) setOthers(loads map[string]kvmemory.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id, n := range tokens {
-		e.memory.SetOthers(id, n)
+	for id, l := range loads {
+		e.memory.SetOthers(id, l)
 	}
 	if e.line.Len() > 0 {
 		e.dispatch()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -345,9 +346,10 @@
 	<-w.fwd.PlacementChanged()
 	changed := w.fwd.TakeChanged()
 	assert.Equal(t, len(changed), 1)
-	assert.Equal(t, changed[0].Tokens, 0)
+	assert.DeepEqual(t, changed[0].Load, kvmemory.Load{})
 	assert.Equal(t, len(w.fwd.Placed()), 0)
-	w.fwd.SetOthers(map[string]int{"d1": 10_000, "d2": 10_000})
+	full := kvmemory.Load{Tokens: 10_000, Ahead: kvmemory.Constant(10_000)}
+	w.fwd.SetOthers(map[string]kvmemory.Load{"d1": full, "d2": full})
 	assert.Equal(t, w.post(t, "/draft/1").status, 503, "others have placed everything")
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -34,6 +34,7 @@
 	f.observe(j, s, err == nil, time.Since(start))
 	if err == nil {
 		f.observeHold(j, a.lease)
+		f.service(j.service).engines.finished(a.lease.run)
 		return outcome.Outcome{Kind: outcome.Completed}
 	}
 	reason := f.explain(ctx, err)
@@ -82,6 +83,8 @@
 	}
 	if id, ok := eventID(event); ok {
 		r.lastEvent = id
+		r.events++
+		r.run.Generated(r.events * max(j.table.Services[j.service].Engine.EventTokens, 1))
 	}
 	if _, err := j.w.Write(event); err != nil {
 		return errClient
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -18,7 +18,7 @@
 // lease is room for one request at a decode engine. It belongs to the request's goroutine.
 type lease struct {
 	server registry.Server
-	need   int
+	run    *kvmemory.Run
 	// reservation is the engine's name for it; empty once it was used.
 	reservation string
 	// since is when it was granted.
@@ -37,6 +37,7 @@
 	e := f.service(j.service).engines
 	if r.waiter == nil {
 		r.waiter = j.newWaiter(e.terms)
+		r.run = e.newRun(j.route.Name, &j.meta, r.waiter.Need)
 		if r.waiter.Need > spec.KVTokens {
 			return nil, r.noServer(outcome.PromptTooLong), false
 		}
@@ -47,7 +48,7 @@
 	r.waiter.Exclude = r.tried
 	for {
 		servers := f.View.Servers(j.service)
-		id, ok := e.await(ctx, r.waiter, servers, spec.KVTokens, spec.Slots)
+		id, ok := e.await(ctx, r.waiter, r.run, servers, spec.KVTokens, spec.Slots)
 		if !ok && ctx.Err() != nil {
 			return nil, j.unanswered(reasonOf(ctx)), false
 		}
@@ -55,9 +56,9 @@
 			return nil, r.noServer(outcome.NoPlace), false
 		}
 		if s, ok := find(servers, id); ok {
-			return &streamAttempt{r: r, lease: &lease{server: s, need: r.waiter.Need}}, outcome.Outcome{}, true
+			return &streamAttempt{r: r, lease: &lease{server: s, run: r.run}}, outcome.Outcome{}, true
 		}
-		e.failed(id, r.waiter.Need)
+		e.failed(id, r.run)
 	}
 }
 
@@ -101,15 +102,15 @@
 	switch {
 	case errors.Is(err, ErrFull):
 		f.Metrics.Counter(metrics.ReservationsRefused).Inc(1)
-		e.refused(l.server.ID, l.need)
+		e.refused(l.server.ID, l.run)
 		return j.unanswered(outcome.NoPlace)
 	case ctx.Err() != nil:
-		e.release(l.server.ID, l.need)
+		e.release(l.server.ID, l.run)
 		return j.unanswered(reasonOf(ctx))
 	default:
 		f.noteReach(l.server, err)
 		f.attemptFailed(j, l.server, outcome.EngineLost, err)
-		e.failed(l.server.ID, l.need)
+		e.failed(l.server.ID, l.run)
 		return j.unanswered(outcome.EngineLost)
 	}
 }
@@ -143,9 +144,9 @@
 func (f *Forwarder) giveBack(j *job, l *lease) {
 	e := f.service(j.service).engines
 	if l.refused {
-		e.failed(l.server.ID, l.need)
+		e.failed(l.server.ID, l.run)
 	} else {
-		e.release(l.server.ID, l.need)
+		e.release(l.server.ID, l.run)
 	}
 	if l.reservation == "" {
 		return
@@ -159,7 +160,7 @@
 	}()
 }
 
-// Placed is the memory that this process placed on decode engines, in tokens.
+// Placed is what this process placed on decode engines.
 func (f *Forwarder) Placed() []kvmemory.Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -192,13 +193,13 @@
 	return used
 }
 
-// SetOthers takes the memory that other processes placed on some engines. Waiting
+// SetOthers takes what other processes placed on some engines. Waiting
 // requests are looked at again, since memory may have become free.
-func (f *Forwarder) SetOthers(tokens map[string]int) {
+func (f *Forwarder) SetOthers(loads map[string]kvmemory.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.services {
-		s.engines.setOthers(tokens)
+		s.engines.setOthers(loads)
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -22,6 +23,10 @@
 	lastEvent string
 	// waiter is the request's turn in the line for memory; nil before it first waits.
 	waiter *waiting.Waiter
+	// run is what placement knows of it; nil as long.
+	run *kvmemory.Run
+	// events is the number of events that the client has.
+	events int
 }
 
 // need is the memory that the run is thought to take at its end, in tokens.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -114,11 +114,38 @@
 func sharesOf(placed []kvmemory.Share) []*peer.Share {
 	out := make([]*peer.Share, 0, len(placed))
 	for _, share := range placed {
-		out = append(out, &peer.Share{Server: share.ID, Tokens: uint32(max(share.Tokens, 0))})
+		out = append(out, encodeShare(share))
 	}
 	return out
 }
 
+func encodeShare(s kvmemory.Share) *peer.Share {
+	out := &peer.Share{Server: s.ID, Tokens: uint32(max(s.Tokens, 0)), Runs: uint32(s.Runs)}
+	if s.Runs == 0 {
+		return out
+	}
+	for i := range kvmemory.Ahead {
+		out.Mean = append(out.Mean, uint32(s.Ahead.Mean[i]))
+		out.Variance = append(out.Variance, uint64(s.Ahead.Variance[i]))
+	}
+	return out
+}
+
+// decodeLoad decodes a share. One without a forecast, as gateways of earlier versions send,
+// counts as held for good.
+func decodeLoad(s *peer.Share) kvmemory.Load {
+	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns())}
+	mean, variance := s.GetMean(), s.GetVariance()
+	if len(mean) != kvmemory.Ahead || len(variance) != kvmemory.Ahead {
+		l.Ahead = kvmemory.Constant(l.Tokens)
+		return l
+	}
+	for i := range kvmemory.Ahead {
+		l.Ahead.Mean[i], l.Ahead.Variance[i] = float64(mean[i]), float64(variance[i])
+	}
+	return l
+}
+
 func encodeServers(list []registry.Server) []*peer.Server {
 	out := make([]*peer.Server, 0, len(list))
 	for _, v := range list {
--- a/gateway/placed.go
+++ b/gateway/placed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 )
 
 // placedLife is how long what a gateway told of its placement counts after it was last
@@ -22,7 +23,7 @@
 	// totals is the sum over all reports, by engine. It is kept up to date with each report:
 	// at a hundred gateways some eighty reports a second come in, and summing up all of them
 	// anew for each took half of a small VM's processor.
-	totals map[string]int
+	totals map[string]kvmemory.Load
 	// refreshed is when all totals were last handed on.
 	refreshed time.Time
 	// life is how long a report counts.
@@ -33,14 +34,14 @@
 	at time.Time
 	// number is that of the newest placement told by this incarnation.
 	incarnation, number uint64
-	tokens              map[string]int
+	loads               map[string]kvmemory.Load
 	readings            []*peer.Reading
 	// read is when the gateway last read the list of servers from the store.
 	read time.Time
 }
 
 func newPlaced() *placed {
-	return &placed{reports: map[string]placedReport{}, totals: map[string]int{}, life: placedLife}
+	return &placed{reports: map[string]placedReport{}, totals: map[string]kvmemory.Load{}, life: placedLife}
 }
 
 // refreshInterval is the interval at which all totals are handed on and not just those that
@@ -49,22 +50,22 @@
 
 // take takes a report and returns what all others placed, for the engines for which that
 // has changed.
-func (p *placed) take(r *peer.Report, now time.Time) map[string]int {
-	report := placedReport{at: now, incarnation: r.GetIncarnation(), number: r.GetPlacement(), tokens: map[string]int{}, readings: r.GetReadings()}
+func (p *placed) take(r *peer.Report, now time.Time) map[string]kvmemory.Load {
+	report := placedReport{at: now, incarnation: r.GetIncarnation(), number: r.GetPlacement(), loads: map[string]kvmemory.Load{}, readings: r.GetReadings()}
 	report.read = now.Add(-time.Duration(r.GetReadAgeMs()) * time.Millisecond)
 	for _, s := range r.GetShares() {
-		report.tokens[s.GetServer()] = int(s.GetTokens())
+		report.loads[s.GetServer()] = decodeLoad(s)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.reports[r.GetAddr()]
 	if report.incarnation == old.incarnation && report.number < old.number {
 		// Datagrams that came since tell more than the report.
-		report.number, report.tokens = old.number, old.tokens
+		report.number, report.loads = old.number, old.loads
 	}
-	changed := map[string]int{}
-	p.count(old.tokens, -1, changed)
-	p.count(report.tokens, 1, changed)
+	changed := map[string]kvmemory.Load{}
+	p.count(old.loads, -1, changed)
+	p.count(report.loads, 1, changed)
 	p.reports[r.GetAddr()] = report
 	if now.Sub(p.refreshed) >= refreshInterval {
 		p.all(now, changed)
@@ -73,7 +74,7 @@
 }
 
 // all drops what is too old, and adds all totals to changed. The caller holds mu.
-func (p *placed) all(now time.Time, changed map[string]int) {
+func (p *placed) all(now time.Time, changed map[string]kvmemory.Load) {
 	p.refreshed = now
 	p.expire(now, changed)
 	maps.Copy(changed, p.totals)
@@ -82,31 +83,38 @@
 // refresh drops what is too old when exchanges with one gateway come at that pace, and
 // returns all totals and those that fell to zero. It is also for gateways that hear no other
 // one any more.
-func (p *placed) refresh(pace time.Duration, now time.Time) map[string]int {
+func (p *placed) refresh(pace time.Duration, now time.Time) map[string]kvmemory.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.life = max(placedLife, placedPaces*pace)
-	changed := map[string]int{}
+	changed := map[string]kvmemory.Load{}
 	p.all(now, changed)
 	return changed
 }
 
-// count adds sign times tokens to the totals, and notes the new ones. The caller holds mu.
-func (p *placed) count(tokens map[string]int, sign int, changed map[string]int) {
-	for id, n := range tokens {
-		p.totals[id] += sign * n
-		changed[id] = p.totals[id]
-		if p.totals[id] == 0 {
-			delete(p.totals, id)
-		}
+// count adds sign times loads to the totals, and notes the new ones. The caller holds mu.
+func (p *placed) count(loads map[string]kvmemory.Load, sign int, changed map[string]kvmemory.Load) {
+	for id, l := range loads {
+		p.add(id, &l, sign, changed)
+	}
+}
+
+// add adds sign times l to the total of one engine. All numbers are whole, so that what was
+// added and taken off again leaves nothing. The caller holds mu.
+func (p *placed) add(id string, l *kvmemory.Load, sign int, changed map[string]kvmemory.Load) {
+	total := p.totals[id]
+	total.Add(l, sign)
+	p.totals[id], changed[id] = total, total
+	if total == (kvmemory.Load{}) {
+		delete(p.totals, id)
 	}
 }
 
 // expire drops reports that are too old. The caller holds mu.
-func (p *placed) expire(now time.Time, changed map[string]int) {
+func (p *placed) expire(now time.Time, changed map[string]kvmemory.Load) {
 	for addr, r := range p.reports {
 		if now.Sub(r.at) >= p.life {
-			p.count(r.tokens, -1, changed)
+			p.count(r.loads, -1, changed)
 			delete(p.reports, addr)
 		}
 	}
@@ -114,7 +122,7 @@
 
 // change takes a placement told in a datagram, and returns what all others placed on the
 // engines that it names.
-func (p *placed) change(c *peer.Placement, now time.Time) map[string]int {
+func (p *placed) change(c *peer.Placement, now time.Time) map[string]kvmemory.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.reports[c.GetAddr()]
@@ -123,11 +131,13 @@
 	}
 	r.at, r.number = now, c.GetNumber()
 	p.reports[c.GetAddr()] = r
-	changed := map[string]int{}
+	changed := map[string]kvmemory.Load{}
 	for _, s := range c.GetShares() {
-		id, tokens := s.GetServer(), int(s.GetTokens())
-		p.count(map[string]int{id: tokens - r.tokens[id]}, 1, changed)
-		r.tokens[id] = tokens
+		id, l := s.GetServer(), decodeLoad(s)
+		old := r.loads[id]
+		p.add(id, &old, -1, changed)
+		p.add(id, &l, 1, changed)
+		r.loads[id] = l
 	}
 	return changed
 }
--- a/gateway/placed_test.go
+++ b/gateway/placed_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 )
 
 var start = time.Unix(1000, 0)
@@ -15,6 +16,11 @@
 	return &peer.Report{Addr: "b", Incarnation: incarnation, Placement: number, Shares: []*peer.Share{{Server: "i-1", Tokens: tokens}}}
 }
 
+// held is what gateways tell without a forecast.
+func held(tokens int) kvmemory.Load {
+	return kvmemory.Load{Tokens: tokens, Ahead: kvmemory.Constant(tokens)}
+}
+
 func told(incarnation, number uint64, tokens uint32) *peer.Placement {
 	return &peer.Placement{Addr: "b", Incarnation: incarnation, Number: number, Shares: []*peer.Share{{Server: "i-1", Tokens: tokens}}}
 }
@@ -23,12 +29,12 @@
 // was started again begins to count anew.
 func TestPlacedKeepsTheNewest(t *testing.T) {
 	p := newPlaced()
-	placed := func() int { return p.totals["i-1"] }
+	placed := func() int { return p.totals["i-1"].Tokens }
 	p.change(told(1, 1, 5), start)
 	assert.Equal(t, placed(), 0, "nothing is known of that gateway yet")
 	p.take(report(1, 1, 100), start)
 	assert.Equal(t, placed(), 100)
-	assert.DeepEqual(t, p.change(told(1, 3, 300), start), map[string]int{"i-1": 300})
+	assert.DeepEqual(t, p.change(told(1, 3, 300), start), map[string]kvmemory.Load{"i-1": held(300)})
 	assert.Assert(t, p.change(told(1, 2, 200), start) == nil, "a datagram that was overtaken")
 	p.take(report(1, 2, 200), start)
 	assert.Equal(t, placed(), 300, "a report that was overtaken")
@@ -39,7 +45,7 @@
 	assert.Assert(t, p.change(told(1, 4, 400), start) == nil, "a datagram of the old process")
 	p.change(told(2, 1, 50), start)
 	assert.Equal(t, placed(), 50)
-	assert.DeepEqual(t, p.refresh(0, start.Add(placedLife)), map[string]int{"i-1": 0})
+	assert.DeepEqual(t, p.refresh(0, start.Add(placedLife)), map[string]kvmemory.Load{"i-1": held(0)})
 	assert.Equal(t, placed(), 0, "silent for too long")
 }
 
@@ -47,12 +53,12 @@
 // and then, for engines that were not known before.
 func TestPlacedHandsOnChanges(t *testing.T) {
 	p := newPlaced()
-	assert.DeepEqual(t, p.take(report(1, 1, 100), start), map[string]int{"i-1": 100})
+	assert.DeepEqual(t, p.take(report(1, 1, 100), start), map[string]kvmemory.Load{"i-1": held(100)})
 	other := &peer.Report{Addr: "c", Incarnation: 1, Shares: []*peer.Share{{Server: "i-2", Tokens: 7}}}
-	assert.DeepEqual(t, p.take(other, start), map[string]int{"i-2": 7})
-	assert.DeepEqual(t, p.take(other, start.Add(refreshInterval)), map[string]int{"i-1": 100, "i-2": 7})
+	assert.DeepEqual(t, p.take(other, start), map[string]kvmemory.Load{"i-2": held(7)})
+	assert.DeepEqual(t, p.take(other, start.Add(refreshInterval)), map[string]kvmemory.Load{"i-1": held(100), "i-2": held(7)})
 	gone := &peer.Report{Addr: "c", Incarnation: 2}
-	assert.DeepEqual(t, p.take(gone, start.Add(refreshInterval)), map[string]int{"i-2": 0})
+	assert.DeepEqual(t, p.take(gone, start.Add(refreshInterval)), map[string]kvmemory.Load{"i-2": held(0)})
 }
 
 // TestPlacedLivesAsLongAsReportsTake: before a hundred gateways each is heard every 2.4 s.
@@ -60,6 +66,6 @@
 	p := newPlaced()
 	p.take(report(1, 1, 100), start)
 	const pace = 2400 * time.Millisecond
-	assert.DeepEqual(t, p.refresh(pace, start.Add(pace)), map[string]int{"i-1": 100})
-	assert.DeepEqual(t, p.refresh(pace, start.Add(placedPaces*pace)), map[string]int{"i-1": 0})
+	assert.DeepEqual(t, p.refresh(pace, start.Add(pace)), map[string]kvmemory.Load{"i-1": held(100)})
+	assert.DeepEqual(t, p.refresh(pace, start.Add(placedPaces*pace)), map[string]kvmemory.Load{"i-1": held(0)})
 }
--- a/policy/kvmemory/burst_test.go
+++ b/policy/kvmemory/burst_test.go
@@ -28,7 +28,7 @@
 
 // caller is one request of the replay.
 type caller struct {
-	need         int
+	run          *kvmemory.Run
 	runs         time.Duration
 	router       int
 	late         bool
@@ -68,7 +68,7 @@
 		}
 		for ; rng.Float64() < rate; rate-- {
 			tokens := 100 + rng.IntN(1300)
-			c := &caller{need: 2500 + rng.IntN(5400) + tokens, router: rng.IntN(routers), arrived: at}
+			c := &caller{run: run(2500 + rng.IntN(5400) + tokens), router: rng.IntN(routers), arrived: at}
 			c.runs = (300*time.Millisecond + time.Duration(tokens)*4300*time.Microsecond).Round(tick)
 			b.comes[at] = append(b.comes[at], c)
 		}
@@ -82,8 +82,8 @@
 		if now.Before(c.end) {
 			return false
 		}
-		b.pools[c.router].Release(c.engine, c.need)
-		b.tell(c.engine)
+		b.pools[c.router].Release(c.engine, c.run)
+		b.tell(c.engine, now)
 		return true
 	})
 	b.waiting = append(b.waiting, b.comes[now]...)
@@ -102,14 +102,14 @@
 // place runs a request if its router finds room.
 func (b *burst) place(c *caller, now time.Time) bool {
 	p := b.pools[c.router]
-	id, ok := p.Pick(kvmemory.Ask{Need: c.need, Late: c.late}, now)
+	id, ok := p.Pick(kvmemory.Ask{Run: c.run, Late: c.late}, now)
 	if !ok {
 		return false
 	}
-	p.Take(id, c.need)
+	p.Take(id, c.run)
 	c.engine, c.end = id, now.Add(c.runs)
 	b.running = append(b.running, c)
-	b.tell(id)
+	b.tell(id, now)
 	if c.late {
 		b.late++
 	} else {
@@ -132,12 +132,13 @@
 }
 
 // tell gives each router the sum of what the others placed on an engine.
-func (b *burst) tell(engine string) {
+func (b *burst) tell(engine string, now time.Time) {
 	for i, p := range b.pools {
-		sum := 0
+		var sum kvmemory.Load
 		for j, other := range b.pools {
 			if j != i {
-				sum += other.OwnAt(engine)
+				l := other.OwnAt(engine, now)
+				sum.Add(&l, 1)
 			}
 		}
 		p.SetOthers(engine, sum)
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -20,7 +20,9 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -42,11 +44,15 @@
 	// LateSpare is the share of an engine's memory that stays free when a late request is
 	// placed there: about two requests of the usual size.
 	LateSpare float64
+	// Caution is by how many standard deviations the memory that runs are expected to hold
+	// together has to stay below an engine's.
+	Caution float64
 }
 
-// DefaultConfig returns the values that were measured; see docs/MEASUREMENTS.md.
+// DefaultConfig returns the values that were measured; see docs/DECISIONS.md. A caution of one
+// standard deviation has five times as many runs preempted, one of three turns more away.
 func DefaultConfig() Config {
-	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, HomeBonus: 0.1, LateSpare: 0.25}
+	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, HomeBonus: 0.1, LateSpare: 0.25, Caution: 2}
 }
 
 // Server is a decode engine.
@@ -61,6 +67,10 @@
 	cfg     Config
 	seed    string
 	servers map[string]*server
+	// ordered are the servers by their names: what is learned must not depend on the order
+	// of a map.
+	ordered []*server
+	pace    pace
 }
 
 type server struct {
@@ -68,9 +78,11 @@
 	// listed is false once the engine may get no new work; it stays while work of
 	// this router is on it.
 	listed bool
-	// own and runs are the tokens and requests that this router placed, others those
-	// that other routers reported.
-	own, runs, others int
+	// runs are those that this router placed, own what they hold as of the time at; others
+	// is what other routers reported.
+	runs        []*Run
+	own, others Load
+	at          time.Time
 	// refused is the size of the smallest request refused until the time blocked.
 	refused int
 	blocked time.Time
@@ -98,10 +110,15 @@
 		s.Server, s.listed = l, true
 	}
 	for id, s := range p.servers {
-		if !s.listed && s.runs == 0 {
+		if !s.listed && len(s.runs) == 0 {
 			delete(p.servers, id)
 		}
 	}
+	p.order()
+}
+
+func (p *Pool) order() {
+	p.ordered = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
 }
 
 // chance maps a pair of names to [0, 1).
@@ -115,8 +132,8 @@
 
 // Ask is what a request asks of a pool.
 type Ask struct {
-	// Need is the memory that it needs, in tokens.
-	Need int
+	// Run is the request.
+	Run *Run
 	// Late is set when it can't be answered within its objective any more.
 	Late bool
 	// Zone is that of the router.
@@ -130,12 +147,18 @@
 func (p *Pool) Pick(a Ask, now time.Time) (string, bool) {
 	var best *server
 	var bestScore float64
-	for id, s := range p.servers {
-		if !p.fits(s, a, now) || slices.Contains(a.Exclude, id) {
+	var asked Forecast
+	a.Run.add(&asked, p.pace.perSecond())
+	for _, s := range p.ordered {
+		if !p.open(s, a, now) || slices.Contains(a.Exclude, s.ID) {
+			continue
+		}
+		free := p.free(s, &asked, now)
+		if free < p.spare(s, a) {
 			continue
 		}
-		score := p.score(s, a.Zone)
-		if best == nil || score > bestScore || (score == bestScore && id < best.ID) {
+		score := p.score(s, free, a.Zone)
+		if best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -145,24 +168,34 @@
 	return best.ID, true
 }
 
-func (s *server) free() int { return s.Capacity - s.own - s.others }
-
-func (p *Pool) fits(s *server, a Ask, now time.Time) bool {
-	room := a.Need
-	if a.Late {
-		room += int(p.cfg.LateSpare * float64(s.Capacity))
-	}
-	if !s.listed || s.free() < room {
+// open reports whether an engine may be asked, whatever its memory.
+func (p *Pool) open(s *server, a Ask, now time.Time) bool {
+	if !s.listed || s.Slots > 0 && s.own.Runs+s.others.Runs >= s.Slots {
 		return false
 	}
-	if s.Slots > 0 && s.runs >= s.Slots {
-		return false
+	return a.Run.Need < s.refused || !now.Before(s.blocked)
+}
+
+// free is the memory of an engine that stays free at its fullest moment, in tokens, with the
+// one that asks.
+func (p *Pool) free(s *server, asked *Forecast, now time.Time) float64 {
+	p.refresh(s, now)
+	sum := s.own.Ahead
+	sum.Add(&s.others.Ahead, 1)
+	sum.Add(asked, 1)
+	return float64(s.Capacity) - sum.Peak(p.cfg.Caution)
+}
+
+// spare is the memory that has to stay free, in tokens.
+func (p *Pool) spare(s *server, a Ask) float64 {
+	if !a.Late {
+		return 0
 	}
-	return a.Need < s.refused || !now.Before(s.blocked)
+	return p.cfg.LateSpare * float64(s.Capacity)
 }
 
-func (p *Pool) score(s *server, zone string) float64 {
-	score := float64(s.free()) / float64(max(s.Capacity, 1))
+func (p *Pool) score(s *server, free float64, zone string) float64 {
+	score := free / float64(max(s.Capacity, 1))
 	score += p.cfg.HomeBonus * s.home
 	if s.Zone == zone {
 		score += p.cfg.ZoneBonus
@@ -170,42 +203,76 @@
 	return score
 }
 
-// Take notes that need tokens are asked for or used at an engine.
-func (p *Pool) Take(id string, need int) {
+// forecastLife is how long a forecast of the own runs holds: they grow by two events in it.
+const forecastLife = 100 * time.Millisecond
+
+// refresh brings the own load of an engine up to date.
+func (p *Pool) refresh(s *server, now time.Time) {
+	if !s.at.IsZero() && now.Sub(s.at) < forecastLife {
+		return
+	}
+	s.at = now
+	s.own = Load{Runs: len(s.runs)}
+	for _, r := range s.runs {
+		p.pace.look(r, now)
+		s.own.Tokens += r.Need
+		r.add(&s.own.Ahead, p.pace.perSecond())
+	}
+}
+
+// stale has the own load of an engine worked out anew.
+func (s *server) stale() { s.at = time.Time{} }
+
+// Take notes that a run is placed, or about to be placed, on an engine.
+func (p *Pool) Take(id string, r *Run) {
 	if s, ok := p.servers[id]; ok {
-		s.own += need
-		s.runs++
+		s.runs = append(s.runs, r)
+		s.own.Runs++
+		s.own.Tokens += r.Need
+		s.stale()
 	}
 }
 
-// Release notes that the request of need tokens that was taken is over. Memory is free
-// again, so that an earlier refusal says nothing any more.
-func (p *Pool) Release(id string, need int) {
+// drop takes a run off an engine.
+func (s *server) drop(r *Run) {
+	i := slices.Index(s.runs, r)
+	if i < 0 {
+		return
+	}
+	s.runs = slices.Delete(s.runs, i, i+1)
+	s.own.Runs--
+	s.own.Tokens -= r.Need
+	s.stale()
+}
+
+// Release notes that a run that was taken is over. Memory is free again, so that an earlier
+// refusal says nothing any more.
+func (p *Pool) Release(id string, r *Run) {
 	s, ok := p.servers[id]
 	if !ok {
 		return
 	}
-	s.own -= need
-	s.runs--
+	s.drop(r)
 	s.blocked = time.Time{}
-	if !s.listed && s.runs == 0 {
+	if !s.listed && len(s.runs) == 0 {
 		delete(p.servers, id)
+		p.order()
 	}
 }
 
-// Refuse notes that an engine refused need tokens, which were taken before.
-func (p *Pool) Refuse(id string, need int, now time.Time) {
-	p.block(id, need, need, now.Add(p.cfg.Backoff))
+// Refuse notes that an engine refused a run, which was taken before.
+func (p *Pool) Refuse(id string, r *Run, now time.Time) {
+	p.block(id, r, r.Need, now.Add(p.cfg.Backoff))
 }
 
-// Fail notes that an engine gave no answer when need tokens were asked for, or took no
-// run though it had granted memory: it gets nothing for a while, longer each time.
-func (p *Pool) Fail(id string, need int, now time.Time) {
+// Fail notes that an engine gave no answer when it was asked for room, or took no run though
+// it had granted memory: it gets nothing for a while, longer each time.
+func (p *Pool) Fail(id string, r *Run, now time.Time) {
 	s, ok := p.servers[id]
 	if !ok {
 		return
 	}
-	p.block(id, need, 0, now.Add(p.cfg.FailBackoff<<min(s.fails, maxDoublings)))
+	p.block(id, r, 0, now.Add(p.cfg.FailBackoff<<min(s.fails, maxDoublings)))
 	s.fails++
 }
 
@@ -219,36 +286,29 @@
 	}
 }
 
-func (p *Pool) block(id string, taken, refused int, until time.Time) {
+func (p *Pool) block(id string, r *Run, refused int, until time.Time) {
 	s, ok := p.servers[id]
 	if !ok {
 		return
 	}
-	s.own -= taken
-	s.runs--
+	s.drop(r)
 	s.refused, s.blocked = refused, until
 }
 
 // Share is what a router placed on one engine.
 type Share struct {
-	ID     string
-	Tokens int
+	ID string
+	Load
 }
 
 // Own returns what this router placed, ordered by engine.
-func (p *Pool) Own() []Share {
+func (p *Pool) Own(now time.Time) []Share {
 	var out []Share
-	for id, s := range p.servers {
-		if s.own > 0 {
-			out = append(out, Share{ID: id, Tokens: s.own})
+	for _, s := range p.ordered {
+		if len(s.runs) > 0 {
+			out = append(out, Share{ID: s.ID, Load: p.OwnAt(s.ID, now)})
 		}
 	}
-	slices.SortFunc(out, func(a, b Share) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
@@ -256,30 +316,41 @@
 func (p *Pool) OwnTotal() int {
 	sum := 0
 	for _, s := range p.servers {
-		sum += s.own
+		sum += s.own.Tokens
 	}
 	return sum
 }
 
-// OwnAt is what this router placed on one engine, in tokens.
-func (p *Pool) OwnAt(id string) int {
-	if s, ok := p.servers[id]; ok {
-		return s.own
+// OwnAt is what this router placed on one engine.
+func (p *Pool) OwnAt(id string, now time.Time) Load {
+	s, ok := p.servers[id]
+	if !ok {
+		return Load{}
+	}
+	p.refresh(s, now)
+	return s.own
+}
+
+// Crowd is the share of an engine's places that are taken, in [0, 1].
+func (p *Pool) Crowd(id string) float64 {
+	s, ok := p.servers[id]
+	if !ok || s.Slots <= 0 {
+		return 1
 	}
-	return 0
+	return min(float64(s.own.Runs+s.others.Runs)/float64(s.Slots), 1)
 }
 
 // SetOthers takes the sum of what all other routers placed on one engine. When it has
 // become less, an earlier refusal says nothing any more.
-func (p *Pool) SetOthers(id string, tokens int) {
+func (p *Pool) SetOthers(id string, l Load) {
 	s, ok := p.servers[id]
 	if !ok {
 		return
 	}
-	if tokens < s.others && s.fails == 0 {
+	if l.Tokens < s.others.Tokens && s.fails == 0 {
 		s.blocked = time.Time{}
 	}
-	s.others = tokens
+	s.others = l
 }
 
 // Capacity and Used are the memory of all engines that may get new work, and what is
@@ -288,7 +359,7 @@
 	for _, s := range p.servers {
 		if s.listed {
 			capacity += s.Capacity
-			used += s.own + s.others
+			used += s.own.Tokens + s.others.Tokens
 		}
 	}
 	return capacity, used
--- a/policy/kvmemory/kvmemory_test.go
+++ b/policy/kvmemory/kvmemory_test.go
@@ -19,6 +19,14 @@
 	return p
 }
 
+// run is a request of which only the whole memory is known.
+func run(need int) *kvmemory.Run { return &kvmemory.Run{Need: need} }
+
+// held is the load of runs that hold that much memory for good.
+func held(tokens int) kvmemory.Load {
+	return kvmemory.Load{Tokens: tokens, Ahead: kvmemory.Constant(tokens)}
+}
+
 func servers(n int) []kvmemory.Server {
 	out := make([]kvmemory.Server, n)
 	for i := range out {
@@ -30,32 +38,35 @@
 func TestPickKeepsToMemory(t *testing.T) {
 	p := pool("g", 2)
 	placed := map[string]int{}
+	last := map[string]*kvmemory.Run{}
 	for {
-		id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
+		r := run(6000)
+		id, ok := p.Pick(kvmemory.Ask{Run: r, Zone: "z1"}, start)
 		if !ok {
 			break
 		}
-		p.Take(id, 6000)
+		p.Take(id, r)
 		placed[id] += 6000
+		last[id] = r
 	}
 	assert.DeepEqual(t, placed, map[string]int{"a": 48_000, "b": 48_000})
-	p.Release("b", 6000)
-	id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
+	p.Release("b", last["b"])
+	id, ok := p.Pick(kvmemory.Ask{Run: run(6000), Zone: "z1"}, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "b")
 }
 
 func TestPickCountsOthers(t *testing.T) {
 	p := pool("g", 2)
-	p.SetOthers("a", 45_000)
-	p.SetOthers("b", 10_000)
-	id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
+	p.SetOthers("a", held(45_000))
+	p.SetOthers("b", held(10_000))
+	id, ok := p.Pick(kvmemory.Ask{Run: run(6000), Zone: "z1"}, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "b", "although a is in the zone")
-	p.SetOthers("b", 45_000)
-	_, ok = p.Pick(kvmemory.Ask{Need: 6000, Zone: "z1"}, start)
+	p.SetOthers("b", held(45_000))
+	_, ok = p.Pick(kvmemory.Ask{Run: run(6000), Zone: "z1"}, start)
 	assert.Assert(t, !ok)
-	id, ok = p.Pick(kvmemory.Ask{Need: 5000, Zone: "z1"}, start)
+	id, ok = p.Pick(kvmemory.Ask{Run: run(5000), Zone: "z1"}, start)
 	assert.Assert(t, ok, "a smaller one fits")
 	assert.Equal(t, id, "a")
 }
@@ -63,7 +74,7 @@
 func TestZoneIsPreferredWhenUseIsAlike(t *testing.T) {
 	p := pool("g", 3)
 	for _, zone := range []string{"z1", "z2", "z3"} {
-		id, ok := p.Pick(kvmemory.Ask{Need: 6000, Zone: zone}, start)
+		id, ok := p.Pick(kvmemory.Ask{Run: run(6000), Zone: zone}, start)
 		assert.Assert(t, ok)
 		assert.Equal(t, zone, "z"+string(rune('1'+id[0]-'a')))
 	}
@@ -71,10 +82,10 @@
 
 func TestExcluded(t *testing.T) {
 	p := pool("g", 2)
-	id, ok := p.Pick(kvmemory.Ask{Need: 6000, Exclude: []string{"a"}}, start)
+	id, ok := p.Pick(kvmemory.Ask{Run: run(6000), Exclude: []string{"a"}}, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "b")
-	_, ok = p.Pick(kvmemory.Ask{Need: 6000, Exclude: []string{"a", "b"}}, start)
+	_, ok = p.Pick(kvmemory.Ask{Run: run(6000), Exclude: []string{"a", "b"}}, start)
 	assert.Assert(t, !ok)
 }
 
@@ -84,26 +95,27 @@
 	backoff := kvmemory.DefaultConfig().Backoff
 	for _, c := range []struct {
 		name string
-		then func(p *kvmemory.Pool)
+		then func(p *kvmemory.Pool, r *kvmemory.Run)
 		at   time.Time
 		need int
 		ok   bool
 	}{
-		{"not asked again at once", func(*kvmemory.Pool) {}, ms(1), 6000, false},
-		{"smaller ones may be asked for", func(*kvmemory.Pool) {}, ms(1), 5000, true},
-		{"asked again after the pause", func(*kvmemory.Pool) {}, start.Add(backoff), 6000, true},
-		{"asked again once a run has ended there", func(p *kvmemory.Pool) { p.Release("a", 6000) }, ms(1), 6000, true},
-		{"asked again once others placed less", func(p *kvmemory.Pool) { p.SetOthers("a", 1000) }, ms(1), 6000, true},
-		{"not when others placed more", func(p *kvmemory.Pool) { p.SetOthers("a", 7000) }, ms(1), 6000, false},
+		{"not asked again at once", func(*kvmemory.Pool, *kvmemory.Run) {}, ms(1), 6000, false},
+		{"smaller ones may be asked for", func(*kvmemory.Pool, *kvmemory.Run) {}, ms(1), 5000, true},
+		{"asked again after the pause", func(*kvmemory.Pool, *kvmemory.Run) {}, start.Add(backoff), 6000, true},
+		{"asked again once a run has ended there", func(p *kvmemory.Pool, r *kvmemory.Run) { p.Release("a", r) }, ms(1), 6000, true},
+		{"asked again once others placed less", func(p *kvmemory.Pool, _ *kvmemory.Run) { p.SetOthers("a", held(1000)) }, ms(1), 6000, true},
+		{"not when others placed more", func(p *kvmemory.Pool, _ *kvmemory.Run) { p.SetOthers("a", held(7000)) }, ms(1), 6000, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := pool("g", 1)
-			p.SetOthers("a", 6000)
-			p.Take("a", 6000)
-			p.Take("a", 6000)
-			p.Refuse("a", 6000, start)
-			c.then(p)
-			_, ok := p.Pick(kvmemory.Ask{Need: c.need}, c.at)
+			p.SetOthers("a", held(6000))
+			first, second := run(6000), run(6000)
+			p.Take("a", first)
+			p.Take("a", second)
+			p.Refuse("a", second, start)
+			c.then(p, first)
+			_, ok := p.Pick(kvmemory.Ask{Run: run(c.need)}, c.at)
 			assert.Equal(t, ok, c.ok)
 		})
 	}
@@ -116,12 +128,13 @@
 	now := start
 	var pauses []time.Duration
 	for range 5 {
-		p.Take("a", 6000)
-		p.Fail("a", 6000, now)
+		r := run(6000)
+		p.Take("a", r)
+		p.Fail("a", r, now)
 		began := now
 		for {
 			now = now.Add(100 * time.Millisecond)
-			if _, ok := p.Pick(kvmemory.Ask{Need: 6000}, now); ok {
+			if _, ok := p.Pick(kvmemory.Ask{Run: run(6000)}, now); ok {
 				break
 			}
 		}
@@ -129,16 +142,17 @@
 	}
 	assert.DeepEqual(t, pauses, []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second})
 	p.Worked("a")
-	p.Take("a", 6000)
-	p.Fail("a", 6000, now)
-	_, ok := p.Pick(kvmemory.Ask{Need: 6000}, now.Add(time.Second))
+	r := run(6000)
+	p.Take("a", r)
+	p.Fail("a", r, now)
+	_, ok := p.Pick(kvmemory.Ask{Run: run(6000)}, now.Add(time.Second))
 	assert.Assert(t, ok, "after it worked the pause is short again")
 }
 
 func TestRoutersWithEqualViewsChooseDifferently(t *testing.T) {
 	chosen := map[string]bool{}
 	for _, seed := range []string{"g1", "g2", "g3", "g4", "g5", "g6"} {
-		id, ok := pool(seed, 12).Pick(kvmemory.Ask{Need: 6000, Zone: "nowhere"}, start)
+		id, ok := pool(seed, 12).Pick(kvmemory.Ask{Run: run(6000), Zone: "nowhere"}, start)
 		assert.Assert(t, ok)
 		chosen[id] = true
 	}
@@ -147,14 +161,15 @@
 
 func TestUnlistedServerKeepsItsRuns(t *testing.T) {
 	p := pool("g", 2)
-	p.Take("a", 6000)
+	r := run(6000)
+	p.Take("a", r)
 	p.Sync(servers(2)[1:])
-	assert.Equal(t, p.OwnAt("a"), 6000)
-	_, ok := p.Pick(kvmemory.Ask{Need: 6000, Exclude: []string{"b"}}, start)
+	assert.Equal(t, p.OwnAt("a", start).Tokens, 6000)
+	_, ok := p.Pick(kvmemory.Ask{Run: run(6000), Exclude: []string{"b"}}, start)
 	assert.Assert(t, !ok, "a leaving engine gets nothing")
-	p.Release("a", 6000)
+	p.Release("a", r)
 	assert.Equal(t, p.OwnTotal(), 0)
-	assert.Equal(t, len(p.Own()), 0)
+	assert.Equal(t, len(p.Own(start)), 0)
 }
 
 // TestLateLeavesRoom: one that is late takes only what would leave room beside it.
@@ -170,8 +185,8 @@
 		{31_501, true, false},
 	} {
 		p := pool("g", 1)
-		p.SetOthers("a", c.others)
-		_, ok := p.Pick(kvmemory.Ask{Need: 6000, Late: c.late}, start)
+		p.SetOthers("a", held(c.others))
+		_, ok := p.Pick(kvmemory.Ask{Run: run(6000), Late: c.late}, start)
 		assert.Equal(t, ok, c.ok, "%+v", c)
 	}
 }
