Who reads a prompt is chosen by the lines before the engines, which gateways tell each other

Hypothesis: gateways judged prefill engines by how long readings took lately and by what they sent themselves. In a burst of four times the load five of them noticed a line of two seconds when their own prompts stood in it, gave readings up after 0.6 to 1.5 s and had them read again. Change: policy/reading reckons when an engine will have read a prompt from all tokens sent to it (told like placement), the pace learned, and how much longer than that it took lately. The decode engine reads the prompt when that is sooner by a factor that grows with the runs it would hold up. A reading is given up after three times its expected time, and 0.6 s at least.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -31,8 +31,10 @@
 	retry bool
 	// short is when a request last waited for memory.
 	short time.Time
-	// changed are the engines whose placement changed since it was last told.
+	// changed are the engines whose placement changed since it was last told, reading the
+	// tokens that prefill engines were sent and have not read.
 	changed map[string]struct{}
+	reading map[string]int
 	// tell is called, with mu held, when changed is no longer empty; it must not block.
 	tell func()
 }
@@ -46,7 +48,7 @@
 
 func newEngines(seed, zone string, tell func()) *engines {
 	return &engines{
-		changed: map[string]struct{}{}, tell: tell,
+		changed: map[string]struct{}{}, reading: map[string]int{}, tell: tell,
 		zone:   zone,
 		terms:  waiting.DefaultTerms(),
 		memory: kvmemory.New(kvmemory.DefaultConfig(), seed),
@@ -194,6 +196,31 @@
 	e.note(id)
 }
 
+// noteReading notes the tokens that a prefill engine was sent and has not read.
+func (e *engines) noteReading(id string, tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.reading[id] = tokens; tokens == 0 {
+		delete(e.reading, id)
+	}
+	e.note(id)
+}
+
+// load is what this process placed on an engine. The caller holds mu.
+func (e *engines) load(id string, now time.Time) kvmemory.Load {
+	if tokens := e.reading[id]; tokens > 0 {
+		return kvmemory.Load{Tokens: tokens}
+	}
+	return e.memory.OwnAt(id, now)
+}
+
+// crowd is the share of an engine's places that are taken.
+func (e *engines) crowd(id string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.memory.Crowd(id)
+}
+
 // note marks an engine whose placement changed. The caller holds mu.
 func (e *engines) note(id string) {
 	if len(e.changed) == 0 {
@@ -209,7 +236,7 @@
 	now := time.Now()
 	out := make([]kvmemory.Share, 0, len(e.changed))
 	for id := range e.changed {
-		out = append(out, kvmemory.Share{ID: id, Load: e.memory.OwnAt(id, now)})
+		out = append(out, kvmemory.Share{ID: id, Load: e.load(id, now)})
 	}
 	clear(e.changed)
 	return out
@@ -241,7 +268,11 @@
 func (e *engines) own() []kvmemory.Share {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.memory.Own(time.Now())
+	out := e.memory.Own(time.Now())
+	for id, tokens := range e.reading {
+		out = append(out, kvmemory.Share{ID: id, Load: kvmemory.Load{Tokens: tokens}})
+	}
+	return out
 }
 
 // shortLife is how long a request that waited for memory counts as a sign that it is short.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
+	"github.com/hibiscusspur/hibiscusspur/policy/reading"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -58,18 +59,14 @@
 // but for engines, which has its own lock.
 type service struct {
 	budget retrybudget.Budget
-	// outliers is what was observed of whole answers, readers of readings of prompts.
-	outliers, readers *outlier.Tracker
-	outstanding       map[string]int
-	// reading counts the prompt tokens that were sent to prefill engines and not read yet.
-	reading map[string]int
-	// shunned holds prefill engines whose exports can't be fetched, until the time.
-	shunned map[string]time.Time
+	// outliers is what was observed of whole answers.
+	outliers    *outlier.Tracker
+	outstanding map[string]int
+	// readers are the engines that read prompts, engines those that generate.
+	readers *reading.Pool
 	engines *engines
-	// arriving is the rate of prompts, in tokens per second; rate is how fast one engine
-	// reads them.
+	// arriving is the rate of prompts, in tokens per second.
 	arriving stages.Mean
-	rate     stages.Rate
 	// wanting is the rate of memory that requests ask for, in tokens per second, weighted
 	// the same with each multiplied by the tokens that it generates; hold is how long runs
 	// hold memory.
@@ -141,8 +138,8 @@
 	s, ok := f.services[name]
 	if !ok {
 		s = &service{
-			outliers: outlier.New(), readers: outlier.New(), outstanding: map[string]int{}, reading: map[string]int{},
-			shunned: map[string]time.Time{}, engines: newEngines(f.VM, f.Zone, f.tellPlaced),
+			outliers: outlier.New(), outstanding: map[string]int{},
+			readers: reading.New(reading.DefaultConfig()), engines: newEngines(f.VM, f.Zone, f.tellPlaced),
 		}
 		f.services[name] = s
 	}
@@ -258,7 +255,6 @@
 	for _, s := range f.services {
 		s.outliers.Forget(known)
 		s.readers.Forget(known)
-		maps.DeleteFunc(s.shunned, func(id string, _ time.Time) bool { return !known(id) })
 	}
 }
 
@@ -286,7 +282,7 @@
 	defer f.mu.Unlock()
 	return stages.Load{
 		Short:    short,
-		ReadRate: s.arriving.At(now), EngineRate: s.rate.PerSecond(), Held: s.hold.Want(s.wanting.At(now), s.weighted.At(now)),
+		ReadRate: s.arriving.At(now), EngineRate: s.readers.PerSecond(), Held: s.hold.Want(s.wanting.At(now), s.weighted.At(now)),
 	}
 }
 
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -160,7 +160,7 @@
 	}()
 }
 
-// Placed is what this process placed on decode engines.
+// Placed is what this process placed on engines: runs that generate, prompts that are read.
 func (f *Forwarder) Placed() []kvmemory.Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -200,6 +200,9 @@
 	defer f.mu.Unlock()
 	for _, s := range f.services {
 		s.engines.setOthers(loads)
+		for id, l := range loads {
+			s.readers.SetOthers(id, l.Tokens)
+		}
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -68,7 +68,7 @@
 func (a *streamAttempt) Prefill(ctx context.Context) (outcome.Outcome, bool) {
 	f, j := a.r.f, a.r.j
 	var owed bool
-	a.export, owed = f.prefill(ctx, j, a.lease.server.Zone)
+	a.export, owed = f.prefill(ctx, j, a.lease)
 	if ctx.Err() != nil {
 		f.freeExport(j, a.export)
 		return j.unanswered(reasonOf(ctx)), false
