Plain services: the calls that a server gets are learned, the rest is told at once

Hypothesis: when servers of a plain service are lost the others' queues fill and stay full; all answers are late, what is refused comes back, and it lasts after the burst. Each of 23 gateways has less than one call outstanding at a server, so a bound on calls outstanding means nothing to it, and with equal costs all sent to the first server of the list. Change: policy/overload learns the share of its calls that a server gets, by additive increase and multiplicative decrease from late and refused answers, compared with the server's best time. Calls beyond it are turned away at once (backend_overloaded). Clients that have come back, told by how long they still wait (policy/waiting), give way. A call goes to the server that is least slowed, ties by the gateway's affinity (policy/affinity, which decode engines share).

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -26,7 +26,9 @@
 	arrived time.Time
 	// deadline is when the client or the route gives up.
 	deadline time.Time
-	caller   httpserver.Caller
+	// late is set when the client has come back after a refusal.
+	late   bool
+	caller httpserver.Caller
 
 	// sends counts requests that reached, or may have reached, a server.
 	sends int
@@ -129,7 +131,7 @@
 	}
 	if j.meta.PromptTokens > 0 {
 		e = e.Int("prompt", j.meta.PromptTokens).Int("max_tokens", j.meta.MaxTokens).Int("length_hint", j.meta.LengthHint).
-			Dur("read", j.read).Dur("first", j.first).Dur("patience", j.meta.Patience).Bool("late", j.late()).
+			Dur("read", j.read).Dur("first", j.first).Dur("patience", j.meta.Patience).Bool("late", j.late).
 			Int("generated", j.generated).Int("expected", j.expected).Int("room", j.room).Dur("pause", j.pause)
 	}
 	e.Int("sends", j.sends).Dur("waited", j.waited).Dur("took", now.Sub(j.arrived)).
--- a/forward/call.go
+++ b/forward/call.go
@@ -5,12 +5,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"syscall"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
+	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -44,9 +47,9 @@
 
 // Place implements life.Request.
 func (c *call) Place(context.Context) (*callAttempt, outcome.Outcome, bool) {
-	s, ok := c.f.choose(c.j, c.tried)
-	if !ok {
-		return nil, c.noServer(outcome.NoBackend), false
+	s, why := c.f.choose(c.j, c.tried)
+	if why != "" {
+		return nil, c.noServer(why), false
 	}
 	c.tried = append(c.tried, s.ID)
 	return &callAttempt{c: c, server: s}, outcome.Outcome{}, true
@@ -113,7 +116,9 @@
 	defer f.end(j, s)
 	a, err := f.exchange(ctx, j, s)
 	ok := err == nil && a.head.Status < http.StatusInternalServerError
-	f.observe(j, s, ok, time.Since(start))
+	took := time.Since(start)
+	f.observe(j, s, ok, took)
+	f.observeLimit(j, s, err, took)
 	return a, err
 }
 
@@ -202,16 +207,29 @@
 	return outcome.Outcome{Kind: outcome.Completed}
 }
 
-// choose returns the server for the next attempt.
-func (f *Forwarder) choose(j *job, tried []string) (registry.Server, bool) {
+// choose returns the server for the next attempt, or why there is none: all were tried, or
+// all that are left have more calls than they can answer in time.
+func (f *Forwarder) choose(j *job, tried []string) (registry.Server, outcome.Reason) {
 	now := time.Now()
 	servers := f.View.Servers(j.service)
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return cheapest(servers, func(c registry.Server) (float64, bool) {
-		return f.cost(s, c, now), !slices.Contains(tried, c.ID)
+	why := outcome.NoBackend
+	best, ok := cheapest(servers, func(c registry.Server) (float64, bool) {
+		if slices.Contains(tried, c.ID) {
+			return 0, false
+		}
+		if !s.limits.Admits(c.ID, j.late, rand.Float64(), now) {
+			why = outcome.Overloaded
+			return 0, false
+		}
+		return f.cost(s, c, now), true
 	})
+	if !ok {
+		return best, why
+	}
+	return best, ""
 }
 
 // cheapest returns the server of least cost among those that may be chosen, the first of
@@ -237,6 +255,12 @@
 	failingCost = 30
 	// suspectCost puts a server that just failed several in a row behind all others.
 	suspectCost = 1000
+	// slowCost is for a server that takes twice as long as at its best: its queue is one
+	// request a slot. Each router sees few of the requests outstanding; with their own alone
+	// all sent to the first server of the list that had none.
+	slowCost = 2
+	// spreadCost spreads routers over servers that are alike.
+	spreadCost = 0.5
 )
 
 func (f *Forwarder) cost(s *service, c registry.Server, now time.Time) float64 {
@@ -244,6 +268,7 @@
 	if c.Zone != f.Zone {
 		cost += zoneCost
 	}
+	cost += slowCost*(s.limits.Slowness(c.ID)-1) + spreadCost*(1-affinity.Of(f.VM, c.ID))
 	cost += failingCost * s.outliers.Failing(c.ID, now)
 	if s.outliers.Suspect(c.ID, now) {
 		cost += suspectCost
@@ -267,6 +292,18 @@
 	}
 }
 
+// observeLimit notes what a call tells of its server's load. One that broke tells nothing.
+func (f *Forwarder) observeLimit(j *job, c registry.Server, err error, took time.Duration) {
+	refused := errors.Is(err, errNotRun)
+	if err != nil && !refused {
+		return
+	}
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.limits.Observe(c.ID, overload.Answer{Took: took, Objective: j.route.Objective, Refused: refused}, time.Now())
+}
+
 func (f *Forwarder) observe(j *job, c registry.Server, ok bool, took time.Duration) {
 	s := f.service(j.service)
 	f.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,9 +19,11 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
+	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 	"github.com/hibiscusspur/hibiscusspur/policy/reading"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
+	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -62,6 +64,10 @@
 	// outliers is what was observed of whole answers.
 	outliers    *outlier.Tracker
 	outstanding map[string]int
+	// limits is how many calls each server of a plain service gets.
+	limits *overload.Limiter
+	// returners tells who has come back, by route.
+	returners map[string]*waiting.Returners
 	// readers are the engines that read prompts, engines those that generate.
 	readers *reading.Pool
 	engines *engines
@@ -138,7 +144,7 @@
 	s, ok := f.services[name]
 	if !ok {
 		s = &service{
-			outliers: outlier.New(), outstanding: map[string]int{},
+			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), returners: map[string]*waiting.Returners{},
 			readers: reading.New(reading.DefaultConfig()), engines: newEngines(f.VM, f.Zone, f.tellPlaced),
 		}
 		f.services[name] = s
@@ -228,6 +234,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.budget.Request(f.Retry, j.arrived)
+	j.late = s.returned(j)
 	if j.streams() {
 		s.arriving.Add(float64(j.meta.PromptTokens), j.arrived)
 		s.wanting.Add(float64(j.need()), j.arrived)
@@ -235,6 +242,16 @@
 	}
 }
 
+// returned reports whether the client of a job has come back after a refusal.
+func (s *service) returned(j *job) bool {
+	r, ok := s.returners[j.route.Name]
+	if !ok {
+		r = &waiting.Returners{}
+		s.returners[j.route.Name] = r
+	}
+	return r.Returned(j.meta.Patience)
+}
+
 // mayRepeat takes one repeat from the budget of the job's service.
 func (f *Forwarder) mayRepeat(j *job) bool {
 	s := f.service(j.service)
@@ -255,6 +272,7 @@
 	for _, s := range f.services {
 		s.outliers.Forget(known)
 		s.readers.Forget(known)
+		s.limits.Forget(known)
 	}
 }
 
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -65,10 +65,9 @@
 
 // newWaiter is the request's turn in the line.
 func (j *job) newWaiter(terms waiting.Terms) *waiting.Waiter {
-	late := j.late()
 	return &waiting.Waiter{
-		Need: j.need(), Arrived: j.arrived, Late: late, Priority: j.route.Priority,
-		Until: terms.Until(j.arrived, j.route.Objective, j.left(j.arrived), j.meta.PromptTokens, late),
+		Need: j.need(), Arrived: j.arrived, Late: j.late, Priority: j.route.Priority,
+		Until: terms.Until(j.arrived, j.route.Objective, j.left(j.arrived), j.meta.PromptTokens, j.late),
 	}
 }
 
@@ -116,13 +115,6 @@
 	}
 }
 
-// late reports whether the client has come back after a refusal, and so can't be answered
-// within its objective any more: those that are turned away stay away for some time, and
-// have so much less left. Clients' own limits differ by less.
-func (j *job) late() bool {
-	return j.meta.Patience > 0 && j.meta.Patience < j.route.Timeout-waiting.DefaultTerms().BackMin
-}
-
 // holdTime is the mean time that a run holds memory; zero while it is not known.
 func (f *Forwarder) holdTime(j *job) time.Duration {
 	s := f.service(j.service)
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -23,6 +23,7 @@
 	StoreUnavailable   Reason = "store_unavailable"
 	NoBackend          Reason = "no_backend"
 	NoPlace            Reason = "no_decode_place"
+	Overloaded         Reason = "backend_overloaded"
 	LinkBusy           Reason = "link_busy"
 	PrefillBacklog     Reason = "prefill_backlog"
 	TargetUnreachable  Reason = "target_unreachable"
@@ -51,7 +52,7 @@
 func All() []Reason {
 	return []Reason{
 		BadRequest, MethodNotAllowed, HeadersTooLarge, BodyTooLarge, PromptTooLong, Unauthenticated, ModelNotInContract, NotFound,
-		RateLimited, ConcurrencyLimited, KeyInUse, TicketLost, StoreUnavailable, NoBackend, NoPlace,
+		RateLimited, ConcurrencyLimited, KeyInUse, TicketLost, StoreUnavailable, NoBackend, NoPlace, Overloaded,
 		LinkBusy, PrefillBacklog, TargetUnreachable, ShareExceeded, StaleRevision, Leaving, Draining,
 		ReservationLapsed, LeaseLapsed, FencedOff, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
@@ -92,7 +93,7 @@
 // reason ended an attempt, provided that the attempt did not run or may be repeated.
 func (r Reason) Retryable() bool {
 	switch r {
-	case NoBackend, NoPlace, LinkBusy, PrefillBacklog, Leaving, Draining, ReservationLapsed, LeaseLapsed,
+	case NoBackend, NoPlace, Overloaded, LinkBusy, PrefillBacklog, Leaving, Draining, ReservationLapsed, LeaseLapsed,
 		KVLost, EngineError, EngineLost, LinkDown, SidecarRestarted, StaleRevision, ShareExceeded:
 		return true
 	default:
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -19,11 +19,12 @@
 package kvmemory
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
 )
 
 // Config tunes a Pool.
@@ -115,7 +116,7 @@
 	for _, l := range list {
 		s, ok := p.servers[l.ID]
 		if !ok {
-			s = &server{home: chance(p.seed, l.ID)}
+			s = &server{home: affinity.Of(p.seed, l.ID)}
 			p.servers[l.ID] = s
 		}
 		s.Server, s.listed = l, true
@@ -132,15 +133,6 @@
 	p.ordered = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
 }
 
-// chance maps a pair of names to [0, 1).
-func chance(seed, id string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(seed))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
 // Ask is what a request asks of a pool.
 type Ask struct {
 	// Run is the request.
--- a/policy/waiting/waiting_test.go
+++ b/policy/waiting/waiting_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// TestReturned: those that were turned away are told from those that come for the first time,
+// by what they say themselves.
+func TestReturned(t *testing.T) {
+	var r waiting.Returners
+	for _, c := range []struct {
+		patience int
+		want     bool
+	}{
+		{12_000, false}, {14_000, false}, {11_900, false}, {9900, true}, {13_000, false}, {0, false}, {4000, true},
+	} {
+		got := r.Returned(time.Duration(c.patience) * time.Millisecond)
+		assert.Equal(t, got, c.want, "%d", c.patience)
+	}
+	for range 1000 {
+		r.Returned(5 * time.Second)
+	}
+	assert.Assert(t, !r.Returned(5*time.Second), "clients wait for less than before")
+}
+
 func TestAgain(t *testing.T) {
 	terms := waiting.DefaultTerms()
 	for _, c := range []struct{ until, now, deadline, want int }{
