Mechanisms that decide can be switched off by name

Cause: what a mechanism is worth could only be found by editing the code, and on call none could be taken out.

--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscusspur/hibiscusspur/gateway"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -34,15 +35,24 @@
 )
 
 func gatewayCmd() *cobra.Command {
-	return &cobra.Command{
+	var names []string
+	c := &cobra.Command{
 		Use:   "gateway",
 		Short: "Forward requests to the backend servers of the users' platform",
 		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return runGateway() },
+		RunE: func(*cobra.Command, []string) error {
+			off, err := mechanism.Parse(names)
+			if err != nil {
+				return merry.Prepend(err, "--policy-off")
+			}
+			return runGateway(off)
+		},
 	}
+	c.Flags().StringSliceVar(&names, "policy-off", nil, "mechanisms to switch off, separated by commas")
+	return c
 }
 
-func runGateway() error {
+func runGateway(off mechanism.Set) error {
 	path := os.Getenv(platform.SettingsEnv)
 	if path == "" {
 		return merry.Errorf("the environment variable %s must name the settings file", platform.SettingsEnv)
@@ -56,7 +66,7 @@
 	pool := upstream.New(upstream.Options{})
 	store := platform.NewStore(upstream.New(upstream.Options{}), set.Store, storeTimeout)
 	engines := platform.NewEngines(pool, engineTimeout)
-	s := gateway.New(gatewaySettings(set), gateway.Deps{
+	s := gateway.New(gatewaySettings(set, off), gateway.Deps{
 		Store:   store,
 		Codec:   platform.Codec{},
 		Engines: engines,
@@ -68,12 +78,12 @@
 	defer stop()
 	go followSettings(ctx, l, path, func(set platform.Settings) {
 		store.Move(set.Store)
-		s.Reload(gatewaySettings(set))
+		s.Reload(gatewaySettings(set, off))
 	})
 	return runDaemon(l, s, set.Drain-drainMargin)
 }
 
-func gatewaySettings(set platform.Settings) gateway.Settings {
+func gatewaySettings(set platform.Settings, off mechanism.Set) gateway.Settings {
 	return gateway.Settings{
 		VM: set.VM, Zone: set.Zone,
 		Callers: set.Callers, Ready: set.Ready, Control: set.Control, Seeds: set.Seeds,
@@ -81,5 +91,6 @@
 		Metrics:   net.JoinHostPort(set.IP, strconv.Itoa(set.Ports[0])),
 		Drain:     set.Drain, Notice: gateway.DefaultNotice,
 		Retry: retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
+		Off:   off,
 	}
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -129,7 +130,7 @@
 // mayHedge reports whether another server may be asked when one is slow. Without it the
 // request's own deadline is the only one, so that its end is told for what it is.
 func (f *Forwarder) mayHedge(j *job) bool {
-	return j.route.Repeatable() && j.sends+1 < j.route.Attempts
+	return j.route.Repeatable() && j.sends+1 < j.route.Attempts && !f.Off.Has(mechanism.Hedges)
 }
 
 func (f *Forwarder) exchange(ctx context.Context, j *job, s registry.Server) (*answer, error) {
@@ -220,7 +221,7 @@
 		if slices.Contains(tried, c.ID) {
 			return 0, false
 		}
-		if !s.limits.Admits(c.ID, j.late, rand.Float64(), now) {
+		if !f.Off.Has(mechanism.Overload) && !s.limits.Admits(c.ID, j.late, rand.Float64(), now) {
 			why = outcome.Overloaded
 			return 0, false
 		}
@@ -268,7 +269,13 @@
 	if c.Zone != f.Zone {
 		cost += zoneCost
 	}
-	cost += slowCost*(s.limits.Slowness(c.ID)-1) + spreadCost*(1-affinity.Of(f.VM, c.ID))
+	cost += spreadCost * (1 - affinity.Of(f.VM, c.ID))
+	if !f.Off.Has(mechanism.Slowness) {
+		cost += slowCost * (s.limits.Slowness(c.ID) - 1)
+	}
+	if f.Off.Has(mechanism.Outliers) {
+		return cost
+	}
 	cost += failingCost * s.outliers.Failing(c.ID, now)
 	if s.outliers.Suspect(c.ID, now) {
 		cost += suspectCost
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/runlength"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -15,6 +16,7 @@
 // engines to goroutines and timers. It is safe for concurrent use.
 type engines struct {
 	terms waiting.Terms
+	off   mechanism.Set
 	// zone is that of this process.
 	zone string
 
@@ -46,12 +48,13 @@
 	engine chan string
 }
 
-func newEngines(seed, zone string, tell func()) *engines {
+func newEngines(seed, zone string, off mechanism.Set, tell func()) *engines {
 	return &engines{
 		changed: map[string]struct{}{}, reading: map[string]int{}, tell: tell,
 		zone:   zone,
-		terms:  waiting.DefaultTerms(),
-		memory: kvmemory.New(kvmemory.DefaultConfig(), seed),
+		terms:  waitingTerms(off),
+		off:    off,
+		memory: kvmemory.New(memoryConfig(off), seed),
 		turns:  map[*waiting.Waiter]turn{}, lengths: map[string]*runlength.Learner{},
 	}
 }
@@ -96,6 +99,9 @@
 func (e *engines) newRun(routeName string, m *Meta, need int) (*kvmemory.Run, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.off.Has(mechanism.Forecast) {
+		return &kvmemory.Run{Need: need, Prompt: m.PromptTokens}, need - m.PromptTokens
+	}
 	l, ok := e.lengths[routeName]
 	if !ok {
 		l = runlength.New()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscusspur/hibiscusspur/life"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
 	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 	"github.com/hibiscusspur/hibiscusspur/policy/reading"
@@ -40,6 +41,8 @@
 	VM, Zone string
 	// Retry bounds the repeats over all routers.
 	Retry retrybudget.Limits
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 // Forwarder answers requests. It is an http.Handler, safe for concurrent use.
@@ -145,7 +148,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), returners: map[string]*waiting.Returners{},
-			readers: reading.New(reading.DefaultConfig()), engines: newEngines(f.VM, f.Zone, f.tellPlaced),
+			readers: reading.New(readingConfig(f.Off)), engines: newEngines(f.VM, f.Zone, f.Off, f.tellPlaced),
 		}
 		f.services[name] = s
 	}
--- /dev/null
+++ b/forward/mechanisms.go
@@ -0,0 +1,49 @@
+package forward
+
+import (
+	"math"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
+	"github.com/hibiscusspur/hibiscusspur/policy/reading"
+	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
+)
+
+// memoryConfig is how decode engines are chosen without the mechanisms that are off.
+func memoryConfig(off mechanism.Set) kvmemory.Config {
+	c := kvmemory.DefaultConfig()
+	if off.Has(mechanism.Turns) {
+		c.Turn = 0
+	}
+	if off.Has(mechanism.LateSpare) {
+		c.LateSpare = 0
+	}
+	if off.Has(mechanism.ZoneBonus) {
+		c.ZoneBonus = 0
+	}
+	if off.Has(mechanism.HomeBonus) {
+		c.HomeBonus = 0
+	}
+	return c
+}
+
+// readingConfig is the same for who reads prompts.
+func readingConfig(off mechanism.Set) reading.Config {
+	c := reading.DefaultConfig()
+	if off.Has(mechanism.SelfRead) {
+		c.Self = math.Inf(1)
+	}
+	return c
+}
+
+// waitingTerms is the same for requests that wait.
+func waitingTerms(off mechanism.Set) waiting.Terms {
+	t := waiting.DefaultTerms()
+	if off.Has(mechanism.LateWait) {
+		t.LateWait = 0
+	}
+	if off.Has(mechanism.Hopeless) {
+		t.Doubt = math.Inf(1)
+	}
+	return t
+}
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
@@ -194,6 +195,9 @@
 	defer f.mu.Unlock()
 	for _, s := range f.services {
 		s.engines.setOthers(loads, routers)
+		if f.Off.Has(mechanism.ReaderLines) {
+			continue
+		}
 		for id, l := range loads {
 			s.readers.SetOthers(id, l.Tokens)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -57,6 +58,8 @@
 	// after readiness has ended, until the balancer has noticed.
 	Drain, Notice time.Duration
 	Retry         retrybudget.Limits
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 // Intervals and bounds.
@@ -138,11 +141,12 @@
 	}
 	s.peers = peer.New(set.Control, set.Datagrams, set.Seeds, s)
 	s.met.GaugeFunc(metrics.UpstreamDials, d.Pool.Dialed)
+	s.met.Gauge(metrics.MechanismsOff).Update(int64(set.Off.Len()))
 	s.met.GaugeFunc(metrics.LinkBytesSent, s.peers.Sent)
 	s.met.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch,
-		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry,
+		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry, Off: set.Off,
 	})
 	return s
 }
@@ -160,7 +164,9 @@
 	s.work.Go(func() { s.sweep(ctx) })
 	s.work.Go(func() { s.meet(ctx) })
 	s.work.Go(func() { s.planStages(ctx) })
-	s.work.Go(func() { s.tellPlacement(ctx) })
+	if !s.set.Off.Has(mechanism.Datagrams) {
+		s.work.Go(func() { s.tellPlacement(ctx) })
+	}
 	return s.listen()
 }
 
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fencing"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -39,7 +40,7 @@
 		now := time.Now()
 		s.view.settle(now)
 		t := s.view.Table()
-		if t != nil && s.peers.Rank() == 0 && !s.draining.Load() {
+		if t != nil && s.plans() {
 			for name, service := range t.Services {
 				if service.Engine == nil {
 					continue
@@ -56,6 +57,11 @@
 	}
 }
 
+// plans reports whether this process is the one that gives orders.
+func (s *Service) plans() bool {
+	return s.peers.Rank() == 0 && !s.draining.Load() && !s.set.Off.Has(mechanism.StageOrders)
+}
+
 func (s *Service) planService(ctx context.Context, p *stages.Planner, service route.Service, now time.Time) {
 	servers, moving := s.view.all(service.Name)
 	load := s.fwd.Use(service.Name)
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -37,5 +37,6 @@
 		{FirstEventTime, Timer},
 		{ReservationsRefused, Counter},
 		{UpstreamDials, Gauge},
+		{MechanismsOff, Gauge},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -15,4 +15,6 @@
 	// ReservationsRefused counts engines that had less room than was thought.
 	ReservationsRefused = "reservations_refused"
 	UpstreamDials       = "upstream_dials"
+	// MechanismsOff is the number of mechanisms that are switched off.
+	MechanismsOff = "mechanisms_off"
 )
