What others told of an engine counts before this gateway has it listed, and is read as of now

Cause: a gateway learns of an engine with its first request after a change of the list. And a forecast told half a second ago was read as if it were told now: others' runs had grown by a tenth. Change: loads of engines not yet listed are kept (policy/kvmemory, policy/reading); forecasts are moved on by their age each 250 ms (Forecast.After). A choice sums own and others' forecasts once. Tests, seen failing: TestToldBeforeListed, TestToldBeforeSeen; TestAfter, TestPlacedAges. Files split: choices of engines and of servers stand apart.

--- /dev/null
+++ b/forward/choose.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+// choose returns the server for the next attempt, or why there is none: all were tried, or
+// all that are left have more calls than they can answer in time.
+func (f *Forwarder) choose(j *job, tried []string) (registry.Server, outcome.Reason) {
+	now := time.Now()
+	servers := f.View.Servers(j.service)
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	why := outcome.NoBackend
+	best, ok := cheapest(servers, func(c registry.Server) (float64, bool) {
+		if slices.Contains(tried, c.ID) {
+			return 0, false
+		}
+		if !f.Off.Has(mechanism.Overload) && !s.limits.Admits(c.ID, j.late, rand.Float64(), now) {
+			why = outcome.Overloaded
+			return 0, false
+		}
+		return f.cost(s, c, now), true
+	})
+	if !ok {
+		return best, why
+	}
+	return best, ""
+}
+
+// cheapest returns the server of least cost among those that may be chosen, the first of
+// several.
+func cheapest(servers []registry.Server, cost func(registry.Server) (float64, bool)) (registry.Server, bool) {
+	var best registry.Server
+	least := 0.0
+	for _, s := range servers {
+		c, may := cost(s)
+		if may && (best.ID == "" || c < least) {
+			best, least = s, c
+		}
+	}
+	return best, best.ID != ""
+}
+
+// Weights of the cost of a server of a plain service, in requests outstanding.
+const (
+	// zoneCost keeps calls in the zone unless two more requests are outstanding there.
+	zoneCost = 2
+	// failingCost makes a server that fails one request in ten more than the others
+	// cost as much as three outstanding requests.
+	failingCost = 30
+	// suspectCost puts a server that just failed several in a row behind all others.
+	suspectCost = 1000
+	// slowCost is for a server that takes twice as long as at its best: its queue is one
+	// request a slot. Each router sees few of the requests outstanding; with their own alone
+	// all sent to the first server of the list that had none.
+	slowCost = 2
+	// spreadCost spreads routers over servers that are alike.
+	spreadCost = 0.5
+)
+
+func (f *Forwarder) cost(s *service, c registry.Server, now time.Time) float64 {
+	cost := float64(s.outstanding[c.ID])
+	if c.Zone != f.Zone {
+		cost += zoneCost
+	}
+	cost += spreadCost * (1 - affinity.Of(f.VM, c.ID))
+	if !f.Off.Has(mechanism.Slowness) {
+		cost += slowCost * (s.limits.Slowness(c.ID) - 1)
+	}
+	if f.Off.Has(mechanism.Outliers) {
+		return cost
+	}
+	cost += failingCost * s.outliers.Failing(c.ID, now)
+	if s.outliers.Suspect(c.ID, now) {
+		cost += suspectCost
+	}
+	return cost
+}
--- a/gateway/placed.go
+++ b/gateway/placed.go
@@ -34,38 +34,48 @@
 	at time.Time
 	// number is that of the newest placement told by this incarnation.
 	incarnation, number uint64
-	loads               map[string]kvmemory.Load
+	told                map[string]toldLoad
 	readings            []*peer.Reading
 	// read is when the gateway last read the list of servers from the store.
 	read time.Time
 }
 
+// toldLoad is what a gateway told of one engine.
+type toldLoad struct {
+	load kvmemory.Load
+	at   time.Time
+	// counted is what of it is in the totals: what it says of the time when they were last
+	// brought up to date.
+	counted kvmemory.Load
+}
+
 func newPlaced() *placed {
 	return &placed{reports: map[string]placedReport{}, totals: map[string]kvmemory.Load{}, life: placedLife}
 }
 
-// refreshInterval is the interval at which all totals are handed on and not just those that
-// changed: an engine that was not known yet has them by then.
-const refreshInterval = 500 * time.Millisecond
+// refreshInterval is the interval at which all totals are brought up to date and handed on, and
+// not just those that changed: runs grow by a tenth of their memory in it.
+const refreshInterval = 250 * time.Millisecond
 
 // take takes a report and returns what all others placed, for the engines for which that
 // has changed.
 func (p *placed) take(r *peer.Report, now time.Time) map[string]kvmemory.Load {
-	report := placedReport{at: now, incarnation: r.GetIncarnation(), number: r.GetPlacement(), loads: map[string]kvmemory.Load{}, readings: r.GetReadings()}
+	report := placedReport{at: now, incarnation: r.GetIncarnation(), number: r.GetPlacement(), told: map[string]toldLoad{}, readings: r.GetReadings()}
 	report.read = now.Add(-time.Duration(r.GetReadAgeMs()) * time.Millisecond)
 	for _, s := range r.GetShares() {
-		report.loads[s.GetServer()] = decodeLoad(s)
+		l := decodeLoad(s)
+		report.told[s.GetServer()] = toldLoad{load: l, at: now, counted: l}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.reports[r.GetAddr()]
 	if report.incarnation == old.incarnation && report.number < old.number {
 		// Datagrams that came since tell more than the report.
-		report.number, report.loads = old.number, old.loads
+		report.number, report.told = old.number, old.told
 	}
 	changed := map[string]kvmemory.Load{}
-	p.count(old.loads, -1, changed)
-	p.count(report.loads, 1, changed)
+	p.count(old.told, -1, changed)
+	p.count(report.told, 1, changed)
 	p.reports[r.GetAddr()] = report
 	if now.Sub(p.refreshed) >= refreshInterval {
 		p.all(now, changed)
@@ -77,9 +87,22 @@
 func (p *placed) all(now time.Time, changed map[string]kvmemory.Load) {
 	p.refreshed = now
 	p.expire(now, changed)
+	for _, r := range p.reports {
+		p.age(r.told, now, changed)
+	}
 	maps.Copy(changed, p.totals)
 }
 
+// age replaces what one gateway told by what that says of now. The caller holds mu.
+func (p *placed) age(told map[string]toldLoad, now time.Time, changed map[string]kvmemory.Load) {
+	for id, t := range told {
+		p.add(id, &t.counted, -1, changed)
+		t.counted.Ahead = t.load.Ahead.After(now.Sub(t.at))
+		p.add(id, &t.counted, 1, changed)
+		told[id] = t
+	}
+}
+
 // refresh drops what is too old when exchanges with one gateway come at that pace, and
 // returns all totals and those that fell to zero. It is also for gateways that hear no other
 // one any more.
@@ -92,10 +115,11 @@
 	return changed
 }
 
-// count adds sign times loads to the totals, and notes the new ones. The caller holds mu.
-func (p *placed) count(loads map[string]kvmemory.Load, sign int, changed map[string]kvmemory.Load) {
-	for id, l := range loads {
-		p.add(id, &l, sign, changed)
+// count adds sign times what a gateway told to the totals, and notes the new ones. The caller
+// holds mu.
+func (p *placed) count(told map[string]toldLoad, sign int, changed map[string]kvmemory.Load) {
+	for id, t := range told {
+		p.add(id, &t.counted, sign, changed)
 	}
 }
 
@@ -114,7 +138,7 @@
 func (p *placed) expire(now time.Time, changed map[string]kvmemory.Load) {
 	for addr, r := range p.reports {
 		if now.Sub(r.at) >= p.life {
-			p.count(r.loads, -1, changed)
+			p.count(r.told, -1, changed)
 			delete(p.reports, addr)
 		}
 	}
@@ -134,10 +158,10 @@
 	changed := map[string]kvmemory.Load{}
 	for _, s := range c.GetShares() {
 		id, l := s.GetServer(), decodeLoad(s)
-		old := r.loads[id]
+		old := r.told[id].counted
 		p.add(id, &old, -1, changed)
 		p.add(id, &l, 1, changed)
-		r.loads[id] = l
+		r.told[id] = toldLoad{load: l, at: now, counted: l}
 	}
 	return changed
 }
--- a/gateway/placed_test.go
+++ b/gateway/placed_test.go
@@ -69,3 +69,18 @@
 	assert.DeepEqual(t, p.refresh(pace, start.Add(pace)), map[string]kvmemory.Load{"i-1": held(100)})
 	assert.DeepEqual(t, p.refresh(pace, start.Add(placedPaces*pace)), map[string]kvmemory.Load{"i-1": held(0)})
 }
+
+// TestPlacedAges: between two reports a gateway's runs go on, and what it told is read as of now.
+func TestPlacedAges(t *testing.T) {
+	p := newPlaced()
+	r := report(1, 1, 1000)
+	r.Shares[0].Runs = 1
+	r.Shares[0].Mean = []uint32{100, 200, 300, 400, 500, 600, 700, 800}
+	r.Shares[0].Variance = make([]uint64, kvmemory.Ahead)
+	p.take(r, start)
+	assert.Equal(t, p.totals["i-1"].Ahead.Mean[0], 100.0)
+	aged := p.refresh(0, start.Add(500*time.Millisecond))["i-1"]
+	assert.Equal(t, aged.Ahead.Mean[0], 300.0)
+	assert.Equal(t, aged.Tokens, 1000)
+	assert.DeepEqual(t, p.refresh(0, start.Add(placedLife)), map[string]kvmemory.Load{"i-1": {}})
+}
--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -38,14 +38,49 @@
 	}
 }
 
+// After is what a forecast that was made that long ago says of now.
+func (f *Forecast) After(age time.Duration) Forecast {
+	var out Forecast
+	for i, ahead := range moments {
+		out.Mean[i], out.Variance[i] = f.at(ahead + age)
+	}
+	return out
+}
+
+// at is the forecast between two moments.
+func (f *Forecast) at(ahead time.Duration) (mean, variance float64) {
+	for i := 1; i < Ahead; i++ {
+		if ahead > moments[i] {
+			continue
+		}
+		part := float64(ahead-moments[i-1]) / float64(moments[i]-moments[i-1])
+		mean = math.Round(f.Mean[i-1] + part*(f.Mean[i]-f.Mean[i-1]))
+		variance = math.Round(f.Variance[i-1] + part*(f.Variance[i]-f.Variance[i-1]))
+		return mean, variance
+	}
+	return f.Mean[Ahead-1], f.Variance[Ahead-1]
+}
+
 // Peak is the most memory that is held at any of the moments, in tokens: the mean and caution
 // standard deviations.
 func (f *Forecast) Peak(caution float64) float64 {
-	peak := 0.0
-	for i, mean := range f.Mean {
-		peak = max(peak, mean+caution*math.Sqrt(max(f.Variance[i], 0)))
+	var none Forecast
+	return peak(caution, f, &none)
+}
+
+// peak is the peak of a sum. A choice among hundreds of engines works it out for each: it
+// takes a root only where the highest moment is not known yet.
+func peak(caution float64, a, b *Forecast) float64 {
+	highest := 0.0
+	for i := range a.Mean {
+		mean := a.Mean[i] + b.Mean[i]
+		variance := a.Variance[i] + b.Variance[i]
+		if below := highest - mean; below >= 0 && below*below >= caution*caution*variance {
+			continue
+		}
+		highest = max(highest, mean+caution*math.Sqrt(max(variance, 0)))
 	}
-	return peak
+	return highest
 }
 
 // Load is what runs on one engine hold.
--- /dev/null
+++ b/policy/kvmemory/forecast_test.go
@@ -0,0 +1,47 @@
+package kvmemory_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/runlength"
+)
+
+// told is the load of one run of 5,000 prompt tokens and about 4,000 generated ones.
+func told(t *testing.T) kvmemory.Load {
+	t.Helper()
+	p := pool("g", 1)
+	r := &kvmemory.Run{Need: 9000, Prompt: 5000, Length: runlength.New().Begin(4000, 9360)}
+	id, ok := p.Pick(kvmemory.Ask{Run: r}, start)
+	assert.Assert(t, ok)
+	p.Take(id, r)
+	return p.OwnAt(id, start)
+}
+
+// TestForecast: a run grows from its prompt, and is likely to have ended in the end.
+func TestForecast(t *testing.T) {
+	f := told(t).Ahead
+	assert.Equal(t, f.Mean[0], 5000.0)
+	assert.Equal(t, f.Variance[0], 0.0, "what it holds now is known")
+	assert.Assert(t, f.Mean[3] > 5800, "a second ahead: %g", f.Mean[3])
+	assert.Equal(t, f.Mean[kvmemory.Ahead-1], 0.0, "it can't last for sixteen seconds")
+	assert.Assert(t, f.Peak(2) > f.Peak(0) && f.Peak(0) >= f.Mean[3])
+}
+
+// TestAfter: what was told half a second ago is worth as much as what is told now, and adds up.
+func TestAfter(t *testing.T) {
+	f := told(t).Ahead
+	aged := f.After(500 * time.Millisecond)
+	assert.Equal(t, aged.Mean[0], f.Mean[2])
+	assert.Equal(t, aged.Variance[1], math.Round((f.Variance[2]+f.Variance[3])/2))
+	assert.Equal(t, aged.Mean[kvmemory.Ahead-1], f.Mean[kvmemory.Ahead-1])
+	assert.Equal(t, f.After(0), f)
+	sum := f
+	sum.Add(&aged, 1)
+	sum.Add(&aged, -1)
+	assert.Equal(t, sum, f, "nothing is left of what was taken off again")
+}
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -79,6 +79,9 @@
 	// of a map.
 	ordered []*server
 	pace    pace
+	// heard is what was told of engines that are not known yet, or not any more: a router
+	// learns of an engine only with the first request after a change of the list.
+	heard map[string]Load
 	// routers is the number of routers that place runs.
 	routers int
 }
@@ -93,6 +96,8 @@
 	runs        []*Run
 	own, others Load
 	at          time.Time
+	// all is the forecast of own and others.
+	all Forecast
 	// refused is the size of the smallest request refused until the time blocked.
 	refused int
 	blocked time.Time
@@ -105,7 +110,7 @@
 
 // New returns an empty pool. Seed differs between routers.
 func New(cfg Config, seed string) *Pool {
-	return &Pool{cfg: cfg, seed: seed, servers: map[string]*server{}, routers: 1}
+	return &Pool{cfg: cfg, seed: seed, servers: map[string]*server{}, heard: map[string]Load{}, routers: 1}
 }
 
 // Sync takes the list of engines that may get new work.
@@ -116,112 +121,41 @@
 	for _, l := range list {
 		s, ok := p.servers[l.ID]
 		if !ok {
-			s = &server{home: affinity.Of(p.seed, l.ID)}
+			s = &server{home: affinity.Of(p.seed, l.ID), others: p.heard[l.ID]}
 			p.servers[l.ID] = s
+			delete(p.heard, l.ID)
 		}
 		s.Server, s.listed = l, true
 	}
-	for id, s := range p.servers {
+	for _, s := range p.servers {
 		if !s.listed && len(s.runs) == 0 {
-			delete(p.servers, id)
+			p.forget(s)
 		}
 	}
 	p.order()
 }
 
-func (p *Pool) order() {
-	p.ordered = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
-}
-
-// Ask is what a request asks of a pool.
-type Ask struct {
-	// Run is the request.
-	Run *Run
-	// Late is set when it can't be answered within its objective any more.
-	Late bool
-	// Zone is that of the router.
-	Zone string
-	// Exclude are engines that must not get the request.
-	Exclude []string
-}
-
-// Pick returns the engine to ask for room. It returns false when none is thought to have
-// it.
-func (p *Pool) Pick(a Ask, now time.Time) (string, bool) {
-	var best *server
-	var bestScore, bestFree float64
-	var asked Forecast
-	a.Run.add(&asked, p.pace.perSecond())
-	for _, s := range p.ordered {
-		if !p.open(s, a, now) || slices.Contains(a.Exclude, s.ID) {
-			continue
-		}
-		free := p.free(s, &asked, now)
-		if free < p.spare(s, a) || p.othersTurn(s, a.Late, now) {
-			continue
-		}
-		score := p.score(s, free, a.Zone)
-		if best == nil || score > bestScore {
-			best, bestScore, bestFree = s, score, free
-		}
-	}
-	if best == nil {
-		return "", false
-	}
-	a.Run.Room = int(bestFree)
-	return best.ID, true
+// forget drops an engine, but for what others told of it.
+func (p *Pool) forget(s *server) {
+	delete(p.servers, s.ID)
+	p.hear(s.ID, s.others)
 }
 
-// open reports whether an engine may be asked, whatever its memory.
-func (p *Pool) open(s *server, a Ask, now time.Time) bool {
-	if !s.listed || s.Slots > 0 && s.own.Runs+s.others.Runs >= s.Slots {
-		return false
+func (p *Pool) hear(id string, l Load) {
+	if l == (Load{}) {
+		delete(p.heard, id)
+		return
 	}
-	return a.Run.Need < s.refused || !now.Before(s.blocked)
+	p.heard[id] = l
 }
 
-// free is the memory of an engine that stays free at its fullest moment, in tokens, with the
-// one that asks.
-func (p *Pool) free(s *server, asked *Forecast, now time.Time) float64 {
-	p.refresh(s, now)
-	sum := s.own.Ahead
-	sum.Add(&s.others.Ahead, 1)
-	sum.Add(asked, 1)
-	return float64(s.Capacity) - sum.Peak(p.cfg.Caution)
-}
-
-// othersTurn reports whether memory that has become free is left to other routers for now.
-// All routers hear of it at once, and before each could hear of the others' placements, as
-// many as have requests waiting would place one. Late requests come after the turns of all.
-func (p *Pool) othersTurn(s *server, late bool, now time.Time) bool {
-	all := min(time.Duration(p.routers-1)*p.cfg.Turn, p.cfg.TurnsMost)
-	wait := time.Duration((1 - s.home) * float64(all))
-	if late {
-		wait += all
-	}
-	return now.Sub(s.freed) < wait
+func (p *Pool) order() {
+	p.ordered = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
 }
 
 // SetRouters takes the number of routers that place runs, this one included.
 func (p *Pool) SetRouters(n int) { p.routers = max(n, 1) }
 
-// spare is the memory that has to stay free, in tokens.
-func (p *Pool) spare(s *server, a Ask) float64 {
-	if !a.Late {
-		return 0
-	}
-	return p.cfg.LateSpare * float64(s.Capacity)
-}
-
-func (p *Pool) score(s *server, free float64, zone string) float64 {
-	score := free / float64(max(s.Capacity, 1))
-	score += p.cfg.HomeBonus * s.home
-	if s.Zone == zone {
-		score += p.cfg.ZoneBonus
-	}
-	return score
-}
-
 // forecastLife is how long a forecast of the own runs holds: they grow by two events in it.
 const forecastLife = 100 * time.Millisecond
 
@@ -237,6 +171,13 @@
 		s.own.Tokens += r.Need
 		r.add(&s.own.Ahead, p.pace.perSecond())
 	}
+	s.sum()
+}
+
+// sum brings all up to date.
+func (s *server) sum() {
+	s.all = s.own.Ahead
+	s.all.Add(&s.others.Ahead, 1)
 }
 
 // stale has the own load of an engine worked out anew.
@@ -274,7 +215,7 @@
 	s.drop(r)
 	s.blocked, s.freed = time.Time{}, now
 	if !s.listed && len(s.runs) == 0 {
-		delete(p.servers, id)
+		p.forget(s)
 		p.order()
 	}
 }
@@ -364,6 +305,7 @@
 func (p *Pool) SetOthers(id string, l Load, now time.Time) {
 	s, ok := p.servers[id]
 	if !ok {
+		p.hear(id, l)
 		return
 	}
 	if l.Tokens < s.others.Tokens && s.fails == 0 {
@@ -373,6 +315,7 @@
 		s.freed = now
 	}
 	s.others = l
+	s.sum()
 }
 
 // Capacity and Used are the memory of all engines that may get new work, and what is
--- a/policy/kvmemory/kvmemory_test.go
+++ b/policy/kvmemory/kvmemory_test.go
@@ -190,3 +190,21 @@
 		assert.Equal(t, ok, c.ok, "%+v", c)
 	}
 }
+
+// TestToldBeforeListed: an engine that changed its stage, and all engines for a router that has
+// just started, are told of by others before the router's own list has them. Without what was
+// told, each of 23 routers placed its first run on such an engine as if it were empty.
+func TestToldBeforeListed(t *testing.T) {
+	p := kvmemory.New(kvmemory.DefaultConfig(), "g")
+	p.SetOthers("a", held(50_000), start)
+	p.Sync(servers(1))
+	_, ok := p.Pick(kvmemory.Ask{Run: run(6000)}, start)
+	assert.Assert(t, !ok, "told before it was listed")
+	p.Sync(nil)
+	p.Sync(servers(1))
+	_, ok = p.Pick(kvmemory.Ask{Run: run(6000)}, start)
+	assert.Assert(t, !ok, "it was not listed for a moment")
+	p.SetOthers("a", kvmemory.Load{}, start)
+	_, ok = p.Pick(kvmemory.Ask{Run: run(6000)}, start.Add(time.Second))
+	assert.Assert(t, ok)
+}
--- /dev/null
+++ b/policy/kvmemory/pick.go
@@ -0,0 +1,89 @@
+package kvmemory
+
+import (
+	"slices"
+	"time"
+)
+
+// Ask is what a request asks of a pool.
+type Ask struct {
+	// Run is the request.
+	Run *Run
+	// Late is set when it can't be answered within its objective any more.
+	Late bool
+	// Zone is that of the router.
+	Zone string
+	// Exclude are engines that must not get the request.
+	Exclude []string
+}
+
+// Pick returns the engine to ask for room. It returns false when none is thought to have
+// it.
+func (p *Pool) Pick(a Ask, now time.Time) (string, bool) {
+	var best *server
+	var bestScore, bestFree float64
+	var asked Forecast
+	a.Run.add(&asked, p.pace.perSecond())
+	for _, s := range p.ordered {
+		if !p.open(s, a, now) || slices.Contains(a.Exclude, s.ID) {
+			continue
+		}
+		free := p.free(s, &asked, now)
+		if free < p.spare(s, a) || p.othersTurn(s, a.Late, now) {
+			continue
+		}
+		score := p.score(s, free, a.Zone)
+		if best == nil || score > bestScore {
+			best, bestScore, bestFree = s, score, free
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	a.Run.Room = int(bestFree)
+	return best.ID, true
+}
+
+// open reports whether an engine may be asked, whatever its memory.
+func (p *Pool) open(s *server, a Ask, now time.Time) bool {
+	if !s.listed || s.Slots > 0 && s.own.Runs+s.others.Runs >= s.Slots {
+		return false
+	}
+	return a.Run.Need < s.refused || !now.Before(s.blocked)
+}
+
+// free is the memory of an engine that stays free at its fullest moment, in tokens, with the
+// one that asks.
+func (p *Pool) free(s *server, asked *Forecast, now time.Time) float64 {
+	p.refresh(s, now)
+	return float64(s.Capacity) - peak(p.cfg.Caution, &s.all, asked)
+}
+
+// othersTurn reports whether memory that has become free is left to other routers for now.
+// All routers hear of it at once, and before each could hear of the others' placements, as
+// many as have requests waiting would place one. Late requests come after the turns of all.
+func (p *Pool) othersTurn(s *server, late bool, now time.Time) bool {
+	all := min(time.Duration(p.routers-1)*p.cfg.Turn, p.cfg.TurnsMost)
+	wait := time.Duration((1 - s.home) * float64(all))
+	if late {
+		wait += all
+	}
+	return now.Sub(s.freed) < wait
+}
+
+// spare is the memory that has to stay free, in tokens.
+func (p *Pool) spare(s *server, a Ask) float64 {
+	if !a.Late {
+		return 0
+	}
+	return p.cfg.LateSpare * float64(s.Capacity)
+}
+
+func (p *Pool) score(s *server, free float64, zone string) float64 {
+	score := free / float64(max(s.Capacity, 1))
+	score += p.cfg.HomeBonus * s.home
+	if s.Zone == zone {
+		score += p.cfg.ZoneBonus
+	}
+	return score
+}
--- /dev/null
+++ b/policy/kvmemory/pick_bench_test.go
@@ -0,0 +1,37 @@
+package kvmemory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/runlength"
+)
+
+// BenchmarkPick is a choice among 350 engines, of each of which one run of this router and ten
+// of others are known.
+func BenchmarkPick(b *testing.B) {
+	p := kvmemory.New(kvmemory.DefaultConfig(), "g")
+	list := make([]kvmemory.Server, 350)
+	for i := range list {
+		list[i] = kvmemory.Server{ID: fmt.Sprintf("i-%03d", i), Zone: "z1", Capacity: 100_000, Slots: 48}
+	}
+	p.Sync(list)
+	l := runlength.New()
+	for _, s := range list {
+		p.Take(s.ID, &kvmemory.Run{Need: 6000, Prompt: 5000, Length: l.Begin(1000, 9000)})
+		others := held(50_000)
+		others.Runs = 10
+		p.SetOthers(s.ID, others, start)
+	}
+	ask := kvmemory.Ask{Run: &kvmemory.Run{Need: 6000, Prompt: 5000, Length: l.Begin(1000, 9000)}, Zone: "z1"}
+	now := start.Add(time.Second)
+	p.Pick(ask, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := p.Pick(ask, now); !ok {
+			b.Fatal("none has room")
+		}
+	}
+}
--- a/policy/reading/reading.go
+++ b/policy/reading/reading.go
@@ -193,7 +193,11 @@
 
 // SetOthers takes the tokens that all other routers sent to an engine.
 func (p *Pool) SetOthers(id string, tokens int) {
-	if r, ok := p.readers[id]; ok {
+	r, ok := p.readers[id]
+	if !ok && tokens > 0 {
+		r = p.reader(id)
+	}
+	if r != nil {
 		r.others = tokens
 	}
 }
--- a/policy/reading/reading_test.go
+++ b/policy/reading/reading_test.go
@@ -164,3 +164,12 @@
 	}
 	return count
 }
+
+// TestToldBeforeSeen: lines that others told of count from the first look at an engine on.
+func TestToldBeforeSeen(t *testing.T) {
+	p := reading.New(reading.DefaultConfig())
+	p.SetOthers("a", 30_000)
+	got, ok := p.Pick(servers, reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1}, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, got.Server.ID, "b")
+}
