--- a/forward/mechanisms.go
+++ b/forward/mechanisms.go
@@ -31,7 +31,7 @@
 func readingConfig(off mechanism.Set) reading.Config {
 	c := reading.DefaultConfig()
 	if off.Has(mechanism.SelfRead) {
-		c.Self = math.Inf(1)
+		c.Self = 0
 	}
 	return c
 }
--- a/policy/reading/reading.go
+++ b/policy/reading/reading.go
@@ -17,6 +17,7 @@
 package reading
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -36,7 +37,8 @@
 	// Shun is how long an engine whose exports can't be fetched reads no prompts.
 	Shun time.Duration
 	// Self is by how much longer a decode engine takes for a prompt, Disturbed by how much
-	// more that counts when its places are all taken.
+	// more that counts when its places are all taken. With a Self of zero it reads none while
+	// a prefill engine may.
 	Self, Disturbed float64
 	// LimitTimes is how many times the expected time a reading may take, LimitMin the least
 	// limit: an idle engine needs some 200 ms for a long prompt.
@@ -125,6 +127,9 @@
 
 // self is what reading by the decode engine costs.
 func (p *Pool) self(a Ask) time.Duration {
+	if p.cfg.Self == 0 {
+		return math.MaxInt64
+	}
 	factor := p.cfg.Self * (1 + p.cfg.Disturbed*a.Crowd)
 	return time.Duration(factor * float64(a.Tokens) * float64(p.perToken()))
 }
--- a/policy/reading/reading_test.go
+++ b/policy/reading/reading_test.go
@@ -173,3 +173,15 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, got.Server.ID, "b")
 }
+
+// TestNeverSelf: with the mechanism off, no line is too long.
+func TestNeverSelf(t *testing.T) {
+	cfg := reading.DefaultConfig()
+	cfg.Self = 0
+	p := reading.New(cfg)
+	lines(1_000_000)(p)
+	_, ok := p.Pick(servers, reading.Ask{Tokens: 5000}, start)
+	assert.Assert(t, ok)
+	_, ok = p.Pick(servers, reading.Ask{Tokens: 5000, Exclude: []string{"a", "b"}}, start)
+	assert.Assert(t, !ok, "none is left")
+}
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -33,8 +33,8 @@
 			i=$((i + 1))
 			"$bench" score "$site" --jobs "${JOBS:-4}" --why "ablation: without $m" >out.txt 2>&1 || true
 			awk -v m="$m" -v site="$(basename "$site" .toml)" '
-				/^(trouble|scale)-/ { sum += $4; n++ }
-				/^quiet-/ { quiet = $4 }
+				$2 ~ "/" && /^(trouble|scale)-/ { sum += $4; n++ }
+				$2 ~ "/" && /^quiet-/ { quiet = $4 }
 				/^GATE/ { gate = $2 }
 				END { printf "%-14s %-28s trouble %.3f quiet %.3f gate %s\n", m, site, n ? sum / n : 0, quiet, gate }' out.txt
 		done
