Mechanisms that are worth nothing go: slowness, home bonus, latencies of the outlier tracker

Change: both go; ties among engines and servers still go by affinity, so that gateways with equal views choose differently (TestRoutersWithEqualViewsChooseDifferently stands). The outlier tracker's latencies had no reader left since readers are chosen by their lines; the load pattern of its test, an engine eight times slower, is TestSlowEngine of policy/reading.

--- a/forward/call.go
+++ b/forward/call.go
@@ -115,7 +115,7 @@
 	a, err := f.exchange(ctx, j, s)
 	ok := err == nil && a.head.Status < http.StatusInternalServerError
 	took := time.Since(start)
-	f.observe(j, s, ok, took)
+	f.observe(j, s, ok)
 	f.observeLimit(j, s, err, took)
 	return a, err
 }
@@ -233,9 +233,9 @@
 	s.limits.Observe(c.ID, overload.Answer{Took: took, Objective: j.route.Objective, Refused: refused}, time.Now())
 }
 
-func (f *Forwarder) observe(j *job, c registry.Server, ok bool, took time.Duration) {
+func (f *Forwarder) observe(j *job, c registry.Server, ok bool) {
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.outliers.Observe(c.ID, ok, took, time.Now())
+	s.outliers.Observe(c.ID, ok, time.Now())
 }
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -59,11 +59,8 @@
 	failingCost = 30
 	// suspectCost puts a server that just failed several in a row behind all others.
 	suspectCost = 1000
-	// slowCost is for a server that takes twice as long as at its best: its queue is one
-	// request a slot. Each router sees few of the requests outstanding; with their own alone
-	// all sent to the first server of the list that had none.
-	slowCost = 2
-	// spreadCost spreads routers over servers that are alike.
+	// spreadCost spreads routers over servers that are alike. Each sees few of the requests
+	// outstanding; without it all sent to the first server of the list that had none.
 	spreadCost = 0.5
 )
 
@@ -73,9 +70,6 @@
 		cost += zoneCost
 	}
 	cost += spreadCost * (1 - affinity.Of(f.VM, c.ID))
-	if !f.Off.Has(mechanism.Slowness) {
-		cost += slowCost * (s.limits.Slowness(c.ID) - 1)
-	}
 	if f.Off.Has(mechanism.Outliers) {
 		return cost
 	}
--- a/forward/mechanisms.go
+++ b/forward/mechanisms.go
@@ -21,9 +21,6 @@
 	if off.Has(mechanism.ZoneBonus) {
 		c.ZoneBonus = 0
 	}
-	if off.Has(mechanism.HomeBonus) {
-		c.HomeBonus = 0
-	}
 	return c
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -29,9 +29,8 @@
 // are handed on, so that a stream that breaks can go on elsewhere.
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
-	start := time.Now()
 	err := a.r.copyEvents(head, res)
-	f.observe(j, s, err == nil, time.Since(start))
+	f.observe(j, s, err == nil)
 	if err == nil {
 		f.observeHold(j, a.lease)
 		f.service(j.service).engines.finished(a.lease.run)
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -39,9 +39,6 @@
 	// ZoneBonus is what the own zone counts, as a share of an engine's memory; a
 	// hand-off and a stream between zones cost bytes, which are priced.
 	ZoneBonus float64
-	// HomeBonus is the most that chance counts, as a share of an engine's memory. It
-	// differs by router, so that routers whose views are equal choose differently.
-	HomeBonus float64
 	// LateSpare is the share of an engine's memory that stays free when a late request is
 	// placed there: about two requests of the usual size.
 	LateSpare float64
@@ -60,7 +57,7 @@
 // DefaultConfig returns the values that were measured; see docs/DECISIONS.md. A caution of one
 // standard deviation has five times as many runs preempted, one of three turns more away.
 func DefaultConfig() Config {
-	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, HomeBonus: 0.1, LateSpare: 0.25, Caution: 2, Turn: 4 * time.Millisecond, TurnsMost: 100 * time.Millisecond}
+	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, LateSpare: 0.25, Caution: 2, Turn: 4 * time.Millisecond, TurnsMost: 100 * time.Millisecond}
 }
 
 // Server is a decode engine.
@@ -101,7 +98,8 @@
 	// refused is the size of the smallest request refused until the time blocked.
 	refused int
 	blocked time.Time
-	home    float64
+	// home is the affinity of this router to it.
+	home float64
 	// freed is when a run was last heard to have ended there.
 	freed time.Time
 	// fails counts failures since a request last worked.
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		score := p.score(s, free, a.Zone)
-		if best == nil || score > bestScore {
+		if best == nil || score > bestScore || score == bestScore && s.home > best.home {
 			best, bestScore, bestFree = s, score, free
 		}
 	}
@@ -81,7 +81,6 @@
 
 func (p *Pool) score(s *server, free float64, zone string) float64 {
 	score := free / float64(max(s.Capacity, 1))
-	score += p.cfg.HomeBonus * s.home
 	if s.Zone == zone {
 		score += p.cfg.ZoneBonus
 	}
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -19,9 +19,8 @@
 	Turns
 	// LateSpare keeps memory free beside requests that are late.
 	LateSpare
-	// ZoneBonus prefers engines of the own zone, HomeBonus some engines by gateway.
+	// ZoneBonus prefers engines of the own zone.
 	ZoneBonus
-	HomeBonus
 	// ReaderLines counts the prompts that other gateways sent to an engine.
 	ReaderLines
 	// SelfRead has decode engines read prompts when lines are long.
@@ -36,8 +35,6 @@
 	Hedges
 	// Overload limits the calls that a server of a plain service gets.
 	Overload
-	// Slowness avoids servers that answer more slowly than at their best.
-	Slowness
 	// LateWait lets requests wait that came back after a refusal.
 	LateWait
 	// Hopeless turns requests away at once that can't be placed in time.
@@ -46,8 +43,8 @@
 )
 
 var names = [count]string{
-	"forecast", "turns", "late-spare", "zone-bonus", "home-bonus", "reader-lines", "self-read", "stage-orders",
-	"datagrams", "outliers", "hedges", "overload", "slowness", "late-wait", "hopeless",
+	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
+	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless",
 }
 
 // String returns the name of m in settings.
--- a/policy/outlier/outlier.go
+++ b/policy/outlier/outlier.go
@@ -1,8 +1,7 @@
-// Package outlier tells servers that fail more often, or answer more slowly, than the
-// others of their service.
+// Package outlier tells servers that fail more often than the others of their service.
 //
-// Load pattern: a seventh of the servers fail two of five requests, hang, or take eight
-// times as long, while their health check is good. Only the answers to requests show
+// Load pattern: a seventh of the servers fail two of five requests, or hang, while their
+// health check is good. Only the answers to requests show
 // it. Some services fail a fixed share of requests everywhere, so a server is compared
 // with the others of its service and not with a fixed bound.
 //
@@ -30,19 +29,17 @@
 	all counts
 }
 
-// counts are decayed: ok and failed requests, and the sum of their latencies in seconds.
-type counts struct{ ok, failed, latency float64 }
+// counts are decayed numbers of requests.
+type counts struct{ ok, failed float64 }
 
 func (c *counts) scale(f float64) {
 	c.ok *= f
 	c.failed *= f
-	c.latency *= f
 }
 
 func (c *counts) add(o counts) {
 	c.ok += o.ok
 	c.failed += o.failed
-	c.latency += o.latency
 }
 
 func (c counts) requests() float64 { return c.ok + c.failed }
@@ -63,14 +60,14 @@
 func New() *Tracker { return &Tracker{servers: map[string]*record{}} }
 
 // Observe notes the end of a request at a server.
-func (t *Tracker) Observe(id string, ok bool, latency time.Duration, now time.Time) {
+func (t *Tracker) Observe(id string, ok bool, now time.Time) {
 	t.decay(now)
 	r, known := t.servers[id]
 	if !known {
 		r = &record{}
 		t.servers[id] = r
 	}
-	seen := counts{latency: latency.Seconds()}
+	var seen counts
 	if ok {
 		seen.ok = 1
 		r.streak = 0
@@ -111,7 +108,7 @@
 // others is the sum over the other servers of the one with the counts own. It is summed up
 // anew where nearly all of the sum is that server's own.
 func (t *Tracker) others(id string, own counts) counts {
-	left := counts{t.all.ok - own.ok, t.all.failed - own.failed, t.all.latency - own.latency}
+	left := counts{t.all.ok - own.ok, t.all.failed - own.failed}
 	if left.requests() > rounding*t.all.requests() {
 		return left
 	}
@@ -138,28 +135,6 @@
 	return max(rate-usual, 0)
 }
 
-// Latency is the mean time of requests at a server, or of its service when too few were
-// observed there. A request that was given up counts with the time until then.
-func (t *Tracker) Latency(id string, now time.Time) time.Duration {
-	t.decay(now)
-	var own counts
-	r, known := t.servers[id]
-	if known {
-		own = r.counts
-	}
-	others := t.others(id, own)
-	mean := 0.0
-	if n := others.requests(); n > 0 {
-		mean = others.latency / n
-	}
-	if !known {
-		return seconds(mean)
-	}
-	return seconds((own.latency + prior*mean) / (own.requests() + prior))
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // Suspect reports whether a server should get no request that is lost when it fails: it
 // failed several in a row, the last of them a moment ago.
 func (t *Tracker) Suspect(id string, now time.Time) bool {
--- a/policy/outlier/outlier_test.go
+++ b/policy/outlier/outlier_test.go
@@ -20,7 +20,7 @@
 	for range n {
 		now = now.Add(100 * time.Millisecond)
 		for _, id := range []string{"a", "b", "c"} {
-			tr.Observe(id, rng.Float64() >= failing[id], 15*time.Millisecond, now)
+			tr.Observe(id, rng.Float64() >= failing[id], now)
 		}
 	}
 	return now
@@ -51,7 +51,7 @@
 	assert.Assert(t, tr.Failing("a", now) > 0.5)
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
-		tr.Observe("a", true, time.Millisecond, now)
+		tr.Observe("a", true, now)
 	}
 	assert.Assert(t, tr.Failing("a", now) < 0.15)
 }
@@ -60,47 +60,33 @@
 	tr := outlier.New()
 	for i := range 3 {
 		assert.Assert(t, !tr.Suspect("a", start), "after %d", i)
-		tr.Observe("a", false, time.Millisecond, start)
+		tr.Observe("a", false, start)
 	}
 	assert.Assert(t, tr.Suspect("a", start.Add(time.Second)))
 	assert.Assert(t, !tr.Suspect("a", start.Add(3*time.Second)), "it is tried again")
-	tr.Observe("a", true, time.Millisecond, start.Add(3*time.Second))
+	tr.Observe("a", true, start.Add(3*time.Second))
 	assert.Assert(t, !tr.Suspect("a", start.Add(3*time.Second)))
 }
 
-func TestLatency(t *testing.T) {
-	tr := outlier.New()
-	for range 30 {
-		tr.Observe("a", true, 200*time.Millisecond, start)
-		tr.Observe("b", true, time.Second, start)
-	}
-	assert.Assert(t, tr.Latency("a", start) < 350*time.Millisecond)
-	assert.Assert(t, tr.Latency("b", start) > 850*time.Millisecond)
-	unknown := tr.Latency("new", start)
-	assert.Assert(t, unknown > 500*time.Millisecond && unknown < 700*time.Millisecond, "%v", unknown)
-}
-
 func TestForget(t *testing.T) {
 	tr := outlier.New()
-	tr.Observe("a", false, 0, start)
+	tr.Observe("a", false, start)
 	tr.Forget(func(string) bool { return false })
 	assert.Equal(t, tr.Failing("a", start), 0.0)
 }
 
-// BenchmarkChoice is what one choice among many servers costs, each asked for its failures
-// and its latency.
+// BenchmarkChoice is what one choice among many servers costs, each asked for its failures.
 func BenchmarkChoice(b *testing.B) {
 	tr := outlier.New()
 	ids := make([]string, 350)
 	for i := range ids {
 		ids[i] = fmt.Sprint("i-", i)
-		tr.Observe(ids[i], i%7 != 0, 200*time.Millisecond, start)
+		tr.Observe(ids[i], i%7 != 0, start)
 	}
 	now := start
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
 		for _, id := range ids {
-			_ = tr.Latency(id, now)
 			_ = tr.Failing(id, now)
 		}
 	}
--- a/policy/overload/overload.go
+++ b/policy/overload/overload.go
@@ -43,8 +43,6 @@
 	// bestRises lets the best time rise with each answer, so that a server that has become
 	// slower for good is learned anew within some hundred.
 	bestRises = 1.002
-	// meanShare is what the newest answer counts in the mean.
-	meanShare = 0.1
 )
 
 // Limiter is what one router learned of the servers of one service.
@@ -54,9 +52,9 @@
 
 type server struct {
 	share float64
-	// best and mean are times of answers, in seconds.
-	best, mean float64
-	seen       time.Time
+	// best is the shortest time of an answer, in seconds.
+	best float64
+	seen time.Time
 }
 
 // New returns a Limiter that lets everything in.
@@ -94,11 +92,9 @@
 
 func (s *server) learn(took float64) {
 	if s.best == 0 {
-		s.best, s.mean = took, took
-		return
+		s.best = took
 	}
 	s.best = min(s.best*bestRises, took)
-	s.mean += meanShare * (took - s.mean)
 }
 
 // rest lets the share of a server that was not asked recover.
@@ -123,15 +119,6 @@
 	return u < share
 }
 
-// Slowness is by how much longer than at its best a server answers; one if it is not known.
-func (l *Limiter) Slowness(id string) float64 {
-	s, ok := l.servers[id]
-	if !ok || s.best <= 0 {
-		return 1
-	}
-	return max(s.mean/s.best, 1)
-}
-
 // Share is the share of calls that a server is sent, in [0, 1].
 func (l *Limiter) Share(id string) float64 { return min(l.server(id).share, 1) }
 
--- a/policy/reading/reading.go
+++ b/policy/reading/reading.go
@@ -184,7 +184,7 @@
 func (p *Pool) End(c Choice, tokens int, ok bool, took time.Duration, now time.Time) {
 	r := p.reader(c.Server.ID)
 	r.own = max(r.own-tokens, 0)
-	p.outliers.Observe(c.Server.ID, ok, took, now)
+	p.outliers.Observe(c.Server.ID, ok, now)
 	if ok {
 		p.rate.Observe(tokens, took)
 	}
