--- a/forward/engines.go
+++ b/forward/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -62,8 +63,8 @@
 const (
 	// passFor is how long smaller requests may go before a larger one that waits.
 	passFor = 300 * time.Millisecond
-	// lineCheck is the pause after which a line that does not move is looked at again;
-	// refusals of engines count as long.
+	// lineCheck is the pause after which a line that does not move is looked at again: the
+	// turns of two other gateways.
 	lineCheck = 10 * time.Millisecond
 )
 
@@ -111,6 +112,14 @@
 	return &kvmemory.Run{Need: need, Prompt: m.PromptTokens, Length: length}, length.Expect()
 }
 
+// forget drops what was learned of routes that keep does not want. Runs in progress still know
+// their lengths.
+func (e *engines) forget(keep func(routeName string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.lengths, func(name string, _ *runlength.Learner) bool { return !keep(name) })
+}
+
 // finished notes that a run has come to its own end.
 func (e *engines) finished(r *kvmemory.Run) {
 	e.mu.Lock()
--- /dev/null
+++ b/forward/forget_test.go
@@ -0,0 +1,37 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/route"
+)
+
+// tableView is a view of a route table alone.
+type tableView struct{ table *route.Table }
+
+func (v tableView) Table() *route.Table              { return v.table }
+func (v tableView) Servers(string) []registry.Server { return nil }
+func (v tableView) Down(registry.Server)             {}
+func (v tableView) Replaced(registry.Server)         {}
+func (v tableView) Others() int                      { return 0 }
+func (v tableView) Routers() int                     { return 1 }
+
+// TestForgetRoutes: a gateway runs for months while routes come and go under new names; what it
+// learned of those that are gone must not stay.
+func TestForgetRoutes(t *testing.T) {
+	table := &route.Table{Routes: []route.Route{{Name: "stays"}}}
+	f := New(Config{View: tableView{table}})
+	s := f.service("llm")
+	for _, name := range []string{"stays", "gone"} {
+		s.engines.newRun(name, &Meta{MaxTokens: 100}, 100)
+		s.returned(&job{route: &route.Route{Name: name}, meta: Meta{Patience: time.Second}})
+	}
+	f.Forget(func(string) bool { return true })
+	assert.Equal(t, len(s.engines.lengths), 1)
+	assert.Equal(t, len(s.returners), 1)
+	assert.Assert(t, s.engines.lengths["stays"] != nil && s.returners["stays"] != nil)
+}
