Turns take two thirds of the pause between two ends at most

Cause, found by reading: a router's turn begins anew with each end that is heard. Where runs are short and end more often than the turns of all routers take (100 ms, 200 for late requests), those with the least affinity to an engine, and late requests everywhere, would never have their turn. Change: the turns of all are bounded by a third of the mean pause between ends, late ones by twice that. Test: TestEveryRouterHasItsTurn, seen failing (placed in the first 20 ms only).

--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -108,8 +108,10 @@
 	blocked time.Time
 	// home is the affinity of this router to it.
 	home float64
-	// freed is when a run was last heard to have ended there.
+	// freed is when a run was last heard to have ended there, pause the mean time between two
+	// of them.
 	freed time.Time
+	pause time.Duration
 	// fails counts failures since a request last worked.
 	fails int
 }
@@ -127,7 +129,7 @@
 	for _, l := range list {
 		s, ok := p.servers[l.ID]
 		if !ok {
-			s = &server{home: affinity.Of(p.seed, l.ID), others: p.heard[l.ID]}
+			s = &server{home: affinity.Of(p.seed, l.ID), others: p.heard[l.ID], pause: maxPause}
 			p.servers[l.ID] = s
 			delete(p.heard, l.ID)
 		}
@@ -219,7 +221,8 @@
 		return
 	}
 	s.drop(r)
-	s.blocked, s.freed = time.Time{}, now
+	s.blocked = time.Time{}
+	s.ended(now)
 	if !s.listed && len(s.runs) == 0 {
 		p.forget(s)
 		p.order()
@@ -318,7 +321,7 @@
 		s.blocked = time.Time{}
 	}
 	if l.Runs < s.others.Runs {
-		s.freed = now
+		s.ended(now)
 	}
 	s.others = l
 	s.sum()
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -59,11 +59,27 @@
 	return float64(s.Capacity) - peak(p.cfg.Caution, &s.all, asked)
 }
 
+const (
+	// maxPause bounds the pause between two ends that counts, and holds until some were heard.
+	maxPause = time.Second
+	// pauseShare is what the newest pause counts in the mean.
+	pauseShare = 0.2
+)
+
+// ended notes that a run has ended on an engine.
+func (s *server) ended(now time.Time) {
+	pause := min(now.Sub(s.freed), maxPause)
+	s.pause += time.Duration(pauseShare * float64(pause-s.pause))
+	s.freed = now
+}
+
 // othersTurn reports whether memory that has become free is left to other routers for now.
 // All routers hear of it at once, and before each could hear of the others' placements, as
 // many as have requests waiting would place one. Late requests come after the turns of all.
+// Both together take two thirds of the pause between two ends at most, so that every router has
+// its turn on engines with many short runs.
 func (p *Pool) othersTurn(s *server, late bool, now time.Time) bool {
-	all := min(time.Duration(p.routers-1)*p.cfg.Turn, p.cfg.TurnsMost)
+	all := min(time.Duration(p.routers-1)*p.cfg.Turn, p.cfg.TurnsMost, s.pause/3)
 	wait := time.Duration((1 - s.home) * float64(all))
 	if late {
 		wait += all
--- a/policy/kvmemory/turns_test.go
+++ b/policy/kvmemory/turns_test.go
@@ -1,12 +1,14 @@
 package kvmemory_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 )
 
@@ -34,6 +36,40 @@
 	}
 }
 
+// TestEveryRouterHasItsTurn: where runs end every 20 ms, less than the turns of a hundred routers
+// take, the one that comes last places requests all the same, late ones too.
+func TestEveryRouterHasItsTurn(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		last := lastOf(100)
+		last.SetRouters(100)
+		l := held(20_000)
+		placed := 0
+		for i := range 2000 {
+			now := ms(i)
+			if i%20 == 0 {
+				l.Runs = 40 - i/20%2
+				last.SetOthers("a", l, now)
+			}
+			if _, ok := last.Pick(kvmemory.Ask{Run: run(1000), Late: late}, now); ok {
+				placed++
+			}
+		}
+		assert.Assert(t, placed > 20, "late %t: placed in %d of 2000 ms", late, placed)
+	}
+}
+
+// lastOf returns the pool of the router that comes last of n at engine a.
+func lastOf(n int) *kvmemory.Pool {
+	seed, least := "", 1.0
+	for i := range n {
+		name := fmt.Sprintf("edge-%d", i)
+		if a := affinity.Of(name, "a"); a < least {
+			seed, least = name, a
+		}
+	}
+	return pool(seed, 1)
+}
+
 // crowdAt is the mean number of requests that are placed on memory for one, at 23 routers.
 func crowdAt(cfg kvmemory.Config, late bool) float64 {
 	const (
