A server's recovering share is worked out in one place; a list that nobody read is gone

Cause, found reading the change once more: policy/overload worked out how the share of a server that was not asked recovers twice, and lowered it in two branches; reading.Pool.Own had no reader. Change: shareAt serves Observe and Admits; Own is removed.

--- a/policy/overload/overload.go
+++ b/policy/overload/overload.go
@@ -73,14 +73,13 @@
 // Observe notes how a call at a server ended.
 func (l *Limiter) Observe(id string, a Answer, now time.Time) {
 	s := l.server(id)
-	s.rest(now)
+	s.share, s.seen = s.shareAt(now), now
 	took := a.Took.Seconds()
-	if a.Refused {
-		s.share = max(s.share*(1-lower), least)
-		return
+	if !a.Refused {
+		s.learn(took)
 	}
-	s.learn(took)
-	if a.Objective > 0 && took > inTime*a.Objective.Seconds() && took > queued*s.best {
+	late := a.Objective > 0 && took > inTime*a.Objective.Seconds() && took > queued*s.best
+	if a.Refused || late {
 		s.share = max(s.share*(1-lower), least)
 		return
 	}
@@ -98,22 +97,19 @@
 	s.best = min(s.best*bestRises, took)
 }
 
-// rest lets the share of a server that was not asked recover.
-func (s *server) rest(now time.Time) {
-	if pause := now.Sub(s.seen); pause > idle {
-		s.share = min(s.share+recovers*pause.Seconds(), most)
+// shareAt is the share at now: that of a server that was not asked recovers.
+func (s *server) shareAt(now time.Time) float64 {
+	pause := now.Sub(s.seen)
+	if pause <= idle {
+		return s.share
 	}
-	s.seen = now
+	return min(s.share+recovers*pause.Seconds(), most)
 }
 
 // Admits reports whether a call may be sent to a server, with u in [0, 1). Late calls can't be
 // answered within their objective any more: they give way to those that can.
 func (l *Limiter) Admits(id string, late bool, u float64, now time.Time) bool {
-	s := l.server(id)
-	share := s.share
-	if pause := now.Sub(s.seen); pause > idle {
-		share += recovers * pause.Seconds()
-	}
+	share := l.server(id).shareAt(now)
 	if late {
 		share = 2*share - 1
 	}
--- a/policy/reading/reading.go
+++ b/policy/reading/reading.go
@@ -217,17 +217,6 @@
 	return 0
 }
 
-// Own returns the engines to which this router sent prompts that were not read yet.
-func (p *Pool) Own() map[string]int {
-	out := map[string]int{}
-	for id, r := range p.readers {
-		if r.own > 0 {
-			out[id] = r.own
-		}
-	}
-	return out
-}
-
 // PerSecond is the tokens that one engine reads in a second; zero while it is not known.
 func (p *Pool) PerSecond() float64 { return p.rate.PerSecond() }
 
