Counters and a log line for exchanges that fail and tables that are handed out

Cause: only the first failure of an exchange was logged (721), and nothing told what the bytes between gateways are, so the incident's hypotheses could not be told apart. Event 725 once a second while exchanges fail or route tables go out; metrics peer_exchanges, peer_exchanges_failed, table_bytes_told. No change of what is sent.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -57,6 +57,7 @@
 	PeerRegained    = Event{722, log.InfoLevel, "gateway regained"}
 	StageOrdered    = Event{723, log.InfoLevel, "engine ordered to another stage"}
 	StageFailed     = Event{724, log.WarnLevel, "order to change a stage failed"}
+	PeerTraffic     = Event{725, log.InfoLevel, "exchanges failed or route tables handed out"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -73,5 +74,6 @@
 		RequestAnswered, RequestTurnedAway, AttemptFailed,
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
+		PeerTraffic,
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,12 +209,14 @@
 func (s *Service) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	var traffic linkTraffic
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		traffic = s.tellTraffic(traffic)
 		live := s.peers.Count()
 		s.view.others.Store(int64(live - 1))
 		s.view.routers.Store(int64(max(live, len(s.set.Seeds))))
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -38,5 +38,8 @@
 		{ReservationsRefused, Counter},
 		{UpstreamDials, Gauge},
 		{MechanismsOff, Gauge},
+		{PeerExchanges, Counter},
+		{PeerExchangesFailed, Counter},
+		{TableBytesTold, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -17,4 +17,9 @@
 	UpstreamDials       = "upstream_dials"
 	// MechanismsOff is the number of mechanisms that are switched off.
 	MechanismsOff = "mechanisms_off"
+	// PeerExchanges are exchanges with other gateways, PeerExchangesFailed those without an
+	// answer, and TableBytesTold the route tables handed to others.
+	PeerExchanges       = "peer_exchanges"
+	PeerExchangesFailed = "peer_exchanges_failed"
+	TableBytesTold      = "table_bytes_told"
 )
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -63,6 +63,7 @@
 	// incarnation tells this process from the ones before it at the same address.
 	incarnation uint64
 	meter       link.Meter
+	traffic     trafficMeter
 	datagrams   *datagrams
 
 	mu      sync.Mutex
@@ -176,13 +177,18 @@
 // Received counts the bytes received; see Sent.
 func (s *Service) Received() int64 { return s.meter.Received() }
 
+// Traffic is what was exchanged since the start.
+func (s *Service) Traffic() Traffic { return s.traffic.read() }
+
 // Exchange implements DRPCPeersServer.
 func (s *Service) Exchange(_ context.Context, in *Report) (*Report, error) {
 	s.mu.Lock()
 	s.asked[in.GetAddr()] = time.Now()
 	s.mu.Unlock()
 	s.take(in)
-	return s.report(in.GetTableVersion(), in.GetServersVersion()), nil
+	out := s.report(in.GetTableVersion(), in.GetServersVersion())
+	s.traffic.sent(out)
+	return out, nil
 }
 
 func (s *Service) take(in *Report) {
@@ -266,6 +272,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		s.traffic.exchanged(err)
 		s.note(l, err)
 		switch {
 		case err != nil:
@@ -305,6 +312,7 @@
 	if out.GetTableVersion() != l.asked {
 		l.asked, out.Table = out.GetTableVersion(), nil
 	}
+	s.traffic.sent(out)
 	in, err := NewDRPCPeersClient(l.conn).Exchange(ctx, out)
 	if err != nil {
 		return false, err
