--- a/link/dial.go
+++ b/link/dial.go
@@ -60,5 +60,10 @@
 		}
 		conn = tc
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return Client(conn), nil
+}
+
+// Client makes calls over conn.
+func Client(conn net.Conn) *drpcconn.Conn {
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()})
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -58,6 +57,7 @@
 
 // Service exchanges reports with the other gateways.
 type Service struct {
+	net     Network
 	beliefs Beliefs
 	self    string
 	// incarnation tells this process from the ones before it at the same address.
@@ -96,6 +96,7 @@
 // Datagrams are exchanged on port, the same at every gateway; zero means none.
 func New(self string, port int, seeds []string, b Beliefs) *Service {
 	return &Service{
+		net:       tcp{},
 		datagrams: newDatagrams(port), incarnation: rand.Uint64(),
 		beliefs: b, self: self, members: NewMembers(self), seeds: seeds,
 		links: map[string]*peerLink{}, asked: map[string]time.Time{}, kick: make(chan struct{}),
@@ -104,7 +105,7 @@
 
 // Run listens and exchanges reports until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	lis, err := net.Listen("tcp", s.self)
+	lis, err := s.net.Listen(s.self)
 	if err != nil {
 		return err
 	}
@@ -302,11 +303,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if l.conn == nil {
-		conn, err := link.Dial(ctx, l.addr, nil, callTimeout, &s.meter)
+		conn, err := s.net.Dial(ctx, l.addr)
 		if err != nil {
 			return false, err
 		}
-		l.conn = conn
+		l.conn = link.Client(s.meter.Conn(conn))
 	}
 	out := s.report(l.table, l.servers)
 	if out.GetTableVersion() != l.asked {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -32,6 +32,8 @@
 	Idle time.Duration
 	// MaxIdle bounds the unused connections to one server.
 	MaxIdle int
+	// Connect opens a connection; TCP if it is nil.
+	Connect func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Defaults of Options.
@@ -49,8 +51,7 @@
 
 // Pool keeps connections to servers. It is safe for concurrent use.
 type Pool struct {
-	opts   Options
-	dialer net.Dialer
+	opts Options
 
 	mu     sync.Mutex
 	idle   map[string][]*idleConn
@@ -77,7 +78,10 @@
 		o.MaxIdle = DefaultMaxIdle
 	}
 	p := &Pool{opts: o, idle: make(map[string][]*idleConn)}
-	p.dialer = net.Dialer{Timeout: o.Dial, KeepAlive: -1, Control: p.control}
+	if o.Connect == nil {
+		dialer := net.Dialer{Timeout: o.Dial, KeepAlive: -1, Control: p.control}
+		p.opts.Connect = dialer.DialContext
+	}
 	return p
 }
 
@@ -112,7 +116,7 @@
 		}
 		_ = c.Close()
 	}
-	c, err := p.dialer.DialContext(ctx, "tcp", addr)
+	c, err := p.opts.Connect(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
