News go over a new connection where the other side closed the old one

Cause: of a pair of gateways the lower address makes the exchanges; the other's connection is closed by its peer after five quiet seconds, and the first exchange over it failed with EOF. So an announcement of every second gateway was lost on each change after a quiet time; in the incident it was that lost exchange after which whole tables went out unasked. Test seen failing: TestAnnouncementAfterAQuietTime.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -14,6 +14,9 @@
 
 // open opens the connection unless it is open. Its bytes are counted in m.
 func (c *peerConn) open(ctx context.Context, n Network, addr string, m *link.Meter) error {
+	if c.closed() {
+		c.hangUp()
+	}
 	if c.Conn != nil {
 		return nil
 	}
@@ -24,6 +27,20 @@
 	return err
 }
 
+// closed reports whether the other side closed the connection, as it does when nothing came
+// over it for some seconds. News that went into such a connection would be lost.
+func (c *peerConn) closed() bool {
+	if c.Conn == nil {
+		return false
+	}
+	select {
+	case <-c.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *peerConn) hangUp() {
 	if c.Conn == nil {
 		return
