--- a/dissemination/pull.go
+++ b/dissemination/pull.go
@@ -2,16 +2,24 @@
 
 import "time"
 
-// pullPatience is how long an asked peer has before another is asked.
-const pullPatience = 300 * time.Millisecond
+const (
+	// pullPatience is how long the first peer that is asked has before another is asked.
+	pullPatience = 300 * time.Millisecond
+	// maxPullPatience is as long as the whole configuration of the two-year size, 2.4 MB, takes over half
+	// of a link of 10 Mbit/s.
+	maxPullPatience = 4 * time.Second
+)
 
 // Pull decides which peer to ask for a revision that peers announce and this
 // process lacks: one at a time, so that a change announced by many is not sent by
-// many. P identifies a peer. It is not safe for concurrent use.
+// many. While a revision does not come, the patience doubles: what is asked for again takes its share
+// of the link from what is still under way. P identifies a peer. It is not safe for concurrent use.
 type Pull[P comparable] struct {
-	want  uint64
-	from  P
-	asked time.Time
+	want, own uint64
+	from      P
+	asked     time.Time
+	// patience is how long whoever was asked last has.
+	patience time.Duration
 }
 
 // Offer notes that a peer has announced a head above own. It reports whether to
@@ -22,13 +30,13 @@
 	}
 	p.want = max(p.want, head)
 	p.from = peer
-	return p.due(now)
+	return p.due(own, now)
 }
 
 // Retry returns the peer to ask when one that was asked before has not answered.
 func (p *Pull[P]) Retry(own uint64, now time.Time) (P, bool) {
 	var none P
-	if p.want <= own || p.from == none || !p.due(now) {
+	if p.want <= own || p.from == none || !p.due(own, now) {
 		return none, false
 	}
 	return p.from, true
@@ -38,14 +46,18 @@
 func (p *Pull[P]) Forget(peer P) {
 	var none P
 	if p.from == peer {
-		p.from = none
+		p.from, p.patience = none, pullPatience
 	}
 }
 
-func (p *Pull[P]) due(now time.Time) bool {
-	if now.Sub(p.asked) < pullPatience {
+func (p *Pull[P]) due(own uint64, now time.Time) bool {
+	if own != p.own {
+		p.own, p.patience = own, pullPatience
+	}
+	if now.Sub(p.asked) < p.patience {
 		return false
 	}
 	p.asked = now
+	p.patience = min(max(2*p.patience, pullPatience), maxPullPatience)
 	return true
 }
--- a/dissemination/pull_test.go
+++ b/dissemination/pull_test.go
@@ -26,3 +26,34 @@
 	_, again = p.Retry(7, now.Add(time.Hour))
 	assert.Assert(t, !again, "reached")
 }
+
+// TestPullOverASmallLink: the whole configuration of two years, 2.4 MB, comes over a link of 10 Mbit/s.
+// While it comes, each further copy that is asked for takes its share of the link. Asked for every
+// 300 ms it took minutes; as route tables did that came unasked, copies kept each other from arriving.
+func TestPullOverASmallLink(t *testing.T) {
+	const size, rate, step = 2_400_000, 1_250_000, 10 * time.Millisecond
+	start := time.Unix(100, 0)
+	var p Pull[string]
+	copies := []float64{}
+	took := time.Duration(0)
+	for ; took < 5*time.Minute; took += step {
+		now := start.Add(took)
+		if p.Offer("a", 6, 5, now) {
+			copies = append(copies, 0)
+		}
+		if _, again := p.Retry(5, now); again {
+			copies = append(copies, 0)
+		}
+		share := rate * step.Seconds() / float64(len(copies))
+		for i := range copies {
+			copies[i] += share
+		}
+		if copies[0] >= size {
+			break
+		}
+	}
+	assert.Assert(t, took < 10*time.Second, "%v", took)
+	assert.Assert(t, len(copies) <= 5, "%d copies", len(copies))
+	assert.Assert(t, !p.Offer("a", 6, 6, start.Add(took)), "reached")
+	assert.Assert(t, p.Offer("a", 7, 6, start.Add(took)), "the next one is asked for at once")
+}
