--- a/dissemination/pull.go
+++ b/dissemination/pull.go
@@ -18,8 +18,8 @@
 	want, own uint64
 	from      P
 	asked     time.Time
-	// patience is how long whoever was asked last has.
-	patience time.Duration
+	// asks is how often peers were asked since this process last got on.
+	asks int
 }
 
 // Offer notes that a peer has announced a head above own. It reports whether to
@@ -46,18 +46,27 @@
 func (p *Pull[P]) Forget(peer P) {
 	var none P
 	if p.from == peer {
-		p.from, p.patience = none, pullPatience
+		p.from, p.asks = none, 0
 	}
 }
 
 func (p *Pull[P]) due(own uint64, now time.Time) bool {
 	if own != p.own {
-		p.own, p.patience = own, pullPatience
+		p.own, p.asks = own, 0
 	}
-	if now.Sub(p.asked) < p.patience {
+	if now.Sub(p.asked) < p.patience() {
 		return false
 	}
 	p.asked = now
-	p.patience = min(max(2*p.patience, pullPatience), maxPullPatience)
+	p.asks++
 	return true
 }
+
+// patience is how long whoever was asked last has.
+func (p *Pull[P]) patience() time.Duration {
+	d := pullPatience
+	for i := 1; i < p.asks && d < maxPullPatience; i++ {
+		d *= 2
+	}
+	return min(d, maxPullPatience)
+}
