--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -27,7 +27,9 @@
 	}
 }
 
-// Report implements peer.Beliefs.
+// Report implements peer.Beliefs. A table is told by its version alone: handed out whole to whoever was
+// thought to be behind, tables that all had filled the links of small VMs for minutes, 23 MB a second
+// over 21 gateways by event 725, and newer ones did not come through.
 func (s *Service) Report(servers int64) *peer.Report {
 	r := &peer.Report{Vm: s.set.VM, TableVersion: max(s.view.version(), 0)}
 	changed, told := s.view.serversSince(servers)
