Incarnations of servers, and entries of other writers

Cause: the platform's contract has changed. A server may start again under its name, and an entry may come from another writer. Until now an entry was taken or left by what zero values happened to mean, an unknown state meant that the server leaves for good, and what was learned, placed or said of one start held for the next.

Entries: every field that the contract lists has to be there, of its type and possible, else the entry names no server to use (registry.Fault: reason, field, found). Such a server gets no new work; what runs there goes on; the other entries of the same reading hold. One line (714) and one count each time that an entry becomes faulty. A row that is no base64 spoils no other. The same care for what gateways tell, and for reports of engines. Fuzz target FuzzServer.

Incarnations: a server's ID names instance and start, so that all that is kept by ID is of one start. A later start ends the earlier one at once: its attempts end and go on as after a crash, its unused connections are closed, nothing brings it back. Starts are compared, never subtracted from a clock. An order is not sent to another start than it was planned for. Gateways that tell none are understood, and understand these. A platform that tells no starts, as today's do, is served as before.

Entries in tests that lacked fields of the contract have them now; TestServer is stricter.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -60,6 +60,7 @@
 	PeerTraffic     = Event{725, log.InfoLevel, "exchanges with gateways failed or state was fetched here"}
 	StateFetched    = Event{726, log.InfoLevel, "state fetched from a gateway"}
 	FetchFailed     = Event{727, log.WarnLevel, "fetch from a gateway failed"}
+	ServerRestarted = Event{728, log.InfoLevel, "server started again under its name"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -76,6 +77,6 @@
 		RequestAnswered, RequestTurnedAway, AttemptFailed,
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
-		PeerTraffic, StateFetched, FetchFailed,
+		PeerTraffic, StateFetched, FetchFailed, ServerRestarted,
 	}
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -112,6 +112,8 @@
 	}
 	f.begin(j, s)
 	defer f.end(j, s)
+	ctx, end := f.attempts.begin(ctx, s.ID)
+	defer end()
 	a, err := f.exchange(ctx, j, s)
 	ok := err == nil && a.head.Status < http.StatusInternalServerError
 	took := time.Since(start)
@@ -157,7 +159,7 @@
 // send sends the request to a server and returns the head of its answer. It marks the
 // job as run unless it is certain that the server can't have seen it.
 func (f *Forwarder) send(ctx context.Context, j *job, s registry.Server, o Send) (*upstream.Response, error) {
-	o.Left, o.Instance = j.left(time.Now()), s.ID
+	o.Left, o.Instance = j.left(time.Now()), s.Instance()
 	before := j.ran
 	res, err := f.Pool.Do(ctx, s.Addr, &upstream.Request{
 		Method: j.r.Method, Target: j.target(), Host: j.r.Host,
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -54,6 +54,8 @@
 	streams atomic.Int64
 	// placed is sent to when the placement on decode engines has changed.
 	placed chan struct{}
+	// attempts are those in progress.
+	attempts *attempts
 
 	mu sync.Mutex
 	// services is the state for each service, by name; guarded by mu.
@@ -85,7 +87,7 @@
 
 // New returns a Forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1)}
+	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts()}
 }
 
 // PlacementChanged is sent to when TakeChanged has something to return.
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -64,6 +64,8 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.Limit)
 	defer cancel()
+	ctx, end := f.attempts.begin(ctx, c.Server.ID)
+	defer end()
 	f.readingBegins(j, c)
 	export, err := f.askExport(ctx, j, c.Server)
 	took := time.Since(start)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -81,10 +81,10 @@
 
 // Answer implements life.Attempt: the engine of the lease generates the tokens.
 func (a *streamAttempt) Answer(ctx context.Context) outcome.Outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	f, j := a.r.f, a.r.j
-	head, res, err := a.start(ctx)
+	run, end := f.attempts.begin(ctx, a.lease.server.ID)
+	defer end()
+	head, res, err := a.start(run)
 	if err != nil {
 		reason := f.explain(ctx, err)
 		a.lease.refused = ctx.Err() == nil
@@ -104,6 +104,9 @@
 func (a *streamAttempt) start(ctx context.Context) (AnswerHead, *upstream.Response, error) {
 	f, j := a.r.f, a.r.j
 	o := Send{Reservation: a.lease.reservation, LastEventID: a.r.lastEvent}
+	if a.export != nil && f.attempts.hasEnded(a.export.server.ID) {
+		a.export = nil
+	}
 	if a.export != nil {
 		o.KVFrom = f.Codec.ExportSource(a.export.server, a.export.Handle)
 	}
--- /dev/null
+++ b/gateway/encode.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+func encodeShares(placed []kvmemory.Share) []*peer.Share {
+	out := make([]*peer.Share, 0, len(placed))
+	for _, share := range placed {
+		out = append(out, encodeShare(share))
+	}
+	return out
+}
+
+func encodeShare(s kvmemory.Share) *peer.Share {
+	start := registry.ParseID(s.ID)
+	out := &peer.Share{Server: start.Instance, Start: start.Tag(), Tokens: uint32(max(s.Tokens, 0)), Runs: uint32(s.Runs)}
+	if s.Runs == 0 {
+		return out
+	}
+	for i := range kvmemory.Ahead {
+		out.Mean = append(out.Mean, uint32(s.Ahead.Mean[i]))
+		out.Variance = append(out.Variance, uint64(s.Ahead.Variance[i]))
+	}
+	return out
+}
+
+// decodeLoad decodes a share. One without a forecast, as gateways of earlier versions send,
+// counts as held for good.
+func decodeLoad(s *peer.Share) kvmemory.Load {
+	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns())}
+	mean, variance := s.GetMean(), s.GetVariance()
+	if len(mean) != kvmemory.Ahead || len(variance) != kvmemory.Ahead {
+		l.Ahead = kvmemory.Constant(l.Tokens)
+		return l
+	}
+	for i := range kvmemory.Ahead {
+		l.Ahead.Mean[i], l.Ahead.Variance[i] = float64(mean[i]), float64(variance[i])
+	}
+	return l
+}
+
+func encodeServers(list []registry.Server) []*peer.Server {
+	out := make([]*peer.Server, 0, len(list))
+	for _, v := range list {
+		out = append(out, &peer.Server{
+			Id: v.Instance(), Born: v.Born, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
+			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving, Unusable: v.Unusable,
+		})
+	}
+	return out
+}
+
+// decodeServers decodes what another gateway told. A server that can't be one, as a faulty
+// process may tell, is listed without new work.
+func decodeServers(list []*peer.Server) []registry.Server {
+	out := make([]registry.Server, 0, len(list))
+	for _, v := range list {
+		s := registry.Server{
+			ID: registry.Incarnation{Instance: v.GetId(), Born: v.GetBorn()}.ID(), Born: v.GetBorn(),
+			Service: v.GetService(), Addr: v.GetAddr(), Zone: v.GetZone(),
+			Slots: int(v.GetSlots()), Stage: registry.Stage(v.GetStage()), Leaving: v.GetLeaving(),
+		}
+		s.Unusable = v.GetUnusable() || !s.Valid() || s.Instance() != v.GetId()
+		out = append(out, s)
+	}
+	return out
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -102,14 +102,13 @@
 // followServers keeps the list of servers up to date.
 func (s *Service) followServers(ctx context.Context) {
 	dep := &dependency{s: s, what: "servers"}
+	faults := entryFaults{}
 	for ctx.Err() == nil {
 		if !s.reads() {
 			pause(ctx, jitter(serversInterval))
 			continue
 		}
-		list, version, err := s.store.Servers(ctx, func(err error) {
-			event.ServerInvalid.Log(s.log).Err(err).Msg("")
-		})
+		reading, version, err := s.store.Servers(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -118,8 +117,10 @@
 			pause(ctx, storeRetry)
 			continue
 		}
+		reading = reading.RequireStarts(s.view.latestStart)
+		faults.note(s, reading.Faults)
 		s.view.noteRead(time.Now())
-		if s.view.applyServers(version, list, time.Now()) {
+		if s.view.applyServers(version, reading.List(), time.Now()) {
 			s.serversChanged(version, "store")
 		}
 		pause(ctx, jitter(serversInterval))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,9 +32,8 @@
 // Store is where configuration and servers are read. Its calls return promptly when
 // their context ends.
 type Store interface {
-	// Servers returns the list of backend servers and its version; entries that can't
-	// be decoded go to bad.
-	Servers(ctx context.Context, bad func(error)) ([]registry.Server, int64, error)
+	// Servers returns the list of backend servers and its version.
+	Servers(ctx context.Context) (registry.Reading, int64, error)
 	// Manifest returns the route table in force, its encoding, and the store's version.
 	Manifest(ctx context.Context) (*route.Table, []byte, int64, error)
 	// DecodeManifest decodes a route table that another gateway read.
@@ -139,13 +138,15 @@
 	s := &Service{
 		set: set, log: d.Log, batch: d.Batch, met: d.Metrics, store: d.Store, pool: d.Pool,
 		orders: d.Orders, lease: d.Lease,
-		view: newView(), placed: newPlaced(), watch: httpserver.NewWatcher(),
+		view: newView(), watch: httpserver.NewWatcher(),
 	}
 	s.peers = peer.New(set.Control, set.Datagrams, set.Seeds, s)
 	s.met.GaugeFunc(metrics.UpstreamDials, d.Pool.Dialed)
 	s.met.Gauge(metrics.MechanismsOff).Update(int64(set.Off.Len()))
 	s.met.GaugeFunc(metrics.LinkBytesSent, s.peers.Sent)
 	s.met.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
+	s.placed = newPlaced(s.view.idOf)
+	s.view.onEnded = s.startsEnded
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch,
 		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry, Off: set.Off,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 }
 
 func entry(s *site.Server, service, state string) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"z1","slots":6,"state":%q}`, service, s.Addr(), state)
+	return s.Entry(service, state).Encode()
 }
 
 // until calls do until its result is ok.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/peer"
-	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
@@ -39,7 +38,7 @@
 		r.Servers = encodeServers(told.servers)
 	}
 	r.ReadAgeMs = uint32(s.view.readAge(time.Now()).Milliseconds())
-	r.Shares = sharesOf(s.fwd.Placed())
+	r.Shares = encodeShares(s.fwd.Placed())
 	now := time.Now()
 	for service, use := range s.fwd.Uses() {
 		r.Readings = append(r.Readings, &peer.Reading{
@@ -47,7 +46,10 @@
 		})
 	}
 	for id, w := range s.view.switches() {
-		r.Switches = append(r.Switches, &peer.Switch{Server: id, Stage: uint32(w.to), AgeMs: uint32(now.Sub(w.at).Milliseconds())})
+		start := registry.ParseID(id)
+		r.Switches = append(r.Switches, &peer.Switch{
+			Server: start.Instance, Start: start.Tag(), Stage: uint32(w.to), AgeMs: uint32(now.Sub(w.at).Milliseconds()),
+		})
 	}
 	return r
 }
@@ -65,7 +67,7 @@
 	}
 	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
 	for _, w := range r.GetSwitches() {
-		s.view.switchTo(w.GetServer(), registry.Stage(w.GetStage()), time.Duration(w.GetAgeMs())*time.Millisecond, now)
+		s.view.switchTo(s.view.idOf(w.GetServer(), w.GetStart()), registry.Stage(w.GetStage()), time.Duration(w.GetAgeMs())*time.Millisecond, now)
 	}
 	s.fwd.SetOthers(s.placed.take(r, now))
 }
@@ -97,69 +99,12 @@
 		case <-s.fwd.PlacementChanged():
 		}
 		pause(ctx, tellInterval)
-		if shares := sharesOf(s.fwd.TakeChanged()); len(shares) > 0 {
+		if shares := encodeShares(s.fwd.TakeChanged()); len(shares) > 0 {
 			s.peers.Tell(shares)
 		}
 	}
 }
 
-func sharesOf(placed []kvmemory.Share) []*peer.Share {
-	out := make([]*peer.Share, 0, len(placed))
-	for _, share := range placed {
-		out = append(out, encodeShare(share))
-	}
-	return out
-}
-
-func encodeShare(s kvmemory.Share) *peer.Share {
-	out := &peer.Share{Server: s.ID, Tokens: uint32(max(s.Tokens, 0)), Runs: uint32(s.Runs)}
-	if s.Runs == 0 {
-		return out
-	}
-	for i := range kvmemory.Ahead {
-		out.Mean = append(out.Mean, uint32(s.Ahead.Mean[i]))
-		out.Variance = append(out.Variance, uint64(s.Ahead.Variance[i]))
-	}
-	return out
-}
-
-// decodeLoad decodes a share. One without a forecast, as gateways of earlier versions send,
-// counts as held for good.
-func decodeLoad(s *peer.Share) kvmemory.Load {
-	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns())}
-	mean, variance := s.GetMean(), s.GetVariance()
-	if len(mean) != kvmemory.Ahead || len(variance) != kvmemory.Ahead {
-		l.Ahead = kvmemory.Constant(l.Tokens)
-		return l
-	}
-	for i := range kvmemory.Ahead {
-		l.Ahead.Mean[i], l.Ahead.Variance[i] = float64(mean[i]), float64(variance[i])
-	}
-	return l
-}
-
-func encodeServers(list []registry.Server) []*peer.Server {
-	out := make([]*peer.Server, 0, len(list))
-	for _, v := range list {
-		out = append(out, &peer.Server{
-			Id: v.ID, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
-			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving,
-		})
-	}
-	return out
-}
-
-func decodeServers(list []*peer.Server) []registry.Server {
-	out := make([]registry.Server, 0, len(list))
-	for _, v := range list {
-		out = append(out, registry.Server{
-			ID: v.GetId(), Service: v.GetService(), Addr: v.GetAddr(), Zone: v.GetZone(),
-			Slots: int(v.GetSlots()), Stage: registry.Stage(v.GetStage()), Leaving: v.GetLeaving(),
-		})
-	}
-	return out
-}
-
 // Lost implements peer.Beliefs.
 func (s *Service) Lost(addr string, err error) {
 	event.PeerLost.Log(s.log).Str("peer", addr).Err(err).Msg("")
--- a/gateway/placed.go
+++ b/gateway/placed.go
@@ -28,6 +28,8 @@
 	refreshed time.Time
 	// life is how long a report counts.
 	life time.Duration
+	// idOf is the ID of a start that another gateway told.
+	idOf func(instance string, tag uint32) string
 }
 
 type placedReport struct {
@@ -49,8 +51,8 @@
 	counted kvmemory.Load
 }
 
-func newPlaced() *placed {
-	return &placed{reports: map[string]placedReport{}, totals: map[string]kvmemory.Load{}, life: placedLife}
+func newPlaced(idOf func(instance string, tag uint32) string) *placed {
+	return &placed{idOf: idOf, reports: map[string]placedReport{}, totals: map[string]kvmemory.Load{}, life: placedLife}
 }
 
 // refreshInterval is the interval at which all totals are brought up to date and handed on, and
@@ -64,7 +66,7 @@
 	report.read = now.Add(-time.Duration(r.GetReadAgeMs()) * time.Millisecond)
 	for _, s := range r.GetShares() {
 		l := decodeLoad(s)
-		report.told[s.GetServer()] = toldLoad{load: l, at: now, counted: l}
+		report.told[p.idOf(s.GetServer(), s.GetStart())] = toldLoad{load: l, at: now, counted: l}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +159,7 @@
 	p.reports[c.GetAddr()] = r
 	changed := map[string]kvmemory.Load{}
 	for _, s := range c.GetShares() {
-		id, l := s.GetServer(), decodeLoad(s)
+		id, l := p.idOf(s.GetServer(), s.GetStart()), decodeLoad(s)
 		old := r.told[id].counted
 		p.add(id, &old, -1, changed)
 		p.add(id, &l, 1, changed)
--- a/gateway/placed_test.go
+++ b/gateway/placed_test.go
@@ -28,7 +28,7 @@
 // TestPlacedKeepsTheNewest: datagrams and reports overtake each other, and a gateway that
 // was started again begins to count anew.
 func TestPlacedKeepsTheNewest(t *testing.T) {
-	p := newPlaced()
+	p := newPlaced(newView().idOf)
 	placed := func() int { return p.totals["i-1"].Tokens }
 	p.change(told(1, 1, 5), start)
 	assert.Equal(t, placed(), 0, "nothing is known of that gateway yet")
@@ -52,7 +52,7 @@
 // TestPlacedHandsOnChanges: what a report changes is handed on at once, and everything now
 // and then, for engines that were not known before.
 func TestPlacedHandsOnChanges(t *testing.T) {
-	p := newPlaced()
+	p := newPlaced(newView().idOf)
 	assert.DeepEqual(t, p.take(report(1, 1, 100), start), map[string]kvmemory.Load{"i-1": held(100)})
 	other := &peer.Report{Addr: "c", Incarnation: 1, Shares: []*peer.Share{{Server: "i-2", Tokens: 7}}}
 	assert.DeepEqual(t, p.take(other, start), map[string]kvmemory.Load{"i-2": held(7)})
@@ -63,7 +63,7 @@
 
 // TestPlacedLivesAsLongAsReportsTake: before a hundred gateways each is heard every 2.4 s.
 func TestPlacedLivesAsLongAsReportsTake(t *testing.T) {
-	p := newPlaced()
+	p := newPlaced(newView().idOf)
 	p.take(report(1, 1, 100), start)
 	const pace = 2400 * time.Millisecond
 	assert.DeepEqual(t, p.refresh(pace, start.Add(pace)), map[string]kvmemory.Load{"i-1": held(100)})
@@ -72,7 +72,7 @@
 
 // TestPlacedAges: between two reports a gateway's runs go on, and what it told is read as of now.
 func TestPlacedAges(t *testing.T) {
-	p := newPlaced()
+	p := newPlaced(newView().idOf)
 	r := report(1, 1, 1000)
 	r.Shares[0].Runs = 1
 	r.Shares[0].Mean = []uint32{100, 200, 300, 400, 500, 600, 700, 800}
--- a/gateway/size_bench_test.go
+++ b/gateway/size_bench_test.go
@@ -23,7 +23,7 @@
 	}
 	now := time.Now()
 	v.applyServers(1, list, now)
-	p := newPlaced()
+	p := newPlaced(v.idOf)
 	report := func(i int) *peer.Report {
 		return &peer.Report{Addr: fmt.Sprint("g", i), Shares: []*peer.Share{{Server: fmt.Sprint("i-", i), Tokens: 5000}, {Server: fmt.Sprint("i-", i+100), Tokens: 5000}}}
 	}
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -16,8 +16,9 @@
 
 // Orders gives orders to engines. Calls return promptly when their context ends.
 type Orders interface {
-	// OrdersTaken is the number of orders that an engine has taken since its start.
-	OrdersTaken(ctx context.Context, s registry.Server) (int64, error)
+	// OrdersTaken is the number of orders that an engine has taken since its start, and the start;
+	// zero if it tells none.
+	OrdersTaken(ctx context.Context, s registry.Server) (taken, born int64, err error)
 	// SetStage orders an engine to another stage if it has taken no order since.
 	SetStage(ctx context.Context, s registry.Server, to registry.Stage, holder string, fence, taken int64) error
 }
@@ -30,6 +31,10 @@
 	planWarmup = 3 * time.Second
 )
 
+// errOtherStart means that an engine has started again since its order was planned: its count of
+// orders is of another start, and so is the load that the order answers.
+var errOtherStart = errors.New("the engine has started again")
+
 // planStages keeps the split of engines into prefill and decode in line with the load.
 // Only the first of the live gateways plans; the lease sees to it that two that can't
 // hear each other do not both give orders.
@@ -106,10 +111,13 @@
 			return 0, err
 		}
 	}
-	taken, err := s.orders.OrdersTaken(ctx, m.Server)
+	taken, born, err := s.orders.OrdersTaken(ctx, m.Server)
 	if err != nil {
 		return 0, err
 	}
+	if born != m.Server.Born {
+		return 0, errOtherStart
+	}
 	fence, held := s.lease.Fence()
 	if !held {
 		return fence, fencing.ErrHeld
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -34,6 +34,9 @@
 	changed int64
 	steps   changes
 	read    time.Time
+	// onEnded is told of starts of servers that were followed by a later one; it is called without
+	// mu held.
+	onEnded func([]registry.Server)
 }
 
 // encodedTable is the encoding of one version of the table.
@@ -194,15 +197,24 @@
 
 // applyServers takes a list of servers and reports whether it changed anything.
 func (v *view) applyServers(version int64, list []registry.Server, now time.Time) bool {
+	changed, ended := v.apply(version, list, now)
+	if len(ended) > 0 && v.onEnded != nil {
+		v.onEnded(ended)
+	}
+	return changed
+}
+
+func (v *view) apply(version int64, list []registry.Server, now time.Time) (changed bool, ended []registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	defer func() { ended = v.registry.TakeEnded() }()
 	before := v.registry.List()
 	if !v.registry.Apply(version, list, now) {
-		return false
+		return false, nil
 	}
 	after := v.registry.List()
 	if v.listed && equal(before, after) {
-		return false
+		return false, nil
 	}
 	if v.listed {
 		v.steps.add(v.changed, version, before, after)
@@ -210,7 +222,19 @@
 	v.listed = true
 	v.changed = version
 	clear(v.usable)
-	return true
+	return true, nil
+}
+
+// idOf is the ID of a start that another gateway told by its tag.
+func (v *view) idOf(instance string, tag uint32) string {
+	return registry.Tagged(instance, tag, v.latestStart(instance))
+}
+
+// latestStart is the latest known start of an instance; zero if none is known.
+func (v *view) latestStart(instance string) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Latest(instance)
 }
 
 // toldServers takes what another gateway told, and reports whether it changed anything.
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -43,5 +43,7 @@
 		{StateBytesServed, Counter},
 		{Fetches, Counter},
 		{FetchesFailed, Counter},
+		{EntryUnreadablePrefix, Counter},
+		{StartsEnded, Counter},
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -10,6 +10,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
 // Prefixes of the counters kept per reason.
@@ -21,6 +22,8 @@
 	EndedPrefix       = "ended."
 	// AttemptFailedPrefix is followed by the reason for which an attempt failed.
 	AttemptFailedPrefix = "attempt_failed."
+	// EntryUnreadablePrefix is followed by the reason for which the entry of a server can't be used.
+	EntryUnreadablePrefix = "entries_unreadable."
 	// RequestTimePrefix is followed by the kind of the route.
 	RequestTimePrefix = "request_time."
 )
@@ -37,6 +40,9 @@
 		s.Counter(RefusedPrefix + string(r))
 		s.Counter(RetriedPrefix + string(r))
 	}
+	for _, r := range registry.FaultReasons() {
+		s.Counter(EntryUnreadablePrefix + string(r))
+	}
 	for _, k := range []outcome.Kind{outcome.Completed, outcome.NotRun, outcome.Failed, outcome.Unknown} {
 		s.Counter(EndedPrefix + k.String())
 	}
@@ -75,6 +81,9 @@
 // Ended counts the end of a request.
 func (s *Set) Ended(k outcome.Kind) { s.Counter(EndedPrefix + k.String()).Inc(1) }
 
+// EntryUnreadable counts an entry of a server that has become faulty.
+func (s *Set) EntryUnreadable(r registry.Reason) { s.Counter(EntryUnreadablePrefix + string(r)).Inc(1) }
+
 // ServeHTTP writes all metrics as JSON.
 func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -21,6 +21,8 @@
 	// answer.
 	PeerExchanges       = "peer_exchanges"
 	PeerExchangesFailed = "peer_exchanges_failed"
+	// StartsEnded counts servers that were found to have started again under their name.
+	StartsEnded = "starts_ended"
 	// StateBytesServed is what others fetched, Fetches what this process fetched itself, and
 	// FetchesFailed those of them that did not come whole.
 	StateBytesServed = "state_bytes_served"
--- a/proofs/site_test.go
+++ b/proofs/site_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -87,6 +88,7 @@
 	id := fmt.Sprintf("i-%s-%d", service, c.started)
 	c.mu.Unlock()
 	s := &siteServer{Server: site.NewServer(c.t, id, c.log), service: service, stage: stage}
+	s.Restart(time.Now().UnixMilli(), false)
 	s.relay = newRelay(c.t, s.Addr())
 	c.mu.Lock()
 	c.servers = append(c.servers, s)
@@ -97,12 +99,14 @@
 
 // list writes the entry of a server into the store.
 func (c *siteCluster) list(s *siteServer, state string) {
-	stage := ""
+	e := site.Entry{
+		Service: s.service, Addr: s.relay.addr, Zone: "z1", Version: "v1", Slots: 48, State: state, Seq: 1,
+		Born: s.Born(),
+	}
 	if s.stage != registry.Whole {
-		stage = s.stage.String()
+		e.Stage = s.stage.String()
 	}
-	c.store.Put("servers", s.ID, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"z1","slots":48,"state":%q,"stage":%q}`,
-		s.service, s.relay.addr, state, stage))
+	c.store.Put("servers", s.ID, e.Encode())
 }
 
 // retire takes a server from those that are drawn for faults.
--- a/proofs/sitewatch_test.go
+++ b/proofs/sitewatch_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/invariant"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -53,7 +54,7 @@
 
 // called records what reaches a server. Reading a prompt is work, but no run.
 func (w *siteWatch) called(call site.Call) {
-	e := invariant.Event{Request: call.ID, Node: call.Server}
+	e := invariant.Event{Request: call.ID, Node: startID(call.Server, call.Born)}
 	if call.Refused || !slices.Contains([]string{site.Plain, site.Prefill, site.Decode}, call.Kind) {
 		return
 	}
@@ -65,6 +66,11 @@
 	}
 }
 
+// startID names one start of a server: what is said of it does not hold for the next one.
+func startID(server string, born int64) string {
+	return registry.Incarnation{Instance: server, Born: born}.ID()
+}
+
 // siteAsk is one request of a client.
 type siteAsk struct {
 	id, route string
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -44,14 +44,15 @@
 	return b
 }
 
-// soakRegressions are seeds that once failed, with the number of faults, and why.
+// soakRegressions are seeds that once failed, with the number of faults, the number of kinds that
+// there were then, and why.
 var soakRegressions = []struct {
-	seed   uint64
-	faults int
-	cause  string
+	seed          uint64
+	faults, kinds int
+	cause         string
 }{
-	{1, 20, "a time to come back was rounded up"},
-	{6, 20, "a silent connection outlived the faults"},
+	{1, 20, 31, "a time to come back was rounded up"},
+	{6, 20, 31, "a silent connection outlived the faults"},
 }
 
 // TestSoak draws faults from seeds while clients ask gateways, and lets the checker judge
@@ -64,14 +65,17 @@
 	seed, _ := strconv.ParseUint(os.Getenv(seedVar), 10, 64)
 	seeds, _ := strconv.ParseUint(os.Getenv(soakSeedsVar), 10, 64)
 	for i := range max(seeds, 1) {
-		t.Run(fmt.Sprint("seed ", seed+i), func(t *testing.T) { soak(t, seed+i, n) })
+		t.Run(fmt.Sprint("seed ", seed+i), func(t *testing.T) { soak(t, seed+i, n, allKinds) })
 	}
 	for _, r := range soakRegressions {
-		t.Run(fmt.Sprint("seed ", r.seed, ": ", r.cause), func(t *testing.T) { soak(t, r.seed, r.faults) })
+		t.Run(fmt.Sprint("seed ", r.seed, ": ", r.cause), func(t *testing.T) { soak(t, r.seed, r.faults, r.kinds) })
 	}
 }
 
-func soak(t *testing.T, seed uint64, n int) {
+// allKinds stands for the number of all kinds.
+const allKinds = -1
+
+func soak(t *testing.T, seed uint64, n, kinds int) {
 	c := newSite(t, soakGateways)
 	w := newSiteWatch(c)
 	x := &soaker{faults: newFaults(seed), c: c, w: w}
@@ -80,7 +84,11 @@
 	for i := range soakClients {
 		clients.Go(func() { w.client(i, seed, stop) })
 	}
-	x.run(n, x.kinds())
+	drawn := x.kinds()
+	if kinds != allKinds {
+		drawn = drawn[:kinds]
+	}
+	x.run(n, drawn)
 	c.store.Set(site.Well)
 	time.Sleep(soakTail)
 	w.recovers(soakRecover)
@@ -143,6 +151,10 @@
 		{"server replaced", func(i int) (string, func()) { return x.replace(i) }},
 		{"server leaves", func(i int) (string, func()) { return x.leave(i) }},
 		{"manifest changed", func(int) (string, func()) { x.w.change(); return "", nil }},
+		{"server starts again", func(i int) (string, func()) { return x.restart(i, false) }},
+		{"server starts again silently", func(i int) (string, func()) { return x.restart(i, true) }},
+		{"server leaves and starts again", func(i int) (string, func()) { return x.leaveAndRestart(i) }},
+		{"entry spoiled", func(i int) (string, func()) { return x.spoil(i) }},
 	}
 }
 
@@ -252,6 +264,42 @@
 	x.c.addServer(s.service, s.stage)
 	x.c.retire(s)
 	x.c.list(s, "draining")
-	x.w.rec.Add(invariant.Event{Kind: invariant.Leaving, Node: s.ID})
+	x.w.rec.Add(invariant.Event{Kind: invariant.Leaving, Node: startID(s.ID, s.Born())})
+	return s.ID, func() {}
+}
+
+// restart has a server start again under its name. Its connections are closed, or stay and are silent.
+func (x *soaker) restart(i int, dark bool) (string, func()) {
+	s := x.lastAsked(x.server(i).stage)
+	if !x.take(s.ID) {
+		return "", nil
+	}
+	s.Restart(time.Now().UnixMilli(), dark)
+	x.c.list(s, "ready")
 	return s.ID, func() {}
 }
+
+// leaveAndRestart has a server say that it leaves; in the end it starts again under its name.
+func (x *soaker) leaveAndRestart(i int) (string, func()) {
+	s := x.lastAsked(x.server(i).stage)
+	if !x.take(s.ID) {
+		return "", nil
+	}
+	x.c.list(s, "draining")
+	x.w.rec.Add(invariant.Event{Kind: invariant.Leaving, Node: startID(s.ID, s.Born())})
+	return s.ID, func() {
+		s.Restart(time.Now().UnixMilli(), false)
+		x.c.list(s, "ready")
+	}
+}
+
+// spoil has another writer overwrite the entry of a server, which serves on.
+func (x *soaker) spoil(i int) (string, func()) {
+	s := x.server(i)
+	if !x.take(s.ID) {
+		return "", nil
+	}
+	entries := []string{"", "{", "[]", "{}", `{"service":7}`, "\xff"}
+	x.c.store.Put("servers", s.ID, []byte(entries[i%len(entries)]+" "))
+	return s.ID, func() { x.c.list(s, "ready") }
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,14 +2,17 @@
 //
 // It is a pure state machine: snapshots of the platform's list and observations of
 // requests go in with the time, and a view comes out. A server is known by its
-// instance, never by its address, since addresses are used again. What is known of
+// incarnation, never by its address, since addresses are used again. What is known of
 // a leaving server is never forgotten while the process lives: a list that is
-// older than that knowledge can't bring the server back.
+// older than that knowledge can't bring the server back. A later start of an instance
+// ends the earlier ones at once, and nothing brings those back either.
 package registry
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -39,8 +42,10 @@
 
 // Server is one entry of the platform's list.
 type Server struct {
-	// ID is the instance: one start of one server.
-	ID      string
+	// ID is that of the incarnation: one start of one server.
+	ID string
+	// Born is that of the incarnation.
+	Born    int64
 	Service string
 	// Addr is "ip:port".
 	Addr, Zone string
@@ -48,6 +53,21 @@
 	Stage      Stage
 	// Leaving is set once the server has said that it stops.
 	Leaving bool
+	// Unusable is set while the server's entry can't be trusted. It gets no new work; what runs
+	// there goes on.
+	Unusable bool
+}
+
+// Instance is the name under which the server registers itself.
+func (s Server) Instance() string {
+	instance, _, _ := strings.Cut(s.ID, bornMark)
+	return instance
+}
+
+// Valid reports whether s can be a server, whoever told of it.
+func (s Server) Valid() bool {
+	_, err := netip.ParseAddrPort(s.Addr)
+	return ValidInstance(s.Instance()) && err == nil && s.Service != "" && s.Stage <= Decode && s.Slots >= 0 && s.Born >= 0
 }
 
 // Grace is how long a server that is missing from the list counts as known after the
@@ -60,9 +80,13 @@
 	// version of the newest snapshot.
 	version int64
 	servers map[string]*entry
-	// gone holds instances that have said that they leave, so that no later
+	// gone holds incarnations that have said that they leave, so that no later
 	// snapshot brings them back as ready.
 	gone map[string]struct{}
+	// latest is the latest known start of each instance that says when it started.
+	latest map[string]int64
+	// ended are incarnations that were followed by a later one since TakeEnded.
+	ended []Server
 	// lastRead is when a snapshot was last taken, and recovered when reading worked
 	// again after an outage.
 	lastRead, recovered time.Time
@@ -76,7 +100,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: map[string]*entry{}, gone: map[string]struct{}{}}
+	return &Registry{servers: map[string]*entry{}, gone: map[string]struct{}{}, latest: map[string]int64{}}
 }
 
 // outageGap is the time without a snapshot from which entries may have lapsed
@@ -99,6 +123,17 @@
 	r.version, r.lastRead = version, now
 	seen := make(map[string]struct{}, len(list))
 	for _, s := range list {
+		r.noteStart(s)
+	}
+	for _, s := range list {
+		if latest := r.latest[s.Instance()]; s.Born == 0 && latest > 0 && !s.Unusable {
+			// Told by a process that does not tell starts: it means the one that is listed.
+			s.ID, s.Born = Incarnation{Instance: s.Instance(), Born: latest}.ID(), latest
+		}
+		if s.Born < r.latest[s.Instance()] {
+			r.distrust(s, seen)
+			continue
+		}
 		seen[s.ID] = struct{}{}
 		r.update(s)
 	}
@@ -110,6 +145,47 @@
 	return true
 }
 
+// noteStart notes a start that is later than those known of its instance. The earlier ones have
+// ended.
+func (r *Registry) noteStart(s Server) {
+	instance := s.Instance()
+	if s.Born <= r.latest[instance] {
+		return
+	}
+	r.latest[instance] = s.Born
+	for id, e := range r.servers {
+		if e.Born < s.Born && e.Instance() == instance {
+			delete(r.servers, id)
+			r.ended = append(r.ended, e.Server)
+		}
+	}
+}
+
+// distrust handles an entry of an instance that is not of its latest known start. An entry that can't
+// be read keeps the latest start listed, without new work; an earlier start changes nothing.
+func (r *Registry) distrust(s Server, seen map[string]struct{}) {
+	id := Incarnation{Instance: s.Instance(), Born: r.latest[s.Instance()]}.ID()
+	e, ok := r.servers[id]
+	if !ok {
+		return
+	}
+	seen[id] = struct{}{}
+	if s.Unusable {
+		e.Unusable, e.missing = true, time.Time{}
+	}
+}
+
+// TakeEnded returns the incarnations that were followed by a later one since the last call: what ran
+// there has ended without an answer.
+func (r *Registry) TakeEnded() []Server {
+	ended := r.ended
+	r.ended = nil
+	return ended
+}
+
+// Latest is the latest known start of an instance; zero if none is known.
+func (r *Registry) Latest(instance string) int64 { return r.latest[instance] }
+
 // Touch notes that another process has read the store at now and found the list
 // unchanged.
 func (r *Registry) Touch(now time.Time) { r.lastRead = now }
@@ -120,9 +196,18 @@
 	}
 	e, ok := r.servers[s.ID]
 	if !ok {
+		if s.Unusable && s.Addr == "" {
+			return
+		}
 		e = &entry{}
 		r.servers[s.ID] = e
 	}
+	if s.Unusable && ok {
+		// What the last entry that could be read said still holds of what runs there.
+		leaving := s.Leaving
+		s = e.Server
+		s.Unusable, s.Leaving = true, s.Leaving || leaving
+	}
 	s.Leaving = s.Leaving || e.Leaving
 	if s.Leaving {
 		r.gone[s.ID] = struct{}{}
@@ -154,11 +239,13 @@
 	return true
 }
 
-// Usable returns the servers of a service that may get new work, ordered by instance.
+// Usable returns the servers of a service that may get new work, ordered by ID. Of two at one
+// address, the one that started later is there.
 func (r *Registry) Usable(service string) []Server {
+	at := r.startedAt()
 	var out []Server
 	for _, e := range r.servers {
-		if e.Service == service && !e.Leaving {
+		if e.Service == service && e.usable() && e.Born >= at[e.Addr] {
 			out = append(out, e.Server)
 		}
 	}
@@ -166,7 +253,20 @@
 	return out
 }
 
-// Get returns the server of an instance.
+// startedAt is the latest start at each address, of servers that may get work.
+func (r *Registry) startedAt() map[string]int64 {
+	at := make(map[string]int64, len(r.servers))
+	for _, e := range r.servers {
+		if e.usable() {
+			at[e.Addr] = max(at[e.Addr], e.Born)
+		}
+	}
+	return at
+}
+
+func (e *entry) usable() bool { return !e.Leaving && !e.Unusable }
+
+// Get returns the server of an ID.
 func (r *Registry) Get(id string) (Server, bool) {
 	e, ok := r.servers[id]
 	if !ok {
@@ -175,7 +275,7 @@
 	return e.Server, true
 }
 
-// List returns all servers, ordered by instance.
+// List returns all servers, ordered by ID.
 func (r *Registry) List() []Server {
 	out := make([]Server, 0, len(r.servers))
 	for _, e := range r.servers {
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -42,6 +42,8 @@
 // Call is one request that reached a server.
 type Call struct {
 	Server, Kind, Path, ID string
+	// Born is that of the server that it reached.
+	Born int64
 	// Tokens and Hold are those of a reservation, KVFrom and LastEvent of a run.
 	Tokens    int
 	Hold      string
@@ -141,13 +143,14 @@
 	ID  string
 	log *Log
 
-	active atomic.Int64
+	active, born atomic.Int64
 
 	mu   sync.Mutex
 	next []Behaviour
 	then Behaviour
 	full bool
-	hold int
+	// hold and orders count since the last start.
+	hold, orders int
 }
 
 // NewServer starts a server that ends with the test.
@@ -229,6 +232,9 @@
 		return
 	}
 	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Order, Body: string(body)})
+	s.mu.Lock()
+	s.orders++
+	s.mu.Unlock()
 	switch s.behaviour() {
 	case Shed:
 		w.WriteHeader(http.StatusConflict)
@@ -241,7 +247,13 @@
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Report})
-	reply(w, http.StatusOK, map[string]any{"stage": "prefill", "seq": 2, "busy": false})
+	s.mu.Lock()
+	report := map[string]any{"stage": "prefill", "seq": s.orders + 2, "busy": false}
+	s.mu.Unlock()
+	if born := s.Born(); born != 0 {
+		report["born"] = born
+	}
+	reply(w, http.StatusOK, report)
 }
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
@@ -252,7 +264,7 @@
 	c := Call{
 		Server: s.ID, Kind: Plain, Path: r.RequestURI, ID: r.Header.Get(RequestID),
 		Hold: r.Header.Get(Reservation), KVFrom: r.Header.Get(KVFrom),
-		LastEvent: r.Header.Get(lastEventID), Header: r.Header, Body: string(body),
+		LastEvent: r.Header.Get(lastEventID), Header: r.Header, Body: string(body), Born: s.Born(),
 	}
 	switch {
 	case r.Header.Get(stage) == "prefill":
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -151,6 +151,17 @@
 	p.idle[c.addr] = append(p.idle[c.addr], &idleConn{conn: c, since: now})
 }
 
+// Drop closes the unused connections to one server, which has ended or started again.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
 // Sweep closes connections that were unused for too long, and all those to servers
 // for which keep returns false.
 func (p *Pool) Sweep(keep func(addr string) bool) {
