A placement too large for a datagram goes in several

Cause, found by reading what else goes between gateways by size: a placement on more than about a hundred engines was dropped without a word, each time, until the next report. Now it is split. Test TestLargePlacementGoesInParts, seen failing (it waited for ever).

--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxDatagram is above the largest placement, some tens of engines of 30 bytes each.
+// maxDatagram bounds a datagram: a hundred engines of 70 bytes each. A larger placement goes in several.
 const maxDatagram = 8 << 10
 
 // datagrams sends and receives placements over UDP. A datagram that is lost is made good
@@ -20,6 +20,9 @@
 	conn   atomic.Pointer[net.UDPConn]
 }
 
+// maxNumber is the most bytes that the number of a placement adds to it.
+const maxNumber = 11
+
 func newDatagrams(port int) *datagrams { return &datagrams{port: port} }
 
 // last is the number of the last placement sent.
@@ -61,15 +64,22 @@
 	}
 }
 
-// send sends p, under the next number, to the gateways that listen at addrs.
+// send sends p, under the next numbers, to the gateways that listen at addrs.
 func (d *datagrams) send(addrs []string, p *Placement) {
+	if half := len(p.GetShares()) / 2; half > 0 && proto.Size(p)+maxNumber > maxDatagram {
+		for _, shares := range [][]*Share{p.GetShares()[:half], p.GetShares()[half:]} {
+			d.send(addrs, &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: shares})
+		}
+		return
+	}
 	conn := d.conn.Load()
 	if conn == nil {
 		return
 	}
 	p.Number = d.number.Add(1)
 	data, err := proto.Marshal(p)
-	if err != nil || len(data) > maxDatagram {
+	if err != nil {
+		// A placement that can't be encoded is as good as lost; the next report makes good for it.
 		return
 	}
 	for _, addr := range addrs {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -213,3 +214,31 @@
 	assert.Equal(t, in.last(), uint64(1))
 	assert.Equal(t, p.GetShares()[0].GetTokens(), uint32(5))
 }
+
+// TestLargePlacementGoesInParts: a placement on more engines than fit a datagram is told whole.
+func TestLargePlacementGoesInParts(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	port := conn.LocalAddr().(*net.UDPAddr).Port
+	assert.NilError(t, conn.Close())
+	const engines = 500
+	got := make(chan *Placement, engines)
+	in := newDatagrams(port)
+	assert.NilError(t, in.listen(t.Context(), "127.0.0.1:1", func(p *Placement) { got <- p }))
+	var shares []*Share
+	for i := range engines {
+		shares = append(shares, &Share{Server: fmt.Sprintf("i-%010x", i), Tokens: 5000, Runs: 3, Mean: make([]uint32, 8), Variance: make([]uint64, 8)})
+	}
+	in.send([]string{"127.0.0.1:9"}, &Placement{Addr: "x", Incarnation: 7, Shares: shares})
+	told, numbers := map[string]bool{}, map[uint64]bool{}
+	for len(told) < engines {
+		p := <-got
+		assert.Equal(t, p.GetIncarnation(), uint64(7))
+		assert.Assert(t, !numbers[p.GetNumber()], "each has a number of its own")
+		numbers[p.GetNumber()] = true
+		for _, s := range p.GetShares() {
+			told[s.GetServer()] = true
+		}
+	}
+	assert.Assert(t, len(numbers) > 1)
+}
