--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,173 @@
+package peer
+
+import (
+	"context"
+	"time"
+)
+
+// Intervals and bounds.
+const (
+	// interval is the pause between two exchanges with a peer. A run lasts some seconds,
+	// so that placement of a fifth of a second ago is nearly true.
+	interval = 200 * time.Millisecond
+	// fewPeers is the number of peers up to which the interval holds; with more it grows
+	// so that the bytes of a gateway stay the same.
+	fewPeers = 8
+	// callTimeout bounds an exchange: some round trips between zones, and the wait for a
+	// processor that is busy.
+	callTimeout = 700 * time.Millisecond
+	// coveredFor is the number of pauses after which a peer that makes the exchanges of a
+	// pair counts as silent.
+	coveredFor = 3
+	// redial is the pause after a failed exchange.
+	redial = 300 * time.Millisecond
+	// memberCheck is the interval at which members are looked at for new ones.
+	memberCheck = 250 * time.Millisecond
+)
+
+// peerLink is the connection to one peer. Its loop owns all fields.
+type peerLink struct {
+	addr string
+	conn peerConn
+	// servers is the version that the peer was last known to have.
+	servers int64
+	// again is set when the last exchange followed another at once.
+	again  bool
+	lost   bool
+	cancel context.CancelFunc
+}
+
+// follow keeps one loop for each live member and seed.
+func (s *Service) follow(ctx context.Context) {
+	t := time.NewTicker(memberCheck)
+	defer t.Stop()
+	for {
+		s.adjust(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Service) adjust(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, addr := range s.members.Live(time.Now()) {
+		wanted[addr] = true
+	}
+	for _, addr := range s.seeds {
+		wanted[addr] = addr != s.self
+	}
+	for addr, want := range wanted {
+		if _, ok := s.links[addr]; want && !ok {
+			lctx, cancel := context.WithCancel(ctx)
+			l := &peerLink{addr: addr, cancel: cancel}
+			s.links[addr] = l
+			go s.loop(lctx, l)
+		}
+	}
+	for addr, l := range s.links {
+		if !wanted[addr] {
+			l.cancel()
+			delete(s.links, addr)
+			delete(s.asked, addr)
+		}
+	}
+}
+
+// loop exchanges reports with one peer until ctx ends.
+func (s *Service) loop(ctx context.Context, l *peerLink) {
+	defer l.conn.hangUp()
+	kicked := false
+	for ctx.Err() == nil {
+		if !kicked && s.covered(l.addr) {
+			kicked = s.wait(ctx, s.Pace())
+			continue
+		}
+		again, err := s.exchange(ctx, l)
+		if ctx.Err() != nil {
+			return
+		}
+		s.traffic.exchanged(err)
+		s.note(l, err)
+		switch {
+		case err != nil:
+			l.conn.hangUp()
+			kicked = s.wait(ctx, redial)
+		case !again:
+			kicked = s.wait(ctx, s.Pace())
+		}
+	}
+}
+
+// covered reports whether the peer makes the exchanges of this pair: they go both ways,
+// so that the side with the lower address makes them as long as it is heard.
+func (s *Service) covered(addr string) bool {
+	if addr > s.self {
+		return false
+	}
+	pace := s.Pace()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.asked[addr]) < coveredFor*pace
+}
+
+// exchange makes one exchange. It reports whether another should follow at once, since
+// the peer turned out to be behind.
+func (s *Service) exchange(ctx context.Context, l *peerLink) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := l.conn.open(ctx, s.net, l.addr, &s.meter); err != nil {
+		return false, err
+	}
+	out := s.report(l.servers)
+	in, err := NewDRPCPeersClient(l.conn.Conn).Exchange(ctx, out)
+	if err != nil {
+		return false, err
+	}
+	s.take(in)
+	// Changes are of use only to a peer that has the version before them.
+	sent := out.GetServersTold() && out.GetServersBase() == 0
+	l.servers = in.GetServersVersion()
+	behind := out.GetServersVersion() > l.servers && !sent
+	l.again = behind && !l.again
+	return l.again, nil
+}
+
+func (s *Service) note(l *peerLink, err error) {
+	if lost := err != nil; lost != l.lost {
+		l.lost = lost
+		if lost {
+			s.beliefs.Lost(l.addr, err)
+			return
+		}
+		s.beliefs.Regained(l.addr)
+	}
+}
+
+// Pace is the pause between two exchanges with one peer: it grows with their number, so that
+// a gateway makes as many exchanges a second before a hundred peers as before eight.
+func (s *Service) Pace() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return interval * time.Duration(max(len(s.links), fewPeers)) / fewPeers
+}
+
+// wait pauses for d or until there is something to announce, and reports whether there is.
+func (s *Service) wait(ctx context.Context, d time.Duration) bool {
+	s.mu.Lock()
+	kick := s.kick
+	s.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-kick:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/peer/fetch_test.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/simnet"
+)
+
+// oneWay is a host that can't reach some others, though they reach it.
+type oneWay struct {
+	*simnet.Host
+	unreachable string
+}
+
+// Dial implements Network.
+func (o oneWay) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if addr == o.unreachable {
+		return nil, errors.New("no route")
+	}
+	return o.Host.Dial(ctx, addr)
+}
+
+// TestFetchFromAnother: one of two gateways that have a version can't be asked for it; the other is.
+func TestFetchFromAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const a, b, c = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
+		ctx, cancel := context.WithCancel(t.Context())
+		network := simnet.New()
+		first, second := simulate(ctx, network.Host(a, smallLink), a, c), simulate(ctx, network.Host(b, smallLink), b, c)
+		third := simulate(ctx, oneWay{network.Host(c, smallLink), a}, c, a, b)
+		time.Sleep(time.Second)
+		for _, g := range []*gateway{first, second} {
+			g.mu.Lock()
+			g.table = 7
+			g.mu.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, third.Version(State_ROUTE_TABLE), int64(7))
+		third.mu.Lock()
+		for _, f := range third.fetched {
+			assert.Equal(t, f.Err == nil, f.From == b, "%+v", f)
+		}
+		third.mu.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestStateThatCannotBeUsed: a version that came whole and can't be used here, as in the middle of an
+// upgrade, is not fetched again and again; the next one is.
+func TestStateThatCannotBeUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const a, b = "10.0.0.1:1", "10.0.0.2:1"
+		ctx, cancel := context.WithCancel(t.Context())
+		network := simnet.New()
+		first, second := simulate(ctx, network.Host(a, smallLink), a, b), simulate(ctx, network.Host(b, smallLink), b, a)
+		second.refuses = 7
+		set := func(version int64) {
+			first.mu.Lock()
+			first.table = version
+			first.mu.Unlock()
+			time.Sleep(10 * time.Second)
+		}
+		fetched := func() int {
+			second.mu.Lock()
+			defer second.mu.Unlock()
+			return len(second.fetched)
+		}
+		set(7)
+		assert.Equal(t, fetched(), 1)
+		assert.Equal(t, second.Version(State_ROUTE_TABLE), int64(0))
+		set(8)
+		assert.Equal(t, fetched(), 2)
+		assert.Equal(t, second.Version(State_ROUTE_TABLE), int64(8))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/peer/idle_test.go
+++ b/peer/idle_test.go
@@ -11,6 +11,17 @@
 	"github.com/hibiscusspur/hibiscusspur/internal/simnet"
 )
 
+// smallLink is 10 Mbit/s, in bytes a second.
+const smallLink = 1_250_000
+
+// simulate runs a gateway on a network in memory.
+func simulate(ctx context.Context, n Network, addr string, seeds ...string) *gateway {
+	g := newGateway(addr, seeds)
+	g.SetNetwork(n)
+	go func() { _ = g.Run(ctx) }()
+	return g
+}
+
 // TestAnnouncementAfterAQuietTime: of two gateways the one with the lower address makes the exchanges. The
 // other has a connection too, which its peer closes when nothing came over it for five seconds. Then
 // it has news: they are told at once, not by the next exchange of the other side, and no exchange is
@@ -20,17 +31,10 @@
 //	"event":721,"text":"gateway lost","peer":"10.1.0.41:8220","error":"manager closed: EOF"
 func TestAnnouncementAfterAQuietTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const a, b, rate = "10.0.0.1:1", "10.0.0.2:1", 1_250_000
+		const a, b = "10.0.0.1:1", "10.0.0.2:1"
 		ctx, cancel := context.WithCancel(t.Context())
 		network := simnet.New()
-		start := func(addr, seed string) *gateway {
-			g := &gateway{placed: map[string]uint32{}, wake: make(chan struct{})}
-			g.Service = New(addr, 0, []string{seed}, g)
-			g.SetNetwork(network.Host(addr, rate))
-			go func() { _ = g.Run(ctx) }()
-			return g
-		}
-		first, second := start(a, b), start(b, a)
+		first, second := simulate(ctx, network.Host(a, smallLink), a, b), simulate(ctx, network.Host(b, smallLink), b, a)
 		const quiet = 30 * time.Second
 		time.Sleep(quiet)
 		failed := second.Traffic().Failed
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -20,9 +20,11 @@
 	table, servers int64
 	// manyServers is set if the list of servers does not fit a report.
 	manyServers bool
-	fetched     []Fetch
-	placed      map[string]uint32
-	wake        chan struct{}
+	// refuses is a version that can't be used here.
+	refuses int64
+	fetched []Fetch
+	placed  map[string]uint32
+	wake    chan struct{}
 }
 
 func (g *gateway) Report(servers int64) *Report {
@@ -82,6 +84,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if version == g.refuses {
+		return errors.New("not understood")
+	}
 	v := g.versionOf(s)
 	*v = max(*v, version)
 	g.changed()
@@ -140,9 +145,14 @@
 	return lis.Addr().String()
 }
 
-func run(t *testing.T, addr string, seeds ...string) *gateway {
+func newGateway(addr string, seeds []string) *gateway {
 	g := &gateway{placed: map[string]uint32{}, wake: make(chan struct{})}
 	g.Service = New(addr, 0, seeds, g)
+	return g
+}
+
+func run(t *testing.T, addr string, seeds ...string) *gateway {
+	g := newGateway(addr, seeds)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
