Changes between gateways name starts once; an attempt at an ended start says so

Found on reading the diff: a server that started again was told as its later start and as removed at once, by names that gateways of earlier releases do not know; they would have dropped it. Now a change names each instance once. Test TestChangesNameStarts.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -162,6 +163,9 @@
 // attemptFailed notes why a request that was sent to s is not answered by it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
 	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
+	if err != nil && f.attempts.hasEnded(s.ID) {
+		err = errors.Join(errStartEnded, err)
+	}
 	e := event.AttemptFailed.Log(f.Log).Str("request", j.meta.ID).Str("service", s.Service).Str("server", s.ID).
 		Str("stage", s.Stage.String()).Str("reason", string(reason)).Int("sends", j.sends).Dur("since", time.Since(j.arrived))
 	if err != nil {
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -12,13 +12,15 @@
 type serversTold struct {
 	base, version int64
 	servers       []registry.Server
-	removed       []string
+	// removed are instances. One that has started again is not among them: its later start, among
+	// servers, takes the place of the earlier one.
+	removed []string
 }
 
 // change is one step of the list of servers, from one version of the store to another.
 type change struct {
 	from, to int64
-	// set are servers that are new or have changed.
+	// set are servers that are new or have changed; removed are instances.
 	set     []registry.Server
 	removed []string
 }
@@ -37,12 +39,12 @@
 // add notes the step from one list to the next.
 func (c *changes) add(from, to int64, before, after []registry.Server) {
 	step := change{from: from, to: to}
-	old := byID(before)
+	old := byInstance(before)
 	for _, s := range after {
-		if old[s.ID] != s {
+		if old[s.Instance()] != s {
 			step.set = append(step.set, s)
 		}
-		delete(old, s.ID)
+		delete(old, s.Instance())
 	}
 	step.removed = slices.Sorted(maps.Keys(old))
 	c.steps = append(c.steps, step)
@@ -62,16 +64,16 @@
 	for _, step := range c.steps[i:] {
 		out.version = step.to
 		for _, s := range step.set {
-			set[s.ID] = s
-			delete(removed, s.ID)
+			set[s.Instance()] = s
+			delete(removed, s.Instance())
 		}
-		for _, id := range step.removed {
-			delete(set, id)
-			removed[id] = true
+		for _, instance := range step.removed {
+			delete(set, instance)
+			removed[instance] = true
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(set)) {
-		out.servers = append(out.servers, set[id])
+	for _, instance := range slices.Sorted(maps.Keys(set)) {
+		out.servers = append(out.servers, set[instance])
 	}
 	out.removed = slices.Sorted(maps.Keys(removed))
 	return out, true
@@ -79,20 +81,21 @@
 
 // over is the whole list that told makes of a list of the version base.
 func (t serversTold) over(list []registry.Server) []registry.Server {
-	whole := byID(list)
+	whole := byInstance(list)
 	for _, s := range t.servers {
-		whole[s.ID] = s
+		whole[s.Instance()] = s
 	}
-	for _, id := range t.removed {
-		delete(whole, id)
+	for _, instance := range t.removed {
+		delete(whole, instance)
 	}
 	return slices.Collect(maps.Values(whole))
 }
 
-func byID(list []registry.Server) map[string]registry.Server {
+// byInstance keys a list, which has one start of each instance at most.
+func byInstance(list []registry.Server) map[string]registry.Server {
 	out := make(map[string]registry.Server, len(list))
 	for _, s := range list {
-		out[s.ID] = s
+		out[s.Instance()] = s
 	}
 	return out
 }
--- a/gateway/table_test.go
+++ b/gateway/table_test.go
@@ -105,3 +105,26 @@
 	_, told = hearer.serversSince(100)
 	assert.Equal(t, told.base, int64(100), "who has heard tells changes as well")
 }
+
+// TestChangesNameStarts: a server that has started again is told as its later start, and not as removed
+// as well: a gateway that knows instances alone would take the one for the other. One that is gone is told by
+// its instance.
+func TestChangesNameStarts(t *testing.T) {
+	server := func(instance string, born int64) registry.Server {
+		return registry.Server{ID: registry.Incarnation{Instance: instance, Born: born}.ID(), Born: born, Service: "s", Addr: "10.0.0.1:80"}
+	}
+	now := time.Now()
+	reader, hearer := newView(), newView()
+	reader.applyServers(100, []registry.Server{server("a", 1), server("b", 1)}, now)
+	hearer.applyServers(100, []registry.Server{server("a", 1), server("b", 1)}, now)
+	var ended []registry.Server
+	hearer.onEnded = func(list []registry.Server) { ended = append(ended, list...) }
+	reader.applyServers(200, []registry.Server{server("a", 2), server("b", 1)}, now)
+	reader.applyServers(300, []registry.Server{server("a", 3)}, now)
+	_, told := reader.serversSince(100)
+	assert.DeepEqual(t, told.servers, []registry.Server{server("a", 3)})
+	assert.DeepEqual(t, told.removed, []string{"b"})
+	assert.Assert(t, hearer.toldServers(*told, now))
+	assert.DeepEqual(t, hearer.registry.List(), []registry.Server{server("a", 3)})
+	assert.DeepEqual(t, ended, []registry.Server{server("a", 1)})
+}
