News during an exchange are not lost; gateways without a table offer none; versions are asked for without copying the list

- Gateways without a table counted as behind others without one, asked them, and left them alone for a second each.
No table is version zero now on both sides; who waits for sources that rest waits for the first.
Test TestNothingIsFetchedFromThoseWithoutATable, seen failing.
- An announcement during an exchange was lost, since the loop took the channel of announcements after it: news came half a second late, and most often from a gateway that had just read a large table over a busy link.
- The version of the list was told by copying and sorting the whole list, with each report that came in.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -30,7 +30,7 @@
 // thought to be behind, tables that all had filled the links of small VMs for minutes, 23 MB a second
 // over 21 gateways by event 725, and newer ones did not come through.
 func (s *Service) Report(servers int64) *peer.Report {
-	r := &peer.Report{Vm: s.set.VM, TableVersion: max(s.view.version(), 0)}
+	r := &peer.Report{Vm: s.set.VM, TableVersion: s.Version(peer.State_ROUTE_TABLE)}
 	changed, told := s.view.serversSince(servers)
 	r.ServersVersion = changed
 	if told != nil && len(told.servers)+len(told.removed) <= reportServers {
--- a/gateway/table_spread_test.go
+++ b/gateway/table_spread_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/simnet"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
 
@@ -164,6 +165,22 @@
 	})
 }
 
+// TestNothingIsFetchedFromThoseWithoutATable: gateways that start together and know no table yet don't ask
+// each other for it, and so don't leave each other alone once one of them has it.
+func TestNothingIsFetchedFromThoseWithoutATable(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		for i, s := range f.gateways {
+			assert.Equal(t, s.met.Counter(metrics.Fetches).Count(), int64(0), "gateway %d", i)
+		}
+		f.read(0, 7, 0)
+		time.Sleep(inForce)
+		f.assertVersions(t, 7)
+		for i, s := range f.gateways {
+			assert.Equal(t, s.met.Counter(metrics.FetchesFailed).Count(), int64(0), "gateway %d", i)
+		}
+	})
+}
+
 // TestTableReachesThoseThatTheStoreShutsOut: the gateways with small links don't reach the store, all
 // others have a large table.
 func TestTableReachesThoseThatTheStoreShutsOut(t *testing.T) {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -267,6 +267,13 @@
 	return v.registry.List(), v.changed
 }
 
+// listVersion is the version at which the list of servers last changed.
+func (v *view) listVersion() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
 // noteRead notes that this process read the list from the store.
 func (v *view) noteRead(now time.Time) {
 	v.mu.Lock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -83,8 +83,10 @@
 	defer l.conn.hangUp()
 	kicked := false
 	for ctx.Err() == nil {
+		// News that come up during an exchange may have missed it.
+		kick := s.kicks()
 		if !kicked && s.covered(l.addr) {
-			kicked = s.wait(ctx, s.Pace())
+			kicked = wait(ctx, s.Pace(), kick)
 			continue
 		}
 		again, err := s.exchange(ctx, l)
@@ -96,9 +98,9 @@
 		switch {
 		case err != nil:
 			l.conn.hangUp()
-			kicked = s.wait(ctx, redial)
+			kicked = wait(ctx, redial, kick)
 		case !again:
-			kicked = s.wait(ctx, s.Pace())
+			kicked = wait(ctx, s.Pace(), kick)
 		}
 	}
 }
@@ -156,11 +158,15 @@
 	return interval * time.Duration(max(len(s.links), fewPeers)) / fewPeers
 }
 
-// wait pauses for d or until there is something to announce, and reports whether there is.
-func (s *Service) wait(ctx context.Context, d time.Duration) bool {
+// kicks is closed when there is something to announce that came up after this call.
+func (s *Service) kicks() <-chan struct{} {
 	s.mu.Lock()
-	kick := s.kick
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.kick
+}
+
+// wait pauses for d or until there is something to announce, and reports whether there is.
+func wait(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -74,6 +74,9 @@
 	f.mu.Lock()
 	f.planner.Offer(addr, version, time.Now())
 	f.mu.Unlock()
+	if version <= f.s.beliefs.Version(f.state) {
+		return
+	}
 	select {
 	case f.offered <- struct{}{}:
 	default:
--- a/peer/idle_test.go
+++ b/peer/idle_test.go
@@ -50,3 +50,34 @@
 		synctest.Wait()
 	})
 }
+
+// slowBack is a host whose links are busy, so that answers to it take a while.
+const slowBack = 20 * time.Millisecond
+
+// TestNewsDuringAnExchange: news that come up while an exchange is in progress are told right after it, and
+// not a pause later: a gateway that has just read a large table has exchanges in progress, since its link
+// was busy with it.
+func TestNewsDuringAnExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const a, b = "10.0.0.1:1", "10.0.0.2:1"
+		ctx, cancel := context.WithCancel(t.Context())
+		network := simnet.New()
+		host := network.Host(a, smallLink)
+		first, second := simulate(ctx, host, a, b), simulate(ctx, network.Host(b, smallLink), b, a)
+		time.Sleep(time.Second)
+		for range 20 {
+			// The link of the first is busy around each of its exchanges for some time.
+			host.Occupy(smallLink * int(slowBack/time.Millisecond) / 1000)
+			first.mu.Lock()
+			first.servers++
+			want := first.servers
+			first.mu.Unlock()
+			first.Announce()
+			time.Sleep(slowBack)
+			assert.Equal(t, second.Version(State_SERVER_LIST), want)
+			time.Sleep(interval - 3*slowBack/2)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -30,7 +30,7 @@
 	Report(servers int64) *Report
 	// Take takes what a peer told.
 	Take(r *Report)
-	// Version is that of the state in force here.
+	// Version is that of the state in force here; zero if there is none.
 	Version(state State) int64
 	// EncodedState returns a state and its version; nil if there is none. The bytes must not be
 	// changed.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -45,8 +45,11 @@
 
 // pack returns the newest version, packed. The caller holds mu.
 func (s *stateServer) pack(state State, old packedState) (packedState, error) {
+	if s.beliefs.Version(state) == old.version {
+		return old, nil
+	}
 	version, data := s.beliefs.EncodedState(state)
-	if version == old.version || data == nil {
+	if data == nil {
 		return old, nil
 	}
 	var b bytes.Buffer
--- a/policy/catchup/catchup.go
+++ b/policy/catchup/catchup.go
@@ -83,10 +83,11 @@
 	if late := now.Sub(p.behind); !storeLost && late < p.config.Grace {
 		return "", p.config.Grace - late
 	}
-	if free := p.free(newest, now); len(free) > 0 {
+	free, wait := p.free(newest, now)
+	if len(free) > 0 {
 		return free[draw(len(free))], 0
 	}
-	return "", p.config.Rest
+	return "", wait
 }
 
 // newest is the newest version that is offered.
@@ -98,14 +99,19 @@
 	return newest
 }
 
-// free are the sources of a version that are not left alone, in order.
-func (p *Planner) free(version int64, now time.Time) []string {
-	var out []string
+// free are the sources of a version that are not left alone, in order, and the time until the next one is
+// free if there are none.
+func (p *Planner) free(version int64, now time.Time) (ids []string, wait time.Duration) {
+	wait = p.config.Rest
 	for id, s := range p.sources {
-		if s.version >= version && !now.Before(s.rests) {
-			out = append(out, id)
+		switch {
+		case s.version < version:
+		case now.Before(s.rests):
+			wait = min(wait, s.rests.Sub(now))
+		default:
+			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(out, cmp.Compare[string])
-	return out
+	slices.SortFunc(ids, cmp.Compare[string])
+	return ids, wait
 }
--- a/policy/catchup/catchup_test.go
+++ b/policy/catchup/catchup_test.go
@@ -89,6 +89,8 @@
 	assert.Equal(t, next(-1, false, 500), "b")
 	p.Failed("b", at(510))
 	assert.Equal(t, next(-1, false, 520), "", "both rest")
+	_, wait := p.Next(-1, false, at(1400), first)
+	assert.Equal(t, wait, 100*time.Millisecond, "until the first has rested")
 	assert.Equal(t, next(-1, false, 1500), "a")
 	assert.Equal(t, next(6, false, 1500), "", "it gets on by itself")
 	p.Offer("c", 8, at(1600))
