--- a/policy/catchup/catchup.go
+++ b/policy/catchup/catchup.go
@@ -8,8 +8,8 @@
 // minutes. Other processes can't reach the store and have nobody else to learn from.
 //
 // So the one that is behind fetches, from one source at a time, and only once its own reading
-// has had its chance or has failed. In a replay of 20 processes of which 12 are late, none fetches; of
-// 20 that the store shuts out, each fetches once.
+// has had its chance or has failed. In a replay of 20 processes that read it up to 400 ms after they heard of
+// it, none fetches; of 20 that the store shuts out, each fetches once.
 //
 // A Planner is deterministic, takes time and chance from its caller, and is not safe for
 // concurrent use.
