--- a/gateway/state.go
+++ b/gateway/state.go
@@ -8,8 +8,8 @@
 	"github.com/hibiscusspur/hibiscusspur/peer"
 )
 
-// Version implements peer.Beliefs; zero means none, as in reports. It is asked for with each report that comes in, and must not look at
-// the list: copying a thousand servers each time took 11 % of a core.
+// Version implements peer.Beliefs; zero means none, as in reports. It is asked for with each report
+// that comes in, and must not look at the list: copying a thousand servers each time took 11 % of a core.
 func (s *Service) Version(state peer.State) int64 {
 	if state == peer.State_ROUTE_TABLE {
 		return max(s.view.version(), 0)
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -110,7 +110,7 @@
 }
 
 func (f *fetcher) fetch(ctx context.Context, addr string) {
-	start := time.Now()
+	start, own := time.Now(), f.s.beliefs.Version(f.state)
 	done := Fetch{State: f.state, From: addr}
 	var data []byte
 	data, done.Err = f.transfer(ctx, addr, &done)
@@ -119,14 +119,16 @@
 	}
 	done.Took = time.Since(start)
 	f.s.beliefs.Fetched(done)
-	switch {
-	case done.Err == nil:
+	if done.Err == nil {
 		f.take(done, data)
-	case !errors.Is(done.Err, errStateMoved):
-		f.mu.Lock()
-		f.planner.Failed(addr, time.Now())
-		f.mu.Unlock()
 	}
+	if errors.Is(done.Err, errStateMoved) || f.s.beliefs.Version(f.state) > own {
+		return
+	}
+	// A gateway that offers what it does not have must not be asked again and again.
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.planner.Failed(addr, time.Now())
 }
 
 func (f *fetcher) take(done Fetch, data []byte) {
--- a/peer/fetch_test.go
+++ b/peer/fetch_test.go
@@ -83,3 +83,29 @@
 		synctest.Wait()
 	})
 }
+
+// TestOfferThatIsNotKept: a gateway that offers a version and hands out an older one is asked once in a
+// while, not in a loop.
+func TestOfferThatIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const a, b = "10.0.0.1:1", "10.0.0.2:1"
+		ctx, cancel := context.WithCancel(t.Context())
+		network := simnet.New()
+		first, second := simulate(ctx, network.Host(a, smallLink), a, b), simulate(ctx, network.Host(b, smallLink), b, a)
+		for _, g := range []*gateway{first, second} {
+			g.mu.Lock()
+			g.table = 6
+			g.mu.Unlock()
+		}
+		first.mu.Lock()
+		first.offers = 7
+		first.mu.Unlock()
+		const watched = 10
+		time.Sleep(watched * time.Second)
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		asked := len(second.fetched)
+		assert.Assert(t, asked > 0 && asked <= watched, "asked %d times", asked)
+		cancel()
+	})
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -22,6 +22,8 @@
 	manyServers bool
 	// refuses is a version that can't be used here.
 	refuses int64
+	// offers is a version of the table that is told and not there.
+	offers  int64
 	fetched []Fetch
 	placed  map[string]uint32
 	wake    chan struct{}
@@ -30,7 +32,7 @@
 func (g *gateway) Report(servers int64) *Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := &Report{TableVersion: g.table, ServersVersion: g.servers}
+	r := &Report{TableVersion: max(g.table, g.offers), ServersVersion: g.servers}
 	if g.servers > servers && !g.manyServers {
 		r.ServersTold = true
 	}
