Gateways of tests have loopback addresses of their own, and one that has ended fails its test

Suspected, not shown: a port that was free when it was chosen was taken by a connection of another test before the gateway listened. Now each has an address of its own on loopback, and the wait for readiness ends with the reason if the gateway has ended. No check is weaker.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -33,8 +34,11 @@
 	ended chan error
 }
 
+// freeAddr is an address of loopback that nothing else uses: a port that was free on 127.0.0.1 may be
+// taken by any connection of another test before the gateway listens.
 func freeAddr(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+	lis, err := net.Listen("tcp", host+":0")
 	assert.NilError(t, err)
 	defer func() { _ = lis.Close() }()
 	return lis.Addr().String()
@@ -75,6 +79,9 @@
 	t.Helper()
 	for t.Context().Err() == nil {
 		res, err := http.Get("http://" + p.set.Ready)
+		if err != nil && len(p.ended) > 0 {
+			t.Fatalf("the gateway has ended: %v", <-p.ended)
+		}
 		if err != nil {
 			continue
 		}
