Runs hold no more than they can at most, so that a long prompt fits an empty engine

Cause: an engine's fullest moment was reckoned as the mean of what its runs hold and two standard deviations. For one run whose end is as likely as not that is half as much again as it can hold: a request of seven tenths of an engine's memory was refused by an empty engine, for ever.

Ruled out: that others took the room first.

Change: a forecast tells what its runs hold at most, all of them at the longest that they may generate, and the peak is bounded by it. Told to other gateways as one number of a share (4 bytes); one that doesn't tell it is not bounded. TestLongPromptFitsAnEmptyEngine fails without it at seven tenths.

The bound is strict, so that it can preempt no run that was not preempted before.

--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -24,6 +24,7 @@
 		out.Mean = append(out.Mean, uint32(s.Ahead.Mean[i]))
 		out.Variance = append(out.Variance, uint64(s.Ahead.Variance[i]))
 	}
+	out.Most = uint32(s.Ahead.Most)
 	return out
 }
 
@@ -39,9 +40,21 @@
 	for i := range kvmemory.Ahead {
 		l.Ahead.Mean[i], l.Ahead.Variance[i] = float64(mean[i]), float64(variance[i])
 	}
+	l.Ahead.Most = mostOf(s)
 	return l
 }
 
+// unboundedMost stands for what the runs of a gateway of an earlier version hold at most, in tokens: more
+// than any engine has, and a whole number, so that it adds up.
+const unboundedMost = 1 << 32
+
+func mostOf(s *peer.Share) float64 {
+	if s.GetMost() == 0 && s.GetRuns() > 0 {
+		return unboundedMost
+	}
+	return float64(s.GetMost())
+}
+
 func encodeServers(list []registry.Server) []*peer.Server {
 	out := make([]*peer.Server, 0, len(list))
 	for _, v := range list {
--- a/gateway/placed_test.go
+++ b/gateway/placed_test.go
@@ -84,3 +84,15 @@
 	assert.Equal(t, aged.Tokens, 1000)
 	assert.DeepEqual(t, p.refresh(0, start.Add(placedLife)), map[string]kvmemory.Load{"i-1": {}})
 }
+
+// TestShareTellsMost: what runs hold at most is told, and not bounded for a gateway of an earlier version,
+// which does not tell it.
+func TestShareTellsMost(t *testing.T) {
+	var l kvmemory.Load
+	l.Tokens, l.Runs = 30_000, 2
+	l.Ahead.Most = 33_000
+	s := encodeShare(kvmemory.Share{ID: "i-1", Load: l})
+	assert.Equal(t, decodeLoad(s).Ahead.Most, 33_000.0)
+	s.Most = 0
+	assert.Assert(t, decodeLoad(s).Ahead.Most >= unboundedMost)
+}
--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -19,6 +19,11 @@
 // tokens, and of its variances. Forecasts of different runs, and of different routers, add up.
 type Forecast struct {
 	Mean, Variance [Ahead]float64
+	// Most is what they hold at most, in tokens: all of them at the longest that they may generate.
+	// Mean and deviation alone exceed it where runs are few: a run that ends in the next second with a
+	// chance of one half counts half as much again as it can hold. Requests of six tenths of an engine's
+	// memory were refused by empty engines for that.
+	Most float64
 }
 
 // Constant returns the forecast of runs that hold that much memory until further notice.
@@ -27,6 +32,7 @@
 	for i := range f.Mean {
 		f.Mean[i] = float64(tokens)
 	}
+	f.Most = float64(tokens)
 	return f
 }
 
@@ -36,11 +42,12 @@
 		f.Mean[i] += sign * o.Mean[i]
 		f.Variance[i] += sign * o.Variance[i]
 	}
+	f.Most += sign * o.Most
 }
 
 // After is what a forecast that was made that long ago says of now.
 func (f *Forecast) After(age time.Duration) Forecast {
-	var out Forecast
+	out := Forecast{Most: f.Most}
 	for i, ahead := range moments {
 		out.Mean[i], out.Variance[i] = f.at(ahead + age)
 	}
@@ -62,7 +69,7 @@
 }
 
 // Peak is the most memory that is held at any of the moments, in tokens: the mean and caution
-// standard deviations.
+// standard deviations, or what can be held at most if that is less.
 func (f *Forecast) Peak(caution float64) float64 {
 	var none Forecast
 	return peak(caution, f, &none)
@@ -80,7 +87,7 @@
 		}
 		highest = max(highest, mean+caution*math.Sqrt(max(variance, 0)))
 	}
-	return highest
+	return min(highest, a.Most+b.Most)
 }
 
 // Load is what runs on one engine hold.
--- a/policy/kvmemory/forecast_test.go
+++ b/policy/kvmemory/forecast_test.go
@@ -45,3 +45,20 @@
 	sum.Add(&aged, -1)
 	assert.Equal(t, sum, f, "nothing is left of what was taken off again")
 }
+
+// TestLongPromptFitsAnEmptyEngine: mean and two deviations of one run whose end is as likely as not are half
+// as much again as it can hold. What fits is decided by the engine's memory, not by that sum.
+func TestLongPromptFitsAnEmptyEngine(t *testing.T) {
+	const capacity, hint, most = 50_000, 800, 1900
+	for tenth := 1; tenth <= 9; tenth++ {
+		p := pool("g", 1)
+		prompt := tenth * capacity / 10
+		r := &kvmemory.Run{Need: prompt + hint, Prompt: prompt, Length: runlength.New().Begin(hint, most)}
+		id, ok := p.Pick(kvmemory.Ask{Run: r}, start)
+		assert.Assert(t, ok, "%d tenths of an engine's memory", tenth)
+		p.Take(id, r)
+		over := &kvmemory.Run{Need: capacity - prompt, Prompt: capacity - prompt, Length: runlength.New().Begin(hint, most)}
+		_, ok = p.Pick(kvmemory.Ask{Run: over}, start)
+		assert.Assert(t, !ok, "what is left beside %d tenths is known", tenth)
+	}
+}
--- a/policy/kvmemory/run.go
+++ b/policy/kvmemory/run.go
@@ -46,6 +46,7 @@
 		f.Add(&c, 1)
 		return
 	}
+	f.Most += float64(r.Prompt) + r.Length.Most()
 	r.Length.Progress(int(r.generated.Load()))
 	done := float64(r.Length.Tokens())
 	for i, ahead := range moments {
--- a/policy/runlength/runlength.go
+++ b/policy/runlength/runlength.go
@@ -159,6 +159,9 @@
 // Tokens is what the run has generated, in tokens.
 func (r *Run) Tokens() int { return int(r.tokens) }
 
+// Most is the most that the run generates, in tokens.
+func (r *Run) Most() float64 { return r.most }
+
 // Lasts is the probability that the run generates more tokens than that in all, given how
 // far it has come.
 func (r *Run) Lasts(tokens float64) float64 {
