Large fleets change the stage of several engines in one look

Cause: engines changed their stage one by one, two a second. On 117 engines the sixteen moves that a burst needed were ordered from 4.7 to 10.8 s and done from 11 to 17 s, after the burst of 6 to 11 s: 42 prompt engines were a quarter in use meanwhile, and memory was full.

Ruled out: too few orders allowed at once (a sixth of the engines, 19); the readers' lines (a reading took 210 ms in the median in those seconds, as at rest).

Change: one look may move an engine for each 24, so that a fleet of a hundred moves the same share of its engines in a second as one of two dozen. The load is worked out once a look. TestBurstOnManyEngines, seen failing: 6 of 117 engines were moved within three seconds, 14 are asked for.

--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -67,31 +67,44 @@
 	return s.peers.Rank() == 0 && !s.draining.Load() && !s.set.Off.Has(mechanism.StageOrders)
 }
 
+// planService moves the engines of a service that are to change their stage now.
 func (s *Service) planService(ctx context.Context, p *stages.Planner, service route.Service, now time.Time) {
-	servers, moving := s.view.all(service.Name)
+	load := s.serviceLoad(service)
+	moved := false
+	for ctx.Err() == nil {
+		servers, moving := s.view.all(service.Name)
+		m, ok := p.Next(servers, moving, load, now)
+		if !ok {
+			break
+		}
+		fence, err := s.order(ctx, m)
+		if err != nil {
+			if !errors.Is(err, fencing.ErrHeld) {
+				event.StageFailed.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).Err(err).Msg("")
+			}
+			pause(ctx, planInterval)
+			break
+		}
+		p.Moved(m, now)
+		moved = true
+		s.view.switchTo(m.Server.ID, m.To, 0, time.Now())
+		event.StageOrdered.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).
+			Float64("read", load.ReadRate/load.EngineRate).Float64("held", load.Held/load.EngineTokens).Msg("")
+	}
+	if moved {
+		s.peers.Announce()
+	}
+}
+
+// serviceLoad is the use of a service's engines by all gateways.
+func (s *Service) serviceLoad(service route.Service) stages.Load {
 	load := s.fwd.Use(service.Name)
 	arriving, wanted, rates := s.placed.reading(service.Name)
 	load.ReadRate += arriving
 	load.Held = max(load.Held+wanted, float64(s.fwd.Held(service.Name)))
 	load.EngineRate = median(append(rates, load.EngineRate))
 	load.EngineTokens = float64(service.Engine.KVTokens)
-	m, ok := p.Next(servers, moving, load, now)
-	if !ok {
-		return
-	}
-	fence, err := s.order(ctx, m)
-	if err != nil {
-		if !errors.Is(err, fencing.ErrHeld) {
-			event.StageFailed.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).Err(err).Msg("")
-		}
-		pause(ctx, planInterval)
-		return
-	}
-	p.Moved(m, now)
-	s.view.switchTo(m.Server.ID, m.To, 0, now)
-	s.peers.Announce()
-	event.StageOrdered.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).
-		Float64("read", load.ReadRate/load.EngineRate).Float64("held", load.Held/load.EngineTokens).Msg("")
+	return load
 }
 
 // median is the middle one of the rates that are known, or zero.
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -5,8 +5,8 @@
 // about twice the mean fill the memory of the decode engines while prefill engines are
 // half idle. An engine that changes its stage serves nothing for some seconds, so that
 // no change can follow a burst; the split has to be right before. Both kinds of engine
-// are compared by their share of use, and moved one at a time, with a band in which
-// nothing is moved and a pause after each move.
+// are compared by their share of use, and moved a few at a time, with a band in which
+// nothing is moved and a pause after each look that moved some.
 //
 // A Planner takes the time from its caller and is not safe for concurrent use.
 package stages
@@ -37,13 +37,17 @@
 	Over                 float64
 	// PerMove is the number of engines for each of which one may be switching at once.
 	PerMove int
+	// PerLook is the number of engines for each of which one may be moved in one look, one at least. A fleet of
+	// a hundred engines moves the same share of them in a second as one of two dozen: one by one, the sixteen
+	// that a burst needed had moved when it was over.
+	PerLook int
 }
 
 // DefaultConfig returns the values that were measured; see docs/MEASUREMENTS.md.
 func DefaultConfig() Config {
 	return Config{
 		Slack: 0.75, Most: 0.75, Back: 1.3, Full: 0.5, MinUse: 0.25,
-		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Pressed: 5 * time.Second, Over: 0.9, PerMove: 6,
+		Dwell: 500 * time.Millisecond, Turn: 20 * time.Second, Pressed: 5 * time.Second, Over: 0.9, PerMove: 6, PerLook: 24,
 	}
 }
 
@@ -70,13 +74,16 @@
 	cfg  Config
 	last time.Time
 	to   registry.Stage
+	// moved is the number of moves of the last look.
+	moved int
 }
 
 // New returns a planner.
 func New(cfg Config) *Planner { return &Planner{cfg: cfg} }
 
 // Next returns the next move, if there is to be one. Switching holds the engines that
-// change their stage at the moment, with the stage that they will have.
+// change their stage at the moment, with the stage that they will have. Calls with one time are
+// one look.
 func (p *Planner) Next(servers []registry.Server, switching map[string]registry.Stage, l Load, now time.Time) (Move, bool) {
 	prefill, decode, moving := count(servers, switching)
 	if prefill == 0 || decode == 0 || l.EngineRate <= 0 || l.EngineTokens <= 0 {
@@ -88,7 +95,7 @@
 	to, ok := p.wanted(l, prefill, decode)
 	pressed := to == registry.Prefill && l.ReadRate/l.EngineRate >= p.cfg.Over*float64(prefill) ||
 		to == registry.Decode && l.Short
-	if !ok || !p.rested(to, pressed, now) {
+	if !ok || !p.rested(to, pressed, max(1, (prefill+decode)/p.cfg.PerLook), now) {
 		return Move{}, false
 	}
 	s, ok := candidate(servers, switching, to)
@@ -99,7 +106,13 @@
 }
 
 // Moved notes that a move was made.
-func (p *Planner) Moved(m Move, now time.Time) { p.last, p.to = now, m.To }
+func (p *Planner) Moved(m Move, now time.Time) {
+	if !now.Equal(p.last) {
+		p.moved = 0
+	}
+	p.last, p.to = now, m.To
+	p.moved++
+}
 
 // wanted returns the stage that one more engine should have.
 func (p *Planner) wanted(l Load, prefill, decode int) (registry.Stage, bool) {
@@ -119,9 +132,10 @@
 	return 0, false
 }
 
-// rested reports whether the pause after the last move is over.
-func (p *Planner) rested(to registry.Stage, pressed bool, now time.Time) bool {
-	if p.last.IsZero() {
+// rested reports whether the pause after the last move is over, or that was in the same look, in which that
+// many may be moved.
+func (p *Planner) rested(to registry.Stage, pressed bool, perLook int, now time.Time) bool {
+	if p.last.IsZero() || now.Equal(p.last) && to == p.to && p.moved < perLook {
 		return true
 	}
 	pause := p.cfg.Dwell
--- a/policy/stages/stages_test.go
+++ b/policy/stages/stages_test.go
@@ -81,6 +81,32 @@
 	assert.Assert(t, !ok, "not four")
 }
 
+// TestBurstOnManyEngines replays the first seconds of load on 117 engines: the split that a burst needs is
+// ordered within three seconds, as it is on two dozen, since a change takes six. No more are moved than the
+// load wants, and a sixth at once at most.
+func TestBurstOnManyEngines(t *testing.T) {
+	for _, c := range []struct{ prefill, decode int }{{8, 16}, {41, 76}} {
+		t.Run(fmt.Sprint(c.prefill+c.decode), func(t *testing.T) {
+			p := stages.New(stages.DefaultConfig())
+			servers, moving := fleet(c.prefill, c.decode), map[string]registry.Stage{}
+			n := float64(c.prefill + c.decode)
+			heavy := load(0.11*n, 0.65*n)
+			for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(500 * time.Millisecond) {
+				for {
+					m, ok := p.Next(servers, moving, heavy, now)
+					if !ok {
+						break
+					}
+					p.Moved(m, now)
+					moving[m.Server.ID] = m.To
+				}
+			}
+			assert.Assert(t, len(moving) <= int(n)/6)
+			assert.Assert(t, len(moving) >= int(n)/8, "%d", len(moving))
+		})
+	}
+}
+
 func TestTurnIsSlowUnlessPressed(t *testing.T) {
 	p := stages.New(stages.DefaultConfig())
 	p.Moved(stages.Move{To: registry.Decode}, start)
