A reading that was never sent is no repeat

Prompt engines that had crashed refused connections, and each such reading was taken for one that was sent: it cost a repeat, of which each of 68 gateways has some five in ten seconds.

Change: only a reading of which a byte may have reached an engine makes what follows a repeat. TestReadingThatWasNotSentIsNoRepeat, seen failing (503 for 200).

--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/reading"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
 // source is an exported KV cache and the engine that holds it.
@@ -23,16 +25,16 @@
 const prefillTries = 2
 
 // prefill has the prompt read and returns where the KV cache is, or nil when the decode
-// engine of the lease has to read it itself. A reading that did not succeed makes whatever is
+// engine of the lease has to read it itself. A reading that was sent and did not succeed makes whatever is
 // sent next a repeat; owed is set when that was not taken from the budget yet.
 func (f *Forwarder) prefill(ctx context.Context, j *job, l *lease) (export *source, owed bool) {
 	var tried []string
 	for len(tried) < prefillTries {
 		c, ok := f.choosePrefill(j, l, tried)
 		if !ok {
-			return nil, len(tried) > 0
+			return nil, owed
 		}
-		if len(tried) > 0 && !f.mayRepeat(j) {
+		if owed && !f.mayRepeat(j) {
 			return nil, true
 		}
 		tried = append(tried, c.Server.ID)
@@ -41,11 +43,12 @@
 			return &source{Export: export, server: c.Server}, false
 		}
 		f.attemptFailed(j, c.Server, f.explain(ctx, err), err)
+		owed = !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() != nil {
-			return nil, true
+			break
 		}
 	}
-	return nil, true
+	return nil, owed
 }
 
 // choosePrefill returns the engine that is to read the prompt, or none when the decode engine
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -119,6 +119,15 @@
 	assert.Assert(t, calls[len(calls)-1].Kind != site.Decode, "%s", w.log.Kinds())
 }
 
+// TestReadingThatWasNotSentIsNoRepeat: an engine that has ended refuses the connection, so that nothing of the
+// request reached it. When a quarter of the engines crash at once, that is no reason to turn requests away.
+func TestReadingThatWasNotSentIsNoRepeat(t *testing.T) {
+	w := enginesWith(t, retrybudget.Limits{Window: time.Hour})
+	w.servers["pre"].Close()
+	got := w.post(t, "/draft/1")
+	assert.Equal(t, got.status, 200, "the decode engine reads the prompt")
+}
+
 // TestNoRoomAfterAFailure: a stream whose engine was lost asks for room elsewhere once, and
 // ends when there is none. It does not use up the repeats of others by asking again.
 func TestNoRoomAfterAFailure(t *testing.T) {
