Members of a large fleet live as long as exchanges take to come round

Cause: a gateway counted as gone after five seconds of silence, while an exchange of a pair comes each 7.5 s among 300. Hearsay kept most of them, not all: at 300 VMs 31 connections a second were dialled anew, and shares of budgets and ranks changed all the time.

Change: a member lives for two such pauses, five seconds at least. Fleets of a hundred gateways or fewer behave as before.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -163,12 +163,17 @@
 	}
 }
 
-// Pace is the pause between two exchanges with one peer: it grows with their number, so that
-// a gateway makes as many exchanges a second before a hundred peers as before eight.
+// Pace is the pause between two exchanges with one peer.
 func (s *Service) Pace() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return interval * time.Duration(max(len(s.links), fewPeers)) / fewPeers
+	return paceAmong(len(s.links))
+}
+
+// paceAmong is the pause between two exchanges with one of some peers: it grows with their number, so that
+// a gateway makes as many exchanges a second before a hundred peers as before eight.
+func paceAmong(peers int) time.Duration {
+	return interval * time.Duration(max(peers, fewPeers)) / fewPeers
 }
 
 // wait pauses for d or until the peer is to be told at once, and reports whether it is.
--- a/peer/members.go
+++ b/peer/members.go
@@ -6,9 +6,15 @@
 	"time"
 )
 
-// memberLife is how long a gateway counts as live after it was last heard, by this
-// process or by one that told of it. It covers a freeze of some seconds.
-const memberLife = 5 * time.Second
+const (
+	// memberLife is how long a gateway counts as live after it was last heard, by this
+	// process or by one that told of it, at least. It covers a freeze of some seconds.
+	memberLife = 5 * time.Second
+	// memberPaces is how many pauses between two exchanges of a pair it counts as live where they are long:
+	// one may fail. Among 300 an exchange comes each 7.5 s, and gateways that lapsed before were dialled
+	// anew, 31 connections a second.
+	memberPaces = 2
+)
 
 // Members are the gateways that are thought to live. It is a pure state machine and not
 // safe for concurrent use. Gateways are known by the address at which they listen.
@@ -37,7 +43,7 @@
 
 // Told notes that another gateway heard addr some time ago.
 func (m *Members) Told(addr string, age time.Duration, now time.Time) {
-	if addr == m.self || addr == "" || age >= memberLife {
+	if addr == m.self || addr == "" || age >= m.life() {
 		return
 	}
 	at := now.Add(-age)
@@ -52,12 +58,16 @@
 // Left notes that a gateway said that it leaves.
 func (m *Members) Left(addr string, now time.Time) {
 	delete(m.heard, addr)
-	m.left[addr] = now.Add(memberLife)
+	m.left[addr] = now.Add(m.life())
 }
 
+// life is how long a gateway counts as live after it was last heard.
+func (m *Members) life() time.Duration { return max(memberLife, memberPaces*paceAmong(len(m.heard))) }
+
 // Live returns the addresses of the other live gateways, in order.
 func (m *Members) Live(now time.Time) []string {
-	maps.DeleteFunc(m.heard, func(_ string, at time.Time) bool { return now.Sub(at) >= memberLife })
+	life := m.life()
+	maps.DeleteFunc(m.heard, func(_ string, at time.Time) bool { return now.Sub(at) >= life })
 	maps.DeleteFunc(m.left, func(_ string, at time.Time) bool { return now.After(at) })
 	return slices.Sorted(maps.Keys(m.heard))
 }
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +69,36 @@
 	}
 	assert.Equal(t, len(named), 100)
 }
+
+// TestManyMembersStay: one of 300 gateways hears each other in an exchange every 7.5 s, and of eight in each of
+// forty exchanges a second. None that lives lapses, and one that has ended does.
+func TestManyMembersStay(t *testing.T) {
+	const (
+		many  = 300
+		day   = 60.0
+		ended = 30.0
+	)
+	rng := rand.New(rand.NewPCG(1, 2))
+	pace := paceAmong(many).Seconds()
+	m := NewMembers("self")
+	name := func(i int) string { return fmt.Sprint("gateway-", i) }
+	step := pace / many
+	lapsed := 0
+	for n := 0; float64(n)*step < day; n++ {
+		now := float64(n) * step
+		if i := n % many; i > 0 || now < ended {
+			m.Heard(name(i), at(now))
+		}
+		for range membersTold {
+			i, age := rng.IntN(many), rng.Float64()*pace
+			if i > 0 || now-age < ended {
+				m.Told(name(i), time.Duration(age*float64(time.Second)), at(now))
+			}
+		}
+		if now > 2*pace && now < ended && len(m.Live(at(now))) < many {
+			lapsed++
+		}
+	}
+	assert.Equal(t, lapsed, 0)
+	assert.Equal(t, len(m.Live(at(day))), many-1, "the one that ended is gone")
+}
