--- a/forward/answer.go
+++ b/forward/answer.go
@@ -67,6 +67,9 @@
 		after = after.Truncate(retryUnit)
 		j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
+	if j.late {
+		f.Metrics.Counter(metrics.ReturnersRefused).Inc(1)
+	}
 	f.finish(j, http.StatusServiceUnavailable, outcome.NotRun, reason)
 	event.RequestTurnedAway.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
 		Str("reason", string(reason)).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version()).Msg("")
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -240,6 +240,9 @@
 	defer f.mu.Unlock()
 	s.budget.Request(f.Retry, j.arrived)
 	j.late = s.returned(j)
+	if j.late {
+		f.Metrics.Counter(metrics.Returners).Inc(1)
+	}
 	if j.streams() {
 		s.arriving.Add(float64(j.meta.PromptTokens), j.arrived)
 		s.wanting.Add(float64(j.need()), j.arrived)
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -106,6 +106,16 @@
 	assert.Equal(t, got.status, 503, "larger than any engine")
 }
 
+// TestReturnersAreCounted: who has come back, and who was turned away again.
+func TestReturnersAreCounted(t *testing.T) {
+	w := enginesWith(t, unlimited)
+	assert.Equal(t, w.post(t, "/draft/1").status, 200)
+	assert.Equal(t, w.post(t, "/draft/2", site.Deadline, "9000").status, 200, "it has waited for seconds elsewhere")
+	assert.Equal(t, w.post(t, "/draft/3", site.Deadline, "9000", site.Tokens, "20000,200").status, 503, "larger than any engine")
+	assert.Equal(t, w.met.Counter(metrics.Returners).Count(), int64(2))
+	assert.Equal(t, w.met.Counter(metrics.ReturnersRefused).Count(), int64(1))
+}
+
 // TestFailedReadingIsARepeat: a reading that fails counts against the budget, whatever
 // comes after it. With nothing left the request is turned away, and has not run.
 func TestFailedReadingIsARepeat(t *testing.T) {
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -36,6 +36,8 @@
 		{RequestTimePrefix, Timer},
 		{FirstEventTime, Timer},
 		{ReservationsRefused, Counter},
+		{Returners, Counter},
+		{ReturnersRefused, Counter},
 		{UpstreamDials, Gauge},
 		{MechanismsOff, Gauge},
 		{PeerExchanges, Counter},
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -15,6 +15,10 @@
 	// ReservationsRefused counts engines that had less room than was thought.
 	ReservationsRefused = "reservations_refused"
 	UpstreamDials       = "upstream_dials"
+	// Returners counts requests of clients that have come back after a refusal, ReturnersRefused those
+	// of them that were turned away again.
+	Returners        = "returners"
+	ReturnersRefused = "returners_refused"
 	// MechanismsOff is the number of mechanisms that are switched off.
 	MechanismsOff = "mechanisms_off"
 	// PeerExchanges are exchanges with other gateways, PeerExchangesFailed those without an
