Gateways that do not read for all ask a store in trouble less and less

Cause: in an outage of the store every gateway asked it three times a second for the configuration, and as often for the list of servers.

Change: the two that read for all, and a gateway that knows nothing yet, ask again after 0.3 s as before; the others, which hear from them, after 0.3, 0.6, 1.2 and 1.5 s.

A gateway that the store lets in again, and that no other reaches, is back within 1.7 s.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,7 +40,7 @@
 // followManifest keeps the route table up to date.
 func (s *Service) followManifest(ctx context.Context) {
 	dep := &dependency{s: s, what: "manifest"}
-	version, known, refused := int64(0), false, ""
+	version, known, refused, failures := int64(0), false, "", 0
 	for ctx.Err() == nil {
 		t, encoded, next, err := s.readManifest(ctx, version, known)
 		if ctx.Err() != nil {
@@ -59,16 +59,35 @@
 			pause(ctx, serversInterval)
 		case err != nil:
 			known = false
-			pause(ctx, storeRetry)
+			failures++
+			pause(ctx, s.storePause(failures))
 		default:
 			version, known = next, true
 			s.takeTable(t, encoded, fromStore)
 		}
+		if err == nil {
+			failures = 0
+		}
 		s.storeLost.Store(err != nil)
 		dep.note(err)
 	}
 }
 
+// storePause is the pause after calls of the store that failed in a row.
+func (s *Service) storePause(failures int) time.Duration {
+	return jitter(retryPause(s.peers.Rank() < readers || !s.view.informed(), failures))
+}
+
+// retryPause is the pause after calls of the store that failed in a row. Those that read for all, and those that know
+// nothing yet, ask again soon. The others hear from them, and ask less and less: a store that comes back
+// does not meet the calls of all at once, three a second of each.
+func retryPause(first bool, failures int) time.Duration {
+	if first {
+		return storeRetry
+	}
+	return min(storeRetry<<min(max(failures-1, 0), maxRetryDoublings), maxStoreRetry)
+}
+
 // readManifest reads the whole table when none was read or the history was lost, and
 // waits for a change otherwise.
 func (s *Service) readManifest(ctx context.Context, version int64, known bool) (*route.Table, []byte, int64, error) {
@@ -105,7 +124,7 @@
 // followServers keeps the list of servers up to date.
 func (s *Service) followServers(ctx context.Context) {
 	dep := &dependency{s: s, what: "servers"}
-	faults := entryFaults{}
+	faults, failures := entryFaults{}, 0
 	for ctx.Err() == nil {
 		if !s.reads() {
 			pause(ctx, jitter(serversInterval))
@@ -117,9 +136,11 @@
 		}
 		dep.note(err)
 		if err != nil {
-			pause(ctx, storeRetry)
+			failures++
+			pause(ctx, s.storePause(failures))
 			continue
 		}
+		failures = 0
 		reading = reading.RequireStarts(s.view.latestStart)
 		faults.note(s, reading.Faults)
 		s.view.noteRead(time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,10 @@
 	readersSilent = 1500 * time.Millisecond
 	// storeRetry is the pause after a failed call, so that a store in trouble is not pressed.
 	storeRetry = 300 * time.Millisecond
+	// maxStoreRetry bounds it where it grows, with maxRetryDoublings: a gateway that the store has let in again
+	// counts as in touch after three seconds.
+	maxStoreRetry     = 1500 * time.Millisecond
+	maxRetryDoublings = 3
 	// callerCheck is the interval at which departed callers are looked for.
 	callerCheck = 20 * time.Millisecond
 	// DefaultNotice is two questions of the balancer, which asks each second and acts on
