Silence of a gateway means that its runs go on

Engines looked emptier than they were, by up to a run, and the emptiest one is chosen.

Change: Forecast.GoingOn: what was told is read given that none of its runs has ended. TestSilenceMeansThatRunsGoOn, TestGoingOn; the replay of many routers can now play reports and ages.

--- a/policy/kvmemory/crowd_test.go
+++ b/policy/kvmemory/crowd_test.go
@@ -30,7 +30,9 @@
 	atOnce int
 	// leaves is set if runs leave engines that turn out to be crowded; looks are when routers look again at
 	// those that they have just placed.
-	leaves  bool
+	leaves bool
+	// ages is nil if routers know exactly what the others hold, a moment later.
+	ages    *ages
 	looks   map[time.Time][]*visit
 	all     []*visit
 	waiting map[*waiting.Waiter]*visit
@@ -38,6 +40,7 @@
 	comes   map[time.Time][]*visit
 	tells   map[time.Time][]string
 	// used is what runs hold at the engines, arrived their number by engine.
+	ids     []string
 	used    map[string]float64
 	arrived map[string]int
 	// refused counts reservations, preempted runs.
@@ -53,7 +56,7 @@
 	list := make([]kvmemory.Server, s.engines)
 	for i := range list {
 		list[i] = kvmemory.Server{ID: fmt.Sprintf("e-%03d", i), Zone: "z1", Capacity: s.memory, Slots: s.slots}
-		c.arrived[list[i].ID] = 0
+		c.ids = append(c.ids, list[i].ID)
 	}
 	for i := range s.routers {
 		p := kvmemory.New(cfg, fmt.Sprintf("edge-%d", i))
@@ -150,7 +153,15 @@
 	c.used[id] += float64(v.prompt + crowdEvent)
 	c.running = append(c.running, v)
 	c.looks[now.Add(crowdReserves)] = append(c.looks[now.Add(crowdReserves)], v)
-	c.tells[now.Add(crowdHears)] = append(c.tells[now.Add(crowdHears)], id)
+	c.changed(v, now)
+}
+
+// changed has the others told of a change on the engine of a run.
+func (c *crowd) changed(v *visit, now time.Time) {
+	c.tells[now.Add(crowdHears)] = append(c.tells[now.Add(crowdHears)], v.engine)
+	if c.ages != nil {
+		c.ages.tell(c, v.router, v.engine, now)
+	}
 }
 
 // lookAgain has runs leave engines that turned out to be crowded while their memory was being reserved.
@@ -161,7 +172,7 @@
 		}
 		c.used[v.engine] -= float64(v.prompt + crowdEvent)
 		c.pools[v.router].Release(v.engine, v.run, now)
-		c.tells[now.Add(crowdHears)] = append(c.tells[now.Add(crowdHears)], v.engine)
+		c.changed(v, now)
 		c.running = slices.DeleteFunc(c.running, func(o *visit) bool { return o == v })
 		c.waiting[v.waiter] = v
 		c.lines[v.router].Add(v.waiter)
@@ -183,7 +194,7 @@
 	v.run.Finish()
 	c.used[v.engine] -= float64(v.prompt+crowdEvent) + v.done
 	c.pools[v.router].Release(v.engine, v.run, now)
-	c.tells[now.Add(crowdHears)] = append(c.tells[now.Add(crowdHears)], v.engine)
+	c.changed(v, now)
 	v.end = visitLate
 	if !v.waiter.Late && !v.preempted {
 		v.end = visitInTime
@@ -207,13 +218,56 @@
 	}
 }
 
+// toldLoad is what a router told of its runs on an engine, and when.
+type toldLoad struct {
+	load kvmemory.Load
+	at   time.Time
+}
+
+// ages plays what is told as gateways do: a router tells of an engine when its runs there change, and of all in
+// a report each pace; in between what it told is aged.
+type ages struct {
+	pace time.Duration
+	age  func(l *kvmemory.Load, age time.Duration) kvmemory.Load
+	told []map[string]toldLoad
+}
+
+// tell notes what a router says of an engine.
+func (a *ages) tell(c *crowd, i int, id string, now time.Time) {
+	for len(a.told) <= i {
+		a.told = append(a.told, map[string]toldLoad{})
+	}
+	a.told[i][id] = toldLoad{c.pools[i].OwnAt(id, now), now}
+}
+
+// share is what a router is thought to hold on an engine.
+func (a *ages) share(i int, id string, now time.Time) kvmemory.Load {
+	if i >= len(a.told) {
+		return kvmemory.Load{}
+	}
+	t := a.told[i][id]
+	return a.age(&t.load, now.Sub(t.at))
+}
+
+// report has each router tell everything once in a pace.
+func (a *ages) report(c *crowd, now time.Time) {
+	for i := range c.pools {
+		if (now.Sub(start)+time.Duration(i)*a.pace/time.Duration(c.routers)).Round(crowdTick)%a.pace.Round(crowdTick) == 0 {
+			for _, id := range c.ids {
+				a.tell(c, i, id, now)
+			}
+		}
+	}
+}
+
 // tellAll tells what is due: changes of a moment ago, and everything now and then.
 func (c *crowd) tellAll(now time.Time) {
+	if c.ages != nil {
+		c.ages.report(c, now)
+	}
 	told := c.tells[now]
 	if now.Sub(start)%crowdRefresh == 0 {
-		for id := range c.arrived {
-			told = append(told, id)
-		}
+		told = append(told, c.ids...)
 	}
 	slices.Sort(told)
 	for _, id := range slices.Compact(told) {
@@ -227,6 +281,9 @@
 	own := make([]kvmemory.Load, len(c.pools))
 	for i, p := range c.pools {
 		own[i] = p.OwnAt(id, now)
+		if c.ages != nil {
+			own[i] = c.ages.share(i, id, now)
+		}
 		sum.Add(&own[i], 1)
 	}
 	for i, p := range c.pools {
@@ -333,3 +390,28 @@
 	assert.Check(t, 2*after.preempted <= before.preempted)
 	assert.Check(t, tallyOf(after.all).worth > tallyOf(before.all).worth)
 }
+
+// TestSilenceMeansThatRunsGoOn replays bursts at 40 routers that report once a second. Read as made for runs that may
+// have ended unheard, what others told a second ago leaves a part of their memory out. Read as of runs that go
+// on, half as many are preempted at most, and nearly as much is earned as if everything were known exactly.
+func TestSilenceMeansThatRunsGoOn(t *testing.T) {
+	unheard := func(l *kvmemory.Load, age time.Duration) kvmemory.Load {
+		return kvmemory.Load{Tokens: l.Tokens, Runs: l.Runs, Ahead: l.Ahead.After(age)}
+	}
+	goingOn := func(l *kvmemory.Load, age time.Duration) kvmemory.Load {
+		return kvmemory.Load{Tokens: l.Tokens, Runs: l.Runs, Ahead: l.Ahead.GoingOn(age, l.Runs)}
+	}
+	replay := func(name string, a *ages) *crowd {
+		c := newCrowd(shortPrompts(40, 50), kvmemory.DefaultConfig())
+		c.leaves, c.ages = true, a
+		c.play().log(t, name)
+		return c
+	}
+	exact := replay("known exactly", nil)
+	before := replay("may have ended", &ages{pace: time.Second, age: unheard})
+	after := replay("go on", &ages{pace: time.Second, age: goingOn})
+	assert.Check(t, 2*after.preempted <= before.preempted)
+	assert.Check(t, 2*after.refused <= before.refused)
+	assert.Check(t, tallyOf(after.all).worth > tallyOf(before.all).worth)
+	assert.Check(t, tallyOf(after.all).worth > tallyOf(exact.all).worth-0.01)
+}
--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -54,6 +54,27 @@
 	return out
 }
 
+// GoingOn is what a forecast of that many runs, made that long ago, says of now, given that none of them has
+// ended since: ends are told at once, so that silence means that they go on. Without that, in a replay of 40 routers
+// that report once a second, 131 runs of 3,268 are preempted instead of 51 (TestSilenceMeansThatRunsGoOn).
+func (f *Forecast) GoingOn(age time.Duration, runs int) Forecast {
+	out := f.After(age)
+	held, likely := f.Mean[0], out.Mean[0]
+	if runs <= 0 || likely >= held {
+		return out
+	}
+	for i, mean := range out.Mean {
+		if likely > 0 {
+			mean = math.Round(min(mean*held/likely, f.Most))
+		} else {
+			mean = held
+		}
+		out.Mean[i] = mean
+		out.Variance[i] = math.Round(max(mean*(held-mean), 0) / float64(runs))
+	}
+	return out
+}
+
 // at is the forecast between two moments.
 func (f *Forecast) at(ahead time.Duration) (mean, variance float64) {
 	for i := 1; i < Ahead; i++ {
--- a/policy/kvmemory/forecast_test.go
+++ b/policy/kvmemory/forecast_test.go
@@ -64,3 +64,16 @@
 		assert.Assert(t, !ok, "what is left beside %d tenths is known", tenth)
 	}
 }
+
+// TestGoingOn: a run of which no end was told still holds what it held, and may end from now on.
+func TestGoingOn(t *testing.T) {
+	f := told(t).Ahead
+	for _, age := range []time.Duration{0, time.Second, 5 * time.Second, time.Minute} {
+		now := f.GoingOn(age, 1)
+		assert.Assert(t, now.Mean[0] >= f.Mean[0], "after %s: %g", age, now.Mean[0])
+		assert.Assert(t, now.Peak(kvmemory.DefaultMargin()) <= f.Most)
+	}
+	assert.Equal(t, f.GoingOn(0, 1), f)
+	late := f.GoingOn(5*time.Second, 1)
+	assert.Assert(t, late.Mean[kvmemory.Ahead-1] < late.Mean[0], "it ends some time")
+}
