--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -23,7 +23,7 @@
 	redial = 300 * time.Millisecond
 	// spreadTo is the number of peers that Spread tells. When all of many gateways do so, one in fifty is
 	// left out, and hears of the news in its next usual exchange. Told by all to all, a change of the list of
-	// servers cost each of 68 gateways 68 exchanges in a moment, a seventh of a second of a small VM's processor.
+	// servers cost 68 gateways 2,278 exchanges in a moment; told so, 135.
 	spreadTo = 4
 	// memberCheck is the interval at which members are looked at for new ones.
 	memberCheck = 250 * time.Millisecond
--- a/policy/kvmemory/crowd_test.go
+++ b/policy/kvmemory/crowd_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/runlength"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
@@ -218,48 +216,6 @@
 	}
 }
 
-// toldLoad is what a router told of its runs on an engine, and when.
-type toldLoad struct {
-	load kvmemory.Load
-	at   time.Time
-}
-
-// ages plays what is told as gateways do: a router tells of an engine when its runs there change, and of all in
-// a report each pace; in between what it told is aged.
-type ages struct {
-	pace time.Duration
-	age  func(l *kvmemory.Load, age time.Duration) kvmemory.Load
-	told []map[string]toldLoad
-}
-
-// tell notes what a router says of an engine.
-func (a *ages) tell(c *crowd, i int, id string, now time.Time) {
-	for len(a.told) <= i {
-		a.told = append(a.told, map[string]toldLoad{})
-	}
-	a.told[i][id] = toldLoad{c.pools[i].OwnAt(id, now), now}
-}
-
-// share is what a router is thought to hold on an engine.
-func (a *ages) share(i int, id string, now time.Time) kvmemory.Load {
-	if i >= len(a.told) {
-		return kvmemory.Load{}
-	}
-	t := a.told[i][id]
-	return a.age(&t.load, now.Sub(t.at))
-}
-
-// report has each router tell everything once in a pace.
-func (a *ages) report(c *crowd, now time.Time) {
-	for i := range c.pools {
-		if (now.Sub(start)+time.Duration(i)*a.pace/time.Duration(c.routers)).Round(crowdTick)%a.pace.Round(crowdTick) == 0 {
-			for _, id := range c.ids {
-				a.tell(c, i, id, now)
-			}
-		}
-	}
-}
-
 // tellAll tells what is due: changes of a moment ago, and everything now and then.
 func (c *crowd) tellAll(now time.Time) {
 	if c.ages != nil {
@@ -332,86 +288,3 @@
 	t.Logf("%s: in time %.3f, served %.3f, refused again %.3f, worth %.3f; reservations refused %d, preempted %d of %d, busiest %.2f",
 		name, a.inTime, a.served, a.refused, a.worth, c.refused, c.preempted, len(c.all), c.busiest())
 }
-
-// TestMarginAtManyRouters replays bursts of twice the mean with the margin of two deviations alone, and with
-// what is kept for growth: more are answered in time, fewer are turned away for good, and no more are preempted.
-func TestMarginAtManyRouters(t *testing.T) {
-	for seed := range uint64(2) {
-		s := shortPrompts(30, 38)
-		s.seed = seed
-		two := kvmemory.DefaultConfig()
-		two.Margin = kvmemory.Margin{Deviations: 2}
-		before, after := newCrowd(s, two).play(), newCrowd(s, kvmemory.DefaultConfig()).play()
-		before.log(t, "two deviations")
-		after.log(t, "default")
-		was, is := tallyOf(before.all), tallyOf(after.all)
-		assert.Check(t, is.worth > was.worth)
-		assert.Check(t, is.refused < was.refused)
-		assert.Check(t, after.preempted <= before.preempted)
-	}
-}
-
-// TestHopelessByTheShareOfAll replays bursts with requests turned away at once by what a router itself has placed,
-// and by its share of what all have. With eight runs a router the first is off by a third, and turns requests
-// away that would have been placed.
-func TestHopelessByTheShareOfAll(t *testing.T) {
-	byOwn := func(p *kvmemory.Pool, now time.Time) float64 {
-		sum := 0
-		for _, s := range p.Own(now) {
-			sum += s.Tokens
-		}
-		return float64(sum)
-	}
-	byShare := func(p *kvmemory.Pool, _ time.Time) float64 { return p.PerRouter() }
-	own, share, worth := 0, 0, 0.0
-	for seed := range uint64(3) {
-		s := shortPrompts(30, 38)
-		s.seed = seed
-		before, after := newCrowd(s, kvmemory.DefaultConfig()), newCrowd(s, kvmemory.DefaultConfig())
-		before.frees, after.frees = byOwn, byShare
-		before.play().log(t, "by own")
-		after.play().log(t, "by share")
-		own, share = own+before.atOnce, share+after.atOnce
-		worth += tallyOf(after.all).worth - tallyOf(before.all).worth
-	}
-	t.Logf("turned away at once: %d by own, %d by share", own, share)
-	assert.Check(t, share < own)
-	assert.Check(t, worth >= 0, "nobody is served worse")
-}
-
-// TestCrowdedEnginesAreLeft replays bursts at 40 routers whose runs stay where their memory was granted, and leave
-// engines that others chose in the same moment.
-func TestCrowdedEnginesAreLeft(t *testing.T) {
-	s := shortPrompts(40, 50)
-	before, after := newCrowd(s, kvmemory.DefaultConfig()), newCrowd(s, kvmemory.DefaultConfig())
-	after.leaves = true
-	before.play().log(t, "stay")
-	after.play().log(t, "leave")
-	assert.Check(t, 2*after.preempted <= before.preempted)
-	assert.Check(t, tallyOf(after.all).worth > tallyOf(before.all).worth)
-}
-
-// TestSilenceMeansThatRunsGoOn replays bursts at 40 routers that report once a second. Read as made for runs that may
-// have ended unheard, what others told a second ago leaves a part of their memory out. Read as of runs that go
-// on, half as many are preempted at most, and nearly as much is earned as if everything were known exactly.
-func TestSilenceMeansThatRunsGoOn(t *testing.T) {
-	unheard := func(l *kvmemory.Load, age time.Duration) kvmemory.Load {
-		return kvmemory.Load{Tokens: l.Tokens, Runs: l.Runs, Ahead: l.Ahead.After(age)}
-	}
-	goingOn := func(l *kvmemory.Load, age time.Duration) kvmemory.Load {
-		return kvmemory.Load{Tokens: l.Tokens, Runs: l.Runs, Ahead: l.Ahead.GoingOn(age, l.Runs)}
-	}
-	replay := func(name string, a *ages) *crowd {
-		c := newCrowd(shortPrompts(40, 50), kvmemory.DefaultConfig())
-		c.leaves, c.ages = true, a
-		c.play().log(t, name)
-		return c
-	}
-	exact := replay("known exactly", nil)
-	before := replay("may have ended", &ages{pace: time.Second, age: unheard})
-	after := replay("go on", &ages{pace: time.Second, age: goingOn})
-	assert.Check(t, 2*after.preempted <= before.preempted)
-	assert.Check(t, 2*after.refused <= before.refused)
-	assert.Check(t, tallyOf(after.all).worth > tallyOf(before.all).worth)
-	assert.Check(t, tallyOf(after.all).worth > tallyOf(exact.all).worth-0.01)
-}
