--- a/policy/kvmemory/many_routers_test.go
+++ b/policy/kvmemory/many_routers_test.go
@@ -91,3 +91,24 @@
 	assert.Check(t, tallyOf(after.all).worth > tallyOf(before.all).worth)
 	assert.Check(t, tallyOf(after.all).worth > tallyOf(exact.all).worth-0.01)
 }
+
+// TestLongPromptsAreServed replays prompts of a tenth to nine tenths of an engine's memory before engines that are
+// asked for half as much again as they bear: what has to be turned away is spread over sizes, and no fifth of a
+// kind is served less than 0.8 as often as the kind.
+func TestLongPromptsAreServed(t *testing.T) {
+	const fair = 0.8
+	c := newCrowd(longPrompts(), kvmemory.DefaultConfig())
+	c.leaves = true
+	c.play().log(t, "long prompts")
+	for _, k := range c.kinds {
+		fifths := c.fifths(k.name)
+		served := 0.0
+		for _, f := range fifths {
+			served += f.served / float64(len(fifths))
+		}
+		t.Logf("%s: served %.2f, by fifths of their size %.2f", k.name, served, fifths)
+		for i, f := range fifths {
+			assert.Check(t, f.served >= fair*served, "%s, fifth %d: %.2f of %.2f", k.name, i+1, f.served, served)
+		}
+	}
+}
