What was in progress at a server that ended is logged, with a digest of each request

Change: package content gives a digest of caller, method, host, target and body. Event 703 bears it where the server broke the attempt off; event 729 tells, per server, the requests that were in progress when it ended and how that was found: refused, restarted, replaced, gone. Attempts count once their server is found to have ended (policy/quarantine, pure), so that a broken connection of a server that lives tells nothing, nor does one of a server that has said that it stops. A gateway asks a server whose attempt broke whether it is there, on a kept connection or one new one: its entry lapses seconds later. The digest is made only for attempts that broke. Stand-in servers can crash under a request.

Ruled out: digests in every 701, a hash of each body for lines that nobody joins.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -61,6 +61,7 @@
 	StateFetched    = Event{726, log.InfoLevel, "state fetched from a gateway"}
 	FetchFailed     = Event{727, log.WarnLevel, "fetch from a gateway failed"}
 	ServerRestarted = Event{728, log.InfoLevel, "server started again under its name"}
+	ServerEnded     = Event{729, log.WarnLevel, "server ended with requests in progress"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -77,6 +78,6 @@
 		RequestAnswered, RequestTurnedAway, AttemptFailed,
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
-		PeerTraffic, StateFetched, FetchFailed, ServerRestarted,
+		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerEnded,
 	}
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/content"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -41,11 +42,13 @@
 	read, first time.Duration
 	// generated is the tokens that the client was sent, expected what was thought at first;
 	// room is the memory thought to be left at the engine, and pause the longest between
-	// two events.
-	generated, expected, room int
-	pause                     time.Duration
+	// two events. carried are the tokens that came from servers before the present one.
+	generated, expected, room, carried int
+	pause                              time.Duration
 	// servers are the instances that the request was sent to.
 	servers []string
+	// content is the digest of the request once it was asked for.
+	content *content.Digest
 	// started is set once the head of the answer went to the client, status is its status.
 	started bool
 	status  int
@@ -163,6 +166,17 @@
 	return j.table.Version
 }
 
+// digest is the digest of what the request asks.
+func (j *job) digest() content.Digest {
+	if j.content == nil {
+		d := content.Of(content.Request{
+			Caller: j.meta.Caller, Method: j.r.Method, Host: hostOf(j.r), Target: j.target(), Body: j.body,
+		})
+		j.content = &d
+	}
+	return *j.content
+}
+
 // attemptFailed notes why a request that was sent to s is not answered by it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
 	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
@@ -174,5 +188,8 @@
 	if err != nil {
 		e = e.Err(err)
 	}
+	if j.content != nil {
+		e = e.Str("content", j.content.String())
+	}
 	e.Msg("")
 }
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -77,4 +77,7 @@
 
 // End ends the attempts at a start of a server that was followed by a later one, and returns their
 // number. They go on as after a crash: resumed, repeated or told, as their routes allow.
-func (f *Forwarder) End(id string) int { return f.attempts.endAll(id, time.Now()) }
+func (f *Forwarder) End(id string) int {
+	defer f.serverEnded(id, endedRestarted)
+	return f.attempts.endAll(id, time.Now())
+}
--- /dev/null
+++ b/forward/broken.go
@@ -0,0 +1,154 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+// howEnded is how a server was found to have ended.
+type howEnded string
+
+const (
+	endedRefused   howEnded = "refused"
+	endedRestarted howEnded = "restarted"
+	endedReplaced  howEnded = "replaced"
+	endedGone      howEnded = "gone"
+)
+
+// loggedContents bounds the digests in one log line.
+const loggedContents = 50
+
+// ends is which requests were in progress at servers that ended. It is safe for concurrent use.
+type ends struct {
+	mu   sync.Mutex
+	ends *quarantine.Ends
+	// asked are the servers that are being asked whether they are there.
+	asked map[string]struct{}
+}
+
+func newEnds() *ends {
+	return &ends{ends: quarantine.NewEnds(), asked: map[string]struct{}{}}
+}
+
+// broke reports whether the server of an attempt that broke is known to have ended, and whether it is to be
+// asked: by one request at a time.
+func (e *ends) broke(id string, b quarantine.Broken) (ended, ask bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ends.Broke(id, b, time.Now()) {
+		return true, false
+	}
+	if _, ok := e.asked[id]; ok {
+		return false, false
+	}
+	e.asked[id] = struct{}{}
+	return false, true
+}
+
+func (e *ends) answered(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.asked, id)
+}
+
+func (e *ends) ended(id string) []quarantine.Broken {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ends.Ended(id, time.Now())
+}
+
+// missing returns the servers at which attempts broke and that known does not name, and forgets what is old.
+func (e *ends) missing(known func(id string) bool) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ends.Expire(time.Now())
+	var out []string
+	for _, id := range e.ends.Waiting() {
+		if !known(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// attemptLost notes an attempt that was sent to s and did not come to its end there.
+func (f *Forwarder) attemptLost(j *job, s registry.Server, reason outcome.Reason, err error) {
+	broke := reason == outcome.EngineLost && f.brokenBy(s, err)
+	if broke {
+		j.digest()
+	}
+	f.attemptFailed(j, s, reason, err)
+	if broke {
+		f.broke(j, s)
+	}
+}
+
+// brokenBy reports whether it was the server that broke an attempt off, and not because it stops: servers
+// that leave end with what is left on them.
+func (f *Forwarder) brokenBy(s registry.Server, err error) bool {
+	if errors.Is(err, errSilent) || errors.Is(err, upstream.ErrNotSent) {
+		return false
+	}
+	if f.attempts.hasEnded(s.ID) {
+		return true
+	}
+	for _, cut := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cut) {
+			return f.View.Listed(s.ID)
+		}
+	}
+	return false
+}
+
+// broke notes that a request was in progress at a server that broke it off. Whether the server has ended is
+// asked of it at once: its entry lapses seconds later, and no request may be sent there until then.
+func (f *Forwarder) broke(j *job, s registry.Server) {
+	b := quarantine.Broken{Content: j.digest(), Generated: j.generated - j.carried}
+	ended, ask := f.ends.broke(s.ID, b)
+	switch {
+	case ended:
+		f.tellEnded(s.ID, "", []quarantine.Broken{b})
+	case f.attempts.hasEnded(s.ID):
+		f.serverEnded(s.ID, endedRestarted)
+	case ask:
+		go func() {
+			defer f.ends.answered(s.ID)
+			f.noteReach(s, f.Pool.Reach(context.Background(), s.Addr))
+		}()
+	}
+}
+
+// serverEnded notes that a server has ended.
+func (f *Forwarder) serverEnded(id string, how howEnded) {
+	if broken := f.ends.ended(id); len(broken) > 0 {
+		f.Metrics.Counter(metrics.ServersEnded).Inc(1)
+		f.tellEnded(id, how, broken)
+	}
+}
+
+// tellEnded notes requests that were in progress at a server that has ended; how is empty if that was
+// noted before.
+func (f *Forwarder) tellEnded(id string, how howEnded, broken []quarantine.Broken) {
+	f.Metrics.Counter(metrics.RequestsBroken).Inc(int64(len(broken)))
+	event.ServerEnded.Log(f.Log).Str("server", id).Str("how", string(how)).Int("requests", len(broken)).
+		Strs("contents", contentsOf(broken)).Msg("")
+}
+
+func contentsOf(broken []quarantine.Broken) []string {
+	var out []string
+	for _, b := range broken[:min(len(broken), loggedContents)] {
+		out = append(out, b.Content.String())
+	}
+	return out
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -79,7 +79,7 @@
 		a.c.failure = got
 	}
 	reason := f.explain(ctx, err)
-	f.attemptFailed(j, a.server, reason, err)
+	f.attemptLost(j, a.server, reason, err)
 	return j.unanswered(reason)
 }
 
@@ -161,6 +161,7 @@
 func (f *Forwarder) send(ctx context.Context, j *job, s registry.Server, o Send) (*upstream.Response, error) {
 	o.Left, o.Instance = j.left(time.Now()), s.Instance()
 	before := j.ran
+	j.carried = j.generated
 	res, err := f.Pool.Do(ctx, s.Addr, &upstream.Request{
 		Method: j.r.Method, Target: j.target(), Host: j.r.Host,
 		Header: f.Codec.Outgoing(j.r.Header, o), Body: j.body,
@@ -184,6 +185,7 @@
 	}
 	if head.Replaced {
 		f.View.Replaced(s)
+		f.serverEnded(s.ID, endedReplaced)
 	}
 	return res, nil
 }
@@ -192,6 +194,7 @@
 func (f *Forwarder) noteReach(s registry.Server, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		f.View.Down(s)
+		f.serverEnded(s.ID, endedRefused)
 	}
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,11 +30,13 @@
 
 // view is a fixed view of the world.
 type view struct {
-	mu       sync.Mutex
-	table    *route.Table
-	servers  []registry.Server
-	others   int
-	down     []string
+	mu      sync.Mutex
+	table   *route.Table
+	servers []registry.Server
+	others  int
+	down    []string
+	// leaving is a server that has said that it stops.
+	leaving  string
 	replaced []string
 }
 
@@ -53,6 +56,12 @@
 	return out
 }
 
+func (v *view) Listed(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return id != v.leaving && slices.ContainsFunc(v.servers, func(s registry.Server) bool { return s.ID == id })
+}
+
 func (v *view) Down(s registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -42,7 +42,7 @@
 		if err == nil {
 			return &source{Export: export, server: c.Server}, false
 		}
-		f.attemptFailed(j, c.Server, f.explain(ctx, err), err)
+		f.attemptLost(j, c.Server, f.explain(ctx, err), err)
 		owed = !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() != nil {
 			break
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -40,7 +40,7 @@
 	if errors.Is(err, errClient) {
 		reason = outcome.CallerGone
 	}
-	f.attemptFailed(j, s, reason, err)
+	f.attemptLost(j, s, reason, err)
 	return j.unanswered(reason)
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		reason := f.explain(ctx, err)
 		a.lease.refused = ctx.Err() == nil
-		f.attemptFailed(j, a.lease.server, reason, err)
+		f.attemptLost(j, a.lease.server, reason, err)
 		return j.unanswered(reason)
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/forward/types.go
+++ b/forward/types.go
@@ -32,6 +32,8 @@
 	LengthHint int
 	// LastEventID is the last event that the client has of a stream that broke.
 	LastEventID string
+	// Caller is who asks, as the credentials of the request say; empty if it has none.
+	Caller string
 }
 
 // Send is what the router tells a server beside the client's own headers.
@@ -105,6 +107,8 @@
 	// Servers are those of a service that may get new work. Nobody changes a list that was
 	// returned; a changed one is another slice.
 	Servers(service string) []registry.Server
+	// Listed reports whether a server is in the list and has not said that it stops.
+	Listed(id string) bool
 	// Down notes that nothing listens at a server's address: it has ended.
 	Down(s registry.Server)
 	// Replaced notes that another server answers at a server's address.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -119,6 +119,14 @@
 	return s.Stage
 }
 
+// Listed implements forward.View.
+func (v *view) Listed(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, ok := v.registry.Get(id)
+	return ok && !s.Leaving
+}
+
 // downLife is how long a server that refuses connections gets no requests. Its entry
 // lapses after three heartbeats of some 1.2 s.
 const downLife = 5 * time.Second
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -48,5 +48,7 @@
 		{FetchesFailed, Counter},
 		{EntryUnreadablePrefix, Counter},
 		{StartsEnded, Counter},
+		{ServersEnded, Counter},
+		{RequestsBroken, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -29,6 +29,10 @@
 	PeerExchangesFailed = "peer_exchanges_failed"
 	// StartsEnded counts servers that were found to have started again under their name.
 	StartsEnded = "starts_ended"
+	// ServersEnded counts servers that ended with requests of this process in progress, RequestsBroken those
+	// requests.
+	ServersEnded   = "servers_ended"
+	RequestsBroken = "requests_broken"
 	// StateBytesServed is what others fetched, Fetches what this process fetched itself, and
 	// FetchesFailed those of them that did not come whole.
 	StateBytesServed = "state_bytes_served"
--- /dev/null
+++ b/policy/quarantine/ends.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"maps"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/content"
+)
+
+const (
+	// confirmWithin is the time within which a server has to be found to have ended for an attempt that
+	// broke there to count as in progress when it ended. An entry lapses after some four seconds; a list
+	// that comes from another router, or after an outage of the store, takes as long again.
+	confirmWithin = 10 * time.Second
+	// endedLife is how long a server is known to have ended: attempts that break later are of another cause.
+	endedLife = 30 * time.Second
+)
+
+// Broken is an attempt whose server broke it off.
+type Broken struct {
+	Content content.Digest
+	// Generated is the number of tokens that had come.
+	Generated int
+	at        time.Time
+}
+
+// Ends joins what one router learns apart: that attempts broke, and that their server has ended. A
+// connection breaks for many reasons; only the attempts at a server that ended tell of what may have ended it.
+// It is a pure state machine and not safe for concurrent use. Servers are known by their start.
+type Ends struct {
+	broken map[string][]Broken
+	ended  map[string]time.Time
+}
+
+// NewEnds returns an empty state.
+func NewEnds() *Ends {
+	return &Ends{broken: map[string][]Broken{}, ended: map[string]time.Time{}}
+}
+
+// Broke notes that a server broke an attempt off, and reports whether that server is known to have ended.
+// Otherwise the attempt is kept until Ended tells of it.
+func (e *Ends) Broke(server string, b Broken, now time.Time) bool {
+	if at, ok := e.ended[server]; ok && now.Sub(at) < endedLife {
+		return true
+	}
+	b.at = now
+	e.broken[server] = append(e.broken[server], b)
+	return false
+}
+
+// Ended notes that a server has ended, and returns the attempts that it broke off a moment before. Told
+// again it changes nothing.
+func (e *Ends) Ended(server string, now time.Time) []Broken {
+	if _, ok := e.ended[server]; !ok {
+		e.ended[server] = now
+	}
+	var out []Broken
+	for _, b := range e.broken[server] {
+		if now.Sub(b.at) < confirmWithin {
+			out = append(out, b)
+		}
+	}
+	delete(e.broken, server)
+	return out
+}
+
+// Waiting are the servers at which attempts broke that are not known to have ended.
+func (e *Ends) Waiting() []string {
+	out := make([]string, 0, len(e.broken))
+	for server := range e.broken {
+		out = append(out, server)
+	}
+	return out
+}
+
+// Expire forgets what is too old.
+func (e *Ends) Expire(now time.Time) {
+	maps.DeleteFunc(e.ended, func(_ string, at time.Time) bool { return now.Sub(at) >= endedLife })
+	maps.DeleteFunc(e.broken, func(_ string, list []Broken) bool {
+		return now.Sub(list[len(list)-1].at) >= confirmWithin
+	})
+}
--- /dev/null
+++ b/policy/quarantine/ends_test.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/content"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	one   = content.Of(content.Request{Target: "/one"})
+	two   = content.Of(content.Request{Target: "/two"})
+)
+
+// TestEnds: attempts that broke count once their server is found to have ended, whichever is learned first,
+// and not when it was found long after, or never.
+func TestEnds(t *testing.T) {
+	e := NewEnds()
+	assert.Assert(t, !e.Broke("a", Broken{Content: one, Generated: 7}, start))
+	assert.Assert(t, !e.Broke("b", Broken{Content: two}, start))
+	got := e.Ended("a", start.Add(time.Second))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Content, one)
+	assert.Equal(t, got[0].Generated, 7)
+	assert.Equal(t, len(e.Ended("a", start.Add(time.Second))), 0, "once")
+	assert.Assert(t, e.Broke("a", Broken{Content: two}, start.Add(2*time.Second)), "known to have ended")
+
+	assert.DeepEqual(t, e.Waiting(), []string{"b"})
+	assert.Equal(t, len(e.Ended("b", start.Add(confirmWithin))), 0, "another cause")
+}
+
+func TestEndsExpire(t *testing.T) {
+	e := NewEnds()
+	e.Broke("a", Broken{Content: one}, start)
+	e.Ended("b", start)
+	e.Expire(start.Add(confirmWithin))
+	assert.Equal(t, len(e.Waiting()), 0)
+	e.Expire(start.Add(endedLife))
+	assert.Assert(t, !e.Broke("b", Broken{Content: one}, start.Add(endedLife)))
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -151,6 +151,9 @@
 	full bool
 	// hold and orders count since the last start.
 	hold, orders int
+	// deadly is the body of requests under which the server ends, onEnd is called when it has.
+	deadly string
+	onEnd  func(*Server)
 }
 
 // NewServer starts a server that ends with the test.
@@ -284,6 +287,10 @@
 	s.log.add(&s.log.calls, c)
 	s.active.Add(1)
 	defer s.active.Add(-1)
+	if s.endsUnder(c) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	s.answer(w, r, c, b)
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -128,6 +128,17 @@
 	return newConn(c, addr), nil
 }
 
+// Reach reports whether a server can be reached: on an unused connection that is sound, or by opening one,
+// which is kept for later requests.
+func (p *Pool) Reach(ctx context.Context, addr string) error {
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	p.put(c)
+	return nil
+}
+
 // takeIdle removes the connection that was used last, which is the least likely to
 // be closed by the server.
 func (p *Pool) takeIdle(addr string) *idleConn {
