A request under which three servers have ended is held back, at all gateways

What callers saw: streams of many broke off one after the other, since a request that crashed the server running it was sent on whenever it came, by whichever gateway it reached: seven times more after three ends by the users' record, ten ends in all.

Cause: nothing that is kept of a request outlives its answer. Each send was the first attempt of a new request to a gateway (sends 1 in all 18 that the logs show, one size of prompt in each spell, at all five gateways); what ended its server was known to nobody when it came again. Ruled out: repeats of the gateways (sends), servers that end by themselves (in each spell the one stream with nothing generated is the same, and ends stop when it stops coming).

Change: a request is known by a digest of what it asks. Whatever was in progress at a server that ended is suspect; three ends under it, with no server's answer since, begin a hold of ten minutes (policy/quarantine, pure). Of several suspects the one with the most ends, and the least generated, is held; its ends are explained by it and count against nobody else. Ends are told to all gateways in a datagram and in reports, decisions follow 300 ms after the last end, and a hold is kept in a row of the store, for gateways that start later or hear no other. A held request is answered 503 at once, truly not run, with the time of the hold; looked at again right before each send, since a request may wait or be repeated meanwhile. An answer of a server or an operator's removal of the row lets it through; a hold that proves right lasts twice as long.

Ways weighed: a bound on sends of whatever failed (turns away what runs beside it), counting only requests that had generated nothing (a request may crash later in its run), a vote of gateways or counts in the store at each end (calls, and nothing while it is down), refusing with 4xx (says that the request is wrong, which nobody knows).

A digest is made only while something is suspect or held.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -62,6 +62,9 @@
 	FetchFailed     = Event{727, log.WarnLevel, "fetch from a gateway failed"}
 	ServerRestarted = Event{728, log.InfoLevel, "server started again under its name"}
 	ServerEnded     = Event{729, log.WarnLevel, "server ended with requests in progress"}
+	RequestHeld     = Event{730, log.ErrorLevel, "request held back: servers end under it"}
+	RequestReleased = Event{731, log.InfoLevel, "request no longer held back"}
+	HoldInvalid     = Event{732, log.WarnLevel, "kept hold not understood; left out"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -79,5 +82,6 @@
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerEnded,
+		RequestHeld, RequestReleased, HoldInvalid,
 	}
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -74,8 +74,12 @@
 		f.Metrics.Counter(metrics.ReturnersRefused).Inc(1)
 	}
 	f.finish(j, http.StatusServiceUnavailable, outcome.NotRun, reason)
-	event.RequestTurnedAway.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
-		Str("reason", string(reason)).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version()).Msg("")
+	e := event.RequestTurnedAway.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
+		Str("reason", string(reason)).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version())
+	if reason == outcome.Quarantined {
+		e = e.Str("content", j.digest().String())
+	}
+	e.Msg("")
 }
 
 // fail answers that the request failed or may have run.
--- a/forward/broken.go
+++ b/forward/broken.go
@@ -141,6 +141,7 @@
 // noted before.
 func (f *Forwarder) tellEnded(id string, how howEnded, broken []quarantine.Broken) {
 	f.Metrics.Counter(metrics.RequestsBroken).Inc(int64(len(broken)))
+	f.Guard.Ended(id, broken)
 	event.ServerEnded.Log(f.Log).Str("server", id).Str("how", string(how)).Int("requests", len(broken)).
 		Strs("contents", contentsOf(broken)).Msg("")
 }
@@ -152,3 +153,21 @@
 	}
 	return out
 }
+
+// errHeld means that a request is sent to no server any more, since servers ended under it.
+var errHeld = errors.New("held back: servers end under this request")
+
+// held reports for how long a request is held back still.
+func (f *Forwarder) held(j *job) (time.Duration, bool) {
+	if !f.Guard.Watches() {
+		return 0, false
+	}
+	return f.Guard.Held(j.digest())
+}
+
+// answered notes that a server answered a request to the end, and so did not end under it.
+func (f *Forwarder) answered(j *job) {
+	if f.Guard.Watches() {
+		f.Guard.Answered(j.digest())
+	}
+}
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -1,12 +1,19 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/content"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -61,3 +68,80 @@
 	assert.Equal(t, w.post(t, "/once/1").status, http.StatusBadGateway)
 	assert.Equal(t, w.met.Counter(metrics.ServersEnded).Count(), int64(0))
 }
+
+// TestRepeatsEndWithTheThirdServer: a call that may be repeated crashes the server that it was sent to, and the next
+// one. Once three have ended under it, it is sent to none, and its client is told for how long; another call of the
+// same path is answered.
+func TestRepeatsEndWithTheThirdServer(t *testing.T) {
+	w := plain(t)
+	w.add(t, "p4", "plain", registry.Whole)
+	for _, s := range w.servers {
+		s.EndUnder("question", nil)
+	}
+	assert.Equal(t, w.post(t, "/safe/1").status, http.StatusBadGateway)
+	w.counted(t, metrics.ServersEnded, 2)
+	assert.Equal(t, w.post(t, "/safe/1").status, http.StatusBadGateway)
+	w.counted(t, metrics.ServersEnded, 4)
+	for w.met.Counter(metrics.Holds).Count() == 0 {
+		assert.NilError(t, t.Context().Err())
+	}
+	w.add(t, "p5", "plain", registry.Whole)
+	before := len(w.log.Calls())
+	got := w.post(t, "/safe/1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > quarantine.FirstHold.Seconds()-60 && after <= quarantine.FirstHold.Seconds(), "%v", after)
+	assert.Equal(t, len(w.log.Calls()), before)
+	assert.Equal(t, w.post(t, "/safe/2").body, "answer of p5 to /safe/2")
+}
+
+// TestHeldWhileItWaits: it becomes known that servers end under a request while it waits for memory. It is sent to none
+// when its turn comes, and no engine is left alone for it.
+func TestHeldWhileItWaits(t *testing.T) {
+	w := engines(t)
+	for _, id := range []string{"d1", "d2"} {
+		w.servers[id].SetFull(true)
+	}
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/patient/1") }()
+	w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Hold })
+	d := content.Of(content.Request{Method: http.MethodPost, Host: "h", Target: "/draft/patient/1", Body: []byte("question")})
+	now := time.Now()
+	w.guard.Take(&peer.Suspects{Holds: []*peer.Hold{{Content: d[:], LeftMs: 60_000, ForMs: 60_000}}}, "g2")
+	for _, id := range []string{"d1", "d2"} {
+		w.servers[id].SetFull(false)
+	}
+	got := <-done
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(now) < seconds)
+	for _, c := range w.log.Calls() {
+		assert.Assert(t, c.Kind == site.Hold || c.Kind == site.Drop, "%s reached %s", c.Kind, c.Server)
+	}
+	assert.Equal(t, w.post(t, "/draft/patient/2").body, whole)
+}
+
+// TestAnsweredRequestIsNotSuspect: servers end by themselves under a call that is asked all the time and answered in
+// between: it is never held.
+func TestAnsweredRequestIsNotSuspect(t *testing.T) {
+	w := newWorld(t)
+	for i := range quarantine.MostEnds + 1 {
+		s := w.add(t, fmt.Sprint("p", i), "plain", registry.Whole)
+		s.Behave(site.Mute)
+		done := make(chan answer, 1)
+		go func() { done <- w.post(t, "/once/1") }()
+		w.log.Wait(t, false, func(c site.Call) bool { return c.Server == s.ID })
+		s.Crash()
+		assert.Equal(t, (<-done).status, http.StatusBadGateway)
+		w.counted(t, metrics.ServersEnded, int64(i+1))
+		w.view.mu.Lock()
+		w.view.servers = nil
+		w.view.mu.Unlock()
+		sound := w.add(t, fmt.Sprint("sound", i), "plain", registry.Whole)
+		assert.Equal(t, w.post(t, "/once/1").body, "answer of "+sound.ID+" to /once/1")
+		w.view.mu.Lock()
+		w.view.servers = nil
+		w.view.mu.Unlock()
+	}
+	assert.Assert(t, !w.guard.Watches())
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -72,6 +72,9 @@
 func (a *callAttempt) Answer(ctx context.Context) outcome.Outcome {
 	f, j := a.c.f, a.c.j
 	got, err := f.ask(ctx, j, a.server)
+	if err == nil {
+		f.answered(j)
+	}
 	if err == nil && got.head.Status < http.StatusInternalServerError {
 		return f.pass(j, got)
 	}
@@ -92,6 +95,8 @@
 		return reasonOf(ctx)
 	case err == nil:
 		return outcome.EngineError
+	case errors.Is(err, errHeld):
+		return outcome.Quarantined
 	case errors.Is(err, errNotRun):
 		return outcome.NoPlace
 	case errors.Is(err, errNoStamp):
@@ -159,6 +164,11 @@
 // send sends the request to a server and returns the head of its answer. It marks the
 // job as run unless it is certain that the server can't have seen it.
 func (f *Forwarder) send(ctx context.Context, j *job, s registry.Server, o Send) (*upstream.Response, error) {
+	// Looked at right before each send, since a request may wait, or be repeated, while it becomes known that
+	// servers end under it.
+	if _, held := f.held(j); held {
+		return nil, errors.Join(upstream.ErrNotSent, errHeld)
+	}
 	o.Left, o.Instance = j.left(time.Now()), s.Instance()
 	before := j.ran
 	j.carried = j.generated
--- a/forward/course.go
+++ b/forward/course.go
@@ -47,7 +47,7 @@
 func (c *course) repeatable(reason outcome.Reason) bool {
 	j := c.j
 	switch {
-	case reason == outcome.CallerGone || reason == outcome.RetryBudgetSpent:
+	case reason == outcome.CallerGone || reason == outcome.RetryBudgetSpent || reason == outcome.Quarantined:
 		return false
 	case j.ran && !j.route.Repeatable():
 		return false
@@ -78,7 +78,7 @@
 	case c.failure != nil:
 		o = f.pass(j, c.failure)
 	case o.Kind == outcome.NotRun:
-		f.refuse(j, o.Reason, f.comeBack(j))
+		f.refuse(j, o.Reason, f.comeBack(j, o.Reason))
 		return
 	default:
 		f.fail(j, o.Reason)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/forward"
+	"github.com/hibiscusspur/hibiscusspur/guard"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
@@ -82,6 +83,7 @@
 	addr    string
 	fwd     *forward.Forwarder
 	met     *metrics.Set
+	guard   *guard.Guard
 }
 
 const (
@@ -116,6 +118,8 @@
 	}
 	table.Build()
 	w.view = &view{table: table}
+	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	w.guard = guard.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
 	watcher := httpserver.NewWatcher()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -125,8 +129,8 @@
 		watcher.Run(ctx, time.Millisecond)
 	}()
 	w.fwd = forward.New(forward.Config{
-		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, seconds), View: w.view, Pool: pool, Watcher: watcher,
-		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Metrics: w.met,
+		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, seconds), View: w.view, Pool: pool, Watcher: watcher, Guard: w.guard,
+		Log: l, Metrics: w.met,
 		VM: "g1", Zone: "z1", Retry: limits,
 	})
 	server, err := httpserver.Start(httpserver.Options{Addr: "127.0.0.1:0", Handler: w.fwd, Pollers: 1})
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -35,6 +35,7 @@
 	View    View
 	Pool    *upstream.Pool
 	Watcher *httpserver.Watcher
+	Guard   Quarantine
 	Log     *log.Logger
 	Metrics *metrics.Set
 	// VM and Zone are those of this process.
@@ -170,6 +171,10 @@
 		f.drained(j)
 		return
 	}
+	if left, held := f.held(j); held {
+		f.refuse(j, outcome.Quarantined, left)
+		return
+	}
 	ctx, end := f.Watcher.Watch(j.caller, j.deadline)
 	defer end()
 	f.countRequest(j)
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -43,6 +43,9 @@
 			return &source{Export: export, server: c.Server}, false
 		}
 		f.attemptLost(j, c.Server, f.explain(ctx, err), err)
+		if errors.Is(err, errHeld) {
+			break
+		}
 		owed = !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() != nil {
 			break
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -32,6 +32,7 @@
 	err := a.r.copyEvents(head, res)
 	f.observe(j, s, err == nil)
 	if err == nil {
+		f.answered(j)
 		f.observeHold(j, a.lease)
 		f.service(j.service).engines.finished(a.lease.run)
 		return outcome.Outcome{Kind: outcome.Completed}
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -236,8 +236,13 @@
 	s.hold.Observe(j.read, time.Since(l.since)-j.read, j.generates())
 }
 
-// comeBack is when a client that is turned away should come back.
-func (f *Forwarder) comeBack(j *job) time.Duration {
+// comeBack is when a client that is turned away should come back. For one that is held back it is the truth, though no
+// client waits that long: to come before is in vain.
+func (f *Forwarder) comeBack(j *job, reason outcome.Reason) time.Duration {
+	if reason == outcome.Quarantined {
+		left, _ := f.held(j)
+		return left
+	}
 	if j.table == nil || j.route == nil {
 		return unconfiguredRetry
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -89,7 +89,7 @@
 	head, res, err := a.start(run)
 	if err != nil {
 		reason := f.explain(ctx, err)
-		a.lease.refused = ctx.Err() == nil
+		a.lease.refused = ctx.Err() == nil && reason != outcome.Quarantined
 		f.attemptLost(j, a.lease.server, reason, err)
 		return j.unanswered(reason)
 	}
@@ -167,6 +167,9 @@
 func (a *streamAttempt) failed(head AnswerHead, res *upstream.Response) outcome.Outcome {
 	j := a.r.j
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err == nil {
+		a.r.f.answered(j)
+	}
 	if err == nil && !j.started {
 		a.r.failure = &answer{head: head, body: body}
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/content"
+	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
@@ -99,6 +101,18 @@
 	FreeExport(ctx context.Context, s registry.Server, handle string) error
 }
 
+// Quarantine holds back requests under which servers end. It must be safe for concurrent use.
+type Quarantine interface {
+	// Watches reports whether any request is suspect or held, so that the others need not be looked at.
+	Watches() bool
+	// Held reports for how long a request is held back still.
+	Held(d content.Digest) (time.Duration, bool)
+	// Ended takes the requests that were in progress at a server that ended.
+	Ended(server string, broken []quarantine.Broken)
+	// Answered notes that a server answered a request to the end.
+	Answered(d content.Digest)
+}
+
 // View is what the process believes of configuration and servers. It must be safe for
 // concurrent use.
 type View interface {
--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +13,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/guard"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -20,8 +25,10 @@
 // of one route and with one size of prompt, under another ID: "attempt at a server failed", "stage":"decode",
 // "reason":"engine_lost", "sends":1, "error":"unexpected EOF", and then "request answered", "status":502,
 // "prompt":2233, "generated":0. It was the same request, sent anew to any gateway, and no gateway knew it again:
-// nothing that was kept of a request outlived its answer. By the users' record it was sent to servers seven times
-// more after three had ended under it; three are allowed, from three seconds after the third end on.
+// nothing that was kept of a request outlived its answer, and nothing of it was told to other gateways. Each end bears
+// the same digest, "server ended with requests in progress", "how":"refused", "contents":["6cb76123717eba12..."],
+// and the repeats of gateways are not to blame, since "sends" is 1 in all. By the users' record it was sent to servers
+// seven times more after three had ended under it; three are allowed, from three seconds after the third end on.
 
 const (
 	// deadly is the body of the request that crashes servers.
@@ -194,6 +201,16 @@
 	for _, status := range statuses {
 		assert.Check(t, slices.Contains([]int{http.StatusBadGateway, http.StatusServiceUnavailable}, status), "%v", statuses)
 	}
+	held, deadlyHeld := 0.0, 0
+	for _, p := range gateways {
+		held += p.count(t, metrics.RefusedPrefix+string(outcome.Quarantined))
+	}
+	for _, status := range statuses {
+		if status == http.StatusServiceUnavailable {
+			deadlyHeld++
+		}
+	}
+	assert.Check(t, int(held) == deadlyHeld, "nobody else was turned away for it: %v of %d", held, deadlyHeld)
 	f.well()
 	res := f.harmless(gateways[0], "again")
 	body, err := io.ReadAll(res)
@@ -201,3 +218,81 @@
 	assert.NilError(t, res.Close())
 	assert.Equal(t, strings.Count(string(body), "token"), site.Events)
 }
+
+// untilKnown has the deadly request end as many servers as it takes.
+func (f *fleet) untilKnown(gateways []*process) (n int) {
+	for ; f.ends() < mayEnd; n++ {
+		f.strike(gateways, n)
+	}
+	for _, p := range gateways {
+		until(f.t, "it is held", func() bool { return p.gauge(f.t, metrics.RequestsHeld) == 1 })
+	}
+	return n
+}
+
+// refused sends the deadly request and asserts that it is turned away without reaching a server.
+func (f *fleet) refused(p *process, id string) {
+	f.t.Helper()
+	before := f.reached(deadly)
+	res := p.stream(f.t, id, deadly)
+	assert.NilError(f.t, res.Body.Close())
+	assert.Equal(f.t, res.StatusCode, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	assert.NilError(f.t, err)
+	assert.Assert(f.t, after > 0 && after <= quarantine.FirstHold.Seconds(), "%v", after)
+	assert.Equal(f.t, f.reached(deadly), before)
+}
+
+// TestHoldOutlastsGateways: all gateways are lost after it has become known, and those that start in their place
+// have never seen a server end. They have it from the store.
+func TestHoldOutlastsGateways(t *testing.T) {
+	f := newFleet(t)
+	gateways := startGateways(t, f.store)
+	f.untilKnown(gateways)
+	until(t, "it is kept", func() bool { return f.store.Count(guard.TableName) == 1 })
+	for _, p := range gateways {
+		p.stop()
+		assert.NilError(t, <-p.ended)
+		p.ended = nil
+	}
+	for i, p := range startGateways(t, f.store) {
+		until(t, "it is held", func() bool { return p.gauge(t, metrics.RequestsHeld) == 1 })
+		f.refused(p, fmt.Sprint("again-", i))
+	}
+}
+
+// TestHoldWithoutStore: a gateway that starts while the store refuses it has it from the others.
+func TestHoldWithoutStore(t *testing.T) {
+	f := newFleet(t)
+	gateways := startGateways(t, f.store)
+	f.untilKnown(gateways)
+	f.store.Set(site.Busy)
+	p := start(t, f.store, "g4", gateways[0].set.Control)
+	p.ready(t, http.StatusOK)
+	until(t, "it is held", func() bool { return p.gauge(t, metrics.RequestsHeld) == 1 })
+	f.refused(p, "again")
+}
+
+// TestOperatorLetsThrough: an operator removes the row of a request whose servers bear it now. All gateways send it
+// on, also those that decided.
+func TestOperatorLetsThrough(t *testing.T) {
+	f := newFleet(t)
+	gateways := startGateways(t, f.store)
+	f.untilKnown(gateways)
+	var key string
+	until(t, "it is kept", func() bool { key = f.store.FirstKey(guard.TableName); return key != "" })
+	f.mu.Lock()
+	f.newest.EndUnder("", nil)
+	f.mu.Unlock()
+	f.well()
+	f.store.Put(guard.TableName, key, nil)
+	for i, p := range gateways {
+		until(t, "it is let through", func() bool { return p.gauge(t, metrics.RequestsHeld) == 0 })
+		until(t, "it is answered", func() bool {
+			res := p.stream(t, fmt.Sprint("again-", i), deadly)
+			_, _ = io.Copy(io.Discard, res.Body)
+			assert.NilError(t, res.Body.Close())
+			return res.StatusCode == http.StatusOK
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fencing"
 	"github.com/hibiscusspur/hibiscusspur/forward"
+	"github.com/hibiscusspur/hibiscusspur/guard"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -112,6 +113,9 @@
 	lease  *fencing.Lease
 	// placed is what other gateways told of their placement.
 	placed *placed
+	// guard holds requests back under which servers end; holds is where that is kept.
+	guard *guard.Guard
+	holds guard.Table
 
 	servers  []*httpserver.Server
 	callers  *httpserver.Server
@@ -129,8 +133,10 @@
 	Codec   forward.Codec
 	Engines forward.Engines
 	// Orders gives orders to engines; Lease is the right to.
-	Orders  Orders
-	Lease   *fencing.Lease
+	Orders Orders
+	Lease  *fencing.Lease
+	// Holds keeps which requests are held back.
+	Holds   guard.Table
 	Pool    *upstream.Pool
 	Log     *log.Logger
 	Batch   *event.Batch
@@ -151,8 +157,9 @@
 	s.met.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
 	s.placed = newPlaced(s.view.idOf)
 	s.view.onEnded = s.startsEnded
+	s.guard, s.holds = guard.New(d.Log, d.Metrics, set.Off.Has(mechanism.Quarantine)), d.Holds
 	s.fwd = forward.New(forward.Config{
-		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch,
+		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch, Guard: s.guard,
 		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry, Off: set.Off,
 	})
 	return s
@@ -171,6 +178,7 @@
 	s.work.Go(func() { s.sweep(ctx) })
 	s.work.Go(func() { s.meet(ctx) })
 	s.work.Go(func() { s.planStages(ctx) })
+	s.holdBack(ctx)
 	if !s.set.Off.Has(mechanism.Datagrams) {
 		s.work.Go(func() { s.tellPlacement(ctx) })
 	}
@@ -230,6 +238,7 @@
 		s.fwd.SetOthers(s.placed.refresh(s.peers.Pace(), time.Now()))
 		addrs, ids := s.view.known()
 		s.pool.Sweep(func(addr string) bool { return addrs[addr] })
+		s.guard.Expire()
 		s.fwd.Forget(func(id string) bool { return ids[id] })
 		if n := s.batch.TakeDropped(); n > 0 {
 			event.LinesDropped.Log(s.log).Int64("lines", n).Msg("")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -39,6 +39,7 @@
 	}
 	r.ReadAgeMs = uint32(s.view.confirmedAge(time.Now()).Milliseconds())
 	r.Shares = encodeShares(s.fwd.Placed())
+	r.Suspects = s.guard.Report(max(suspectsTold, suspectsPaces*s.peers.Pace()))
 	now := time.Now()
 	for service, use := range s.fwd.Uses() {
 		r.Readings = append(r.Readings, &peer.Reading{
@@ -69,6 +70,7 @@
 	for _, w := range r.GetSwitches() {
 		s.view.switchTo(s.view.idOf(w.GetServer(), w.GetStart()), registry.Stage(w.GetStage()), time.Duration(w.GetAgeMs())*time.Millisecond, now)
 	}
+	s.guard.Take(r.GetSuspects(), from)
 	s.fwd.SetOthers(s.placed.take(r, now))
 }
 
@@ -81,6 +83,7 @@
 
 // TakePlacement implements peer.Beliefs.
 func (s *Service) TakePlacement(p *peer.Placement) {
+	s.guard.Take(p.GetSuspects(), "gateway "+p.GetAddr())
 	if changed := s.placed.change(p, time.Now()); len(changed) > 0 {
 		s.fwd.SetOthers(changed)
 	}
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -13,15 +13,24 @@
 )
 
 // count is the value of a counter of the process.
-func (p *process) count(t *testing.T, name string) float64 {
+func (p *process) count(t *testing.T, name string) float64 { return p.metric(t, name).Count }
+
+// gauge is the value of a gauge of the process.
+func (p *process) gauge(t *testing.T, name string) float64 { return p.metric(t, name).Value }
+
+// shown is one metric as it is served.
+type shown struct {
+	Count float64 `json:"count"`
+	Value float64 `json:"value"`
+}
+
+func (p *process) metric(t *testing.T, name string) shown {
 	res, err := http.Get("http://" + p.set.Metrics + "/metrics")
 	assert.NilError(t, err)
 	defer func() { _ = res.Body.Close() }()
-	var shown map[string]struct {
-		Count float64 `json:"count"`
-	}
-	assert.NilError(t, json.NewDecoder(res.Body).Decode(&shown))
-	return shown[name].Count
+	var all map[string]shown
+	assert.NilError(t, json.NewDecoder(res.Body).Decode(&all))
+	return all[name]
 }
 
 // pending sends a request and returns once it has reached a server that keeps it.
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -50,5 +50,7 @@
 		{StartsEnded, Counter},
 		{ServersEnded, Counter},
 		{RequestsBroken, Counter},
+		{RequestsHeld, Gauge},
+		{Holds, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -33,6 +33,10 @@
 	// requests.
 	ServersEnded   = "servers_ended"
 	RequestsBroken = "requests_broken"
+	// RequestsHeld is the number of requests that are held back, since servers end under them; Holds counts those
+	// that this process decided.
+	RequestsHeld = "requests_held"
+	Holds        = "holds"
 	// StateBytesServed is what others fetched, Fetches what this process fetched itself, and
 	// FetchesFailed those of them that did not come whole.
 	StateBytesServed = "state_bytes_served"
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -45,6 +45,7 @@
 	RetryBudgetSpent   Reason = "retry_budget_spent"
 	AnswerIncomplete   Reason = "answer_incomplete"
 	Duplicate          Reason = "duplicate"
+	Quarantined        Reason = "quarantined"
 )
 
 // All lists every reason, for metrics registration and for the tests that hold
@@ -56,7 +57,7 @@
 		LinkBusy, PrefillBacklog, TargetUnreachable, ShareExceeded, StaleRevision, Leaving, Draining,
 		ReservationLapsed, LeaseLapsed, FencedOff, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
-		AnswerIncomplete, Duplicate,
+		AnswerIncomplete, Duplicate, Quarantined,
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -122,6 +122,14 @@
 	s.datagrams.send(live, &Placement{Addr: s.self, Incarnation: s.incarnation, Shares: shares})
 }
 
+// TellSuspects tells all live peers of news of requests under which servers ended, in a datagram.
+func (s *Service) TellSuspects(suspects *Suspects) {
+	s.mu.Lock()
+	live := s.members.Live(time.Now())
+	s.mu.Unlock()
+	s.datagrams.send(live, &Placement{Addr: s.self, Incarnation: s.incarnation, Suspects: suspects})
+}
+
 // Announce has all peers told at once. It is for news that this gateway alone has, since each call costs an
 // exchange with each peer.
 func (s *Service) Announce() {
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -39,12 +39,14 @@
 	LateWait
 	// Hopeless turns requests away at once that can't be placed in time.
 	Hopeless
+	// Quarantine holds requests back under which servers end.
+	Quarantine
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
-	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless",
+	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine",
 }
 
 // String returns the name of m in settings.
--- /dev/null
+++ b/policy/quarantine/ledger.go
@@ -0,0 +1,301 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/content"
+)
+
+const (
+	// MostEnds is the number of servers that may end under a request before it is held: the users' bound on
+	// servers that are lost before a request has to be known for what it is.
+	MostEnds = 3
+	// Settle is the pause from the last of these ends to the decision: routers whose requests ran at the same server
+	// tell of them within some round trips, and who is held depends on all of them.
+	Settle = 300 * time.Millisecond
+	// SightingLife is how long an end counts against the requests that ran at the server.
+	SightingLife = 10 * time.Minute
+	// FirstHold is how long a request is held at first. It bounds what a wrong decision costs its caller; a right
+	// one costs a server with its requests, a dozen streams, once in that time.
+	FirstHold = 10 * time.Minute
+	// MaxHold bounds it: each hold that proves right lasts twice as long as the one before.
+	MaxHold = 24 * time.Hour
+	// maxSuspects and maxHolds bound the memory of a Ledger, to about 2 MB: two hundred servers that end within
+	// SightingLife with forty requests each.
+	maxSuspects = 8000
+	maxHolds    = 1000
+)
+
+// Sighting tells that a request was in progress at a server that ended.
+type Sighting struct {
+	Content content.Digest
+	Server  string
+	// Generated is the number of tokens that had come from it.
+	Generated int
+}
+
+// Hold is the decision to send a request to no server.
+type Hold struct {
+	Content content.Digest
+	// Until is when the hold ends. Another end within as long a time begins the next one at once.
+	Until time.Time
+	// For is the whole time of the hold.
+	For time.Duration
+}
+
+// Begun is when the hold was decided.
+func (h Hold) Begun() time.Time { return h.Until.Add(-h.For) }
+
+// forgotten is when the hold counts no more.
+func (h Hold) forgotten() time.Time { return h.Until.Add(h.For) }
+
+// Ledger is what is known of ends of servers and of the requests under them.
+type Ledger struct {
+	suspects map[content.Digest]*suspect
+	holds    map[content.Digest]Hold
+	// cleared is when requests were last answered by a server, or let through by an operator.
+	cleared map[content.Digest]time.Time
+	// explained are the servers that ended under requests that are or were held, and when. They explain nothing about
+	// other requests, also after the hold: else what ran beside it would be held in its place.
+	explained map[string]time.Time
+}
+
+// suspect is the ends of servers under one request.
+type suspect struct {
+	ends map[string]end
+	last time.Time
+}
+
+type end struct {
+	at        time.Time
+	generated int
+}
+
+// New returns an empty Ledger.
+func New() *Ledger {
+	return &Ledger{
+		suspects: map[content.Digest]*suspect{}, holds: map[content.Digest]Hold{}, cleared: map[content.Digest]time.Time{},
+		explained: map[string]time.Time{},
+	}
+}
+
+// Watches reports whether any request is suspect or held, so that others need not be looked at.
+func (l *Ledger) Watches() bool { return len(l.suspects)+len(l.holds) > 0 }
+
+// Suspects reports whether a server has ended under a request, and Held for how long it is held still.
+func (l *Ledger) Suspects(d content.Digest) bool { return l.suspects[d] != nil }
+
+// Held reports for how long a request is held still; not at all if ok is false.
+func (l *Ledger) Held(d content.Digest, now time.Time) (left time.Duration, ok bool) {
+	left = l.holds[d].Until.Sub(now)
+	return left, left > 0
+}
+
+// Sight takes a sighting of some time, and reports whether it is news.
+func (l *Ledger) Sight(s Sighting, at time.Time) bool {
+	if cleared, ok := l.cleared[s.Content]; ok && !at.After(cleared) {
+		return false
+	}
+	x := l.suspects[s.Content]
+	if x == nil {
+		l.makeRoom()
+		x = &suspect{ends: map[string]end{}}
+		l.suspects[s.Content] = x
+	}
+	if _, known := x.ends[s.Server]; known {
+		return false
+	}
+	x.ends[s.Server] = end{at: at, generated: s.Generated}
+	x.last = later(x.last, at)
+	if _, held := l.Held(s.Content, at); held {
+		l.explained[s.Server] = at
+	}
+	return true
+}
+
+// makeRoom forgets the suspect whose last sighting is the oldest when there are too many.
+func (l *Ledger) makeRoom() {
+	if len(l.suspects) < maxSuspects {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(l.suspects)), func(a, b content.Digest) int {
+		return l.suspects[a].last.Compare(l.suspects[b].last)
+	})
+	delete(l.suspects, oldest)
+}
+
+// Clear notes that a server answered a request at some time, or that an operator wants it let through. It
+// reports whether that changed anything: ends and a hold from before count no more.
+func (l *Ledger) Clear(d content.Digest, at time.Time) bool {
+	x, h := l.suspects[d], l.holds[d]
+	if x == nil && h.For == 0 {
+		return false
+	}
+	l.cleared[d] = later(l.cleared[d], at)
+	changed := false
+	if h.For > 0 && !h.Begun().After(at) {
+		delete(l.holds, d)
+		changed = true
+	}
+	if x != nil {
+		before := len(x.ends)
+		maps.DeleteFunc(x.ends, func(_ string, e end) bool { return !e.at.After(at) })
+		changed = changed || len(x.ends) < before
+		if len(x.ends) == 0 {
+			delete(l.suspects, d)
+		}
+	}
+	return changed
+}
+
+// Hold takes a hold that another router decided, or that was kept, and reports whether it is news.
+func (l *Ledger) Hold(h Hold) bool {
+	if cleared, ok := l.cleared[h.Content]; ok && !h.Begun().After(cleared) {
+		return false
+	}
+	known, ok := l.holds[h.Content]
+	if ok && h.For <= known.For && h.Begun().Before(known.Until) {
+		// The same hold, told on with what its way has taken added.
+		return false
+	}
+	if !ok && len(l.holds) >= maxHolds {
+		return false
+	}
+	l.holds[h.Content] = h
+	if x := l.suspects[h.Content]; x != nil {
+		for server, e := range x.ends {
+			l.explained[server] = e.at
+		}
+	}
+	return true
+}
+
+// Holds are the holds in force, the longest first.
+func (l *Ledger) Holds(now time.Time) []Hold {
+	var out []Hold
+	for _, h := range l.holds {
+		if h.Until.After(now) {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b Hold) int { return b.Until.Compare(a.Until) })
+	return out
+}
+
+// Ends are the servers that ended under a request.
+func (l *Ledger) Ends(d content.Digest) []string {
+	x := l.suspects[d]
+	if x == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(x.ends))
+}
+
+// Decide begins the holds that are due and returns them, and when to decide again; zero if nothing waits.
+//
+// Of those under which enough servers have ended, the one with the most ends goes first, and of several with as
+// many the one that had generated least when they ended: a request that ends servers does it when they begin to run
+// it, and what ran beside it had been there before. Its ends explain nothing about the others any more.
+func (l *Ledger) Decide(now time.Time) (begun []Hold, again time.Time) {
+	for {
+		c, ok := l.leader(now)
+		if !ok {
+			return begun, time.Time{}
+		}
+		if due := c.reached.Add(Settle); due.After(now) {
+			return begun, due
+		}
+		h := Hold{Content: c.content, For: FirstHold}
+		if old, ok := l.holds[c.content]; ok {
+			h.For = min(2*old.For, MaxHold)
+		}
+		h.Until = now.Add(h.For)
+		if !l.Hold(h) {
+			return begun, time.Time{}
+		}
+		begun = append(begun, h)
+	}
+}
+
+// candidate is a request under which enough servers have ended.
+type candidate struct {
+	content content.Digest
+	ends    int
+	// generated is what all its runs had generated, reached when the last end came that was needed.
+	generated int
+	reached   time.Time
+}
+
+// leader returns the candidate that is decided first.
+func (l *Ledger) leader(now time.Time) (candidate, bool) {
+	var best candidate
+	for d, x := range l.suspects {
+		if _, held := l.Held(d, now); held {
+			continue
+		}
+		c, ok := x.candidate(l.explained, l.needs(d, now), l.holds[d].Until)
+		if !ok {
+			continue
+		}
+		c.content = d
+		if best.ends == 0 || before(c, best) {
+			best = c
+		}
+	}
+	return best, best.ends > 0
+}
+
+func before(a, b candidate) bool {
+	return cmp.Or(cmp.Compare(b.ends, a.ends), cmp.Compare(a.generated, b.generated), a.reached.Compare(b.reached),
+		slices.Compare(a.content[:], b.content[:])) < 0
+}
+
+// needs is the number of ends that begin a hold: one is enough for a request that was held a while ago.
+func (l *Ledger) needs(d content.Digest, now time.Time) int {
+	if h, ok := l.holds[d]; ok && h.forgotten().After(now) {
+		return 1
+	}
+	return MostEnds
+}
+
+// candidate counts the ends that nothing explains, of those after some time.
+func (x *suspect) candidate(explained map[string]time.Time, needs int, after time.Time) (candidate, bool) {
+	var c candidate
+	var times []time.Time
+	for server, e := range x.ends {
+		if _, ok := explained[server]; !ok && e.at.After(after) {
+			c.ends++
+			c.generated += e.generated
+			times = append(times, e.at)
+		}
+	}
+	if c.ends < needs {
+		return c, false
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	c.reached = times[needs-1]
+	return c, true
+}
+
+// Expire forgets what is too old.
+func (l *Ledger) Expire(now time.Time) {
+	for d, x := range l.suspects {
+		maps.DeleteFunc(x.ends, func(_ string, e end) bool { return now.Sub(e.at) >= SightingLife })
+		if len(x.ends) == 0 {
+			delete(l.suspects, d)
+		}
+	}
+	maps.DeleteFunc(l.holds, func(_ content.Digest, h Hold) bool { return !h.forgotten().After(now) })
+	maps.DeleteFunc(l.explained, func(_ string, at time.Time) bool { return now.Sub(at) >= SightingLife })
+	maps.DeleteFunc(l.cleared, func(_ content.Digest, at time.Time) bool { return now.Sub(at) >= SightingLife })
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -91,6 +91,32 @@
 	s.apply(Row{Table: table, Key: key, Value: value, Deleted: value == nil})
 }
 
+// FirstKey is the first key of a table; empty if it has no rows.
+func (s *Store) FirstKey(table string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := ""
+	for _, r := range s.rows {
+		if r.Table == table && (first == "" || r.Key < first) {
+			first = r.Key
+		}
+	}
+	return first
+}
+
+// Count is the number of rows of a table.
+func (s *Store) Count(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.rows {
+		if r.Table == table {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Store) faulty(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
