A request that waits for memory learns of engines that have come since

What callers saw: with few engines left, a ruling waited to the end of its time, 9.8 s in a test, and was turned away (no_decode_place) though a new engine had been listed after 0.6 s.

Cause: a waiting request looked at the servers of the moment when it began to wait. Another request that came told the line of the new list, so that it shows only where requests are few or stand still.

Change: the look at the line each 10 ms takes the list of the moment.

Test: forward TestWaitingRequestLearnsOfNewEngines, seen failing (503 after its whole time), and the tests of waiting as before.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -23,7 +23,8 @@
 
 	mu     sync.Mutex
 	memory *kvmemory.Pool
-	// synced is what memory was last told of the engines.
+	// list returns the servers that may get new work; synced is what memory was last told of them.
+	list   func() []registry.Server
 	synced engineList
 	line   waiting.Line
 	// turns are where waiting requests learn which engine to ask.
@@ -49,8 +50,9 @@
 	engine chan string
 }
 
-func newEngines(seed, zone string, off mechanism.Set, tell func()) *engines {
+func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, tell func()) *engines {
 	return &engines{
+		list:    list,
 		changed: map[string]struct{}{}, reading: map[string]int{}, tell: tell,
 		zone:   zone,
 		terms:  waitingTerms(off),
@@ -140,9 +142,9 @@
 
 // await waits until the request's turn at an engine comes. The engine's memory is then
 // taken for the run, until refused, failed or release is called.
-func (e *engines) await(ctx context.Context, w *waiting.Waiter, run *kvmemory.Run, servers []registry.Server, capacity, slots int) (string, bool) {
+func (e *engines) await(ctx context.Context, w *waiting.Waiter, run *kvmemory.Run, capacity, slots int) (string, bool) {
 	e.mu.Lock()
-	e.sync(servers, capacity, slots)
+	e.sync(e.list(), capacity, slots)
 	engine := make(chan string, 1)
 	e.turns[w] = turn{run: run, engine: engine}
 	e.line.Add(w)
@@ -202,6 +204,8 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.retry = false
+		// Whoever waits alone would else see no engine that has come since, and wait to the end of its time.
+		e.sync(e.list(), e.synced.capacity, e.synced.slots)
 		e.dispatch()
 	})
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -36,6 +36,8 @@
 	servers []registry.Server
 	others  int
 	down    []string
+	// looked counts the looks at the servers of each service.
+	looked map[string]int
 	// leaving is a server that has said that it stops.
 	leaving  string
 	replaced []string
@@ -48,6 +50,7 @@
 func (v *view) Servers(service string) []registry.Server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.looked[service]++
 	var out []registry.Server
 	for _, s := range v.servers {
 		if s.Service == service {
@@ -57,6 +60,13 @@
 	return out
 }
 
+// looks is how often the servers of a service were looked at.
+func (v *view) looks(service string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.looked[service]
+}
+
 func (v *view) Listed(id string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -117,7 +127,7 @@
 		Limits: route.Limits{BodyBytes: 1000},
 	}
 	table.Build()
-	w.view = &view{table: table}
+	w.view = &view{table: table, looked: map[string]int{}}
 	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	w.guard = guard.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -25,6 +25,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/policy/waiting"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -153,7 +154,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), returners: map[string]*waiting.Returners{},
-			readers: reading.New(readingConfig(f.Off)), engines: newEngines(f.VM, f.Zone, f.Off, f.tellPlaced),
+			readers: reading.New(readingConfig(f.Off)), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.tellPlaced),
 		}
 		f.services[name] = s
 	}
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -48,15 +48,14 @@
 	}
 	r.waiter.Exclude = r.tried
 	for {
-		servers := f.View.Servers(j.service)
-		id, ok := e.await(ctx, r.waiter, r.run, servers, spec.KVTokens, spec.Slots)
+		id, ok := e.await(ctx, r.waiter, r.run, spec.KVTokens, spec.Slots)
 		if !ok && ctx.Err() != nil {
 			return nil, j.unanswered(reasonOf(ctx)), false
 		}
 		if !ok {
 			return nil, r.noServer(outcome.NoPlace), false
 		}
-		if s, ok := find(servers, id); ok {
+		if s, ok := find(f.View.Servers(j.service), id); ok {
 			j.room = r.run.Room
 			return &streamAttempt{r: r, lease: &lease{server: s, run: r.run}}, outcome.Outcome{}, true
 		}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -167,3 +167,20 @@
 	assert.Equal(t, got.body, whole)
 	assert.Assert(t, !got.cut)
 }
+
+// Model servers ended faster than others came, and for a moment a gateway had no engine left. A ruling that had come in
+// that moment waited "waited":9844 ms, to the end of its time, and was turned away, "reason":"no_decode_place", though the
+// list of servers had a new engine after 0.6 s: who waited looked at the engines of the moment when it began to wait,
+// until another request came.
+func TestWaitingRequestLearnsOfNewEngines(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "pre", "llm", registry.Prefill)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/patient/1") }()
+	for w.view.looks("llm") == 0 {
+		assert.NilError(t, t.Context().Err())
+	}
+	w.add(t, "d1", "llm", registry.Decode)
+	got := <-done
+	assert.Equal(t, got.body, whole)
+}
