A failure of a server clears no request under which servers ended

Cause, by reading: any answer counted as proof that a request does not end servers. A server that fails part of its requests may do so before it begins to run them, so that a request that crashes servers began anew with each such failure, three more ends at a time.

Change: success alone clears. Beside it what began at a gateway stands in its reports for 10 s in place of 5, with 60 sightings at most in place of 100: a gateway that was cut off for some seconds tells what it saw, in 6 kB.

Test: forward TestFailureTellsNothing, seen failing on the code before.

--- a/forward/broken.go
+++ b/forward/broken.go
@@ -165,7 +165,8 @@
 	return f.Guard.Held(j.digest())
 }
 
-// answered notes that a server answered a request to the end, and so did not end under it.
+// answered notes that a server answered a request with success, and so did not end under it. A failure may have come
+// before the server began to run it, and tells nothing.
 func (f *Forwarder) answered(j *job) {
 	if f.Guard.Watches() {
 		f.Guard.Answered(j.digest())
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -145,3 +145,16 @@
 	}
 	assert.Assert(t, !w.guard.Watches())
 }
+
+// TestFailureTellsNothing: a server that fails a call may have done so before it began to run it.
+func TestFailureTellsNothing(t *testing.T) {
+	w := plain(t)
+	w.servers["p1"].EndUnder("question", nil)
+	assert.Equal(t, w.post(t, "/once/1").status, http.StatusBadGateway)
+	w.counted(t, metrics.ServersEnded, 1)
+	for _, id := range []string{"p2", "p3"} {
+		w.servers[id].Behave(site.Fail)
+	}
+	assert.Equal(t, w.post(t, "/once/1").status, http.StatusInternalServerError)
+	assert.Assert(t, w.guard.Watches())
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -72,7 +72,7 @@
 func (a *callAttempt) Answer(ctx context.Context) outcome.Outcome {
 	f, j := a.c.f, a.c.j
 	got, err := f.ask(ctx, j, a.server)
-	if err == nil {
+	if err == nil && got.head.Status < http.StatusMultipleChoices {
 		f.answered(j)
 	}
 	if err == nil && got.head.Status < http.StatusInternalServerError {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -167,9 +167,6 @@
 func (a *streamAttempt) failed(head AnswerHead, res *upstream.Response) outcome.Outcome {
 	j := a.r.j
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
-	if err == nil {
-		a.r.f.answered(j)
-	}
 	if err == nil && !j.started {
 		a.r.failure = &answer{head: head, body: body}
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -109,7 +109,7 @@
 	Held(d content.Digest) (time.Duration, bool)
 	// Ended takes the requests that were in progress at a server that ended.
 	Ended(server string, broken []quarantine.Broken)
-	// Answered notes that a server answered a request to the end.
+	// Answered notes that a server answered a request with success.
 	Answered(d content.Digest)
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -9,8 +9,9 @@
 
 const (
 	// suspectsTold is how long ends of servers, and what was decided by them, stand in reports at least, and
-	// suspectsPaces for how many exchanges of a pair where these are rare: one may fail.
-	suspectsTold  = 5 * time.Second
+	// suspectsPaces for how many exchanges of a pair where these are rare: one may fail. A gateway that was cut off for some
+	// seconds tells what it saw meanwhile.
+	suspectsTold  = 10 * time.Second
 	suspectsPaces = 2
 	// suspectsRepeat is the pause after which news are told a second time: of two datagrams one comes through where
 	// links lose three packets in a hundred, and decisions rest on all ends within 300 ms.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -102,7 +102,7 @@
 	g.decide()
 }
 
-// Answered notes that a server answered a request of this process.
+// Answered notes that a server answered a request of this process with success.
 func (g *Guard) Answered(d content.Digest) {
 	now := time.Now()
 	g.mu.Lock()
--- a/guard/tell.go
+++ b/guard/tell.go
@@ -10,10 +10,11 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 )
 
-// Bounds of what one message tells, the newest: 100 sightings of 55 bytes, 50 holds of 30 and as many releases, so
-// that it fits a datagram of 8 kB. What is left out is told by the gateways that it began at, or is in the store.
+// Bounds of what one message tells, the newest: 60 sightings of 55 bytes, 50 holds of 30 and as many releases, 6 kB, so
+// that it fits a datagram, and reports to dozens of gateways come through a link of 10 Mbit/s. What is left out is told by
+// the gateways that it began at, or is in the store.
 const (
-	toldSightings = 100
+	toldSightings = 60
 	toldHolds     = 50
 )
 
