Soak: a request that crashes servers comes again throughout each run, and as a fault

Each run has one such request, sent every 300 ms through any gateway until the end, on a route of any kind; the new kind adds more. Servers that end under it are replaced at another address. Judged: once three have ended and 5.5 s have passed (the users' 3 s and the longest fault), it reaches servers in three more sends at most, three more for each time that all gateways were killed, since what they knew may be lost with the store out. Everybody else's refusals keep the check of Retry-After, so that a harmless request that is held back fails the run.

--- a/proofs/relay.go
+++ b/proofs/relay.go
@@ -35,13 +35,16 @@
 	}
 	r := &relay{addr: lis.Addr().String(), target: target, lis: lis, pairs: make(map[*pair]struct{})}
 	go r.accept()
-	t.Cleanup(func() {
-		_ = lis.Close()
-		r.cut()
-	})
+	t.Cleanup(r.end)
 	return r
 }
 
+// end has nothing listen at the relay's address any more, and cuts all connections.
+func (r *relay) end() {
+	_ = r.lis.Close()
+	r.cut()
+}
+
 func (r *relay) accept() {
 	for {
 		c, err := r.lis.Accept()
--- a/proofs/site_test.go
+++ b/proofs/site_test.go
@@ -28,6 +28,8 @@
 	service string
 	stage   registry.Stage
 	relay   *relay
+	// dead is set once it has crashed for good; guarded by the cluster's lock.
+	dead bool
 }
 
 // siteGateway is one gateway with its settings file and the relay to its store.
@@ -53,6 +55,8 @@
 	version int
 	started int
 	servers []*siteServer
+	// crashes are servers that crashed and are being replaced.
+	crashes sync.WaitGroup
 }
 
 // newSite starts so many gateways before plain servers and engines.
@@ -90,6 +94,11 @@
 	s := &siteServer{Server: site.NewServer(c.t, id, c.log), service: service, stage: stage}
 	s.Restart(time.Now().UnixMilli(), false)
 	s.relay = newRelay(c.t, s.Addr())
+	s.EndUnder(deadly, func(*site.Server) {
+		defer c.crashes.Done()
+		c.crashed(s)
+	})
+	s.OnCrash(func() { c.crashes.Add(1) })
 	c.mu.Lock()
 	c.servers = append(c.servers, s)
 	c.mu.Unlock()
@@ -99,6 +108,12 @@
 
 // list writes the entry of a server into the store.
 func (c *siteCluster) list(s *siteServer, state string) {
+	c.mu.Lock()
+	dead := s.dead
+	c.mu.Unlock()
+	if dead {
+		return
+	}
 	e := site.Entry{
 		Service: s.service, Addr: s.relay.addr, Zone: "z1", Version: "v1", Slots: 48, State: state, Seq: 1,
 		Born: s.Born(),
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -87,10 +87,13 @@
 	drawn := x.kinds()
 	if kinds != allKinds {
 		drawn = drawn[:kinds]
+	} else {
+		w.strikers.begin(seed)
 	}
 	x.run(n, drawn)
 	c.store.Set(site.Well)
 	time.Sleep(soakTail)
+	w.strikers.judge()
 	w.recovers(soakRecover)
 	close(stop)
 	clients.Wait()
@@ -155,6 +158,7 @@
 		{"server starts again silently", func(i int) (string, func()) { return x.restart(i, true) }},
 		{"server leaves and starts again", func(i int) (string, func()) { return x.leaveAndRestart(i) }},
 		{"entry spoiled", func(i int) (string, func()) { return x.spoil(i) }},
+		{"request crashes servers", func(i int) (string, func()) { x.w.strikers.begin(uint64(i)); return "", nil }},
 	}
 }
 
@@ -172,6 +176,7 @@
 
 // killAll kills every gateway that no other fault holds, and starts them together.
 func (x *soaker) killAll() (string, func()) {
+	x.w.strikers.lost()
 	var ends []func()
 	var ids []string
 	for _, g := range x.c.gateways {
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -1,6 +1,8 @@
 package site
 
-// EndUnder has the server crash as soon as it begins to run a request with that body, which reading its prompt
+import "strings"
+
+// EndUnder has the server crash as soon as it begins to run a request whose body begins so, which reading its prompt
 // is not. Then onEnd is called, unless it is nil.
 func (s *Server) EndUnder(body string, onEnd func(*Server)) {
 	s.mu.Lock()
@@ -8,15 +10,32 @@
 	s.deadly, s.onEnd = body, onEnd
 }
 
+// OnCrash has f called when the server begins to crash, before anything of it ends.
+func (s *Server) OnCrash(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onCrash = f
+}
+
 func (s *Server) endsUnder(c Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.deadly != "" && c.Body == s.deadly && c.Kind != Prefill
+	return s.deadly != "" && strings.HasPrefix(c.Body, s.deadly) && c.Kind != Prefill
 }
 
 // Crash ends the server with all that it runs: its connections break, and nothing listens at its address any
 // more. It does not wait for its handlers, one of which may call it.
 func (s *Server) Crash() {
+	s.mu.Lock()
+	onCrash, again := s.onCrash, s.crashed
+	s.crashed = true
+	s.mu.Unlock()
+	if again {
+		return
+	}
+	if onCrash != nil {
+		onCrash()
+	}
 	// The listener of a server that has crashed already is closed.
 	_ = s.Listener.Close()
 	go func() {
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -151,9 +151,12 @@
 	full bool
 	// hold and orders count since the last start.
 	hold, orders int
-	// deadly is the body of requests under which the server ends, onEnd is called when it has.
+	// deadly begins the body of requests under which the server ends, onEnd is called when it has.
 	deadly string
 	onEnd  func(*Server)
+	// onCrash is called when it begins to crash, crashed is set then.
+	onCrash func()
+	crashed bool
 }
 
 // NewServer starts a server that ends with the test.
