--- a/guard/tell.go
+++ b/guard/tell.go
@@ -96,13 +96,17 @@
 			g.takeHold(quarantine.Hold{Content: d, Until: now.Add(millis(h.GetLeftMs())), For: millis(h.GetForMs())}, from)
 		}
 	}
+	news := false
 	for _, s := range in.GetSightings() {
 		if d, ok := digestOf(s.GetContent()); ok {
 			seen := quarantine.Sighting{Content: d, Server: s.GetServer(), Generated: int(s.GetGenerated())}
-			g.ledger.Sight(seen, now.Add(-millis(uint64(s.GetAgeMs()))))
+			news = g.ledger.Sight(seen, now.Add(-millis(uint64(s.GetAgeMs())))) || news
 		}
 	}
-	g.decide()
+	// Reports repeat what was told, and a look at 8,000 suspects takes a fifth of a millisecond.
+	if news {
+		g.decide()
+	}
 }
 
 // takeHold takes a hold that was decided elsewhere, unless it is impossible. The caller holds mu.
