--- a/policy/quarantine/ledger_test.go
+++ b/policy/quarantine/ledger_test.go
@@ -61,7 +61,7 @@
 	{49.86, "9401:0 2612:22"},
 }
 
-// Servers ended nine times under one request and nine times under another, each sent on whenever it came; 66 streams
+// Servers ended nine times under one request and nine times under another, each sent on whenever it came; 59 streams
 // of others broke off with them. Known by what it asks, each is held a moment after its third end, at 15.7 and
 // 40.6 s, and nothing else is: not even the streams that were hit twice.
 func TestSpellsOfEnds(t *testing.T) {
