--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -14,7 +14,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fencing"
 	"github.com/hibiscusspur/hibiscusspur/gateway"
-	"github.com/hibiscusspur/hibiscusspur/guard"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
@@ -78,7 +78,7 @@
 		Engines: engines,
 		Orders:  engines,
 		Lease:   fencing.New(store.Table(ordersTable), ordersKey, set.VM, nil),
-		Holds:   store.Table(guard.TableName),
+		Holds:   store.Table(holdback.TableName),
 		Pool:    pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -17,7 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/forward"
-	"github.com/hibiscusspur/hibiscusspur/guard"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
@@ -93,7 +93,7 @@
 	addr    string
 	fwd     *forward.Forwarder
 	met     *metrics.Set
-	guard   *guard.Guard
+	guard   *holdback.Guard
 }
 
 const (
@@ -129,7 +129,7 @@
 	table.Build()
 	w.view = &view{table: table, looked: map[string]int{}}
 	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	w.guard = guard.New(l, w.met, false)
+	w.guard = holdback.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
 	watcher := httpserver.NewWatcher()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -13,7 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hibiscusspur/hibiscusspur/guard"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
@@ -249,7 +249,7 @@
 	f := newFleet(t)
 	gateways := startGateways(t, f.store)
 	f.untilKnown(gateways)
-	until(t, "it is kept", func() bool { return f.store.Count(guard.TableName) == 1 })
+	until(t, "it is kept", func() bool { return f.store.Count(holdback.TableName) == 1 })
 	for _, p := range gateways {
 		p.stop()
 		assert.NilError(t, <-p.ended)
@@ -280,12 +280,12 @@
 	gateways := startGateways(t, f.store)
 	f.untilKnown(gateways)
 	var key string
-	until(t, "it is kept", func() bool { key = f.store.FirstKey(guard.TableName); return key != "" })
+	until(t, "it is kept", func() bool { key = f.store.FirstKey(holdback.TableName); return key != "" })
 	f.mu.Lock()
 	f.newest.EndUnder("", nil)
 	f.mu.Unlock()
 	f.well()
-	f.store.Put(guard.TableName, key, nil)
+	f.store.Put(holdback.TableName, key, nil)
 	for i, p := range gateways {
 		until(t, "it is let through", func() bool { return p.gauge(t, metrics.RequestsHeld) == 0 })
 		until(t, "it is answered", func() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,7 +15,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fencing"
 	"github.com/hibiscusspur/hibiscusspur/forward"
-	"github.com/hibiscusspur/hibiscusspur/guard"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -114,8 +114,8 @@
 	// placed is what other gateways told of their placement.
 	placed *placed
 	// guard holds requests back under which servers end; holds is where that is kept.
-	guard *guard.Guard
-	holds guard.Table
+	guard *holdback.Guard
+	holds holdback.Table
 
 	servers  []*httpserver.Server
 	callers  *httpserver.Server
@@ -136,7 +136,7 @@
 	Orders Orders
 	Lease  *fencing.Lease
 	// Holds keeps which requests are held back.
-	Holds   guard.Table
+	Holds   holdback.Table
 	Pool    *upstream.Pool
 	Log     *log.Logger
 	Batch   *event.Batch
@@ -157,7 +157,7 @@
 	s.met.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
 	s.placed = newPlaced(s.view.idOf)
 	s.view.onEnded = s.startsEnded
-	s.guard, s.holds = guard.New(d.Log, d.Metrics, set.Off.Has(mechanism.Quarantine)), d.Holds
+	s.guard, s.holds = holdback.New(d.Log, d.Metrics, set.Off.Has(mechanism.Quarantine)), d.Holds
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch, Guard: s.guard,
 		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry, Off: set.Off,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,7 +18,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fencing"
 	"github.com/hibiscusspur/hibiscusspur/gateway"
-	"github.com/hibiscusspur/hibiscusspur/guard"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
@@ -59,7 +59,7 @@
 	p.s = gateway.New(set, gateway.Deps{
 		Store: client, Codec: platform.Codec{}, Engines: engines, Orders: engines,
 		Lease: fencing.New(client.Table("hibiscusspur"), "orders", vm, nil),
-		Holds: client.Table(guard.TableName),
+		Holds: client.Table(holdback.TableName),
 		Pool:  pool, Log: l, Batch: event.NewBatch(io.Discard), Metrics: metrics.NewSet(),
 	})
 	k := kernel.New()
--- a/guard/guard.go
+++ b/holdback/holdback.go
@@ -1,10 +1,10 @@
-// Package guard holds requests back under which servers end. It joins the decision of policy/quarantine to clocks, to
+// Package holdback holds requests back under which servers end. It joins the decision of policy/quarantine to clocks, to
 // what other gateways tell, and to the platform's store, where a hold is kept until it ends: a gateway that starts,
 // or that hears no other one, has it from there.
 //
 // Nothing of it is on the path of a request but a look into memory. While neither gateways nor store can be reached,
 // a gateway decides by the ends that it has seen itself.
-package guard
+package holdback
 
 import (
 	"maps"
--- a/guard/tell.go
+++ b/holdback/tell.go
@@ -1,4 +1,4 @@
-package guard
+package holdback
 
 import (
 	"maps"
