Affinity over names that differ in their last digits: a test that shows it

Of 100 such servers none, or all, have an affinity below a half; 30 to 70 are wanted. The users' names, of eight hexadecimal digits drawn at random, are spread well.

--- a/policy/affinity/affinity_test.go
+++ b/policy/affinity/affinity_test.go
@@ -32,3 +32,22 @@
 	}
 	assert.Equal(t, len(preferred), 3)
 }
+
+// Gateways and servers whose names differ in their last digits alone are common. A gateway's affinities to a hundred
+// such servers lay all in one half of the range, none of 100 below a half, so that it preferred the same few as any
+// other gateway of a like name. Of 100, between 30 and 70 are to be below a half: four standard deviations.
+func TestSpreadOverLikeNames(t *testing.T) {
+	for _, names := range []struct{ router, server string }{
+		{"edge-%d", "e-%03d"}, {"edge-hall-a-%d", "i-%08x"}, {"g%d", "server-%d"}, {"10.1.0.%d:8144", "10.2.0.%d:8604"},
+	} {
+		for r := range 20 {
+			router, low := fmt.Sprintf(names.router, r), 0
+			for s := range 100 {
+				if affinity.Of(router, fmt.Sprintf(names.server, s)) < 0.5 {
+					low++
+				}
+			}
+			assert.Check(t, low >= 30 && low <= 70, "%s before %s: %d of 100 below a half", router, names.server, low)
+		}
+	}
+}
