A request counts as in progress at a server that ended without a word, too

A request that ends its servers so would never be known.

Such a server is not asked. Ruled out: counting silence alone (a server that hangs lives).

Test: forward TestServerGoesDark, its first case seen failing; a server that hangs and one that leaves count for nobody.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -49,6 +49,8 @@
 	servers []string
 	// content is the digest of the request once it was asked for.
 	content *content.Digest
+	// heard is when a server was last sent the request, or sent something of its answer.
+	heard time.Time
 	// started is set once the head of the answer went to the client, status is its status.
 	started bool
 	status  int
--- a/forward/broken.go
+++ b/forward/broken.go
@@ -42,14 +42,14 @@
 }
 
 // broke reports whether the server of an attempt that broke is known to have ended, and whether it is to be
-// asked: by one request at a time.
-func (e *ends) broke(id string, b quarantine.Broken) (ended, ask bool) {
+// asked: if it cut the connection, and by one request at a time.
+func (e *ends) broke(id string, b quarantine.Broken, cut bool) (ended, ask bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ends.Broke(id, b, time.Now()) {
 		return true, false
 	}
-	if _, ok := e.asked[id]; ok {
+	if _, ok := e.asked[id]; ok || !cut {
 		return false, false
 	}
 	e.asked[id] = struct{}{}
@@ -82,21 +82,25 @@
 	return out
 }
 
+// quietFor is how long a server must have sent nothing when a request that waits for it ends, for the request to count as
+// in progress should the server turn out to have ended without a word: several times the longest usual pause.
+const quietFor = time.Second
+
 // attemptLost notes an attempt that was sent to s and did not come to its end there.
 func (f *Forwarder) attemptLost(j *job, s registry.Server, reason outcome.Reason, err error) {
-	broke := reason == outcome.EngineLost && f.brokenBy(s, err)
-	if broke {
+	cut, dark := f.cutBy(s, err), f.darkAt(j, s, err)
+	if cut || dark {
 		j.digest()
 	}
 	f.attemptFailed(j, s, reason, err)
-	if broke {
-		f.broke(j, s)
+	if cut || dark {
+		f.broke(j, s, cut)
 	}
 }
 
-// brokenBy reports whether it was the server that broke an attempt off, and not because it stops: servers
-// that leave end with what is left on them.
-func (f *Forwarder) brokenBy(s registry.Server, err error) bool {
+// cutBy reports whether it was the server that broke an attempt off, and not because it stops: servers that leave
+// end with what is left on them.
+func (f *Forwarder) cutBy(s registry.Server, err error) bool {
 	if errors.Is(err, errSilent) || errors.Is(err, upstream.ErrNotSent) {
 		return false
 	}
@@ -111,11 +115,17 @@
 	return false
 }
 
-// broke notes that a request was in progress at a server that broke it off. Whether the server has ended is
-// asked of it at once: its entry lapses seconds later, and no request may be sent there until then.
-func (f *Forwarder) broke(j *job, s registry.Server) {
+// darkAt reports whether the server may have ended without a word: nothing came from it for a while when the attempt
+// ended. Whether it has is seen when its entry lapses.
+func (f *Forwarder) darkAt(j *job, s registry.Server, err error) bool {
+	return err != nil && !errors.Is(err, upstream.ErrNotSent) && time.Since(j.heard) >= quietFor && !f.View.Leaving(s.ID)
+}
+
+// broke notes that a request was in progress at a server that may have ended. Where it cut the connection it is asked
+// at once whether it is there: its entry lapses seconds later, and no request may be sent there until then.
+func (f *Forwarder) broke(j *job, s registry.Server, cut bool) {
 	b := quarantine.Broken{Content: j.digest(), Generated: j.generated - j.carried}
-	ended, ask := f.ends.broke(s.ID, b)
+	ended, ask := f.ends.broke(s.ID, b, cut)
 	switch {
 	case ended:
 		f.tellEnded(s.ID, "", []quarantine.Broken{b})
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -158,3 +158,37 @@
 	assert.Equal(t, w.post(t, "/once/1").status, http.StatusInternalServerError)
 	assert.Assert(t, w.guard.Watches())
 }
+
+// TestServerGoesDark: a server ends without a word: no connection breaks, and the request there has no answer until its
+// time is over. It was in progress at the end all the same, once the server's entry has lapsed; not if the server lives,
+// and not if it has said that it stops.
+func TestServerGoesDark(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		listed, leaving bool
+		ends            int64
+	}{
+		{"its entry lapses", false, false, 1},
+		{"it hangs", true, false, 0},
+		{"it leaves", false, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.add(t, "p1", "plain", registry.Whole).Behave(site.Mute)
+			done := make(chan answer, 1)
+			go func() { done <- w.post(t, "/slow/1") }()
+			w.log.Wait(t, false, func(c site.Call) bool { return c.Server == "p1" })
+			w.view.mu.Lock()
+			if c.leaving {
+				w.view.leaving = "p1"
+			}
+			if !c.listed {
+				w.view.servers = nil
+			}
+			w.view.mu.Unlock()
+			assert.Equal(t, (<-done).status, http.StatusGatewayTimeout)
+			w.fwd.Forget(w.view.Listed)
+			assert.Equal(t, w.met.Counter(metrics.ServersEnded).Count(), c.ends)
+		})
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -171,7 +171,7 @@
 	}
 	o.Left, o.Instance = j.left(time.Now()), s.Instance()
 	before := j.ran
-	j.carried = j.generated
+	j.carried, j.heard = j.generated, time.Now()
 	res, err := f.Pool.Do(ctx, s.Addr, &upstream.Request{
 		Method: j.r.Method, Target: j.target(), Host: j.r.Host,
 		Header: f.Codec.Outgoing(j.r.Header, o), Body: j.body,
@@ -189,6 +189,7 @@
 	if err != nil {
 		return nil, err
 	}
+	j.heard = time.Now()
 	head := f.Codec.Answer(res.Status, res.Header)
 	if !o.PrefillOnly && head.NotRun {
 		j.ran = before
--- a/forward/forget_test.go
+++ b/forward/forget_test.go
@@ -17,6 +17,7 @@
 func (v tableView) Servers(string) []registry.Server { return nil }
 func (v tableView) Down(registry.Server)             {}
 func (v tableView) Listed(string) bool               { return false }
+func (v tableView) Leaving(string) bool              { return false }
 func (v tableView) Replaced(registry.Server)         {}
 func (v tableView) Others() int                      { return 0 }
 func (v tableView) Routers() int                     { return 1 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -61,6 +61,7 @@
 			return err
 		}
 		stop.reset()
+		r.j.heard = time.Now()
 		if len(event) > 0 {
 			if werr := r.deliver(head, event, !wholeEventBuffered(br)); werr != nil {
 				return werr
--- a/forward/types.go
+++ b/forward/types.go
@@ -123,6 +123,8 @@
 	Servers(service string) []registry.Server
 	// Listed reports whether a server is in the list and has not said that it stops.
 	Listed(id string) bool
+	// Leaving reports whether a server has said that it stops, also when it is not in the list any more.
+	Leaving(id string) bool
 	// Down notes that nothing listens at a server's address: it has ended.
 	Down(s registry.Server)
 	// Replaced notes that another server answers at a server's address.
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -69,6 +69,12 @@
 	return id != v.leaving && slices.ContainsFunc(v.servers, func(s registry.Server) bool { return s.ID == id })
 }
 
+func (v *view) Leaving(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return id == v.leaving
+}
+
 func (v *view) Down(s registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -112,6 +118,7 @@
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Timeout: seconds, Objective: time.Second, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Unsafe, Timeout: seconds, Objective: time.Second, Attempts: 1, Targets: []route.Target{{Service: "plain"}}},
 			{Name: "brief", Host: "h", Prefix: "/brief/", Kind: route.Unsafe, Timeout: 100 * time.Millisecond, Objective: time.Second, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
+			{Name: "slow", Host: "h", Prefix: "/slow/", Kind: route.Unsafe, Timeout: 1100 * time.Millisecond, Objective: time.Second, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
 			{Name: "draft", Host: "h", Prefix: "/draft/", Kind: route.Stream, Timeout: seconds, Objective: 900 * time.Millisecond, Attempts: 1, Targets: []route.Target{{Service: "llm"}}},
 			{Name: "patient", Host: "h", Prefix: "/draft/patient/", Kind: route.Stream, Timeout: seconds, Objective: seconds, Attempts: 1, Targets: []route.Target{{Service: "llm"}}},
 			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: route.Stream, Timeout: seconds, Objective: 900 * time.Millisecond, Attempts: 2, Resumable: true, Targets: []route.Target{{Service: "llm"}}},
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -127,6 +127,13 @@
 	return ok && !s.Leaving
 }
 
+// Leaving implements forward.View.
+func (v *view) Leaving(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Leaving(id)
+}
+
 // downLife is how long a server that refuses connections gets no requests. Its entry
 // lapses after three heartbeats of some 1.2 s.
 const downLife = 5 * time.Second
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -239,6 +239,12 @@
 	return true
 }
 
+// Leaving reports whether a server has said that it stops, whether it is listed or not.
+func (r *Registry) Leaving(id string) bool {
+	_, gone := r.gone[id]
+	return gone
+}
+
 // Usable returns the servers of a service that may get new work, ordered by ID. Of two at one
 // address, the one that started later is there.
 func (r *Registry) Usable(service string) []Server {
