Operators list requests that are held back, and let one through

Cause: the page told operators to remove a row of the store with tools of their own.

Change: hibiscusspur held list and held release DIGEST, with the address of the store; text or JSON; bad input names the flag or argument.

--- /dev/null
+++ b/cmd/hibiscusspur/held.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+
+	"github.com/hibiscusspur/hibiscusspur/content"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
+	"github.com/hibiscusspur/hibiscusspur/operator"
+	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
+)
+
+// heldDesk is what the commands on held requests share.
+type heldDesk struct{ store, format string }
+
+func heldCmd() *cobra.Command {
+	d := &heldDesk{}
+	c := &cobra.Command{Use: "held", Short: "Requests that gateways hold back, since servers end under them"}
+	c.PersistentFlags().StringVar(&d.store, "store", "", "address of the users' platform's store, ip:port")
+	c.PersistentFlags().StringVarP(&d.format, "output", "o", formatText, "text or json")
+	c.AddCommand(
+		&cobra.Command{
+			Use: "list", Short: "Show the requests that are held back", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				return d.with(cmd.Context(), func(ctx context.Context, t store.Table) error { return d.list(ctx, t, cmd.OutOrStdout()) })
+			},
+		},
+		&cobra.Command{
+			Use: "release DIGEST", Short: "Have all gateways let a request through", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				if _, err := content.Parse(args[0]); err != nil {
+					return merry.Appendf(operator.ErrInput, "DIGEST: %v", err)
+				}
+				return d.with(cmd.Context(), func(ctx context.Context, t store.Table) error { return holdback.Release(ctx, t, args[0]) })
+			},
+		},
+	)
+	return c
+}
+
+// with checks the flags and runs f on the table of holds.
+func (d *heldDesk) with(ctx context.Context, f func(context.Context, store.Table) error) error {
+	if d.format != formatText && d.format != formatJSON {
+		return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", d.format)
+	}
+	if _, err := netip.ParseAddrPort(d.store); err != nil {
+		return merry.Appendf(operator.ErrInput, "--store must be ip:port, is %q", d.store)
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	s := platform.NewStore(upstream.New(upstream.Options{}), d.store, storeTimeout)
+	return f(ctx, s.Table(holdback.TableName))
+}
+
+func (d *heldDesk) list(ctx context.Context, t store.Table, out io.Writer) error {
+	held, err := holdback.List(ctx, t)
+	if err != nil {
+		return err
+	}
+	if d.format == formatJSON {
+		return writeJSON(out, held)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "DIGEST\tBEGUN\tUNTIL\tSERVERS")
+	for _, k := range held {
+		if k.Fault != "" {
+			_, _ = fmt.Fprintf(w, "%s\tnot understood: %s\n", k.Content, k.Fault)
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", k.Content, k.Begun.Format(time.RFC3339), k.Until().Format(time.RFC3339), strings.Join(k.Servers, " "))
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/holdback/kept.go
@@ -0,0 +1,78 @@
+package holdback
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/content"
+	"github.com/hibiscusspur/hibiscusspur/store"
+)
+
+// ErrNotHeld means that no hold of a request is kept.
+var ErrNotHeld = errors.New("no such request is held back")
+
+// Kept is a hold as it is kept, for operators.
+type Kept struct {
+	// Content is the key of the row: the digest of the request.
+	Content string `json:"content"`
+	Row
+	// Fault says why the row is none; the other fields but Content are empty then.
+	Fault string `json:"fault,omitempty"`
+}
+
+// Until is when the hold ends.
+func (k Kept) Until() time.Time {
+	return k.Begun.Add(time.Duration(k.ForSeconds * float64(time.Second)))
+}
+
+// listPage is the number of rows that one call reads.
+const listPage = 500
+
+// List returns the holds of a table, those that have ended and not been removed included.
+func List(ctx context.Context, t store.Table) ([]Kept, error) {
+	var out []Kept
+	after := ""
+	for {
+		rows, err := t.List(ctx, "", after, listPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			out = append(out, keptOf(r))
+			after = r.Key
+		}
+		if len(rows) < listPage {
+			return out, nil
+		}
+	}
+}
+
+func keptOf(r store.Row) Kept {
+	k := Kept{Content: r.Key}
+	if err := json.Unmarshal(r.Value, &k.Row); err != nil {
+		return Kept{Content: r.Key, Fault: err.Error()}
+	}
+	return k
+}
+
+// Release removes the hold of a request, so that all gateways let it through. ErrNotHeld means that there is none.
+func Release(ctx context.Context, t store.Table, digest string) error {
+	d, err := content.Parse(digest)
+	if err != nil {
+		return err
+	}
+	row, err := t.Get(ctx, d.String())
+	if errors.Is(err, store.ErrNotFound) {
+		return fmt.Errorf("%w: %s", ErrNotHeld, d)
+	}
+	if err != nil {
+		return err
+	}
+	return t.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: row.Key, Version: row.Version}},
+		Writes: []store.Write{{Key: row.Key, Delete: true}},
+	})
+}
