--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -24,13 +24,14 @@
 		return
 	}
 	s.work.Go(func() { s.tellSuspects(ctx) })
+	wait := func(failures int) { pause(ctx, s.storePause(failures)) }
 	s.work.Go(func() {
 		dep := &dependency{s: s, what: "holds"}
-		s.guard.Follow(ctx, s.holds, dep.note, func(failures int) { pause(ctx, s.storePause(failures)) })
+		s.guard.Follow(ctx, s.holds, dep.note, wait)
 	})
 	s.work.Go(func() {
 		dep := &dependency{s: s, what: "holds kept"}
-		s.guard.Keep(ctx, s.holds, s.readsForAll, dep.note)
+		s.guard.Keep(ctx, s.holds, s.readsForAll, dep.note, wait)
 	})
 }
 
--- a/holdback/keep.go
+++ b/holdback/keep.go
@@ -164,10 +164,11 @@
 
 // Keep writes holds to the table and removes those that have ended, until ctx ends. Reads reports whether this process
 // is one of the few that read the store for all: they keep what the gateway that decided did not. It calls note with
-// the result of each call.
-func (g *Guard) Keep(ctx context.Context, t store.Table, reads func() bool, note func(error)) {
+// the result of each call, and pause after one that failed, with the number of those that failed in a row.
+func (g *Guard) Keep(ctx context.Context, t store.Table, reads func() bool, note func(error), pause func(failures int)) {
 	timer := time.NewTicker(keepRetry)
 	defer timer.Stop()
+	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -175,22 +176,38 @@
 		case <-g.unkept:
 		case <-timer.C:
 		}
-		for _, txn := range g.changes(time.Now(), reads()) {
-			err := t.Commit(ctx, txn.Txn)
-			var conflict *store.ConflictError
-			switch {
-			case err == nil:
-				g.wrote(txn)
-			case errors.As(err, &conflict):
-				err = nil // Another process was first; its row comes with the next changes of the table.
-			case ctx.Err() != nil:
+		for _, c := range g.changes(time.Now(), reads()) {
+			err := g.commit(ctx, t, c)
+			if ctx.Err() != nil {
 				return
 			}
 			note(err)
+			if err == nil {
+				failures = 0
+				continue
+			}
+			failures++
+			pause(failures)
 		}
 	}
 }
 
+// commit makes one change of the table. That another process was first is no error: its row comes with the next changes
+// of the table.
+func (g *Guard) commit(ctx context.Context, t store.Table, c change) error {
+	err := t.Commit(ctx, c.Txn)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		g.wrote(c)
+		return nil
+	case errors.As(err, &conflict):
+		return nil
+	default:
+		return err
+	}
+}
+
 // change is one change of the table.
 type change struct {
 	store.Txn
