What is told of suspects makes no report of placement older

Cause, by reading: news of suspects went in datagrams with a number of their own, so that a report of placement that was made just before and came after counted as overtaken, and what it told of placement was dropped until the next one.

Change: a datagram without placement has no number, and a gateway passes over it as placement.

Tests: peer TestSuspectsHaveNoNumber, gateway TestPlacedKeepsTheNewest.

--- a/gateway/placed_test.go
+++ b/gateway/placed_test.go
@@ -42,6 +42,7 @@
 	assert.Equal(t, placed(), 310)
 	p.take(report(2, 0, 0), start)
 	assert.Equal(t, placed(), 0, "started again: nothing of the old process is left")
+	assert.Assert(t, p.change(told(2, 0, 0), start) == nil, "a datagram that tells no placement")
 	assert.Assert(t, p.change(told(1, 4, 400), start) == nil, "a datagram of the old process")
 	p.change(told(2, 1, 50), start)
 	assert.Equal(t, placed(), 50)
--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -76,7 +76,10 @@
 	if conn == nil {
 		return
 	}
-	p.Number = d.number.Add(1)
+	if len(p.GetShares()) > 0 {
+		// What tells no placement has no number: a report that was made before it is no older for it.
+		p.Number = d.number.Add(1)
+	}
 	data, err := proto.Marshal(p)
 	if err != nil {
 		// A placement that can't be encoded is as good as lost; the next report makes good for it.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -254,3 +254,20 @@
 	}
 	assert.Assert(t, len(numbers) > 1)
 }
+
+// TestSuspectsHaveNoNumber: what tells of requests under which servers ended goes in the same datagrams as placement,
+// and must not make a report of placement older than it is.
+func TestSuspectsHaveNoNumber(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	port := conn.LocalAddr().(*net.UDPAddr).Port
+	assert.NilError(t, conn.Close())
+	got := make(chan *Placement, 1)
+	in := newDatagrams(port)
+	assert.NilError(t, in.listen(t.Context(), "127.0.0.1:1", func(p *Placement) { got <- p }))
+	in.send([]string{"127.0.0.1:9"}, &Placement{Addr: "x", Suspects: &Suspects{Holds: []*Hold{{Content: []byte("c"), LeftMs: 5}}}})
+	p := <-got
+	assert.Equal(t, p.GetNumber(), uint64(0))
+	assert.Equal(t, in.last(), uint64(0))
+	assert.Equal(t, p.GetSuspects().GetHolds()[0].GetLeftMs(), uint64(5))
+}
