A request that becomes held while it waits for memory is refused at once

What callers saw: it waited to the end of its time, 30 s in a test, to be told that there was no memory and to come back 50 ms later, though it was known by then that it would be sent to no server.

Cause: the hold was looked at before the request waits and before it is sent.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -46,7 +46,9 @@
 // turn is a request in the line.
 type turn struct {
 	run *kvmemory.Run
-	// engine is sent the engine to ask.
+	// held reports whether the request is sent to no server any more.
+	held func() bool
+	// engine is sent the engine to ask, or nothing if the request need not wait any more.
 	engine chan string
 }
 
@@ -142,11 +144,11 @@
 
 // await waits until the request's turn at an engine comes. The engine's memory is then
 // taken for the run, until refused, failed or release is called.
-func (e *engines) await(ctx context.Context, w *waiting.Waiter, run *kvmemory.Run, capacity, slots int) (string, bool) {
+func (e *engines) await(ctx context.Context, w *waiting.Waiter, run *kvmemory.Run, held func() bool, capacity, slots int) (string, bool) {
 	e.mu.Lock()
 	e.sync(e.list(), capacity, slots)
 	engine := make(chan string, 1)
-	e.turns[w] = turn{run: run, engine: engine}
+	e.turns[w] = turn{run: run, held: held, engine: engine}
 	e.line.Add(w)
 	e.dispatch()
 	if e.line.Len() > 0 {
@@ -158,7 +160,7 @@
 	defer t.Stop()
 	select {
 	case id := <-engine:
-		return id, true
+		return id, id != ""
 	case <-t.C:
 	case <-ctx.Done():
 	}
@@ -168,7 +170,18 @@
 		delete(e.turns, w)
 		return "", false
 	}
-	return <-engine, true
+	id := <-engine
+	return id, id != ""
+}
+
+// dropHeld ends the wait of requests that have become known for servers that end under them. The caller holds mu.
+func (e *engines) dropHeld() {
+	for w, t := range e.turns {
+		if t.held() && e.line.Remove(w) {
+			delete(e.turns, w)
+			t.engine <- ""
+		}
+	}
 }
 
 // dispatch gives turns to waiting requests for which an engine is thought to have room.
@@ -204,6 +217,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.retry = false
+		e.dropHeld()
 		// Whoever waits alone would else see no engine that has come since, and wait to the end of its time.
 		e.sync(e.list(), e.synced.capacity, e.synced.slots)
 		e.dispatch()
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -48,10 +48,13 @@
 	}
 	r.waiter.Exclude = r.tried
 	for {
-		id, ok := e.await(ctx, r.waiter, r.run, spec.KVTokens, spec.Slots)
+		id, ok := e.await(ctx, r.waiter, r.run, r.held, spec.KVTokens, spec.Slots)
 		if !ok && ctx.Err() != nil {
 			return nil, j.unanswered(reasonOf(ctx)), false
 		}
+		if !ok && r.held() {
+			return nil, j.unanswered(outcome.Quarantined), false
+		}
 		if !ok {
 			return nil, r.noServer(outcome.NoPlace), false
 		}
@@ -63,6 +66,12 @@
 	}
 }
 
+// held reports whether the request is sent to no server any more.
+func (r *stream) held() bool {
+	_, held := r.f.held(r.j)
+	return held
+}
+
 // newWaiter is the request's turn in the line.
 func (j *job) newWaiter(terms waiting.Terms) *waiting.Waiter {
 	return &waiting.Waiter{
