A store that answers with what held seconds ago releases no request

Cause, by reading of what the platform's store may do: after it has lost its history a gateway reads the whole table of holds anew, and a stale answer that lacks a row was taken for its removal: the request was let through, with all that was known of it.

Change: an answer older than what is known removes nothing, and an earlier state of a row is passed over. Beside it a plain call counts as in progress at a server that ended without a word after four times its objective in place of a second: it is given to another server, or up, before that.

Tests: holdback TestStaleTable, seen failing; forward TestServerGoesDark with an objective of 50 ms.

--- a/forward/broken.go
+++ b/forward/broken.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -82,9 +83,21 @@
 	return out
 }
 
-// quietFor is how long a server must have sent nothing when a request that waits for it ends, for the request to count as
-// in progress should the server turn out to have ended without a word: several times the longest usual pause.
-const quietFor = time.Second
+// A server must have sent nothing for a while when a request that waits for it ends, for the request to count as in
+// progress should the server turn out to have ended without a word: for quietFor, several times the longest usual pause
+// of a stream, or for quietObjectives times the objective of a route that is to be answered sooner.
+const (
+	quietFor        = time.Second
+	quietObjectives = 4
+)
+
+// quiet is how long nothing must have come for a request of the route.
+func quiet(r *route.Route) time.Duration {
+	if r.Objective <= 0 {
+		return quietFor
+	}
+	return min(quietFor, quietObjectives*r.Objective)
+}
 
 // attemptLost notes an attempt that was sent to s and did not come to its end there.
 func (f *Forwarder) attemptLost(j *job, s registry.Server, reason outcome.Reason, err error) {
@@ -118,7 +131,7 @@
 // darkAt reports whether the server may have ended without a word: nothing came from it for a while when the attempt
 // ended. Whether it has is seen when its entry lapses.
 func (f *Forwarder) darkAt(j *job, s registry.Server, err error) bool {
-	return err != nil && !errors.Is(err, upstream.ErrNotSent) && time.Since(j.heard) >= quietFor && !f.View.Leaving(s.ID)
+	return err != nil && !errors.Is(err, upstream.ErrNotSent) && time.Since(j.heard) >= quiet(j.route) && !f.View.Leaving(s.ID)
 }
 
 // broke notes that a request was in progress at a server that may have ended. Where it cut the connection it is asked
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -118,7 +118,7 @@
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Timeout: seconds, Objective: time.Second, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Unsafe, Timeout: seconds, Objective: time.Second, Attempts: 1, Targets: []route.Target{{Service: "plain"}}},
 			{Name: "brief", Host: "h", Prefix: "/brief/", Kind: route.Unsafe, Timeout: 100 * time.Millisecond, Objective: time.Second, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
-			{Name: "slow", Host: "h", Prefix: "/slow/", Kind: route.Unsafe, Timeout: 1100 * time.Millisecond, Objective: time.Second, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
+			{Name: "slow", Host: "h", Prefix: "/slow/", Kind: route.Unsafe, Timeout: 250 * time.Millisecond, Objective: 50 * time.Millisecond, Attempts: 2, Targets: []route.Target{{Service: "plain"}}},
 			{Name: "draft", Host: "h", Prefix: "/draft/", Kind: route.Stream, Timeout: seconds, Objective: 900 * time.Millisecond, Attempts: 1, Targets: []route.Target{{Service: "llm"}}},
 			{Name: "patient", Host: "h", Prefix: "/draft/patient/", Kind: route.Stream, Timeout: seconds, Objective: seconds, Attempts: 1, Targets: []route.Target{{Service: "llm"}}},
 			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: route.Stream, Timeout: seconds, Objective: 900 * time.Millisecond, Attempts: 2, Resumable: true, Targets: []route.Target{{Service: "llm"}}},
--- a/holdback/holdback_test.go
+++ b/holdback/holdback_test.go
@@ -123,11 +123,13 @@
 type rowTable struct {
 	store.Table
 	rows []store.Row
+	// version is that of the store.
+	version int64
 }
 
 func (t *rowTable) All(ctx context.Context) ([]store.Row, int64, error) {
 	rows, err := t.List(ctx, "", "", 100)
-	return append(rows, t.rows...), 1, err
+	return append(rows, t.rows...), t.version, err
 }
 
 func (t *rowTable) Changes(ctx context.Context, _ int64, _ time.Duration) ([]store.Row, []string, int64, error) {
@@ -211,6 +213,34 @@
 	})
 }
 
+// TestStaleTable: after the store has forgotten its history it may answer with what held seconds ago. A row that was seen
+// since is not gone, and an earlier state of a row is no news.
+func TestStaleTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard(false)
+		begun := time.Now()
+		row := func(seconds float64, version uint64) store.Row {
+			data, err := json.Marshal(Row{Begun: begun, ForSeconds: seconds})
+			assert.NilError(t, err)
+			return store.Row{Key: deadly.String(), Value: data, Version: version}
+		}
+		table := &rowTable{Table: memory.New(memory.Options{}).Table(), rows: []store.Row{row(1200, 90)}, version: 90}
+		version, err := g.follow(t.Context(), table, 0, false)
+		assert.NilError(t, err)
+		for _, stale := range [][]store.Row{nil, {row(600, 50)}} {
+			version, err = g.follow(t.Context(), &rowTable{Table: memory.New(memory.Options{}).Table(), rows: stale, version: 60}, version, false)
+			assert.NilError(t, err)
+			assert.Equal(t, version, int64(90), "goes on from what is known")
+			left, ok := g.Held(deadly)
+			assert.Assert(t, ok)
+			assert.Equal(t, left, 1200*time.Second)
+		}
+		_, err = g.follow(t.Context(), &rowTable{Table: memory.New(memory.Options{}).Table(), version: 91}, version, false)
+		assert.NilError(t, err)
+		assert.Assert(t, !held(g, deadly), "removed since")
+	})
+}
+
 // TestRowsOfOthers: rows that are none are left out, the others hold; a time of day that is wrong makes no hold longer
 // than it says.
 func TestRowsOfOthers(t *testing.T) {
--- a/holdback/keep.go
+++ b/holdback/keep.go
@@ -95,10 +95,16 @@
 		return next, err
 	}
 	rows, next, err := t.All(ctx)
-	if err == nil {
-		g.takeRows(rows, g.missing(rows))
+	if err != nil {
+		return 0, err
+	}
+	if next < version {
+		// A store that has lost its history may answer with what held seconds ago: a row that it lacks is not gone.
+		g.takeRows(rows, nil)
+		return version, nil
 	}
-	return next, err
+	g.takeRows(rows, g.missing(rows))
+	return next, nil
 }
 
 // missing are the keys of holds that were in the table and are not among all its rows.
@@ -155,6 +161,9 @@
 	if err != nil {
 		return err
 	}
+	if r.Version < g.kept[d].version {
+		return nil // What it was before.
+	}
 	g.kept[d] = keptHold{version: r.Version, whole: h.For, forgotten: h.Until.Add(h.For)}
 	if !g.off {
 		g.takeHold(h, fromStore)
