--- a/forward/broken.go
+++ b/forward/broken.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync"
 	"syscall"
 	"time"
 
@@ -30,59 +29,6 @@
 // loggedContents bounds the digests in one log line.
 const loggedContents = 50
 
-// ends is which requests were in progress at servers that ended. It is safe for concurrent use.
-type ends struct {
-	mu   sync.Mutex
-	ends *quarantine.Ends
-	// asked are the servers that are being asked whether they are there.
-	asked map[string]struct{}
-}
-
-func newEnds() *ends {
-	return &ends{ends: quarantine.NewEnds(), asked: map[string]struct{}{}}
-}
-
-// broke reports whether the server of an attempt that broke is known to have ended, and whether it is to be
-// asked: if it cut the connection, and by one request at a time.
-func (e *ends) broke(id string, b quarantine.Broken, cut bool) (ended, ask bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.ends.Broke(id, b, time.Now()) {
-		return true, false
-	}
-	if _, ok := e.asked[id]; ok || !cut {
-		return false, false
-	}
-	e.asked[id] = struct{}{}
-	return false, true
-}
-
-func (e *ends) answered(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.asked, id)
-}
-
-func (e *ends) ended(id string) []quarantine.Broken {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.ends.Ended(id, time.Now())
-}
-
-// missing returns the servers at which attempts broke and that known does not name, and forgets what is old.
-func (e *ends) missing(known func(id string) bool) []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.ends.Expire(time.Now())
-	var out []string
-	for _, id := range e.ends.Waiting() {
-		if !known(id) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // A server must have sent nothing for a while when a request that waits for it ends, for the request to count as in
 // progress should the server turn out to have ended without a word: for quietFor, several times the longest usual pause
 // of a stream, or for quietObjectives times the objective of a route that is to be answered sooner.
@@ -138,7 +84,7 @@
 // at once whether it is there: its entry lapses seconds later, and no request may be sent there until then.
 func (f *Forwarder) broke(j *job, s registry.Server, cut bool) {
 	b := quarantine.Broken{Content: j.digest(), Generated: j.generated - j.carried}
-	ended, ask := f.ends.broke(s.ID, b, cut)
+	ended, ask := f.interrupted.broke(s.ID, b, cut)
 	switch {
 	case ended:
 		f.tellEnded(s.ID, "", []quarantine.Broken{b})
@@ -146,7 +92,7 @@
 		f.serverEnded(s.ID, endedRestarted)
 	case ask:
 		go func() {
-			defer f.ends.answered(s.ID)
+			defer f.interrupted.answered(s.ID)
 			f.noteReach(s, f.Pool.Reach(context.Background(), s.Addr))
 		}()
 	}
@@ -154,7 +100,7 @@
 
 // serverEnded notes that a server has ended.
 func (f *Forwarder) serverEnded(id string, how howEnded) {
-	if broken := f.ends.ended(id); len(broken) > 0 {
+	if broken := f.interrupted.ended(id); len(broken) > 0 {
 		f.Metrics.Counter(metrics.ServersEnded).Inc(1)
 		f.tellEnded(id, how, broken)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -58,8 +58,8 @@
 	placed chan struct{}
 	// attempts are those in progress.
 	attempts *attempts
-	// ends is which of them were in progress at servers that ended.
-	ends *ends
+	// interrupted is which of them were in progress at servers that ended.
+	interrupted *interrupted
 
 	mu sync.Mutex
 	// services is the state for each service, by name; guarded by mu.
@@ -91,7 +91,7 @@
 
 // New returns a Forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(), ends: newEnds()}
+	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(), interrupted: newInterrupted()}
 }
 
 // PlacementChanged is sent to when TakeChanged has something to return.
@@ -284,7 +284,7 @@
 // Forget drops what was learned of servers that known does not name, and of routes that are
 // not in the table any more: their names change with the configuration.
 func (f *Forwarder) Forget(known func(id string) bool) {
-	for _, id := range f.ends.missing(known) {
+	for _, id := range f.interrupted.missing(known) {
 		f.serverEnded(id, endedGone)
 	}
 	table := f.View.Table()
