A request that becomes held blames no server that it is not sent to

Cause, by reading: the look right before a send made an attempt fail that was never sent, and the server of that attempt counted as failing: in the record of calls, and as a reader of prompts.

Change: no further attempt and no reading is begun for a request that is held; the look before the send stays for the moment between. Counted as retry_denied.held.

Test: forward TestHeldRequestBlamesNoServer, seen failing.

--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/content"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -211,3 +212,19 @@
 	assert.NilError(t, err)
 	assert.Assert(t, after > seconds.Seconds(), "held, not turned away for want of memory: %v", after)
 }
+
+// TestHeldRequestBlamesNoServer: a call becomes known for servers that end under it while its first attempt is in
+// progress. The second attempt is not made, and the server that it would have gone to has failed nothing.
+func TestHeldRequestBlamesNoServer(t *testing.T) {
+	w := plain(t)
+	w.servers["p1"].Behave(site.Mute)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/safe/1") }()
+	w.log.Wait(t, false, func(c site.Call) bool { return c.Server == "p1" })
+	d := content.Of(content.Request{Method: http.MethodPost, Host: "h", Target: "/safe/1", Body: []byte("question")})
+	w.guard.Take(&peer.Suspects{Holds: []*peer.Hold{{Content: d[:], LeftMs: 60_000, ForMs: 60_000}}}, "g2")
+	w.servers["p1"].Crash()
+	assert.Equal(t, (<-done).status, http.StatusBadGateway, "it may have run")
+	assert.Equal(t, len(w.log.Calls()), 1)
+	assert.Equal(t, w.met.Counter(metrics.AttemptFailedPrefix+string(outcome.Quarantined)).Count(), int64(0))
+}
--- a/forward/course.go
+++ b/forward/course.go
@@ -35,6 +35,10 @@
 	if o.Kind == outcome.Completed || ctx.Err() != nil || c.j.caller.Gone() || !c.repeatable(o.Reason) {
 		return o, false
 	}
+	if _, held := c.f.held(c.j); held {
+		c.f.Metrics.RetryDenied("held")
+		return c.j.unanswered(outcome.Quarantined), false
+	}
 	if !c.f.mayRepeat(c.j) {
 		return c.j.unanswered(outcome.RetryBudgetSpent), false
 	}
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -30,6 +30,9 @@
 func (f *Forwarder) prefill(ctx context.Context, j *job, l *lease) (export *source, owed bool) {
 	var tried []string
 	for len(tried) < prefillTries {
+		if _, held := f.held(j); held {
+			return nil, owed
+		}
 		c, ok := f.choosePrefill(j, l, tried)
 		if !ok {
 			return nil, owed
--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -190,6 +190,7 @@
 	for ; f.ends() < mayEnd; n++ {
 		statuses = append(statuses, f.strike(gateways, n))
 	}
+	// The users' term is part of the scenario; nothing is awaited with it.
 	<-time.After(contact)
 	before := f.reached(deadly)
 	for range 7 {
