Requests that end without an answer at a server that lives are not kept

Cause, by reading: what waits for its server to be found to have ended was dropped only once nothing had come for ten seconds. At a server that is slow all the time, and whose callers leave, it grew without end.

Change: each goes after ten seconds.

Test: policy/quarantine TestEndsStaySmall, seen failing.

--- a/policy/quarantine/ends.go
+++ b/policy/quarantine/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/content"
@@ -76,7 +77,10 @@
 // Expire forgets what is too old.
 func (e *Ends) Expire(now time.Time) {
 	maps.DeleteFunc(e.ended, func(_ string, at time.Time) bool { return now.Sub(at) >= endedLife })
-	maps.DeleteFunc(e.broken, func(_ string, list []Broken) bool {
-		return now.Sub(list[len(list)-1].at) >= confirmWithin
-	})
+	for server, list := range e.broken {
+		list = slices.DeleteFunc(list, func(b Broken) bool { return now.Sub(b.at) >= confirmWithin })
+		if e.broken[server] = list; len(list) == 0 {
+			delete(e.broken, server)
+		}
+	}
 }
--- a/policy/quarantine/ends_test.go
+++ b/policy/quarantine/ends_test.go
@@ -41,3 +41,16 @@
 	e.Expire(start.Add(endedLife))
 	assert.Assert(t, !e.Broke("b", Broken{Content: one}, start.Add(endedLife)))
 }
+
+// TestEndsStaySmall: requests that end without an answer at a server that lives come all the time, and are not kept.
+func TestEndsStaySmall(t *testing.T) {
+	e := NewEnds()
+	now := start
+	for range 1000 {
+		e.Broke("a", Broken{Content: one}, now)
+		now = now.Add(time.Second)
+		e.Expire(now)
+	}
+	assert.Assert(t, len(e.broken["a"]) <= int(confirmWithin/time.Second))
+	assert.Equal(t, len(e.Ended("a", now)), 9, "those of the last seconds")
+}
