--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -197,13 +197,7 @@
 // TestHeldRequestStopsWaiting: it becomes known that servers end under a request while it waits for memory that does not
 // come. It is refused at once, not at the end of its time, and told for how long it is held.
 func TestHeldRequestStopsWaiting(t *testing.T) {
-	w := newWorld(t)
-	w.add(t, "pre", "llm", registry.Prefill)
-	done := make(chan answer, 1)
-	go func() { done <- w.post(t, "/draft/patient/1") }()
-	for w.view.looks("llm") == 0 {
-		assert.NilError(t, t.Context().Err())
-	}
+	w, done := waitsForEngine(t)
 	d := content.Of(content.Request{Method: http.MethodPost, Host: "h", Target: "/draft/patient/1", Body: []byte("question")})
 	w.guard.Take(&peer.Suspects{Holds: []*peer.Hold{{Content: d[:], LeftMs: 500_000, ForMs: 500_000}}}, "g2")
 	got := <-done
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -173,13 +173,7 @@
 // list of servers had a new engine after 0.6 s: who waited looked at the engines of the moment when it began to wait,
 // until another request came.
 func TestWaitingRequestLearnsOfNewEngines(t *testing.T) {
-	w := newWorld(t)
-	w.add(t, "pre", "llm", registry.Prefill)
-	done := make(chan answer, 1)
-	go func() { done <- w.post(t, "/draft/patient/1") }()
-	for w.view.looks("llm") == 0 {
-		assert.NilError(t, t.Context().Err())
-	}
+	w, done := waitsForEngine(t)
 	w.add(t, "d1", "llm", registry.Decode)
 	got := <-done
 	assert.Equal(t, got.body, whole)
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -219,3 +219,15 @@
 	body, err := io.ReadAll(res.Body)
 	return answer{res.StatusCode, res.Header, string(body), err != nil}
 }
+
+// waitsForEngine sends a stream for which there is no decode engine, and returns once it has looked for one.
+func waitsForEngine(t *testing.T) (*world, <-chan answer) {
+	w := newWorld(t)
+	w.add(t, "pre", "llm", registry.Prefill)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/patient/1") }()
+	for w.view.looks("llm") == 0 {
+		assert.NilError(t, t.Context().Err())
+	}
+	return w, done
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -212,11 +212,16 @@
 	assert.Equal(t, s.Rank(), 0, "who leaves does not count")
 }
 
-func TestPlacementIsTold(t *testing.T) {
+// freePort is a port of loopback on which nothing listens for datagrams.
+func freePort(t *testing.T) int {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	assert.NilError(t, err)
-	port := conn.LocalAddr().(*net.UDPAddr).Port
-	assert.NilError(t, conn.Close())
+	defer func() { assert.NilError(t, conn.Close()) }()
+	return conn.LocalAddr().(*net.UDPAddr).Port
+}
+
+func TestPlacementIsTold(t *testing.T) {
+	port := freePort(t)
 	got := make(chan *Placement, 1)
 	in := newDatagrams(port)
 	assert.NilError(t, in.listen(t.Context(), "127.0.0.1:1", func(p *Placement) { got <- p }))
@@ -229,10 +234,7 @@
 
 // TestLargePlacementGoesInParts: a placement on more engines than fit a datagram is told whole.
 func TestLargePlacementGoesInParts(t *testing.T) {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	assert.NilError(t, err)
-	port := conn.LocalAddr().(*net.UDPAddr).Port
-	assert.NilError(t, conn.Close())
+	port := freePort(t)
 	const engines = 500
 	got := make(chan *Placement, engines)
 	in := newDatagrams(port)
@@ -258,10 +260,7 @@
 // TestSuspectsHaveNoNumber: what tells of requests under which servers ended goes in the same datagrams as placement,
 // and must not make a report of placement older than it is.
 func TestSuspectsHaveNoNumber(t *testing.T) {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	assert.NilError(t, err)
-	port := conn.LocalAddr().(*net.UDPAddr).Port
-	assert.NilError(t, conn.Close())
+	port := freePort(t)
 	got := make(chan *Placement, 1)
 	in := newDatagrams(port)
 	assert.NilError(t, in.listen(t.Context(), "127.0.0.1:1", func(p *Placement) { got <- p }))
