--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -92,9 +92,6 @@
 // Watches reports whether any request is suspect or held, so that others need not be looked at.
 func (l *Ledger) Watches() bool { return len(l.suspects)+len(l.holds) > 0 }
 
-// Suspects reports whether a server has ended under a request, and Held for how long it is held still.
-func (l *Ledger) Suspects(d content.Digest) bool { return l.suspects[d] != nil }
-
 // Held reports for how long a request is held still; not at all if ok is false.
 func (l *Ledger) Held(d content.Digest, now time.Time) (left time.Duration, ok bool) {
 	left = l.holds[d].Until.Sub(now)
--- a/policy/quarantine/ledger_test.go
+++ b/policy/quarantine/ledger_test.go
@@ -18,6 +18,9 @@
 
 func named(name string) content.Digest { return content.Of(content.Request{Target: name}) }
 
+// suspected reports whether a server has ended under a request.
+func (l *Ledger) suspected(d content.Digest) bool { return l.suspects[d] != nil }
+
 // decided has a Ledger decide at each moment that it asks for until then, and returns what it held.
 func decided(l *Ledger, until time.Time) []Hold {
 	var out []Hold
@@ -139,7 +142,7 @@
 	l := New()
 	for i := range 10 {
 		sightAll(l, float64(i), fmt.Sprint("s", i), "popular")
-		assert.Assert(t, l.Suspects(named("popular")))
+		assert.Assert(t, l.suspected(named("popular")))
 		assert.Assert(t, l.Clear(named("popular"), at(float64(i)+0.5)))
 		assert.Assert(t, !l.Sight(Sighting{Content: named("popular"), Server: "told late"}, at(float64(i))), "from before")
 	}
@@ -250,8 +253,8 @@
 		sightAll(l, float64(i)/1000, "s", fmt.Sprint(i))
 	}
 	assert.Assert(t, len(l.suspects) <= maxSuspects && len(l.suspects) > maxSuspects*8/10, "%d", len(l.suspects))
-	assert.Assert(t, !l.Suspects(named("0")), "the oldest")
-	assert.Assert(t, l.Suspects(named(fmt.Sprint(maxSuspects/2))) && l.Suspects(named(fmt.Sprint(maxSuspects+9))), "not the newer ones")
+	assert.Assert(t, !l.suspected(named("0")), "the oldest")
+	assert.Assert(t, l.suspected(named(fmt.Sprint(maxSuspects/2))) && l.suspected(named(fmt.Sprint(maxSuspects+9))), "not the newer ones")
 	for i := range maxHolds + 10 {
 		l.Hold(Hold{Content: named(fmt.Sprint(i)), Until: start.Add(FirstHold), For: FirstHold})
 	}
