--- a/contract/lookup.go
+++ b/contract/lookup.go
@@ -1,20 +1,17 @@
 package contract
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/url"
 	"path"
 	"slices"
 	"strings"
+
+	"github.com/hibiscusspur/hibiscusspur/apikey"
 )
 
 // HashKey returns the form in which a contract keeps an API key: its SHA-256 in
 // lower-case hexadecimal.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
+func HashKey(key string) string { return apikey.Of(key).String() }
 
 // ClassFor returns the class of a request for model. With an empty name it is the
 // first class that lists the model; otherwise the class of that name, provided
--- a/dissemination/index.go
+++ b/dissemination/index.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 
+	"github.com/hibiscusspur/hibiscusspur/apikey"
 	"github.com/hibiscusspur/hibiscusspur/contract"
 )
 
@@ -20,7 +21,7 @@
 	contracts map[string]contractAt
 	backends  map[string]contract.Backend
 	list      []contract.Backend // backends by id; nil when it is to be made anew
-	keys      keyOwners
+	keys      apikey.Owners
 }
 
 type contractAt struct {
@@ -36,19 +37,18 @@
 		report:    report,
 		contracts: make(map[string]contractAt),
 		backends:  make(map[string]contract.Backend),
-		keys:      make(keyOwners),
+		keys:      make(apikey.Owners),
 	}
 	s.Watch(x.apply)
 	x.apply(s.Since(0))
 	return x
 }
 
-// CustomerByKey returns the customer to whom the API key with this hash (see
-// contract.HashKey) belongs.
-func (x *Index) CustomerByKey(hash string) (string, bool) {
+// CustomerByKey returns the customer to whom the API key with this hash belongs.
+func (x *Index) CustomerByKey(hash apikey.Hash) (string, bool) {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	return x.keys.owner(hash)
+	return x.keys.Owner(hash)
 }
 
 // Contract returns the contract of a customer and the revision that last changed it.
@@ -135,7 +135,11 @@
 	x.dropContract(customer)
 	x.contracts[customer] = contractAt{c, r.Revision}
 	for _, k := range c.Keys {
-		if others := x.keys.add(k.SHA256, customer); len(others) > 0 {
+		hash, err := apikey.Parse(k.SHA256)
+		if err != nil {
+			return err // The contract was checked for it.
+		}
+		if others := x.keys.Add(hash, customer); len(others) > 0 {
 			x.report(r.Key, r.Revision, fmt.Errorf("key %q also belongs to %s; none may use it", k.Name, strings.Join(others, ", ")))
 		}
 	}
@@ -145,7 +149,9 @@
 func (x *Index) dropContract(customer string) {
 	if old, ok := x.contracts[customer]; ok {
 		for _, k := range old.contract.Keys {
-			x.keys.remove(k.SHA256, customer)
+			if hash, err := apikey.Parse(k.SHA256); err == nil {
+				x.keys.Remove(hash, customer)
+			}
 		}
 	}
 	delete(x.contracts, customer)
--- a/dissemination/index_test.go
+++ b/dissemination/index_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/apikey"
 	"github.com/hibiscusspur/hibiscusspur/contract"
 )
 
@@ -34,10 +35,10 @@
 	x := NewIndex(s, func(key string, _ uint64, err error) { reports = append(reports, key+": "+err.Error()) })
 
 	applyTo(t, s, 1, contractRecord("a", "key-a", 1))
-	customer, ok := x.CustomerByKey(contract.HashKey("key-a"))
+	customer, ok := x.CustomerByKey(apikey.Of("key-a"))
 	assert.Assert(t, ok)
 	assert.Equal(t, customer, "a")
-	_, ok = x.CustomerByKey(contract.HashKey("key-b"))
+	_, ok = x.CustomerByKey(apikey.Of("key-b"))
 	assert.Assert(t, !ok)
 
 	bad := contractRecord("a", "key-b", 2)
@@ -51,7 +52,7 @@
 	assert.Equal(t, x.Backends()[0].Address, "10.0.0.1:7400")
 
 	applyTo(t, s, 3, Record{Key: "contracts/a", Revision: 3, Deleted: true})
-	_, ok = x.CustomerByKey(contract.HashKey("key-a"))
+	_, ok = x.CustomerByKey(apikey.Of("key-a"))
 	assert.Assert(t, !ok)
 }
 
@@ -60,7 +61,7 @@
 	x := NewIndex(s, func(key string, _ uint64, err error) { t.Error(key, err) })
 	applyTo(t, s, 5, contractRecord("a", "new", 5))
 	applyTo(t, s, 6, contractRecord("a", "old", 4))
-	_, ok := x.CustomerByKey(contract.HashKey("new"))
+	_, ok := x.CustomerByKey(apikey.Of("new"))
 	assert.Assert(t, ok)
 }
 
@@ -69,11 +70,11 @@
 	reports := 0
 	x := NewIndex(s, func(string, uint64, error) { reports++ })
 	applyTo(t, s, 1, contractRecord("a", "same", 1), contractRecord("b", "same", 1))
-	_, ok := x.CustomerByKey(contract.HashKey("same"))
+	_, ok := x.CustomerByKey(apikey.Of("same"))
 	assert.Assert(t, !ok)
 	assert.Equal(t, reports, 1)
 	applyTo(t, s, 2, contractRecord("a", "other", 2))
-	customer, _ := x.CustomerByKey(contract.HashKey("same"))
+	customer, _ := x.CustomerByKey(apikey.Of("same"))
 	assert.Equal(t, customer, "b")
 }
 
@@ -87,8 +88,8 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, x.Customers(), []string{"b"})
 	assert.Equal(t, len(x.Backends()), 0)
-	_, ok := x.CustomerByKey(contract.HashKey("key-a"))
+	_, ok := x.CustomerByKey(apikey.Of("key-a"))
 	assert.Assert(t, !ok)
-	_, ok = x.CustomerByKey(contract.HashKey("key-b"))
+	_, ok = x.CustomerByKey(apikey.Of("key-b"))
 	assert.Assert(t, ok)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/apikey"
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
@@ -76,7 +77,7 @@
 	if !ok {
 		return caller{}, false
 	}
-	customer, ok := s.index.CustomerByKey(contract.HashKey(key))
+	customer, ok := s.index.CustomerByKey(apikey.Of(key))
 	if !ok {
 		return caller{}, false
 	}
