--- /dev/null
+++ b/cmd/hibiscusspur/access_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/forward"
+	"github.com/hibiscusspur/hibiscusspur/gateway"
+	"github.com/hibiscusspur/hibiscusspur/operator"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+)
+
+// TestAccess: an operator sees whom a gateway serves and whom it turned away.
+func TestAccess(t *testing.T) {
+	want := gateway.Access{
+		VM: "edge-1", Version: 7, ProofAgeMs: 830, Trusted: true, Silent: 2,
+		Customers: []gateway.CustomerAccess{{Name: "a", Keys: 2, Unit: "tokens", Rate: 1000, Burst: 1500, Left: 250, Share: 0.5, Used: 9000, DemandPerS: 12.5}},
+		Refused:   map[outcome.Reason]int64{outcome.RateLimited: 3},
+		Refusals:  []forward.Refusal{{Request: "id-1", Customer: "a", Route: "r", Reason: outcome.RateLimited}},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+gateway.AccessPath, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(want) })
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+
+	out, _, err := execute(accessCmd(), "--gateway", addr)
+	assert.NilError(t, err)
+	for _, text := range []string{"configuration 7", "830 ms ago", "are served", "2 gateways are not heard", "tokens", "rate_limited", "id-1"} {
+		assert.Assert(t, strings.Contains(out, text), "%s in %s", text, out)
+	}
+	out, _, err = execute(accessCmd(), "--gateway", addr, "-o", "json")
+	assert.NilError(t, err)
+	var got gateway.Access
+	assert.NilError(t, json.Unmarshal([]byte(out), &got))
+	assert.DeepEqual(t, got, want)
+}
+
+// TestAccessInput: bad input names the flag.
+func TestAccessInput(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{nil, "--gateway must be ip:port"},
+		{[]string{"--gateway", "edge-1"}, "--gateway must be ip:port"},
+		{[]string{"--gateway", "127.0.0.1:1", "-o", "xml"}, "--output must be text or json"},
+	} {
+		_, code, err := execute(accessCmd(), c.args...)
+		assert.ErrorContains(t, err, c.want, "%v", c.args)
+		assert.Equal(t, code, operator.CodeOf(operator.ErrInput), "%v", c.args)
+	}
+}
+
+// TestPageNamesAccess: the page for operators names the command.
+func TestPageNamesAccess(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(page), "`hibiscusspur access --gateway IP:PORT`"))
+}
--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
+	"github.com/hibiscusspur/hibiscusspur/policy/currency"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -98,6 +99,15 @@
 		Metrics:   net.JoinHostPort(set.IP, strconv.Itoa(set.Ports[0])),
 		Drain:     set.Drain, Notice: gateway.DefaultNotice,
 		Retry: retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
+		Keys:  keyBounds(set),
 		Off:   off,
 	}
 }
+
+// keyBounds is for how long a configuration is trusted that is not proved to be the newest.
+func keyBounds(set platform.Settings) currency.Bounds {
+	if !set.FailClosed {
+		return currency.Bounds{}
+	}
+	return currency.Bounds{Revoke: set.Revoke}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -65,6 +65,10 @@
 	RequestHeld     = Event{730, log.ErrorLevel, "request held back: servers end under it"}
 	RequestReleased = Event{731, log.InfoLevel, "request no longer held back"}
 	HoldInvalid     = Event{732, log.WarnLevel, "kept hold not understood; left out"}
+	KeysRefused     = Event{733, log.ErrorLevel, "requests with keys refused: configuration not proved to be recent"}
+	KeysServed      = Event{734, log.InfoLevel, "requests with keys served again"}
+	QuotaUsed       = Event{735, log.InfoLevel, "quota of a customer used up"}
+	QuotaShared     = Event{736, log.WarnLevel, "quotas shared with gateways that are not heard"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -82,6 +86,6 @@
 		TableApplied, TableRefused, ServersChanged, ServerInvalid, ReadyChanged, StoreLost, StoreRegained,
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerEnded,
-		RequestHeld, RequestReleased, HoldInvalid,
+		RequestHeld, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaShared,
 	}
 }
--- /dev/null
+++ b/forward/access_test.go
@@ -0,0 +1,319 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/apikey"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/route"
+	"github.com/hibiscusspur/hibiscusspur/standin/site"
+)
+
+// purse is a quota of all customers together.
+type purse struct {
+	mu              sync.Mutex
+	left            float64
+	taken, returned []float64
+	customers       []string
+}
+
+func (p *purse) Take(customer string, _ route.Quota, cost float64) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cost > p.left {
+		return 1500 * time.Millisecond, false
+	}
+	p.left -= cost
+	p.taken, p.customers = append(p.taken, cost), append(p.customers, customer)
+	return 0, true
+}
+
+func (p *purse) Return(_ string, cost float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left += cost
+	p.returned = append(p.returned, cost)
+}
+
+// The keys of these tests, and the headers that carry them.
+const (
+	ownKey   = "key-of-a"
+	otherKey = "key-of-b"
+	scheme   = "Token "
+)
+
+func tenant(name string, keys ...string) route.Tenant {
+	t := route.Tenant{Name: name, Quota: route.Quota{Unit: route.Tokens, Rate: 1000, Burst: 1000, Plain: 200}}
+	for _, k := range keys {
+		t.Keys = append(t.Keys, apikey.Of(k))
+	}
+	return t
+}
+
+// withTenants has a table in force that differs in its tenants, and in one route that needs no key.
+func (w *world) withTenants(t *testing.T, list ...route.Tenant) {
+	tenants, err := route.NewTenants(list)
+	assert.NilError(t, err)
+	old := w.Table()
+	next := &route.Table{Version: old.Version + 1, Services: old.Services, Limits: old.Limits, Tenants: tenants}
+	next.Routes = append(next.Routes, old.Routes...)
+	if !old.Has("public") {
+		next.Routes = append(next.Routes, route.Route{
+			Name: "public", Host: "h", Prefix: "/public/", Kind: route.Safe, Timeout: seconds, Objective: time.Second, Attempts: 2,
+			Targets: []route.Target{{Service: "plain"}}, Public: true,
+		})
+	}
+	w.configure(next)
+}
+
+// everything has plain servers and engines.
+func everything(t *testing.T) *world {
+	w := plain(t)
+	w.add(t, "pre", "llm", registry.Prefill)
+	w.add(t, "d1", "llm", registry.Decode)
+	w.add(t, "d2", "llm", registry.Decode)
+	return w
+}
+
+// TestKeys: each request reached servers with the caller's key and without the name of its customer, and one whose key
+// nobody holds was run like any other.
+func TestKeys(t *testing.T) {
+	for _, c := range []struct {
+		name, path, credentials string
+		status                  int
+		customer                string
+	}{
+		{"a key", "/safe/1", scheme + ownKey, 200, "a"},
+		{"its other case", "/safe/1", "tOKEN  " + otherKey, 200, "b"},
+		{"no key", "/safe/1", "", 401, ""},
+		{"an unknown key", "/safe/1", scheme + "key", 401, ""},
+		{"an empty key", "/safe/1", scheme, 401, ""},
+		{"another scheme", "/safe/1", "Basic " + ownKey, 401, ""},
+		{"no key where none is needed", "/public/1", "", 200, ""},
+		{"an unknown key where none is needed", "/public/1", scheme + "key", 200, ""},
+		{"a key where none is needed", "/public/1", scheme + ownKey, 200, "a"},
+		{"no key and no route", "/nowhere/", "", 404, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := plain(t)
+			w.withTenants(t, tenant("a", ownKey), tenant("b", otherKey))
+			extra := []string{site.Tenant, "forged"}
+			if c.credentials != "" {
+				extra = append(extra, site.Credentials, c.credentials)
+			}
+			got := w.post(t, c.path, extra...)
+			assert.Equal(t, got.status, c.status)
+			if c.status != 200 {
+				assert.Equal(t, len(w.log.Calls()), 0)
+				return
+			}
+			w.seenBy(t, c.customer)
+		})
+	}
+}
+
+// seenBy checks what the servers saw: the name of the customer, set once by the gateway, and no key.
+func (w *world) seenBy(t *testing.T, customer string) {
+	t.Helper()
+	for _, call := range w.log.Calls() {
+		if call.Kind == site.Hold || call.Kind == site.Free || call.Kind == site.Drop {
+			continue
+		}
+		assert.Equal(t, strings.Join(call.Header[site.Tenant], ","), customer, "%s at %s", call.Kind, call.Server)
+		assert.Equal(t, call.Header.Get(site.Credentials), "", "%s at %s", call.Kind, call.Server)
+	}
+}
+
+// TestKeyOfTwoValues: which of two keys would count is not guessed.
+func TestKeyOfTwoValues(t *testing.T) {
+	w := plain(t)
+	w.withTenants(t, tenant("a", ownKey), tenant("b", otherKey))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+w.addr+"/safe/1", nil)
+	assert.NilError(t, err)
+	r.Host = "h"
+	r.Header = http.Header{site.RequestID: {"id-1"}, site.Credentials: {scheme + ownKey, scheme + otherKey}}
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusUnauthorized)
+}
+
+// TestEveryMessageNamesTheCustomer: readings of prompts, runs, repeats and resumed streams are told the customer, and no key.
+func TestEveryMessageNamesTheCustomer(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		spoil      func(w *world)
+		kinds      string
+	}{
+		{"a stream", "/draft/1", func(*world) {}, "prefill decode"},
+		{"a hand-over that failed", "/resume/1", func(w *world) { w.both(site.LostKV) }, "prefill decode decode"},
+		{"resumed", "/resume/1", func(w *world) { w.both(site.CutStream) }, "prefill decode prefill decode"},
+		{"a call that is repeated", "/safe/1", func(w *world) { w.servers["p1"].Behave(site.Fail) }, "plain plain"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := everything(t)
+			w.withTenants(t, tenant("a", ownKey))
+			c.spoil(w)
+			w.post(t, c.path, site.Credentials, scheme+ownKey, site.Tenant, "forged")
+			var kinds []string
+			for _, call := range w.log.Calls() {
+				if call.Header != nil {
+					kinds = append(kinds, call.Kind)
+				}
+			}
+			assert.Equal(t, strings.Join(kinds, " "), c.kinds)
+			w.seenBy(t, "a")
+		})
+	}
+}
+
+// TestWithoutTenants: a configuration without customers changes nothing; what a client says of itself is its own.
+func TestWithoutTenants(t *testing.T) {
+	w := plain(t)
+	got := w.post(t, "/safe/1", site.Credentials, scheme+"anything")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, w.log.Calls()[0].Header.Get(site.Credentials), scheme+"anything")
+}
+
+// TestUnprovedConfiguration: while it is not proved that a key was not taken away, requests with keys are refused,
+// truthfully not run, and one with a key that is not known is not told that it is unknown.
+func TestUnprovedConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name, path, key string
+		recent, lately  bool
+		status          int
+	}{
+		{"a known key", "/safe/1", ownKey, false, false, 503},
+		{"a known key, proved", "/safe/1", ownKey, true, false, 200},
+		{"an unknown key", "/safe/1", "new", true, false, 503},
+		{"an unknown key, proved lately", "/safe/1", "new", true, true, 401},
+		{"no key", "/safe/1", "", false, false, 401},
+		{"a route without keys", "/public/1", "", false, false, 200},
+		{"a key on a route without keys", "/public/1", ownKey, false, false, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := plain(t)
+			w.withTenants(t, tenant("a", ownKey))
+			w.prove(c.recent, c.lately)
+			var extra []string
+			if c.key != "" {
+				extra = []string{site.Credentials, scheme + c.key}
+			}
+			got := w.post(t, c.path, extra...)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.header.Get("Retry-After") != "", c.status == 503)
+			assert.Equal(t, len(w.log.Calls()) > 0, c.status == 200)
+			assert.Equal(t, w.met.Counter(metrics.RefusedPrefix+string(outcome.ConfigUnproved)).Count(), b2i(c.status == 503))
+		})
+	}
+}
+
+func b2i(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// TestKeyTakenAwayWhileWaiting: a request waited for an engine while its key was taken away, and ran afterwards. Looked at when
+// it leaves the line, it is refused, truthfully not run; so is one whose configuration is not proved any more.
+func TestKeyTakenAwayWhileWaiting(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		happen func(w *world)
+		status int
+	}{
+		{"the key is taken away", func(w *world) { w.withTenants(t, tenant("a", otherKey)) }, 401},
+		{"the proof has lapsed", func(w *world) { w.prove(false, false) }, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.withTenants(t, tenant("a", ownKey))
+			w.add(t, "pre", "llm", registry.Prefill)
+			done := make(chan answer, 1)
+			go func() { done <- w.post(t, "/draft/patient/1", site.Credentials, scheme+ownKey) }()
+			for w.view.looks("llm") == 0 {
+				assert.NilError(t, t.Context().Err())
+			}
+			c.happen(w)
+			w.add(t, "d1", "llm", registry.Decode)
+			assert.Equal(t, (<-done).status, c.status)
+			for _, call := range w.log.Calls() {
+				assert.Assert(t, call.Kind == site.Hold || call.Kind == site.Drop, "%s at %s", call.Kind, call.Server)
+			}
+			assert.Equal(t, len(w.quota.returned), 1, "what did not run is not charged")
+		})
+	}
+}
+
+// TestQuota: what is beyond a quota is refused at once and takes no server; what did not run is given back, and a repeat
+// is not charged again.
+func TestQuota(t *testing.T) {
+	const prompt, most, plainCost = 1000, 200, 200
+	for _, c := range []struct {
+		name, path      string
+		left            float64
+		spoil           func(w *world)
+		status          int
+		taken, returned int
+	}{
+		{"within", "/safe/1", plainCost, func(*world) {}, 200, plainCost, 0},
+		{"beyond", "/safe/1", plainCost - 1, func(*world) {}, 429, 0, 0},
+		{"a stream", "/draft/1", prompt + most, func(*world) {}, 200, prompt + most, 0},
+		{"a stream beyond", "/draft/1", prompt, func(*world) {}, 429, 0, 0},
+		{"repeated", "/safe/1", plainCost, func(w *world) { w.servers["p1"].Behave(site.Fail) }, 200, plainCost, 0},
+		{"failed", "/unsafe/1", plainCost, func(w *world) { w.servers["p1"].Behave(site.Reset) }, 502, plainCost, 0},
+		{"refused by its server", "/once/1", plainCost, func(w *world) { w.servers["p1"].Behave(site.Shed) }, 503, plainCost, plainCost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := everything(t)
+			w.withTenants(t, tenant("a", ownKey))
+			w.quota.left = c.left
+			c.spoil(w)
+			got := w.post(t, c.path, site.Credentials, scheme+ownKey)
+			assert.Equal(t, got.status, c.status)
+			if c.status == 429 {
+				assert.Equal(t, got.header.Get("Retry-After"), "1.50")
+				assert.Equal(t, len(w.log.Calls()), 0)
+			}
+			assert.Equal(t, sum(w.quota.taken), float64(c.taken))
+			assert.Equal(t, sum(w.quota.returned), float64(c.returned))
+		})
+	}
+}
+
+func sum(list []float64) float64 {
+	total := 0.0
+	for _, v := range list {
+		total += v
+	}
+	return total
+}
+
+// TestKeysAreNotLogged: whatever happens to requests, their keys stand in no line of the log.
+func TestKeysAreNotLogged(t *testing.T) {
+	w := plain(t)
+	w.withTenants(t, tenant("a", ownKey))
+	w.post(t, "/safe/1", site.Credentials, scheme+ownKey)
+	w.post(t, "/safe/1", site.Credentials, scheme+otherKey)
+	w.prove(false, false)
+	w.post(t, "/safe/1", site.Credentials, scheme+ownKey)
+	w.prove(true, true)
+	w.quota.left = 0
+	w.post(t, "/safe/1", site.Credentials, scheme+ownKey)
+	w.servers["p1"].Behave(site.Reset)
+	w.quota.left = 1e9
+	w.post(t, "/unsafe/1", site.Credentials, scheme+ownKey)
+	assert.Assert(t, strings.Contains(w.logged.String(), `"customer":"a"`))
+	for _, key := range []string{ownKey, otherKey, apikey.Of(ownKey).String()} {
+		assert.Assert(t, !strings.Contains(w.logged.String(), key), w.logged.String())
+	}
+}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -45,6 +45,10 @@
 	// two events. carried are the tokens that came from servers before the present one.
 	generated, expected, room, carried int
 	pause                              time.Duration
+	// tenant is the customer whose key the request has; nil where there are none.
+	tenant *route.Tenant
+	// charged is what was charged to its quota.
+	charged float64
 	// servers are the instances that the request was sent to.
 	servers []string
 	// content is the digest of the request once it was asked for.
@@ -75,15 +79,26 @@
 	if j.late {
 		f.Metrics.Counter(metrics.ReturnersRefused).Inc(1)
 	}
-	f.finish(j, http.StatusServiceUnavailable, outcome.NotRun, reason)
+	f.finish(j, refusalStatus(reason), outcome.NotRun, reason)
 	e := event.RequestTurnedAway.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
-		Str("reason", string(reason)).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version())
+		Str("reason", string(reason)).Str("customer", j.customer()).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version())
 	if reason == outcome.Quarantined {
 		e = e.Str("content", j.digest().String())
 	}
 	e.Msg("")
 }
 
+// refusalStatus is the status of an answer that says that a request has not run: 401 if its key was taken away, 429 if its
+// customer's quota is used up, and 503 for whatever is not the customer's.
+func refusalStatus(reason outcome.Reason) int {
+	switch reason {
+	case outcome.Unauthenticated, outcome.RateLimited:
+		return reason.HTTPStatus()
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
 // fail answers that the request failed or may have run.
 func (f *Forwarder) fail(j *job, reason outcome.Reason) {
 	status := http.StatusBadGateway
@@ -101,6 +116,7 @@
 // finish writes an answer of the router's own.
 func (f *Forwarder) finish(j *job, status int, kind outcome.Kind, reason outcome.Reason) {
 	f.Metrics.Refused(reason)
+	f.noteRefusal(j, reason)
 	j.status = status
 	if !j.caller.Gone() {
 		f.head(j, AnswerHead{Status: status}, 0)
@@ -135,6 +151,7 @@
 
 func (f *Forwarder) ended(j *job, kind outcome.Kind, reason outcome.Reason) {
 	now := time.Now()
+	f.giveBackQuota(j)
 	f.Metrics.Ended(kind)
 	f.Metrics.Timer(metrics.RequestTimePrefix + j.kindName()).Update(now.Sub(j.arrived))
 	e := event.RequestAnswered.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
@@ -142,6 +159,9 @@
 	if reason != "" {
 		e = e.Str("reason", string(reason))
 	}
+	if name := j.customer(); name != "" {
+		e = e.Str("customer", name)
+	}
 	if j.meta.PromptTokens > 0 {
 		e = e.Int("prompt", j.meta.PromptTokens).Int("max_tokens", j.meta.MaxTokens).Int("length_hint", j.meta.LengthHint).
 			Dur("read", j.read).Dur("first", j.first).Dur("patience", j.meta.Patience).Bool("late", j.late).
@@ -158,6 +178,14 @@
 	return j.route.Name
 }
 
+// customer is the name of the customer whose key the request has; empty where there is none.
+func (j *job) customer() string {
+	if j.tenant == nil {
+		return ""
+	}
+	return j.tenant.Name
+}
+
 func (j *job) kindName() string {
 	if j.route == nil {
 		return "none"
--- a/forward/broken.go
+++ b/forward/broken.go
@@ -123,9 +123,6 @@
 	return out
 }
 
-// errHeld means that a request is sent to no server any more, since servers ended under it.
-var errHeld = errors.New("held back: servers end under this request")
-
 // held reports for how long a request is held back still.
 func (f *Forwarder) held(j *job) (time.Duration, bool) {
 	if !f.Guard.Watches() {
--- a/forward/call.go
+++ b/forward/call.go
@@ -95,8 +95,8 @@
 		return reasonOf(ctx)
 	case err == nil:
 		return outcome.EngineError
-	case errors.Is(err, errHeld):
-		return outcome.Quarantined
+	case errors.Is(err, errBarred):
+		return barredReason(err)
 	case errors.Is(err, errNotRun):
 		return outcome.NoPlace
 	case errors.Is(err, errNoStamp):
@@ -164,12 +164,11 @@
 // send sends the request to a server and returns the head of its answer. It marks the
 // job as run unless it is certain that the server can't have seen it.
 func (f *Forwarder) send(ctx context.Context, j *job, s registry.Server, o Send) (*upstream.Response, error) {
-	// Looked at right before each send, since a request may wait, or be repeated, while it becomes known that
-	// servers end under it.
-	if _, held := f.held(j); held {
-		return nil, errors.Join(upstream.ErrNotSent, errHeld)
+	if err := f.barredNow(ctx, j); err != nil {
+		return nil, errors.Join(upstream.ErrNotSent, err)
 	}
 	o.Left, o.Instance = j.left(time.Now()), s.Instance()
+	o.Keyed, o.Customer = j.table.Tenants != nil, j.customer()
 	before := j.ran
 	j.carried, j.heard = j.generated, time.Now()
 	res, err := f.Pool.Do(ctx, s.Addr, &upstream.Request{
--- a/forward/course.go
+++ b/forward/course.go
@@ -51,7 +51,7 @@
 func (c *course) repeatable(reason outcome.Reason) bool {
 	j := c.j
 	switch {
-	case reason == outcome.CallerGone || reason == outcome.RetryBudgetSpent || reason == outcome.Quarantined:
+	case reason == outcome.CallerGone || reason == outcome.RetryBudgetSpent || barred(reason):
 		return false
 	case j.ran && !j.route.Repeatable():
 		return false
--- a/forward/forget_test.go
+++ b/forward/forget_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -13,14 +14,16 @@
 // tableView is a view of a route table alone.
 type tableView struct{ table *route.Table }
 
-func (v tableView) Table() *route.Table              { return v.table }
-func (v tableView) Servers(string) []registry.Server { return nil }
-func (v tableView) Down(registry.Server)             {}
-func (v tableView) Listed(string) bool               { return false }
-func (v tableView) Leaving(string) bool              { return false }
-func (v tableView) Replaced(registry.Server)         {}
-func (v tableView) Others() int                      { return 0 }
-func (v tableView) Routers() int                     { return 1 }
+func (v tableView) Table() *route.Table               { return v.table }
+func (v tableView) Servers(string) []registry.Server  { return nil }
+func (v tableView) Down(registry.Server)              {}
+func (v tableView) Listed(string) bool                { return false }
+func (v tableView) Leaving(string) bool               { return false }
+func (v tableView) Replaced(registry.Server)          {}
+func (v tableView) Proved(context.Context) bool       { return true }
+func (v tableView) ProvedLately(context.Context) bool { return true }
+func (v tableView) Others() int                       { return 0 }
+func (v tableView) Routers() int                      { return 1 }
 
 // TestForgetRoutes: a gateway runs for months while routes come and go under new names; what it
 // learned of those that are gone must not stay.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -37,6 +37,7 @@
 	Pool    *upstream.Pool
 	Watcher *httpserver.Watcher
 	Guard   Quarantine
+	Quota   Quota
 	Log     *log.Logger
 	Metrics *metrics.Set
 	// VM and Zone are those of this process.
@@ -60,6 +61,8 @@
 	attempts *attempts
 	// interrupted is which of them were in progress at servers that ended.
 	interrupted *interrupted
+	// refusals are the last requests that were turned away for keys and quotas.
+	refusals refusals
 
 	mu sync.Mutex
 	// services is the state for each service, by name; guarded by mu.
@@ -176,6 +179,10 @@
 		f.refuse(j, outcome.Quarantined, left)
 		return
 	}
+	if wait, ok := f.charge(j); !ok {
+		f.refuse(j, outcome.RateLimited, wait)
+		return
+	}
 	ctx, end := f.Watcher.Watch(j.caller, j.deadline)
 	defer end()
 	f.countRequest(j)
@@ -208,6 +215,9 @@
 		f.reject(j, http.StatusNotFound, outcome.NotFound)
 		return false
 	}
+	if !f.identify(j) {
+		return false
+	}
 	if err != nil {
 		f.reject(j, http.StatusBadRequest, outcome.BadRequest)
 		return false
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -46,7 +46,7 @@
 			return &source{Export: export, server: c.Server}, false
 		}
 		f.attemptLost(j, c.Server, f.explain(ctx, err), err)
-		if errors.Is(err, errHeld) {
+		if errors.Is(err, errBarred) {
 			break
 		}
 		owed = !errors.Is(err, upstream.ErrNotSent)
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -75,7 +75,7 @@
 // newWaiter is the request's turn in the line.
 func (j *job) newWaiter(terms waiting.Terms) *waiting.Waiter {
 	return &waiting.Waiter{
-		Need: j.need(), Arrived: j.arrived, Late: j.late, Priority: j.route.Priority,
+		Need: j.need(), Arrived: j.arrived, Late: j.late, Priority: j.priority(),
 		Until: terms.Until(j.arrived, j.route.Objective, j.left(j.arrived), j.meta.PromptTokens, j.late),
 	}
 }
--- a/forward/types.go
+++ b/forward/types.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/apikey"
 	"github.com/hibiscusspur/hibiscusspur/content"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -36,6 +37,11 @@
 	LastEventID string
 	// Caller is who asks, as the credentials of the request say; empty if it has none.
 	Caller string
+	// Key is the hash of the API key, if HasKey is set.
+	Key    apikey.Hash
+	HasKey bool
+	// Sized is set when the request says its size in tokens.
+	Sized bool
 }
 
 // Send is what the router tells a server beside the client's own headers.
@@ -52,6 +58,10 @@
 	Reservation string
 	// LastEventID is the last event of the stream that was delivered.
 	LastEventID string
+	// Keyed is set where the configuration knows customers by keys. Then the server is told the customer, empty
+	// if the request has none, and is not shown the key.
+	Keyed    bool
+	Customer string
 }
 
 // AnswerHead is the head of a server's answer.
@@ -118,6 +128,11 @@
 type View interface {
 	// Table is the configuration in force, or nil while none is known.
 	Table() *route.Table
+	// Proved reports whether the configuration is proved to be recent enough to serve requests with keys. It waits
+	// a moment for a proof if it is not.
+	Proved(ctx context.Context) bool
+	// ProvedLately reports the same for a key that is not known to be refused as unknown.
+	ProvedLately(ctx context.Context) bool
 	// Servers are those of a service that may get new work. Nobody changes a list that was
 	// returned; a changed one is another slice.
 	Servers(service string) []registry.Server
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -37,11 +37,45 @@
 	// leaving is a server that has said that it stops.
 	leaving  string
 	replaced []string
+	// unproved is set while the configuration is not proved to be recent, stale if it is not for keys that are not known.
+	unproved, stale bool
 }
 
-func (v *view) Table() *route.Table { return v.table }
-func (v *view) Routers() int        { return 1 }
-func (v *view) Others() int         { return v.others }
+func (v *view) Table() *route.Table {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table
+}
+
+// configure has another table in force.
+func (v *view) configure(t *route.Table) {
+	t.Build()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table = t
+}
+
+func (v *view) Proved(context.Context) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.unproved
+}
+
+func (v *view) ProvedLately(context.Context) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.stale
+}
+
+// prove sets what is proved of the configuration.
+func (v *view) prove(recent, lately bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unproved, v.stale = !recent, !lately
+}
+
+func (v *view) Routers() int { return 1 }
+func (v *view) Others() int  { return v.others }
 
 func (v *view) Servers(service string) []registry.Server {
 	v.mu.Lock()
@@ -96,6 +130,26 @@
 	fwd     *forward.Forwarder
 	met     *metrics.Set
 	guard   *holdback.Guard
+	quota   *purse
+	logged  *logged
+}
+
+// logged is what was logged.
+type logged struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logged) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 const (
@@ -110,7 +164,7 @@
 func newWorld(t *testing.T) *world { return newWorldWith(t, unlimited) }
 
 func newWorldWith(t *testing.T, limits retrybudget.Limits) *world {
-	w := &world{log: site.NewLog(), servers: map[string]*site.Server{}, met: metrics.NewSet()}
+	w := &world{log: site.NewLog(), servers: map[string]*site.Server{}, met: metrics.NewSet(), quota: &purse{left: 1e9}, logged: &logged{}}
 	table := &route.Table{
 		Version: 1,
 		Routes: []route.Route{
@@ -131,7 +185,7 @@
 	}
 	table.Build()
 	w.view = &view{table: table, looked: map[string]int{}}
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.logged}}
 	w.guard = holdback.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
 	watcher := httpserver.NewWatcher()
@@ -142,7 +196,7 @@
 		watcher.Run(ctx, time.Millisecond)
 	}()
 	w.fwd = forward.New(forward.Config{
-		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, seconds), View: w.view, Pool: pool, Watcher: watcher, Guard: w.guard,
+		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, seconds), View: w.view, Pool: pool, Watcher: watcher, Guard: w.guard, Quota: w.quota,
 		Log: l, Metrics: w.met,
 		VM: "g1", Zone: "z1", Retry: limits,
 	})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -42,7 +42,8 @@
 	dep := &dependency{s: s, what: "manifest"}
 	version, known, refused, failures := int64(0), false, "", 0
 	for ctx.Err() == nil {
-		t, encoded, next, err := s.readManifest(ctx, version, known)
+		asked := s.proofs.now()
+		r, err := s.readManifest(ctx, version, known)
 		if ctx.Err() != nil {
 			return
 		}
@@ -62,8 +63,8 @@
 			failures++
 			pause(ctx, s.storePause(failures))
 		default:
-			version, known = next, true
-			s.takeTable(t, encoded, fromStore)
+			version, known = r.Version, true
+			s.takeReading(r, asked)
 		}
 		if err == nil {
 			failures = 0
@@ -90,7 +91,7 @@
 
 // readManifest reads the whole table when none was read or the history was lost, and
 // waits for a change otherwise.
-func (s *Service) readManifest(ctx context.Context, version int64, known bool) (*route.Table, []byte, int64, error) {
+func (s *Service) readManifest(ctx context.Context, version int64, known bool) (route.Reading, error) {
 	if !known {
 		return s.store.Manifest(ctx)
 	}
@@ -114,11 +115,22 @@
 	return !s.view.informed() || min(s.view.readAge(now), s.placed.readAge(now)) >= readersSilent
 }
 
+// takeReading takes what the store answered to a question that was sent at asked.
+func (s *Service) takeReading(r route.Reading, asked time.Duration) {
+	if r.Table == nil {
+		return
+	}
+	s.takeTable(r.Table, r.Encoded, fromStore)
+	s.proofs.read(r.Table.Version, r.Row, asked)
+}
+
 // takeTable puts a table in force unless a newer one is, and has the other gateways told.
 func (s *Service) takeTable(t *route.Table, encoded []byte, from string) {
 	if t == nil || !s.view.applyTable(t, encoded) {
 		return
 	}
+	s.proofs.inForce(t.Version)
+	s.quotas.configure(t.Tenants)
 	s.tellNews(from)
 	s.met.Gauge(metrics.ConfigRevision).Update(t.Version)
 	event.TableApplied.Log(s.log).Int64("version", t.Version).Int("routes", len(t.Routes)).Str("from", from).Msg("")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/currency"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -35,12 +36,14 @@
 type Store interface {
 	// Servers returns the list of backend servers and its version.
 	Servers(ctx context.Context) (registry.Reading, int64, error)
-	// Manifest returns the route table in force, its encoding, and the store's version.
-	Manifest(ctx context.Context) (*route.Table, []byte, int64, error)
+	// Manifest reads the route table in force.
+	Manifest(ctx context.Context) (route.Reading, error)
 	// DecodeManifest decodes a route table that another gateway read.
 	DecodeManifest(encoded []byte) (*route.Table, error)
-	// NextManifest waits for a table newer than version; it returns nil if none came.
-	NextManifest(ctx context.Context, version int64, wait time.Duration) (*route.Table, []byte, int64, error)
+	// NextManifest waits for a table newer than a version of the store; the reading has none if none came.
+	NextManifest(ctx context.Context, version int64, wait time.Duration) (route.Reading, error)
+	// ConfirmManifest reports whether the table that was read in this row is still in force.
+	ConfirmManifest(ctx context.Context, row int64) (bool, error)
 }
 
 // Settings configure a gateway.
@@ -58,6 +61,9 @@
 	// after readiness has ended, until the balancer has noticed.
 	Drain, Notice time.Duration
 	Retry         retrybudget.Limits
+	// Keys bounds for how long requests with keys are served under a configuration that is not proved to be
+	// the newest.
+	Keys currency.Bounds
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
 }
@@ -113,6 +119,10 @@
 	lease  *fencing.Lease
 	// placed is what other gateways told of their placement.
 	placed *placed
+	// proofs is how old the configuration in force is proved to be.
+	proofs *proofs
+	// quotas hold customers to what they may use of all gateways together.
+	quotas *quotas
 	// guard holds requests back under which servers end; holds is where that is kept.
 	guard *holdback.Guard
 	holds holdback.Table
@@ -136,7 +146,9 @@
 	Orders Orders
 	Lease  *fencing.Lease
 	// Holds keeps which requests are held back.
-	Holds   holdback.Table
+	Holds holdback.Table
+	// Clock goes on while the VM is suspended; nil stands for that of package clock.
+	Clock   func() time.Duration
 	Pool    *upstream.Pool
 	Log     *log.Logger
 	Batch   *event.Batch
@@ -148,18 +160,22 @@
 	s := &Service{
 		set: set, log: d.Log, batch: d.Batch, met: d.Metrics, store: d.Store, pool: d.Pool,
 		orders: d.Orders, lease: d.Lease,
-		view: newView(), watch: httpserver.NewWatcher(),
+		view: newView(), watch: httpserver.NewWatcher(), proofs: newProofs(set.Keys, d.Clock),
 	}
+	s.view.proofs = s.proofs
+	s.quotas = newQuotas(d.Log, time.Now())
 	s.peers = peer.New(set.Control, set.Datagrams, set.Seeds, s)
 	s.met.GaugeFunc(metrics.UpstreamDials, d.Pool.Dialed)
 	s.met.Gauge(metrics.MechanismsOff).Update(int64(set.Off.Len()))
 	s.met.GaugeFunc(metrics.LinkBytesSent, s.peers.Sent)
 	s.met.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
+	s.met.GaugeFunc(metrics.ConfigProofAge, s.proofAge)
+	s.met.GaugeFunc(metrics.QuotaSilent, s.quotas.silentNow)
 	s.placed = newPlaced(s.view.idOf)
 	s.view.onEnded = s.startsEnded
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, set.Off.Has(mechanism.Quarantine)), d.Holds
 	s.fwd = forward.New(forward.Config{
-		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch, Guard: s.guard,
+		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watch, Guard: s.guard, Quota: s.quotas,
 		Log: d.Log, Metrics: d.Metrics, VM: set.VM, Zone: set.Zone, Retry: set.Retry, Off: set.Off,
 	})
 	return s
@@ -175,6 +191,9 @@
 	s.work.Go(func() { s.watch.Run(ctx, callerCheck) })
 	s.work.Go(func() { s.followManifest(ctx) })
 	s.work.Go(func() { s.followServers(ctx) })
+	s.work.Go(func() { s.followQuotas(ctx) })
+	s.work.Go(func() { s.proveManifest(ctx) })
+	s.work.Go(func() { s.askProofs(ctx) })
 	s.work.Go(func() { s.sweep(ctx) })
 	s.work.Go(func() { s.meet(ctx) })
 	s.work.Go(func() { s.planStages(ctx) })
@@ -196,6 +215,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.met)
+	mux.HandleFunc("GET "+AccessPath, s.answerAccess)
 	_, err = s.serve("metrics", s.set.Metrics, mux)
 	return err
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -15,6 +15,9 @@
 // from twenty gateways in 130 ms. More are fetched by the gateway that lacks them.
 const reportServers = 100
 
+// toldProofAge bounds the age of a proof that is told: one that is older lets nobody serve.
+const toldProofAge = time.Minute
+
 // meet runs the exchange with the other gateways. Without it the process goes on with
 // what it learns itself.
 func (s *Service) meet(ctx context.Context) {
@@ -38,7 +41,11 @@
 		r.Servers = encodeServers(told.servers)
 	}
 	r.ReadAgeMs = uint32(s.view.confirmedAge(time.Now()).Milliseconds())
+	if version, age, known := s.proofs.newest(); known && age < toldProofAge {
+		r.ProvedVersion, r.ProvedAgeMs = version, uint32(age.Milliseconds())+1
+	}
 	r.Shares = encodeShares(s.fwd.Placed())
+	r.Usages = s.quotas.tell(false)
 	r.Suspects = s.guard.Report(max(suspectsTold, suspectsPaces*s.peers.Pace()))
 	now := time.Now()
 	for service, use := range s.fwd.Uses() {
@@ -71,6 +78,7 @@
 		s.view.switchTo(s.view.idOf(w.GetServer(), w.GetStart()), registry.Stage(w.GetStage()), time.Duration(w.GetAgeMs())*time.Millisecond, now)
 	}
 	s.guard.Take(r.GetSuspects(), from)
+	s.quotas.hear(r.GetAddr(), r.GetIncarnation(), true, r.GetUsages())
 	s.fwd.SetOthers(s.placed.take(r, now))
 }
 
@@ -84,6 +92,7 @@
 // TakePlacement implements peer.Beliefs.
 func (s *Service) TakePlacement(p *peer.Placement) {
 	s.guard.Take(p.GetSuspects(), "gateway "+p.GetAddr())
+	s.quotas.hear(p.GetAddr(), p.GetIncarnation(), false, p.GetUsages())
 	if changed := s.placed.change(p, time.Now()); len(changed) > 0 {
 		s.fwd.SetOthers(changed)
 	}
@@ -100,16 +109,19 @@
 		case <-ctx.Done():
 			return
 		case <-s.fwd.PlacementChanged():
+		case <-s.quotas.changed:
 		}
 		pause(ctx, tellInterval)
-		if shares := encodeShares(s.fwd.TakeChanged()); len(shares) > 0 {
-			s.peers.Tell(shares)
+		shares, usages := encodeShares(s.fwd.TakeChanged()), s.quotas.tell(true)
+		if len(shares) > 0 || len(usages.GetCustomers()) > 0 {
+			s.peers.Tell(shares, usages)
 		}
 	}
 }
 
 // Lost implements peer.Beliefs.
 func (s *Service) Lost(addr string, err error) {
+	s.quotas.lost(addr)
 	event.PeerLost.Log(s.log).Str("peer", addr).Err(err).Msg("")
 }
 
--- a/gateway/table_spread_test.go
+++ b/gateway/table_spread_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,9 +69,17 @@
 	gateways     []*Service
 	hosts        []*simnet.Host
 	large, small []int
+	// ahead is by how much the clock of each is ahead, in nanoseconds: for how long it was frozen.
+	ahead []*atomic.Int64
 }
 
 func newFleet(ctx context.Context, large, small int) *fleet {
+	return newFleetWith(ctx, large, small, Settings{}, func(int) Store { return tableStore{} })
+}
+
+// newFleetWith is a fleet with stores of its own.
+func newFleetWith(ctx context.Context, large, small int, set Settings, store func(i int) Store) *fleet {
+	epoch := time.Now()
 	f, network := &fleet{}, simnet.New()
 	addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", 10+i) }
 	for i := range large + small {
@@ -82,8 +91,12 @@
 			f.large = append(f.large, i)
 		}
 		deps := testDeps()
-		deps.Store, deps.Log = tableStore{}, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-		s := New(Settings{VM: addr(i), Control: addr(i), Seeds: []string{addr(0), addr(1)}}, deps)
+		ahead := &atomic.Int64{}
+		deps.Clock = func() time.Duration { return time.Since(epoch) + time.Duration(ahead.Load()) }
+		f.ahead = append(f.ahead, ahead)
+		deps.Store, deps.Log = store(i), &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+		set.VM, set.Control, set.Seeds = addr(i), addr(i), []string{addr(0), addr(1)}
+		s := New(set, deps)
 		host := network.Host(addr(i), rate)
 		s.peers.SetNetwork(host)
 		f.gateways, f.hosts = append(f.gateways, s), append(f.hosts, host)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -35,6 +36,8 @@
 	changed         int64
 	steps           changes
 	read, confirmed time.Time
+	// proofs is how old the table is proved to be.
+	proofs *proofs
 	// onEnded is told of starts of servers that were followed by a later one; it is called without
 	// mu held.
 	onEnded func([]registry.Server)
@@ -55,6 +58,12 @@
 // Table implements forward.View.
 func (v *view) Table() *route.Table { return v.table.Load() }
 
+// Proved implements forward.View.
+func (v *view) Proved(ctx context.Context) bool { return v.proofs.trusted(ctx) }
+
+// ProvedLately implements forward.View.
+func (v *view) ProvedLately(ctx context.Context) bool { return v.proofs.lately(ctx) }
+
 // Routers implements forward.View.
 func (v *view) Routers() int { return int(v.routers.Load()) }
 
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -71,6 +71,14 @@
 	time.Sleep(time.Until(free))
 }
 
+// Cut holds up whatever comes to the host or leaves it for d: it is on its way, and comes then.
+func (h *Host) Cut(d time.Duration) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	until := time.Now().Add(d)
+	h.inFree, h.outFree = until, until
+}
+
 // reserve is when n bytes are over a link that is free at free. The caller holds Network.mu.
 func (h *Host) reserve(free, now time.Time, n int) time.Time {
 	if free.Before(now) {
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -52,5 +52,7 @@
 		{RequestsBroken, Counter},
 		{RequestsHeld, Gauge},
 		{Holds, Counter},
+		{ConfigProofAge, Gauge},
+		{QuotaSilent, Gauge},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -37,6 +37,10 @@
 	// that this process decided.
 	RequestsHeld = "requests_held"
 	Holds        = "holds"
+	// ConfigProofAge is how long ago the configuration in force was proved to be the newest.
+	ConfigProofAge = "config_proof_age"
+	// QuotaSilent is the number of other gateways for which shares of quotas are set apart.
+	QuotaSilent = "quota_silent"
 	// StateBytesServed is what others fetched, Fetches what this process fetched itself, and
 	// FetchesFailed those of them that did not come whole.
 	StateBytesServed = "state_bytes_served"
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -46,6 +46,7 @@
 	AnswerIncomplete   Reason = "answer_incomplete"
 	Duplicate          Reason = "duplicate"
 	Quarantined        Reason = "quarantined"
+	ConfigUnproved     Reason = "config_unproved"
 )
 
 // All lists every reason, for metrics registration and for the tests that hold
@@ -57,7 +58,7 @@
 		LinkBusy, PrefillBacklog, TargetUnreachable, ShareExceeded, StaleRevision, Leaving, Draining,
 		ReservationLapsed, LeaseLapsed, FencedOff, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
-		AnswerIncomplete, Duplicate, Quarantined,
+		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved,
 	}
 }
 
--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -67,9 +67,8 @@
 // send sends p, under the next numbers, to the gateways that listen at addrs.
 func (d *datagrams) send(addrs []string, p *Placement) {
 	if half := len(p.GetShares()) / 2; half > 0 && proto.Size(p)+maxNumber > maxDatagram {
-		for _, shares := range [][]*Share{p.GetShares()[:half], p.GetShares()[half:]} {
-			d.send(addrs, &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: shares})
-		}
+		d.send(addrs, &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: p.GetShares()[:half], Usages: p.GetUsages()})
+		d.send(addrs, &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: p.GetShares()[half:]})
 		return
 	}
 	conn := d.conn.Load()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -26,6 +26,8 @@
 	// left out, and hears of the news in its next usual exchange. Told by all to all, a change of the list of
 	// servers cost 68 gateways 2,278 exchanges in a moment; told so, 135.
 	spreadTo = 4
+	// askOf is the number of peers that Ask asks: one may be cut off as well.
+	askOf = 2
 	// memberCheck is the interval at which members are looked at for new ones.
 	memberCheck = 250 * time.Millisecond
 )
@@ -140,11 +142,15 @@
 		return false, err
 	}
 	out := s.report(l.servers)
+	asked := s.beliefs.Uptime()
 	in, err := NewDRPCPeersClient(l.conn.Conn).Exchange(ctx, out)
 	if err != nil {
 		return false, err
 	}
 	s.take(in)
+	if v := in.GetProvedVersion(); v > 0 {
+		s.beliefs.TakeProof(v, asked-time.Duration(in.GetProvedAgeMs())*time.Millisecond)
+	}
 	// Changes are of use only to a peer that has the version before them.
 	sent := out.GetServersTold() && out.GetServersBase() == 0
 	l.servers = in.GetServersVersion()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,10 @@
 	EncodedState(state State) (version int64, data []byte)
 	// TakeState takes a state that was fetched from a peer. An error means that it can't be used.
 	TakeState(state State, version int64, data []byte, from string) error
+	// Uptime is a clock that goes on while the VM is suspended.
+	Uptime() time.Duration
+	// TakeProof takes from a peer that a version of the route table was the newest at a time of Uptime.
+	TakeProof(version int64, at time.Duration)
 	// StoreLost reports whether the last call of the store failed.
 	StoreLost() bool
 	// Fetched is called after each fetch.
@@ -114,12 +118,12 @@
 	s.seeds = seeds
 }
 
-// Tell tells all live peers of changed placement, in datagrams.
-func (s *Service) Tell(shares []*Share) {
+// Tell tells all live peers of changed placement and of quotas used, in datagrams.
+func (s *Service) Tell(shares []*Share, usages *Usages) {
 	s.mu.Lock()
 	live := s.members.Live(time.Now())
 	s.mu.Unlock()
-	s.datagrams.send(live, &Placement{Addr: s.self, Incarnation: s.incarnation, Shares: shares})
+	s.datagrams.send(live, &Placement{Addr: s.self, Incarnation: s.incarnation, Shares: shares, Usages: usages})
 }
 
 // TellSuspects tells all live peers of news of requests under which servers ended, in a datagram.
@@ -140,20 +144,24 @@
 	}
 }
 
+// Ask makes an exchange with a few peers at once, which are drawn anew each time.
+func (s *Service) Ask() { s.kick(askOf) }
+
 // Spread has a few peers told at once, which are drawn anew each time. It is for news that came from another
 // gateway, or that all read from the store at the same moment: those whom its source could not tell hear of
 // them from others.
-func (s *Service) Spread() {
+func (s *Service) Spread() { s.kick(spreadTo) }
+
+func (s *Service) kick(peers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	left := spreadTo
 	// The order of a map is drawn by the runtime.
 	for _, l := range s.links {
-		if left == 0 {
+		if peers == 0 {
 			return
 		}
 		l.tellNow()
-		left--
+		peers--
 	}
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,10 +9,19 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+// epoch is from when tests count.
+var epoch = time.Now()
+
+type toldProof struct {
+	version int64
+	at      time.Duration
+}
+
 // gateway is a gateway with a table and a list, for tests.
 type gateway struct {
 	*Service
@@ -26,13 +35,18 @@
 	offers  int64
 	fetched []Fetch
 	placed  map[string]uint32
-	wake    chan struct{}
+	// proves is the version that reports say is proved, and the age of that; proofs are those that were taken.
+	proves int64
+	age    time.Duration
+	proofs []toldProof
+	wake   chan struct{}
 }
 
 func (g *gateway) Report(servers int64) *Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &Report{TableVersion: max(g.table, g.offers), ServersVersion: g.servers}
+	r.ProvedVersion, r.ProvedAgeMs = g.proves, uint32(g.age.Milliseconds())
 	if g.servers > servers && !g.manyServers {
 		r.ServersTold = true
 	}
@@ -97,6 +111,15 @@
 
 func (g *gateway) StoreLost() bool { return true }
 
+func (g *gateway) Uptime() time.Duration { return time.Since(epoch) }
+
+func (g *gateway) TakeProof(version int64, at time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.proofs = append(g.proofs, toldProof{version, at})
+	g.changed()
+}
+
 func (g *gateway) Fetched(f Fetch) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -270,3 +293,26 @@
 	assert.Equal(t, in.last(), uint64(0))
 	assert.Equal(t, p.GetSuspects().GetHolds()[0].GetLeftMs(), uint64(5))
 }
+
+// TestProofsCountFromTheQuestion: what a peer has proved is taken from answers alone, and is as old as it says when the
+// question was sent. A report that came unasked may have been on its way for any time.
+func TestProofsCountFromTheQuestion(t *testing.T) {
+	a, b := address(t), address(t)
+	first, second := run(t, a, b), run(t, b, a)
+	second.mu.Lock()
+	second.proves, second.age = 5, time.Second
+	second.mu.Unlock()
+	before := first.Uptime()
+	first.Ask()
+	first.await(t, "a proof", func() bool { return len(first.proofs) > 0 })
+	first.mu.Lock()
+	defer first.mu.Unlock()
+	got := first.proofs[0]
+	assert.Equal(t, got.version, int64(5))
+	assert.Assert(t, got.at >= before-time.Second && got.at < first.Uptime()-time.Second)
+
+	third := newGateway("127.0.0.1:1", nil)
+	_, err := third.Exchange(t.Context(), &Report{Addr: "127.0.0.1:2", ProvedVersion: 5, ProvedAgeMs: 1})
+	assert.NilError(t, err)
+	assert.Equal(t, len(third.proofs), 0)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -62,6 +62,8 @@
 	Resumable bool
 	// GapObjective is the longest pause between two events that is still on time.
 	GapObjective time.Duration
+	// Public routes need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -126,11 +128,23 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants are nil where the configuration knows none; then nobody is asked for a key.
+	Tenants *Tenants
 
 	byHost map[string]*hostRoutes
 	names  map[string]struct{}
 }
 
+// Reading is a table as it was read from the platform's store.
+type Reading struct {
+	// Table is nil if nothing has changed.
+	Table *Table
+	// Encoded is the table for other gateways; it holds no keys.
+	Encoded []byte
+	// Version is that of the store, Row that of the row in which the table lies.
+	Version, Row int64
+}
+
 // hostRoutes are the routes of one host.
 type hostRoutes struct {
 	// byPrefix holds those whose prefix ends with a slash, as all do on the users' platform.
--- /dev/null
+++ b/route/tenants.go
@@ -0,0 +1,110 @@
+package route
+
+import (
+	"fmt"
+
+	"github.com/hibiscusspur/hibiscusspur/apikey"
+)
+
+// Unit is what a tenant's quota counts.
+type Unit uint8
+
+const (
+	// Requests counts each request as one.
+	Requests Unit = iota
+	// Tokens counts a request as its prompt and the most that it may generate.
+	Tokens
+)
+
+// String returns the name of u for operators.
+func (u Unit) String() string {
+	if u == Tokens {
+		return "tokens"
+	}
+	return "requests"
+}
+
+// Tenant is a customer of the users' platform.
+type Tenant struct {
+	Name string
+	// Keys authenticate its callers.
+	Keys []apikey.Hash
+	// Priority goes before that of a route where Ranked is set; zero is the most urgent.
+	Priority int
+	Ranked   bool
+	Quota    Quota
+}
+
+// Quota bounds what a tenant may ask for, over all gateways together.
+type Quota struct {
+	Unit Unit
+	// Rate is in units a second, Burst in units; no Rate means no bound.
+	Rate, Burst float64
+	// Plain is what a request without tokens counts in Tokens.
+	Plain float64
+}
+
+// Cost is what a request counts that may read and generate so many tokens; sized is unset for one that
+// says neither.
+func (q *Quota) Cost(tokens int, sized bool) float64 {
+	switch {
+	case q.Unit == Requests:
+		return 1
+	case !sized:
+		return q.Plain
+	default:
+		return float64(tokens)
+	}
+}
+
+// Tenants are those of one version of the configuration. They must not be changed once shared.
+type Tenants struct {
+	list   []Tenant
+	byName map[string]*Tenant
+	owners apikey.Owners
+}
+
+// TenantError is a fault of one tenant, or of one of its keys if Key is not negative. It names no key.
+type TenantError struct {
+	Tenant, Key int
+	Message     string
+}
+
+// Error implements error.
+func (e *TenantError) Error() string {
+	if e.Key < 0 {
+		return fmt.Sprintf("tenant %d: %s", e.Tenant, e.Message)
+	}
+	return fmt.Sprintf("tenant %d, key %d: %s", e.Tenant, e.Key, e.Message)
+}
+
+// NewTenants returns the tenants of a list, unless two of them share a name or a key; the error is a
+// *TenantError.
+func NewTenants(list []Tenant) (*Tenants, error) {
+	t := &Tenants{list: list, byName: make(map[string]*Tenant, len(list)), owners: apikey.Owners{}}
+	for i := range list {
+		tenant := &list[i]
+		if _, ok := t.byName[tenant.Name]; ok || tenant.Name == "" {
+			return nil, &TenantError{Tenant: i, Key: -1, Message: "needs a name that no other has"}
+		}
+		t.byName[tenant.Name] = tenant
+		for k, h := range tenant.Keys {
+			if others := t.owners.Add(h, tenant.Name); len(others) > 0 {
+				return nil, &TenantError{Tenant: i, Key: k, Message: fmt.Sprintf("is a key of %s already", others[0])}
+			}
+		}
+	}
+	return t, nil
+}
+
+// ByKey returns the tenant that holds a key.
+func (t *Tenants) ByKey(h apikey.Hash) (*Tenant, bool) {
+	name, ok := t.owners.Owner(h)
+	if !ok {
+		return nil, false
+	}
+	return t.byName[name], true
+}
+
+// List returns all tenants in the order of the configuration.
+func (t *Tenants) List() []Tenant { return t.list }
--- a/standin/site/names.go
+++ b/standin/site/names.go
@@ -8,6 +8,8 @@
 	Deadline    = "Hibiscusspur-Deadline-Ms"
 	Tokens      = "Hibiscusspur-Tokens"
 	LengthHint  = "Hibiscusspur-Length-Hint"
+	Tenant      = "Hibiscusspur-Tenant"
+	Credentials = "Authorization"
 	Stamp       = "Hibiscusspur-Stamp"
 	Reservation = "Hibiscusspur-Hold"
 	KVFrom      = "Hibiscusspur-Kv-From"
