A request without a key that is known is answered before its body is read

What callers saw: 401 once the whole body was sent, up to 4 MB. Cause: nbhttp hands requests on when they are whole. Change: the HTTP server shows a head to its owner when the body is still to come; the gateway answers 401 for a key that is missing, or unknown while the configuration is proved to be recent. A request that came whole is left to the handler, so that its connection stays open.

Test: httpserver TestHeadIsLookedAtFirst, forward TestUnknownKeysBeforeBodies. Besides, a test that a request is held back for its customer, whichever of its keys it has, and for no other: what one sends must not have another's refused.

--- a/forward/access.go
+++ b/forward/access.go
@@ -73,6 +73,37 @@
 	return true
 }
 
+// atOnce is done: whoever waits with it does not wait.
+var atOnce = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
+// Head returns 401 for a request whose key is missing or not known, so that it is answered before its body is read, and zero
+// for all others. It decides as identify does, but waits for no proof.
+func (f *Forwarder) Head(r *http.Request) int {
+	now := time.Now()
+	j := &job{r: r, arrived: now, deadline: now, status: http.StatusUnauthorized}
+	// What else is wrong with the request is answered once it is read.
+	j.meta, _ = f.Codec.Read(r.Header)
+	if j.table = f.View.Table(); j.table == nil || j.table.Tenants == nil {
+		return 0
+	}
+	if j.route = j.table.Match(hostOf(r), r.URL.EscapedPath()); j.route == nil || j.route.Public {
+		return 0
+	}
+	if j.meta.HasKey {
+		if _, known := j.table.Tenants.ByKey(j.meta.Key); known || !f.View.ProvedLately(atOnce) {
+			return 0
+		}
+	}
+	f.Metrics.Refused(outcome.Unauthenticated)
+	f.noteRefusal(j, outcome.Unauthenticated)
+	f.ended(j, outcome.NotRun, outcome.Unauthenticated)
+	return http.StatusUnauthorized
+}
+
 // identifyAgain answers a request whose key is not known, unless the key was added since the configuration in force was
 // read.
 func (f *Forwarder) identifyAgain(j *job) bool {
--- a/forward/access_test.go
+++ b/forward/access_test.go
@@ -10,8 +10,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/apikey"
+	"github.com/hibiscusspur/hibiscusspur/content"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
@@ -317,3 +319,48 @@
 		assert.Assert(t, !strings.Contains(w.logged.String(), key), w.logged.String())
 	}
 }
+
+// TestUnknownKeysBeforeBodies: a request without a key that is known is answered before its body is read; whatever else there
+// is to say of a request is said once it is read.
+func TestUnknownKeysBeforeBodies(t *testing.T) {
+	for _, c := range []struct {
+		name, path, credentials string
+		lately                  bool
+		status                  int
+	}{
+		{"no key", "/safe/1", "", true, 401},
+		{"an unknown key", "/safe/1", scheme + "key", true, 401},
+		{"an unknown key that may be new", "/safe/1", scheme + "key", false, 0},
+		{"a key", "/safe/1", scheme + ownKey, true, 0},
+		{"no key where none is needed", "/public/1", "", true, 0},
+		{"no route", "/nowhere/", "", true, 0},
+	} {
+		w := plain(t)
+		w.withTenants(t, tenant("a", ownKey))
+		w.prove(true, c.lately)
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h"+c.path, nil)
+		assert.NilError(t, err)
+		if c.credentials != "" {
+			r.Header.Set(site.Credentials, c.credentials)
+		}
+		assert.Equal(t, w.fwd.Head(r), c.status, c.name)
+		assert.Equal(t, len(w.fwd.Refusals()), int(b2i(c.status == 401)), c.name)
+	}
+	w := plain(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/safe/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, w.fwd.Head(r), 0, "a configuration without customers")
+}
+
+// TestHeldByCustomer: a request under which servers end is held back for its customer, whichever of its keys it comes with, and
+// for no other one: what one customer sends must not have another's requests refused.
+func TestHeldByCustomer(t *testing.T) {
+	const secondKey = "second-key-of-a"
+	w := plain(t)
+	w.withTenants(t, tenant("a", ownKey, secondKey), tenant("b", otherKey))
+	deadly := content.Of(content.Request{Caller: "a", Method: http.MethodPost, Host: "h", Target: "/safe/1", Body: []byte("question")})
+	w.guard.Take(&peer.Suspects{Holds: []*peer.Hold{{Content: deadly[:], LeftMs: 60_000, ForMs: 60_000}}}, "another gateway")
+	assert.Equal(t, w.post(t, "/safe/1", site.Credentials, scheme+ownKey).status, 503)
+	assert.Equal(t, w.post(t, "/safe/1", site.Credentials, scheme+secondKey).status, 503)
+	assert.Equal(t, w.post(t, "/safe/1", site.Credentials, scheme+otherKey).status, 200)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,22 +206,22 @@
 
 func (s *Service) listen() error {
 	var err error
-	s.callers, err = s.serve("callers", s.set.Callers, s.fwd)
+	s.callers, err = s.serve("callers", s.set.Callers, s.fwd, s.fwd.Head)
 	if err != nil {
 		return err
 	}
-	if _, err = s.serve("ready", s.set.Ready, http.HandlerFunc(s.answerReady)); err != nil {
+	if _, err = s.serve("ready", s.set.Ready, http.HandlerFunc(s.answerReady), nil); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.met)
 	mux.HandleFunc("GET "+AccessPath, s.answerAccess)
-	_, err = s.serve("metrics", s.set.Metrics, mux)
+	_, err = s.serve("metrics", s.set.Metrics, mux, nil)
 	return err
 }
 
-func (s *Service) serve(name, addr string, h http.Handler) (*httpserver.Server, error) {
-	server, err := httpserver.Start(httpserver.Options{Name: name, Addr: addr, Handler: h, Pollers: 1})
+func (s *Service) serve(name, addr string, h http.Handler, head func(*http.Request) int) (*httpserver.Server, error) {
+	server, err := httpserver.Start(httpserver.Options{Name: name, Addr: addr, Handler: h, Head: head, Pollers: 1})
 	if err == nil && name != "callers" {
 		s.servers = append(s.servers, server)
 	}
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,11 @@
 	headers   int
 	lengths   int
 	expects   bool
+	// method, target and fields are the head of the present request, kept for Options.Head alone; looked is set once that
+	// was asked.
+	method, target string
+	fields         []string
+	looked         bool
 }
 
 func newConn(s *Server, raw *nbio.Conn, p *nbhttp.Parser) *conn {
@@ -138,11 +144,33 @@
 			return
 		}
 	}
+	if c.inBody && c.server.opts.Head != nil && !c.looked {
+		c.looked = true
+		if status := c.server.opts.Head(c.head()); status != 0 {
+			c.refuse(status)
+			return
+		}
+	}
 	if c.timeout == nil && c.handling.Load() == 0 {
 		c.timeout = time.AfterFunc(c.server.opts.ReadTimeout, func() { _ = c.out.raw.CloseWithError(errSlow) })
 	}
 }
 
+// head is the present request without its body.
+func (c *conn) head() *http.Request {
+	r := &http.Request{Method: c.method, RequestURI: c.target, Header: make(http.Header, len(c.fields)/2)}
+	for i := 0; i+1 < len(c.fields); i += 2 {
+		r.Header.Add(c.fields[i], c.fields[i+1])
+	}
+	r.Host = r.Header.Get("Host")
+	if u, err := url.ParseRequestURI(c.target); err == nil {
+		r.URL = u
+	} else {
+		r.URL = &url.URL{}
+	}
+	return r
+}
+
 // refuse answers a request that the handler never sees. While another answer is
 // in progress on the connection nothing can be said in between; then the
 // connection closes when it has been idle.
@@ -176,10 +204,18 @@
 
 // OnMethod implements nbhttp.Processor.
 func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
-	p.conn.headers, p.conn.lengths, p.conn.expects = 0, 0, false
+	c := p.conn
+	c.headers, c.lengths, c.expects = 0, 0, false
+	c.method, c.fields, c.looked = method, c.fields[:0], false
 	p.Processor.OnMethod(parser, method)
 }
 
+// OnURL implements nbhttp.Processor.
+func (p *processor) OnURL(parser *nbhttp.Parser, target string) error {
+	p.conn.target = target
+	return p.Processor.OnURL(parser, target)
+}
+
 // OnHeader implements nbhttp.Processor.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	c := p.conn
@@ -197,6 +233,9 @@
 	case "Expect":
 		c.expects = strings.EqualFold(strings.TrimSpace(value), "100-continue")
 	}
+	if c.server.opts.Head != nil {
+		c.fields = append(c.fields, key, value)
+	}
 	p.Processor.OnHeader(parser, key, value)
 }
 
@@ -207,6 +246,12 @@
 	if length > c.server.opts.MaxBody {
 		p.fail(http.StatusRequestEntityTooLarge)
 	}
+	if c.expects && c.server.opts.Head != nil && !c.looked {
+		c.looked = true
+		if status := c.server.opts.Head(c.head()); status != 0 {
+			p.fail(status)
+		}
+	}
 	if c.expects && c.refusal == 0 && length != 0 && c.handling.Load() == 0 {
 		c.out.writeNow([]byte(continueLine))
 	}
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -52,6 +52,9 @@
 	ReadTimeout time.Duration
 	// Idle is how long a connection without a request is kept.
 	Idle time.Duration
+	// Head looks at a request whose head is there while its body is not, and returns a status with which the request is
+	// refused at once, or zero. It must not block, and must not keep what it is given. Nil refuses none.
+	Head func(r *http.Request) int
 	// Refusal returns the headers and the JSON body for a request that is refused
 	// before it reaches Handler. It must not block. Nil means neither.
 	Refusal func(status int) (http.Header, []byte)
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -285,3 +285,39 @@
 	cancel()
 	assert.ErrorIs(t, s.Shutdown(ctx), context.Canceled)
 }
+
+// TestHeadIsLookedAtFirst: a request that is refused by its head is answered while its body is still to come, and one whose body
+// came with its head is left to the handler, which answers on a connection that stays open.
+func TestHeadIsLookedAtFirst(t *testing.T) {
+	var seen string
+	addr := start(t, Options{Head: func(r *http.Request) int {
+		seen = r.Method + " " + r.Host + r.URL.Path + " " + r.Header.Get("X-Key")
+		if r.Header.Get("X-Key") == "bad" {
+			return http.StatusUnauthorized
+		}
+		return 0
+	}}, echo)
+	for _, c := range []struct {
+		name, key, more, body string
+		status                int
+	}{
+		{"refused", "bad", "", "par", 401},
+		{"refused before it is told to go on", "bad", "Expect: 100-continue\r\n", "", 401},
+		{"whole, and left to the handler", "bad", "", "whole", 200},
+	} {
+		conn := dial(t, addr)
+		head := "POST /path HTTP/1.1\r\nHost: h\r\nX-Key: " + c.key + "\r\n" + c.more + "Content-Length: 5\r\n\r\n"
+		res, _ := send(t, conn, http.MethodPost, head+c.body)
+		assert.Equal(t, res.StatusCode, c.status, c.name)
+		if c.status == http.StatusUnauthorized {
+			assert.Equal(t, seen, "POST h/path bad", c.name)
+			assert.Assert(t, res.Close, "the rest of the body is not read")
+		}
+	}
+	conn := dial(t, addr)
+	_, err := io.WriteString(conn, "POST /path HTTP/1.1\r\nHost: h\r\nX-Key: good\r\nContent-Length: 5\r\n\r\nwh")
+	assert.NilError(t, err)
+	res, body := send(t, conn, http.MethodPost, "ole")
+	assert.Equal(t, res.StatusCode, 200)
+	assert.Equal(t, body, "whole")
+}
