Prompts spread over prefill engines by router, and go to none whose memory they don't fit

Cause: prefill engines refused 127 to 147 prompts with 503 in the two seconds after, each of which costs a repeat: gateways that have just started know nothing of each other, and all sent to the same eight engines; and nothing bounded what stands before an engine by its memory.

Change: a tie among engines is broken by the router's affinity (20 ms, less than a zone); an engine whose line and prompt pass its memory is left out. Tests: TestRoutersThatHaveJustStartedSpread (before: all 29 chose one engine), rows of TestPick.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -157,7 +157,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), returners: map[string]*waiting.Returners{},
-			readers: reading.New(readingConfig(f.Off)), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.tellPlaced),
+			readers: reading.New(readingConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.tellPlaced),
 		}
 		f.services[name] = s
 	}
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -62,7 +62,7 @@
 func (f *Forwarder) choosePrefill(j *job, l *lease, tried []string) (reading.Choice, bool) {
 	servers := f.View.Servers(j.service)
 	s := f.service(j.service)
-	ask := reading.Ask{Tokens: j.meta.PromptTokens, Zone: l.server.Zone, Crowd: s.engines.crowd(l.server.ID), Exclude: tried}
+	ask := reading.Ask{Tokens: j.meta.PromptTokens, Zone: l.server.Zone, Crowd: s.engines.crowd(l.server.ID), Exclude: tried, Memory: j.table.Services[j.service].Engine.KVTokens}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return s.readers.Pick(servers, ask, time.Now())
--- a/policy/reading/reading.go
+++ b/policy/reading/reading.go
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -34,6 +35,9 @@
 	PerToken time.Duration
 	// Zone is about what a hand-off between zones takes longer, with its price.
 	Zone time.Duration
+	// Spread is by how much a router prefers some engines to others that are alike: those that know nothing of each other
+	// yet, since all have just started, would all choose the same one.
+	Spread time.Duration
 	// Failing is the cost of an engine that fails every request.
 	Failing time.Duration
 	// Shun is how long an engine whose exports can't be fetched reads no prompts.
@@ -51,7 +55,7 @@
 // DefaultConfig returns the values that were measured; see docs/DECISIONS.md.
 func DefaultConfig() Config {
 	return Config{
-		PerToken: 20 * time.Microsecond, Zone: 27 * time.Millisecond, Failing: 2 * time.Second, Shun: 2 * time.Second,
+		PerToken: 20 * time.Microsecond, Zone: 27 * time.Millisecond, Spread: 20 * time.Millisecond, Failing: 2 * time.Second, Shun: 2 * time.Second,
 		Self: 2, Disturbed: 4, LimitTimes: 3, LimitMin: 600 * time.Millisecond,
 	}
 }
@@ -59,6 +63,8 @@
 // Pool is what one router knows of the prefill engines of one service.
 type Pool struct {
 	cfg Config
+	// seed is the name of this router.
+	seed string
 	// rate is how fast an engine reads, outliers how readings ended.
 	rate     stages.Rate
 	outliers *outlier.Tracker
@@ -72,14 +78,16 @@
 	own, others int
 	// shunned is until when it reads nothing.
 	shunned time.Time
+	// home is by how much this router prefers it, in [0, 1).
+	home float64
 	// slow is by how much longer than expected it took lately.
 	slow float64
 	seen time.Time
 }
 
-// New returns an empty pool.
-func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, outliers: outlier.New(), readers: map[string]*reader{}}
+// New returns an empty pool of the router of that name.
+func New(cfg Config, seed string) *Pool {
+	return &Pool{cfg: cfg, seed: seed, outliers: outlier.New(), readers: map[string]*reader{}}
 }
 
 // Ask is a prompt to be read.
@@ -90,6 +98,8 @@
 	Zone string
 	// Crowd is the share of the decode engine's places that are taken, in [0, 1].
 	Crowd float64
+	// Memory is that of an engine, in tokens; zero if it is not known.
+	Memory int
 	// Exclude are engines that must not get it.
 	Exclude []string
 }
@@ -111,11 +121,11 @@
 			continue
 		}
 		r := p.reader(s.ID)
-		if now.Before(r.shunned) {
+		if now.Before(r.shunned) || r.full(a) {
 			continue
 		}
 		expected := p.expected(r, a.Tokens, now)
-		cost := expected + p.aside(s, a.Zone, now)
+		cost := expected + p.aside(s, a.Zone, now) + time.Duration(float64(p.cfg.Spread)*(1-r.home))
 		if best.Server.ID == "" || cost < least {
 			best, least = Choice{Server: s, Expected: expected}, cost
 		}
@@ -127,6 +137,13 @@
 	return best, true
 }
 
+// full reports whether an engine has no memory for one more prompt: it keeps each from when it comes until what was read
+// of it is fetched, and refuses what doesn't fit, at the cost of a repeat.
+func (r *reader) full(a Ask) bool {
+	line := r.own + r.others
+	return a.Memory > 0 && line > 0 && line+a.Tokens > a.Memory
+}
+
 // self is what reading by the decode engine costs.
 func (p *Pool) self(a Ask) time.Duration {
 	if p.cfg.Self == 0 {
@@ -233,7 +250,7 @@
 func (p *Pool) reader(id string) *reader {
 	r, ok := p.readers[id]
 	if !ok {
-		r = &reader{}
+		r = &reader{home: affinity.Of(p.seed, id)}
 		p.readers[id] = r
 	}
 	return r
--- a/policy/reading/reading_test.go
+++ b/policy/reading/reading_test.go
@@ -1,6 +1,7 @@
 package reading_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -37,10 +38,13 @@
 		{"long lines: an empty decode engine reads it", lines(12_000), reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 0}, ""},
 		{"long lines: a full decode engine doesn't", lines(12_000), reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1}, "a"},
 		{"very long lines: a full one does", lines(60_000), reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1}, ""},
+		{"no memory left at one", func(p *reading.Pool) { p.SetOthers("a", 24_000) }, reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1, Memory: 28_000}, "b"},
+		{"no memory left", lines(24_000), reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1, Memory: 28_000}, ""},
+		{"larger than the memory, and alone", func(*reading.Pool) {}, reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1, Memory: 4000}, "a"},
 		{"none is left", func(*reading.Pool) {}, reading.Ask{Tokens: 5000, Zone: "z1", Exclude: []string{"a", "b"}}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := reading.New(reading.DefaultConfig())
+			p := reading.New(reading.DefaultConfig(), "edge-1")
 			p.Pick(servers, reading.Ask{Tokens: 1, Crowd: 1}, start)
 			c.set(p)
 			got, ok := p.Pick(servers, c.ask, ms(1))
@@ -61,7 +65,7 @@
 // TestLimitGrowsWithTheLine: a prompt that has to wait behind others is not given up as if its
 // engine were mute.
 func TestLimitGrowsWithTheLine(t *testing.T) {
-	p := reading.New(reading.DefaultConfig())
+	p := reading.New(reading.DefaultConfig(), "edge-1")
 	idle, _ := p.Pick(servers, reading.Ask{Tokens: 5000, Crowd: 1}, start)
 	assert.Equal(t, idle.Limit, 600*time.Millisecond)
 	lines(40_000)(p)
@@ -72,7 +76,7 @@
 
 // TestSlowEngine: one that turned slow gets fewer prompts, and is tried again in time.
 func TestSlowEngine(t *testing.T) {
-	p := reading.New(reading.DefaultConfig())
+	p := reading.New(reading.DefaultConfig(), "edge-1")
 	ask := reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1}
 	for i := range 3 {
 		c, _ := p.Pick(servers[:1], ask, ms(i))
@@ -106,7 +110,7 @@
 	}
 	pools := make([]*reading.Pool, routers)
 	for i := range pools {
-		pools[i] = reading.New(reading.DefaultConfig())
+		pools[i] = reading.New(reading.DefaultConfig(), fmt.Sprint("edge-", i))
 	}
 	type sent struct {
 		choice reading.Choice
@@ -167,7 +171,7 @@
 
 // TestToldBeforeSeen: lines that others told of count from the first look at an engine on.
 func TestToldBeforeSeen(t *testing.T) {
-	p := reading.New(reading.DefaultConfig())
+	p := reading.New(reading.DefaultConfig(), "edge-1")
 	p.SetOthers("a", 30_000)
 	got, ok := p.Pick(servers, reading.Ask{Tokens: 5000, Zone: "z1", Crowd: 1}, start)
 	assert.Assert(t, ok)
@@ -178,10 +182,31 @@
 func TestNeverSelf(t *testing.T) {
 	cfg := reading.DefaultConfig()
 	cfg.Self = 0
-	p := reading.New(cfg)
+	p := reading.New(cfg, "edge-1")
 	lines(1_000_000)(p)
 	_, ok := p.Pick(servers, reading.Ask{Tokens: 5000}, start)
 	assert.Assert(t, ok)
 	_, ok = p.Pick(servers, reading.Ask{Tokens: 5000, Exclude: []string{"a", "b"}}, start)
 	assert.Assert(t, !ok, "none is left")
 }
+
+// TestRoutersThatHaveJustStartedSpread: all routers end at once, and start with a second of requests before them. None knows
+// what the others send. All sent their prompts to the same few engines, which refused what did not fit their memory: 123 of
+// some 150 in two seconds, each at the cost of a repeat.
+func TestRoutersThatHaveJustStartedSpread(t *testing.T) {
+	const routers, engines, memory, prompt = 29, 9, 28_000, 3000
+	var list []registry.Server
+	for i := range engines {
+		list = append(list, registry.Server{ID: fmt.Sprintf("i-%08x", 2654435761*uint32(i+1)), Zone: "z1", Stage: registry.Prefill})
+	}
+	sent := map[string]int{}
+	for i := range routers {
+		p := reading.New(reading.DefaultConfig(), fmt.Sprint("edge-hall-a-", i))
+		c, ok := p.Pick(list, reading.Ask{Tokens: prompt, Zone: "z1", Crowd: 1, Memory: memory}, start)
+		assert.Assert(t, ok)
+		sent[c.Server.ID] += prompt
+	}
+	for id, tokens := range sent {
+		assert.Assert(t, tokens <= memory, "%s got %d tokens", id, tokens)
+	}
+}
