Gateways tell each other of engines at which requests fail

Cause: each gateway learnt of a failing engine by failed attempts of its own, and an engine that is gone stays listed until its lease lapses.

Change: policy/doubt weighs failures seen here and told by others; they fade within seconds and are a reason to prefer other engines, no more. Told in the datagrams of placement. A gateway that names many engines is believed less of each, and an own success outweighs what is told. An answer 500 of a prefill engine counts as a failure and not as a refusal. Can be switched off as `doubts`.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -214,6 +214,7 @@
 // attemptFailed notes why a request that was sent to s is not answered by it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
 	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
+	f.engineFailed(s, reason)
 	if err != nil && f.attempts.hasEnded(s.ID) {
 		err = errors.Join(errStartEnded, err)
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -31,6 +31,7 @@
 	errNoStamp  = errors.New("answer without a stamp, or with an encoded body")
 	errTooLarge = errors.New("answer too large")
 	errNotRun   = errors.New("refused by the server")
+	errFailed   = errors.New("failed by the server")
 )
 
 // call is a request of a plain service over all its attempts.
@@ -93,7 +94,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return reasonOf(ctx)
-	case err == nil:
+	case err == nil, errors.Is(err, errFailed):
 		return outcome.EngineError
 	case errors.Is(err, errBarred):
 		return barredReason(err)
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -26,7 +26,9 @@
 	// list returns the servers that may get new work; synced is what memory was last told of them.
 	list   func() []registry.Server
 	synced engineList
-	line   waiting.Line
+	// doubtful reports whether requests fail at an engine.
+	doubtful func(id string) bool
+	line     waiting.Line
 	// turns are where waiting requests learn which engine to ask.
 	turns map[*waiting.Waiter]turn
 	// lengths is what was learned of the lengths of runs, by route.
@@ -52,9 +54,9 @@
 	engine chan string
 }
 
-func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, tell func()) *engines {
+func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, doubtful func(string) bool, tell func()) *engines {
 	return &engines{
-		list:    list,
+		list: list, doubtful: doubtful,
 		changed: map[string]struct{}{}, reading: map[string]int{}, tell: tell,
 		zone:   zone,
 		terms:  waitingTerms(off),
@@ -192,7 +194,7 @@
 		var id string
 		w := e.line.Next(func(w *waiting.Waiter) bool {
 			var ok bool
-			id, ok = e.memory.Pick(kvmemory.Ask{Run: e.turns[w].run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude}, now)
+			id, ok = e.memory.Pick(kvmemory.Ask{Run: e.turns[w].run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Avoid: e.doubtful}, now)
 			return ok
 		}, passFor, now)
 		if w == nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,6 +61,8 @@
 	attempts *attempts
 	// interrupted is which of them were in progress at servers that ended.
 	interrupted *interrupted
+	// doubts are engines at which requests fail.
+	doubts *doubts
 	// refusals are the last requests that were turned away for keys and quotas.
 	refusals refusals
 
@@ -94,7 +96,7 @@
 
 // New returns a Forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(), interrupted: newInterrupted()}
+	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(), interrupted: newInterrupted(), doubts: newDoubts(c.VM)}
 }
 
 // PlacementChanged is sent to when TakeChanged has something to return.
@@ -157,7 +159,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), returners: map[string]*waiting.Returners{},
-			readers: reading.New(readingConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.tellPlaced),
+			readers: reading.New(readingConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.doubts.doubtful, f.tellPlaced),
 		}
 		f.services[name] = s
 	}
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -62,7 +62,10 @@
 func (f *Forwarder) choosePrefill(j *job, l *lease, tried []string) (reading.Choice, bool) {
 	servers := f.View.Servers(j.service)
 	s := f.service(j.service)
-	ask := reading.Ask{Tokens: j.meta.PromptTokens, Zone: l.server.Zone, Crowd: s.engines.crowd(l.server.ID), Exclude: tried, Memory: j.table.Services[j.service].Engine.KVTokens}
+	ask := reading.Ask{
+		Tokens: j.meta.PromptTokens, Zone: l.server.Zone, Crowd: s.engines.crowd(l.server.ID), Exclude: tried,
+		Memory: j.table.Services[j.service].Engine.KVTokens, Avoid: f.doubts.doubtful,
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return s.readers.Pick(servers, ask, time.Now())
@@ -79,6 +82,9 @@
 	export, err := f.askExport(ctx, j, c.Server)
 	took := time.Since(start)
 	j.read += took
+	if err == nil {
+		f.doubts.succeeded(c.Server.ID)
+	}
 	f.readingEnds(j, c, err == nil, took)
 	return export, err
 }
@@ -109,10 +115,14 @@
 	if err != nil {
 		return Export{}, err
 	}
-	if res.Status != http.StatusOK {
+	switch res.Status {
+	case http.StatusOK:
+		return f.Codec.DecodeExport(body)
+	case http.StatusInternalServerError:
+		return Export{}, fmt.Errorf("%w: status %d", errFailed, res.Status)
+	default:
 		return Export{}, fmt.Errorf("%w: status %d", errNotRun, res.Status)
 	}
-	return f.Codec.DecodeExport(body)
 }
 
 // freeExport frees a KV cache that will not be fetched, without waiting for it.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -98,6 +98,7 @@
 	if head.Status != http.StatusOK {
 		return a.failed(head, res)
 	}
+	f.doubts.succeeded(a.lease.server.ID)
 	return a.relay(ctx, head, res)
 }
 
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -56,6 +56,15 @@
 	return float64(s.GetMost())
 }
 
+func encodeFailures(ids []string) []*peer.Failure {
+	out := make([]*peer.Failure, 0, len(ids))
+	for _, id := range ids {
+		start := registry.ParseID(id)
+		out = append(out, &peer.Failure{Server: start.Instance, Start: start.Tag()})
+	}
+	return out
+}
+
 func encodeServers(list []registry.Server) []*peer.Server {
 	out := make([]*peer.Server, 0, len(list))
 	for _, v := range list {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -93,6 +93,9 @@
 func (s *Service) TakePlacement(p *peer.Placement) {
 	s.guard.Take(p.GetSuspects(), "gateway "+p.GetAddr())
 	s.quotas.hear(p.GetAddr(), p.GetIncarnation(), false, p.GetUsages())
+	for _, failed := range p.GetFailures() {
+		s.fwd.Failing(p.GetAddr(), s.view.idOf(failed.GetServer(), failed.GetStart()))
+	}
 	if changed := s.placed.change(p, time.Now()); len(changed) > 0 {
 		s.fwd.SetOthers(changed)
 	}
@@ -102,7 +105,7 @@
 // request that ends frees memory that the next one takes within it.
 const tellInterval = 2 * time.Millisecond
 
-// tellPlacement tells the other gateways of changed placement until ctx ends.
+// tellPlacement tells the other gateways of changed placement, of quotas used and of failing engines until ctx ends.
 func (s *Service) tellPlacement(ctx context.Context) {
 	for {
 		select {
@@ -112,9 +115,11 @@
 		case <-s.quotas.changed:
 		}
 		pause(ctx, tellInterval)
-		shares, usages := encodeShares(s.fwd.TakeChanged()), s.quotas.tell(true)
-		if len(shares) > 0 || len(usages.GetCustomers()) > 0 {
-			s.peers.Tell(shares, usages)
+		news := &peer.Placement{
+			Shares: encodeShares(s.fwd.TakeChanged()), Usages: s.quotas.tell(true), Failures: encodeFailures(s.fwd.TakeFailures()),
+		}
+		if len(news.GetShares()) > 0 || len(news.GetUsages().GetCustomers()) > 0 || len(news.GetFailures()) > 0 {
+			s.peers.Tell(news)
 		}
 	}
 }
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -14,8 +14,6 @@
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
 
-const ()
-
 // quotas hold customers to what they may use of all gateways together. It joins policy/limit to clocks and is safe for
 // concurrent use.
 type quotas struct {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 )
 
@@ -47,9 +48,9 @@
 		case <-s.guard.News():
 		}
 		pause(ctx, tellInterval)
-		s.peers.TellSuspects(s.guard.Recent(suspectsNew))
+		s.peers.Tell(&peer.Placement{Suspects: s.guard.Recent(suspectsNew)})
 		s.peers.Spread()
 		pause(ctx, suspectsRepeat)
-		s.peers.TellSuspects(s.guard.Recent(suspectsNew))
+		s.peers.Tell(&peer.Placement{Suspects: s.guard.Recent(suspectsNew)})
 	}
 }
--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -67,8 +67,10 @@
 // send sends p, under the next numbers, to the gateways that listen at addrs.
 func (d *datagrams) send(addrs []string, p *Placement) {
 	if half := len(p.GetShares()) / 2; half > 0 && proto.Size(p)+maxNumber > maxDatagram {
-		d.send(addrs, &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: p.GetShares()[:half], Usages: p.GetUsages()})
-		d.send(addrs, &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: p.GetShares()[half:]})
+		rest := &Placement{Addr: p.GetAddr(), Incarnation: p.GetIncarnation(), Shares: p.GetShares()[half:]}
+		p.Shares = p.GetShares()[:half]
+		d.send(addrs, p)
+		d.send(addrs, rest)
 		return
 	}
 	conn := d.conn.Load()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -120,20 +120,13 @@
 	s.seeds = seeds
 }
 
-// Tell tells all live peers of changed placement and of quotas used, in datagrams.
-func (s *Service) Tell(shares []*Share, usages *Usages) {
+// Tell tells all live peers of what has just changed, in datagrams. Who tells it is filled in.
+func (s *Service) Tell(p *Placement) {
 	s.mu.Lock()
 	reached := s.members.Reached(time.Now())
 	s.mu.Unlock()
-	s.datagrams.send(reached, &Placement{Addr: s.self, Incarnation: s.incarnation, Shares: shares, Usages: usages})
-}
-
-// TellSuspects tells all live peers of news of requests under which servers ended, in a datagram.
-func (s *Service) TellSuspects(suspects *Suspects) {
-	s.mu.Lock()
-	reached := s.members.Reached(time.Now())
-	s.mu.Unlock()
-	s.datagrams.send(reached, &Placement{Addr: s.self, Incarnation: s.incarnation, Suspects: suspects})
+	p.Addr, p.Incarnation = s.self, s.incarnation
+	s.datagrams.send(reached, p)
 }
 
 // Announce has all peers told at once. It is for news that this gateway alone has, since each call costs an
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -15,6 +15,8 @@
 	Zone string
 	// Exclude are engines that must not get the request.
 	Exclude []string
+	// Avoid reports whether an engine is asked only if no other one is thought to have room; nil means none.
+	Avoid func(id string) bool
 }
 
 // Pick returns the engine to ask for room. It returns false when none is thought to have
@@ -22,6 +24,7 @@
 func (p *Pool) Pick(a Ask, now time.Time) (string, bool) {
 	var best *server
 	var bestScore, bestFree float64
+	bestAvoided := false
 	var asked Forecast
 	a.Run.add(&asked, p.pace.perSecond())
 	for _, s := range p.ordered {
@@ -32,9 +35,10 @@
 		if free < p.spare(s, a) || p.othersTurn(s, a.Late, now) {
 			continue
 		}
-		score := p.score(s, free, a.Zone)
-		if best == nil || score > bestScore || score == bestScore && s.home > best.home {
-			best, bestScore, bestFree = s, score, free
+		score, avoided := p.score(s, free, a.Zone), a.Avoid != nil && a.Avoid(s.ID)
+		better := best == nil || bestAvoided && !avoided
+		if better || avoided == bestAvoided && (score > bestScore || score == bestScore && s.home > best.home) {
+			best, bestScore, bestFree, bestAvoided = s, score, free, avoided
 		}
 	}
 	if best == nil {
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -41,12 +41,14 @@
 	Hopeless
 	// Quarantine holds requests back under which servers end.
 	Quarantine
+	// Doubts avoids engines at which other gateways saw requests fail.
+	Doubts
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
-	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine",
+	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
 }
 
 // String returns the name of m in settings.
--- a/policy/reading/reading.go
+++ b/policy/reading/reading.go
@@ -102,6 +102,8 @@
 	Memory int
 	// Exclude are engines that must not get it.
 	Exclude []string
+	// Avoid reports whether an engine gets it only if no other one may; nil means none.
+	Avoid func(id string) bool
 }
 
 // Choice is the engine that is to read a prompt.
@@ -116,6 +118,7 @@
 func (p *Pool) Pick(servers []registry.Server, a Ask, now time.Time) (Choice, bool) {
 	var best Choice
 	var least time.Duration
+	bestAvoided := false
 	for _, s := range servers {
 		if s.Stage != registry.Prefill || slices.Contains(a.Exclude, s.ID) {
 			continue
@@ -126,8 +129,10 @@
 		}
 		expected := p.expected(r, a.Tokens, now)
 		cost := expected + p.aside(s, a.Zone, now) + time.Duration(float64(p.cfg.Spread)*(1-r.home))
-		if best.Server.ID == "" || cost < least {
-			best, least = Choice{Server: s, Expected: expected}, cost
+		avoided := a.Avoid != nil && a.Avoid(s.ID)
+		better := best.Server.ID == "" || bestAvoided && !avoided
+		if better || avoided == bestAvoided && cost < least {
+			best, least, bestAvoided = Choice{Server: s, Expected: expected}, cost, avoided
 		}
 	}
 	if best.Server.ID == "" || least > p.self(a) {
