Gateways log what servers name as the most that they take

Nothing told the hypotheses apart: no log or metric said what a server had named, or when a gateway learned of it.

Answers of servers and engines, those to our own calls as well, are decoded for Server-Limit in platform/; 737 tells a limit that begins, changes or ends, 738 one that can't be understood, servers_limited counts. Nothing is decided by it yet.

Tests: forward TestLimitsAreLogged, TestLimitsThatCanNotBe, TestLimitInAnswerToReservation. The stand-in's servers name limits.

--- a/forward/call.go
+++ b/forward/call.go
@@ -170,8 +170,8 @@
 	}
 	o.Left, o.Instance = j.left(time.Now()), s.Instance()
 	o.Keyed, o.Customer = j.table.Tenants != nil, j.customer()
-	before := j.ran
-	j.carried, j.heard = j.generated, time.Now()
+	before, sent := j.ran, time.Now()
+	j.carried, j.heard = j.generated, sent
 	res, err := f.Pool.Do(ctx, s.Addr, &upstream.Request{
 		Method: j.r.Method, Target: j.target(), Host: j.r.Host,
 		Header: f.Codec.Outgoing(j.r.Header, o), Body: j.body,
@@ -197,7 +197,9 @@
 	if head.Replaced {
 		f.View.Replaced(s)
 		f.serverEnded(s.ID, endedReplaced)
+		return res, nil
 	}
+	f.hear(s, head.Said, sent)
 	return res, nil
 }
 
--- a/forward/forget_test.go
+++ b/forward/forget_test.go
@@ -25,12 +25,17 @@
 func (v tableView) Others() int                       { return 0 }
 func (v tableView) Routers() int                      { return 1 }
 
+// silentEngines are engines that say nothing.
+type silentEngines struct{ Engines }
+
+func (silentEngines) Hear(func(registry.Server, Said, time.Time)) {}
+
 // TestForgetRoutes: a gateway runs for months while routes come and go under new names; what it
 // learned of those that are gone must not stay.
 func TestForgetRoutes(t *testing.T) {
 	table := &route.Table{Routes: []route.Route{{Name: "stays"}}}
 	table.Build()
-	f := New(Config{View: tableView{table}})
+	f := New(Config{View: tableView{table}, Engines: silentEngines{}})
 	s := f.service("llm")
 	for _, name := range []string{"stays", "gone"} {
 		s.engines.newRun(name, &Meta{MaxTokens: 100}, 100)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -63,6 +63,8 @@
 	interrupted *interrupted
 	// doubts are engines at which requests fail.
 	doubts *doubts
+	// said is what servers say of themselves.
+	said *said
 	// refusals are the last requests that were turned away for keys and quotas.
 	refusals refusals
 
@@ -96,7 +98,12 @@
 
 // New returns a Forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(), interrupted: newInterrupted(), doubts: newDoubts(c.VM)}
+	f := &Forwarder{
+		Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(),
+		interrupted: newInterrupted(), doubts: newDoubts(c.VM), said: newSaid(),
+	}
+	c.Engines.Hear(f.hear)
+	return f
 }
 
 // PlacementChanged is sent to when TakeChanged has something to return.
@@ -299,6 +306,7 @@
 	for _, id := range f.interrupted.missing(known) {
 		f.serverEnded(id, endedGone)
 	}
+	f.said.forget(known)
 	table := f.View.Table()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/forward/said_test.go
@@ -0,0 +1,56 @@
+package forward_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/standin/site"
+)
+
+// TestLimitsAreLogged: what a server names is in the log when it begins, changes and ends, and once each.
+func TestLimitsAreLogged(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(t, "p1", "plain", registry.Whole)
+	said := func(text string) int { return strings.Count(w.logged.String(), text) }
+	limited := func() int64 { return w.met.Gauge(metrics.ServersLimited).Value() }
+	ask := func(limit string) {
+		s.SetLimit(limit)
+		w.post(t, "/safe/1")
+		w.post(t, "/safe/2")
+	}
+	ask("")
+	assert.Equal(t, said(`"event":737`), 0)
+	ask("3000.5")
+	assert.Equal(t, said(`"limited":true,"per_second":3000.5`), 1)
+	assert.Equal(t, limited(), int64(1))
+	ask("4000")
+	assert.Equal(t, said(`"limited":true,"per_second":4000`), 1)
+	ask("")
+	assert.Equal(t, said(`"limited":false,"per_second":0`), 1)
+	assert.Equal(t, limited(), int64(0))
+}
+
+// TestLimitsThatCanNotBe: a limit that is no number of requests is told in the log, and limits nothing.
+func TestLimitsThatCanNotBe(t *testing.T) {
+	for _, limit := range []string{"x", "-1", "NaN", "+Inf", "1e999"} {
+		w := newWorld(t)
+		w.add(t, "p1", "plain", registry.Whole).SetLimit(limit)
+		assert.Equal(t, w.post(t, "/safe/1").status, 200)
+		assert.Assert(t, strings.Contains(w.logged.String(), `"event":738`), "%q", limit)
+		assert.Equal(t, w.met.Gauge(metrics.ServersLimited).Value(), int64(0))
+	}
+}
+
+// Reservations are answered too, and what an engine says there counts as much.
+func TestLimitInAnswerToReservation(t *testing.T) {
+	w := engines(t)
+	w.servers["d1"].SetFull(true)
+	w.servers["d2"].SetFull(true)
+	w.servers["d1"].SetLimit("3000")
+	w.post(t, "/draft/1", site.Deadline, "900")
+	assert.Assert(t, strings.Contains(w.logged.String(), `"server":"d1","service":"llm","limited":true`))
+}
--- a/forward/types.go
+++ b/forward/types.go
@@ -77,6 +77,8 @@
 	Encoded bool
 	// Replaced is set when another server than the one that was meant answered.
 	Replaced bool
+	// Said is what the server says of itself.
+	Said Said
 }
 
 // Export is a KV cache that an engine keeps for another one to fetch.
@@ -109,6 +111,9 @@
 	Unreserve(ctx context.Context, s registry.Server, reservation string) error
 	// FreeExport frees an exported KV cache that nobody will fetch.
 	FreeExport(ctx context.Context, s registry.Server, handle string) error
+	// Hear has f called with what engines say of themselves in answers to these calls, and when the call was sent. It is
+	// called once, before any other.
+	Hear(f func(s registry.Server, said Said, sent time.Time))
 }
 
 // Quarantine holds back requests under which servers end. It must be safe for concurrent use.
--- a/gateway/table_test.go
+++ b/gateway/table_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/platform"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -45,7 +46,8 @@
 }
 
 func testDeps() Deps {
-	return Deps{Pool: upstream.New(upstream.Options{}), Metrics: metrics.NewSet()}
+	pool := upstream.New(upstream.Options{})
+	return Deps{Pool: pool, Engines: platform.NewEngines(pool, time.Second), Metrics: metrics.NewSet()}
 }
 
 // TestEqualListIsHandedOnce: two gateways read the list of servers at different versions of
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -54,5 +54,6 @@
 		{Holds, Counter},
 		{ConfigProofAge, Gauge},
 		{QuotaSilent, Gauge},
+		{ServersLimited, Gauge},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -41,6 +41,8 @@
 	ConfigProofAge = "config_proof_age"
 	// QuotaSilent is the number of other gateways for which shares of quotas are set apart.
 	QuotaSilent = "quota_silent"
+	// ServersLimited is the number of servers that name how many requests a second they take.
+	ServersLimited = "servers_limited"
 	// StateBytesServed is what others fetched, Fetches what this process fetched itself, and
 	// FetchesFailed those of them that did not come whole.
 	StateBytesServed = "state_bytes_served"
--- a/standin/site/names.go
+++ b/standin/site/names.go
@@ -17,6 +17,7 @@
 	instance    = "Hibiscusspur-Expect-Instance"
 	stage       = "Hibiscusspur-Stage"
 	lastEventID = "Last-Event-Id"
+	limitHeader = "Server-Limit"
 )
 
 // ReadyPath is what the balancer asks a gateway.
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -51,6 +51,8 @@
 	next []Behaviour
 	then Behaviour
 	full bool
+	// limit is what its answers name as the requests a second that it takes; empty if they name none.
+	limit string
 	// hold and orders count since the last start.
 	hold, orders int
 	// deadly begins the body of requests under which the server ends, onEnd is called when it has.
@@ -71,7 +73,7 @@
 	mux.HandleFunc("POST /api/order", s.order)
 	mux.HandleFunc("GET /api/report", s.report)
 	mux.HandleFunc("/", s.request)
-	s.Server = httptest.NewServer(mux)
+	s.Server = httptest.NewServer(s.says(mux))
 	t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
@@ -96,6 +98,26 @@
 	s.full = full
 }
 
+// SetLimit has all answers name the requests a second that the server takes; empty ends it.
+func (s *Server) SetLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// says puts what the server says of itself into each answer.
+func (s *Server) says(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		limit := s.limit
+		s.mu.Unlock()
+		if limit != "" {
+			w.Header().Set(limitHeader, limit)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) behaviour() Behaviour {
 	s.mu.Lock()
 	defer s.mu.Unlock()
