--- /dev/null
+++ b/gateway/limited_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/standin/site"
+)
+
+// eventually asks until it is so, a bounded number of times.
+func eventually(so func() bool) bool {
+	const most = 5000
+	for range most {
+		if so() {
+			return true
+		}
+	}
+	return false
+}
+
+// A server that had named a limit for all gateways together got it from each of them, and far more.
+func TestLimitOfAServerHoldsOverGateways(t *testing.T) {
+	store, calls := site.NewStore(t), site.NewLog()
+	limited := site.NewServer(t, "c", calls)
+	limited.SetLimit("0.01")
+	store.Put("servers", "c", entry(limited, "one", "ready"))
+	store.Put("op", "config", manifest(3, "one"))
+	gateways := []*process{start(t, store, "g1")}
+	for _, vm := range []string{"g2", "g3"} {
+		gateways = append(gateways, start(t, store, vm, gateways[0].set.Control))
+	}
+	for _, p := range gateways {
+		p.ready(t, http.StatusOK)
+	}
+	reached := func() int {
+		n := 0
+		for _, c := range calls.Calls() {
+			if c.Server == "c" {
+				n++
+			}
+		}
+		return n
+	}
+	status, _ := gateways[0].ask(t, "/a/1")
+	assert.Equal(t, status, http.StatusOK)
+	for _, name := range []string{"a", "b"} {
+		store.Put("servers", name, entry(site.NewServer(t, name, calls), "one", "ready"))
+	}
+	for _, p := range gateways {
+		assert.Assert(t, eventually(func() bool { _, body := p.ask(t, "/a/1"); return body != "answer of c to /a/1" }), "%s sends all to c", p.set.VM)
+		assert.Assert(t, eventually(func() bool { return p.gauge(t, metrics.ServersLimited) == 1 }), "%s knows no limit", p.set.VM)
+	}
+	before := reached()
+	const requests = 30
+	for range requests {
+		for _, p := range gateways {
+			status, _ := p.ask(t, "/a/1")
+			assert.Equal(t, status, http.StatusOK)
+		}
+	}
+	got := reached() - before
+	assert.Check(t, got <= len(gateways), "%d of %d", got, requests*len(gateways))
+}
