--- a/forward/said.go
+++ b/forward/said.go
@@ -18,6 +18,10 @@
 	// Limited is set if the server takes no more than Limit requests a second, of all routers together.
 	Limited bool
 	Limit   float64
+	// Leaving is set if the server stops soon and takes nothing new.
+	Leaving bool
+	// Rest is for how long the server, which has turned a request away, wants nothing from this router.
+	Rest time.Duration
 	// Fault names the field of the answer that can't be understood; what was said before it holds on.
 	Fault string
 }
@@ -61,6 +65,13 @@
 	if f.limits.say(s.ID, now, sent) {
 		event.ServerLimited.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Bool("limited", now.Limited).Float64("per_second", now.Limit).Msg("")
 	}
+	if now.Rest > 0 {
+		f.Metrics.Counter(metrics.RestsAsked).Inc(1)
+		event.ServerRests.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Dur("rest", now.Rest).Msg("")
+	}
+	if now.Leaving && !f.View.Leaving(s.ID) {
+		event.ServerLeaves.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Msg("")
+	}
 }
 
 // ServerLimits are what servers say that they take of all routers together.
--- a/forward/said_test.go
+++ b/forward/said_test.go
@@ -56,3 +56,29 @@
 	w.post(t, "/draft/1", site.Deadline, "900")
 	assert.Assert(t, strings.Contains(w.logged.String(), `"server":"d1","service":"llm","limited":true`))
 }
+
+// TestLeavingAndRestAreLogged: what answers say of them is in the log.
+func TestLeavingAndRestAreLogged(t *testing.T) {
+	w := plain(t)
+	w.servers["p1"].Behave(site.Answer, site.Shed)
+	w.servers["p1"].SetRest("0.25")
+	assert.Equal(t, w.post(t, "/unsafe/1").status, 200)
+	assert.Assert(t, strings.Contains(w.logged.String(), `"event":739,"text":"server has turned a request away and asks for rest","server":"p1","service":"plain","rest":250`))
+	w.servers["p2"].SetLeaving()
+	w.servers["p3"].SetLeaving()
+	w.post(t, "/once/2")
+	w.post(t, "/once/3")
+	w.post(t, "/once/4")
+	assert.Assert(t, strings.Contains(w.logged.String(), `"event":740`))
+}
+
+// TestRestThatCanNotBe: a refusal that asks for no number of seconds is told in the log.
+func TestRestThatCanNotBe(t *testing.T) {
+	for _, rest := range []string{"soon", "-1", "NaN", "Thu, 03 Dec 2026 10:00:00 GMT"} {
+		w := plain(t)
+		w.servers["p1"].Behave(site.Shed)
+		w.servers["p1"].SetRest(rest)
+		assert.Equal(t, w.post(t, "/unsafe/1").status, 200)
+		assert.Assert(t, strings.Contains(w.logged.String(), `"event":738`), "%q", rest)
+	}
+}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -56,5 +56,6 @@
 		{QuotaSilent, Gauge},
 		{ServersLimited, Gauge},
 		{SendsHeldBack, Counter},
+		{RestsAsked, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -43,6 +43,8 @@
 	QuotaSilent = "quota_silent"
 	// ServersLimited is the number of servers that name how many requests a second they take.
 	ServersLimited = "servers_limited"
+	// RestsAsked counts refusals in which servers asked for rest.
+	RestsAsked = "rests_asked"
 	// SendsHeldBack counts requests that were about to be sent to a server that takes no more by what it says.
 	SendsHeldBack = "sends_held_back"
 	// StateBytesServed is what others fetched, Fetches what this process fetched itself, and
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -53,6 +53,9 @@
 	full bool
 	// limit is what its answers name as the requests a second that it takes; empty if they name none.
 	limit string
+	// leaving has its answers say that it leaves, rest is what its refusals ask for in seconds; empty if nothing.
+	leaving bool
+	rest    string
 	// hold and orders count since the last start.
 	hold, orders int
 	// deadly begins the body of requests under which the server ends, onEnd is called when it has.
@@ -105,12 +108,40 @@
 	s.limit = limit
 }
 
+// SetLeaving has all answers say that the server leaves.
+func (s *Server) SetLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// SetRest has all refusals ask for so many seconds of rest; empty ends it.
+func (s *Server) SetRest(seconds string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest = seconds
+}
+
+// refuse answers 503.
+func (s *Server) refuse(w http.ResponseWriter) {
+	s.mu.Lock()
+	rest := s.rest
+	s.mu.Unlock()
+	if rest != "" {
+		w.Header().Set(retryAfter, rest)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // says puts what the server says of itself into each answer.
 func (s *Server) says(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		limit := s.limit
+		limit, leaving := s.limit, s.leaving
 		s.mu.Unlock()
+		if leaving {
+			w.Header().Set(leavingHeader, "1")
+		}
 		if limit != "" {
 			w.Header().Set(limitHeader, limit)
 		}
@@ -150,7 +181,7 @@
 	s.mu.Unlock()
 	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Hold, Tokens: body.Tokens, Hold: id})
 	if full {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.refuse(w)
 		return
 	}
 	reply(w, http.StatusOK, map[string]string{"hold": id})
@@ -228,7 +259,7 @@
 	switch {
 	case c.Refused:
 		w.Header().Set(notRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.refuse(w)
 		return
 	case b == Reset:
 		panic(http.ErrAbortHandler)
