--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -37,6 +37,8 @@
 	// leaving is a server that has said that it stops.
 	leaving  string
 	replaced []string
+	// left are servers that said so in answers.
+	left map[string]bool
 	// unproved is set while the configuration is not proved to be recent, stale if it is not for keys that are not known.
 	unproved, stale bool
 }
@@ -83,7 +85,7 @@
 	v.looked[service]++
 	var out []registry.Server
 	for _, s := range v.servers {
-		if s.Service == service {
+		if s.Service == service && !v.left[s.ID] {
 			out = append(out, s)
 		}
 	}
@@ -106,7 +108,15 @@
 func (v *view) Leaving(id string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return id == v.leaving
+	return id == v.leaving || v.left[id]
+}
+
+func (v *view) Leaves(s registry.Server) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.left[s.ID]
+	v.left[s.ID] = true
+	return !known
 }
 
 func (v *view) Down(s registry.Server) {
@@ -184,7 +194,7 @@
 		Limits: route.Limits{BodyBytes: 1000},
 	}
 	table.Build()
-	w.view = &view{table: table, looked: map[string]int{}}
+	w.view = &view{table: table, looked: map[string]int{}, left: map[string]bool{}}
 	l := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.logged}}
 	w.guard = holdback.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
