--- /dev/null
+++ b/forward/rest_test.go
@@ -0,0 +1,102 @@
+package forward_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/standin/site"
+)
+
+// long is a rest, in seconds, of which no test sees the end.
+const long = "600"
+
+// A model server that had asked a gateway for three seconds of rest got four requests from it in that time, two of them four
+// milliseconds apart: each run that it refused was sent to it once more.
+func TestServerThatAsksForRestGetsNothing(t *testing.T) {
+	const requests = 6
+	for _, c := range []struct {
+		name, rests, path, kind string
+		stage                   registry.Stage
+	}{
+		{"calls", "p1", "/unsafe/", site.Plain, registry.Whole},
+		{"reads prompts", "pre", "/draft/", site.Prefill, registry.Prefill},
+		{"generates", "d1", "/resume/", site.Decode, registry.Decode},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			if c.stage == registry.Whole {
+				w.add(t, "p1", "plain", registry.Whole)
+				w.add(t, "p2", "plain", registry.Whole)
+			} else {
+				w.add(t, "pre", "llm", registry.Prefill)
+				w.add(t, "pre2", "llm", registry.Prefill)
+				w.add(t, "d1", "llm", registry.Decode)
+			}
+			w.servers[c.rests].Behave(site.Shed)
+			w.servers[c.rests].SetRest(long)
+			if c.stage == registry.Decode {
+				assert.Equal(t, w.post(t, c.path).status, 503)
+				w.add(t, "d2", "llm", registry.Decode)
+			}
+			for i := range requests {
+				assert.Equal(t, w.post(t, fmt.Sprint(c.path, i)).status, 200)
+			}
+			assert.Equal(t, w.sent(c.rests, c.kind), 1, "of %d", requests)
+		})
+	}
+}
+
+// An engine that refuses a run and asks for rest was taken for one that could not fetch the KV cache, and the engine that had
+// read the prompt for the one to blame.
+func TestReaderIsNotBlamedForAnEngineThatRests(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "pre", "llm", registry.Prefill)
+	w.add(t, "d1", "llm", registry.Decode)
+	w.servers["d1"].Behave(site.Shed)
+	w.servers["d1"].SetRest(long)
+	assert.Equal(t, w.post(t, "/draft/1").status, 503)
+	assert.Equal(t, w.sent("d1", site.Decode), 1)
+	w.add(t, "d2", "llm", registry.Decode)
+	assert.Equal(t, w.post(t, "/draft/2").status, 200)
+	assert.Equal(t, w.sent("pre", site.Prefill), 2, "it reads the next prompt")
+}
+
+// Reservations are refused with a rest too, and none is asked for until it is over.
+func TestEngineThatAsksForRestGetsNoReservation(t *testing.T) {
+	w := engines(t)
+	for _, id := range []string{"d1", "d2"} {
+		w.servers[id].SetFull(true)
+		w.servers[id].SetRest(long)
+	}
+	for range 4 {
+		assert.Equal(t, w.post(t, "/draft/1").status, 503)
+	}
+	assert.Check(t, w.sent("d1", site.Hold) <= 1, "%d", w.sent("d1", site.Hold))
+	assert.Check(t, w.sent("d2", site.Hold) <= 1, "%d", w.sent("d2", site.Hold))
+}
+
+// Callers are told at once, and when to come back; a rest that is over is over.
+func TestCallersAreToldWhenAllServersRest(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "p1", "plain", registry.Whole)
+	w.servers["p1"].Behave(site.Answer, site.Shed)
+	w.servers["p1"].SetRest("0.3")
+	assert.Equal(t, w.post(t, "/once/1").status, 503)
+	began := time.Now()
+	refused := w.post(t, "/once/2")
+	assert.Equal(t, refused.status, 503)
+	after, err := time.ParseDuration(refused.header.Get("Retry-After") + "s")
+	assert.NilError(t, err)
+	assert.Check(t, after > 0 && after < time.Second, "%s", after)
+	served := false
+	for !served && time.Since(began) < 10*time.Second {
+		served = w.post(t, "/once/3").status == 200
+	}
+	assert.Check(t, served)
+	assert.Check(t, time.Since(began) >= 200*time.Millisecond, "the rest was not kept")
+	assert.Equal(t, w.sent("p1", site.Plain), 2)
+}
