Servers that say in their answers that they leave get nothing more

What callers saw: nothing yet; requests were begun at a server that was about to stop, 2.2 and 2.4 s after it had said so to the gateway that sent them (2.0 s are allowed), and would have broken off with it.

Cause: leaving was known from the store's list alone, and the store was silent for twelve seconds, so that the notice was taken at 19.8 s. Server-Leaving of answers was not read. Evidence: 34 sends of that gateway there, no gap, the first sends of requests that hadn't waited. Ruled out: forgotten after having been heeded, and repeats or requests that had waited.

Mend: any answer, of a reservation or a prompt as well, marks the start of that server as leaving for good, as the store's list does; a list or an entry renewed later doesn't bring it back, also if it was not listed at that moment. It is told to the other gateways at once and in reports. The send itself looks once more, so that what was placed before the word came goes elsewhere; a reservation whose answer says it is given back.

--- a/forward/forget_test.go
+++ b/forward/forget_test.go
@@ -20,6 +20,7 @@
 func (v tableView) Down(registry.Server)              {}
 func (v tableView) Listed(string) bool                { return false }
 func (v tableView) Leaving(string) bool               { return false }
+func (v tableView) Leaves(registry.Server) bool       { return false }
 func (v tableView) Replaced(registry.Server)          {}
 func (v tableView) Proved(context.Context) bool       { return true }
 func (v tableView) ProvedLately(context.Context) bool { return true }
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -115,6 +115,11 @@
 		return f.notGranted(ctx, j, l, err), false
 	}
 	l.reservation, l.since = reservation, time.Now()
+	if f.View.Leaving(l.server.ID) {
+		a.lease = nil
+		f.giveBack(j, l)
+		return j.unanswered(outcome.Leaving), false
+	}
 	if a.r.yields(l, l.since) {
 		a.lease = nil
 		f.Metrics.Counter(metrics.ReservationsYielded).Inc(1)
--- a/forward/said.go
+++ b/forward/said.go
@@ -26,8 +26,13 @@
 	Fault string
 }
 
-// errLimited means that the request was not sent, since its server takes no more for now.
-var errLimited = errors.New("the server takes no more requests for now")
+// Errors of requests that were not sent for what their server said.
+var (
+	// errLimited: it takes no more for now.
+	errLimited = errors.New("the server takes no more requests for now")
+	// errLeaving: it stops.
+	errLeaving = errors.New("the server has said that it stops")
+)
 
 // faults are servers whose last answer had a field that can't be understood. It is safe for concurrent use.
 type faults struct {
@@ -69,7 +74,8 @@
 		f.Metrics.Counter(metrics.RestsAsked).Inc(1)
 		event.ServerRests.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Dur("rest", now.Rest).Msg("")
 	}
-	if now.Leaving && !f.View.Leaving(s.ID) {
+	if now.Leaving && f.View.Leaves(s) {
+		f.tellPlaced()
 		event.ServerLeaves.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Msg("")
 	}
 }
@@ -92,19 +98,31 @@
 	return true
 }
 
-// passSend reports whether the request may be sent to a server, which was reserved before or is taken now.
+// passSend tells why the request may not be sent to a server now, or nil. What a server takes was reserved before or is taken
+// now.
 func (f *Forwarder) passSend(j *job, id string) error {
+	if f.View.Leaving(id) {
+		return f.heldBack(errLeaving)
+	}
 	if i := slices.Index(j.reserved, id); i >= 0 {
 		j.reserved = slices.Delete(j.reserved, i, i+1)
 		return nil
 	}
 	if !f.limits.take(id) {
-		f.Metrics.Counter(metrics.SendsHeldBack).Inc(1)
-		return errors.Join(upstream.ErrNotSent, errLimited)
+		return f.heldBack(errLimited)
 	}
 	return nil
 }
 
+// heldBack is the error of a request that is not sent to its server.
+func (f *Forwarder) heldBack(why error) error {
+	f.Metrics.Counter(metrics.SendsHeldBack).Inc(1)
+	return errors.Join(upstream.ErrNotSent, why)
+}
+
+// saidNo reports whether an attempt was not sent for what its server had said, which is no fault of the server.
+func saidNo(err error) bool { return errors.Is(err, errLimited) || errors.Is(err, errLeaving) }
+
 // giveBackSends returns what was reserved and not sent.
 func (f *Forwarder) giveBackSends(j *job) {
 	for _, id := range j.reserved {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -89,7 +89,7 @@
 	head, res, err := a.start(run)
 	if err != nil {
 		reason := f.explain(ctx, err)
-		a.lease.refused = ctx.Err() == nil && !barred(reason) && !errors.Is(err, errLimited)
+		a.lease.refused = ctx.Err() == nil && !barred(reason) && !saidNo(err)
 		f.attemptLost(j, a.lease.server, reason, err)
 		return j.unanswered(reason)
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -145,6 +145,8 @@
 	Listed(id string) bool
 	// Leaving reports whether a server has said that it stops, also when it is not in the list any more.
 	Leaving(id string) bool
+	// Leaves notes that a server has said in an answer that it stops, and reports whether that is news.
+	Leaves(s registry.Server) bool
 	// Down notes that nothing listens at a server's address: it has ended.
 	Down(s registry.Server)
 	// Replaced notes that another server answers at a server's address.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -46,6 +48,7 @@
 	}
 	r.Shares = encodeShares(s.fwd.Placed())
 	r.Usages = s.quotas.tell(false)
+	r.LeavingServers = s.view.leaving.all()
 	r.ServerLimits = encodeServerLimits(s.fwd.ServerLimits().Tell(false), time.Now())
 	r.Suspects = s.guard.Report(max(suspectsTold, suspectsPaces*s.peers.Pace()))
 	now := time.Now()
@@ -78,6 +81,7 @@
 	for _, w := range r.GetSwitches() {
 		s.view.switchTo(s.view.idOf(w.GetServer(), w.GetStart()), registry.Stage(w.GetStage()), time.Duration(w.GetAgeMs())*time.Millisecond, now)
 	}
+	s.view.toldLeaving(r.GetLeavingServers())
 	s.guard.Take(r.GetSuspects(), from)
 	s.quotas.hear(r.GetAddr(), r.GetIncarnation(), true, r.GetUsages())
 	s.fwd.ServerLimits().Hear(r.GetAddr(), r.GetIncarnation(), true, decodeServerLimits(r.GetServerLimits(), now))
@@ -93,6 +97,7 @@
 
 // TakePlacement implements peer.Beliefs.
 func (s *Service) TakePlacement(p *peer.Placement) {
+	s.view.toldLeaving(p.GetLeavingServers())
 	s.guard.Take(p.GetSuspects(), "gateway "+p.GetAddr())
 	s.quotas.hear(p.GetAddr(), p.GetIncarnation(), false, p.GetUsages())
 	s.fwd.ServerLimits().Hear(p.GetAddr(), p.GetIncarnation(), false, decodeServerLimits(p.GetServerLimits(), time.Now()))
@@ -108,8 +113,8 @@
 // request that ends frees memory that the next one takes within it.
 const tellInterval = 2 * time.Millisecond
 
-// tellPlacement tells the other gateways of changed placement, of quotas used, of failing engines and of servers' limits
-// until ctx ends.
+// tellPlacement tells the other gateways of changed placement, of quotas used, of failing engines and of what servers say of
+// themselves, until ctx ends.
 func (s *Service) tellPlacement(ctx context.Context) {
 	for {
 		select {
@@ -122,9 +127,9 @@
 		pause(ctx, tellInterval)
 		news := &peer.Placement{
 			Shares: encodeShares(s.fwd.TakeChanged()), Usages: s.quotas.tell(true), Failures: encodeFailures(s.fwd.TakeFailures()),
-			ServerLimits: encodeServerLimits(s.fwd.ServerLimits().Tell(true), time.Now()),
+			ServerLimits: encodeServerLimits(s.fwd.ServerLimits().Tell(true), time.Now()), LeavingServers: s.view.leaving.takeNews(),
 		}
-		if len(news.GetShares())+len(news.GetUsages().GetCustomers())+len(news.GetFailures()) > 0 || news.GetServerLimits() != nil {
+		if proto.Size(news) > 0 {
 			s.peers.Tell(news)
 		}
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -28,6 +28,8 @@
 	switching map[string]switching
 	// down are servers that have ended though they are still listed, until a time.
 	down map[string]time.Time
+	// leaving are servers that have said in answers that they leave.
+	leaving *leavers
 	// listed is set once a list of servers is known.
 	listed bool
 	// changed is the version of the store at which the list last changed, steps how it came
@@ -50,7 +52,7 @@
 }
 
 func newView() *view {
-	v := &view{registry: registry.New(), usable: map[string][]registry.Server{}, switching: map[string]switching{}, down: map[string]time.Time{}}
+	v := &view{registry: registry.New(), usable: map[string][]registry.Server{}, switching: map[string]switching{}, down: map[string]time.Time{}, leaving: newLeavers()}
 	v.routers.Store(1)
 	return v
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -227,15 +227,15 @@
 	delete(r.servers, id)
 }
 
-// MarkLeaving notes that a server stops, for instance because it answered so. It
-// returns false if that was known.
+// MarkLeaving notes that a server stops, for instance because it answered so. It returns false if that was known, or if
+// the server is not listed: then it is remembered for when it is.
 func (r *Registry) MarkLeaving(id string) bool {
+	r.gone[id] = struct{}{}
 	e, ok := r.servers[id]
 	if !ok || e.Leaving {
 		return false
 	}
 	e.Leaving = true
-	r.gone[id] = struct{}{}
 	return true
 }
 
