Servers that ask for rest get nothing from that gateway until it is over

What callers saw: requests refused with 503 after their prompt had been read, while other engines had room; an engine that had asked a gateway for 3 s of rest got four requests from it in that time (two are allowed).

Cause: Retry-After of a server's 503 was not read, so that an engine whose memory was free was placed on again whatever it had refused; and a refused run counted as a KV cache that could not be fetched: the reader was shunned for it and the run sent to the same engine once more, 4 ms later. Evidence: 13 refusals at the first send and 19 at the second, 17 kv_lost at engines that were well. Ruled out: other gateways' requests counted here.

Calls, readings, reservations, runs, their repeats and second sends, what is given back and orders to change a stage look at it; the send itself looks last. A refusal with a rest is no lost KV cache. Who finds only servers that rest is told at once, with the end of the first rest as Retry-After, spread over 300 ms.

--- a/forward/call.go
+++ b/forward/call.go
@@ -100,6 +100,8 @@
 		return barredReason(err)
 	case errors.Is(err, errLimited):
 		return outcome.ServerLimited
+	case errors.Is(err, errResting):
+		return outcome.ServerResting
 	case errors.Is(err, errLeaving):
 		return outcome.Leaving
 	case errors.Is(err, errNotRun):
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -24,8 +24,8 @@
 		if slices.Contains(tried, c.ID) {
 			return 0, false
 		}
-		if !f.mayAsk(c) {
-			why = outcome.ServerLimited
+		if wait, reason := f.closedFor(c.ID); wait > 0 {
+			why = reason
 			return 0, false
 		}
 		if !f.Off.Has(mechanism.Overload) && !s.limits.Admits(c.ID, j.late, rand.Float64(), now) {
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -28,8 +28,8 @@
 	synced engineList
 	// doubtful reports whether requests fail at an engine.
 	doubtful func(id string) bool
-	// limits are what engines say that they take.
-	limits *ServerLimits
+	// closed reports whether an engine is to be sent nothing now, by what it said.
+	closed func(id string) bool
 	line   waiting.Line
 	// turns are where waiting requests learn which engine to ask.
 	turns map[*waiting.Waiter]turn
@@ -58,9 +58,9 @@
 	engine chan string
 }
 
-func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, doubtful func(string) bool, limits *ServerLimits, tell func()) *engines {
+func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, doubtful, closed func(string) bool, tell func()) *engines {
 	return &engines{
-		list: list, doubtful: doubtful, limits: limits,
+		list: list, doubtful: doubtful, closed: closed,
 		changed: map[string]struct{}{}, reading: map[string]int{}, tell: tell,
 		zone:   zone,
 		terms:  waitingTerms(off),
@@ -201,7 +201,7 @@
 			var ok bool
 			t := e.turns[w]
 			id, ok = e.memory.Pick(kvmemory.Ask{
-				Run: t.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Avoid: e.doubtful, Closed: e.limits.closed,
+				Run: t.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Avoid: e.doubtful, Closed: e.closed,
 			}, now)
 			return ok && t.reserve(id)
 		}, passFor, now)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -63,9 +63,11 @@
 	interrupted *interrupted
 	// doubts are engines at which requests fail.
 	doubts *doubts
-	// limits are what servers say that they take, faults what can't be understood of what they say.
+	// limits are what servers say that they take, faults is what can't be understood of what they say.
 	limits *ServerLimits
 	faults *faults
+	// rests are servers that want nothing from this process for a while.
+	rests *rests
 	// refusals are the last requests that were turned away for keys and quotas.
 	refusals refusals
 
@@ -101,7 +103,7 @@
 func New(c Config) *Forwarder {
 	f := &Forwarder{
 		Config: c, services: map[string]*service{}, placed: make(chan struct{}, 1), attempts: newAttempts(),
-		interrupted: newInterrupted(), doubts: newDoubts(c.VM), limits: newServerLimits(c.VM), faults: &faults{fields: map[string]string{}},
+		interrupted: newInterrupted(), doubts: newDoubts(c.VM), limits: newServerLimits(c.VM), faults: &faults{fields: map[string]string{}}, rests: newRests(),
 	}
 	c.Engines.Hear(f.hear)
 	c.Metrics.GaugeFunc(metrics.ServersLimited, f.limits.count.Load)
@@ -168,7 +170,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), returners: map[string]*waiting.Returners{},
-			readers: reading.New(readingConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.doubts.doubtful, f.limits, f.tellPlaced),
+			readers: reading.New(readingConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.doubts.doubtful, f.closed, f.tellPlaced),
 		}
 		f.services[name] = s
 	}
@@ -310,6 +312,7 @@
 	}
 	f.limits.forget(known)
 	f.faults.forget(known)
+	f.rests.forget(known)
 	table := f.View.Table()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -64,7 +64,7 @@
 	s := f.service(j.service)
 	ask := reading.Ask{
 		Tokens: j.meta.PromptTokens, Zone: l.server.Zone, Crowd: s.engines.crowd(l.server.ID), Exclude: tried,
-		Memory: j.table.Services[j.service].Engine.KVTokens, Avoid: f.doubts.doubtful, Closed: f.limits.closed,
+		Memory: j.table.Services[j.service].Engine.KVTokens, Avoid: f.doubts.doubtful, Closed: f.closed,
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -125,9 +125,10 @@
 	}
 }
 
-// freeExport frees a KV cache that will not be fetched, without waiting for it.
+// freeExport frees a KV cache that will not be fetched, without waiting for it. At an engine that wants nothing it lapses
+// by itself.
 func (f *Forwarder) freeExport(j *job, e *source) {
-	if e == nil {
+	if e == nil || f.rests.left(e.server.ID) > 0 {
 		return
 	}
 	go func() {
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -47,8 +47,8 @@
 		}
 	}
 	r.waiter.Exclude = r.tried
-	if r.allClosed() {
-		return nil, r.noServer(outcome.ServerLimited), false
+	if why, closed := r.allClosed(); closed {
+		return nil, r.noServer(why), false
 	}
 	for {
 		id, ok := e.await(ctx, r.waiter, turn{run: r.run, held: r.held, reserve: r.reserveAt}, spec.KVTokens, spec.Slots)
@@ -73,19 +73,19 @@
 func (r *stream) reserveAt(id string) bool { return r.f.reserveSend(r.j, id) }
 
 // allClosed reports whether engines generate, and none of them takes the request, by what they say, as long as it can wait.
-func (r *stream) allClosed() bool {
+func (r *stream) allClosed() (why outcome.Reason, closed bool) {
 	left := time.Until(r.waiter.Until)
-	some := false
 	for _, s := range r.f.View.Servers(r.j.service) {
 		if s.Stage != registry.Decode || slices.Contains(r.tried, s.ID) {
 			continue
 		}
-		if r.f.limits.wait(s.ID) <= max(left, 0) {
-			return false
+		wait, reason := r.f.closedFor(s.ID)
+		if wait <= max(left, 0) {
+			return "", false
 		}
-		some = true
+		why, closed = reason, true
 	}
-	return some
+	return why, closed
 }
 
 // held reports whether the request is sent to no server any more.
@@ -206,6 +206,9 @@
 	}
 	s, reservation := l.server, l.reservation
 	l.reservation = ""
+	if f.rests.left(s.ID) > 0 {
+		return
+	}
 	go func() {
 		if err := f.Engines.Unreserve(context.Background(), s, reservation); err != nil {
 			f.attemptFailed(j, s, outcome.ReservationLapsed, err)
@@ -281,6 +284,27 @@
 	if j.table == nil || j.route == nil {
 		return unconfiguredRetry
 	}
-	terms := f.service(j.service).engines.terms
-	return terms.ComeBack(j.left(time.Now()), rand.Float64())
+	terms, left := f.service(j.service).engines.terms, j.left(time.Now())
+	if rest := f.allRest(j.service); rest > 0 {
+		return terms.ComeBackIn(rest, left, rand.Float64())
+	}
+	return terms.ComeBack(left, rand.Float64())
+}
+
+// allRest is how long no server of a service that answers requests wants any from this process.
+func (f *Forwarder) allRest(service string) time.Duration {
+	var least time.Duration
+	for _, s := range f.View.Servers(service) {
+		if s.Stage == registry.Prefill {
+			continue
+		}
+		rest := f.rests.left(s.ID)
+		if rest == 0 {
+			return 0
+		}
+		if least == 0 || rest < least {
+			least = rest
+		}
+	}
+	return least
 }
--- a/forward/said.go
+++ b/forward/said.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -30,6 +31,8 @@
 var (
 	// errLimited: it takes no more for now.
 	errLimited = errors.New("the server takes no more requests for now")
+	// errResting: it has asked for rest.
+	errResting = errors.New("the server has asked for rest")
 	// errLeaving: it stops.
 	errLeaving = errors.New("the server has said that it stops")
 )
@@ -71,6 +74,7 @@
 		event.ServerLimited.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Bool("limited", now.Limited).Float64("per_second", now.Limit).Msg("")
 	}
 	if now.Rest > 0 {
+		f.rests.asked(s.ID, now.Rest)
 		f.Metrics.Counter(metrics.RestsAsked).Inc(1)
 		event.ServerRests.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Dur("rest", now.Rest).Msg("")
 	}
@@ -83,8 +87,23 @@
 // ServerLimits are what servers say that they take of all routers together.
 func (f *Forwarder) ServerLimits() *ServerLimits { return f.limits }
 
-// mayAsk reports whether a server may be sent the request now.
-func (f *Forwarder) mayAsk(s registry.Server) bool { return !f.limits.closed(s.ID) }
+// closedFor is how long a server is to be sent nothing, by what it said, and why; zero if it may be sent a request now.
+func (f *Forwarder) closedFor(id string) (time.Duration, outcome.Reason) {
+	limited, resting := f.limits.wait(id), f.rests.left(id)
+	if resting >= limited {
+		return resting, outcome.ServerResting
+	}
+	return limited, outcome.ServerLimited
+}
+
+// closed reports whether a server is to be sent nothing now.
+func (f *Forwarder) closed(id string) bool {
+	wait, _ := f.closedFor(id)
+	return wait > 0
+}
+
+// Rests reports whether a server wants nothing from this process for now.
+func (f *Forwarder) Rests(id string) bool { return f.rests.left(id) > 0 }
 
 // reserveSend takes one request from what a server says that it takes, to be sent there later, and reports whether it may be.
 func (f *Forwarder) reserveSend(j *job, id string) bool {
@@ -104,6 +123,9 @@
 	if f.View.Leaving(id) {
 		return f.heldBack(errLeaving)
 	}
+	if f.rests.left(id) > 0 {
+		return f.heldBack(errResting)
+	}
 	if i := slices.Index(j.reserved, id); i >= 0 {
 		j.reserved = slices.Delete(j.reserved, i, i+1)
 		return nil
@@ -121,7 +143,9 @@
 }
 
 // saidNo reports whether an attempt was not sent for what its server had said, which is no fault of the server.
-func saidNo(err error) bool { return errors.Is(err, errLimited) || errors.Is(err, errLeaving) }
+func saidNo(err error) bool {
+	return errors.Is(err, errLimited) || errors.Is(err, errResting) || errors.Is(err, errLeaving)
+}
 
 // giveBackSends returns what was reserved and not sent.
 func (f *Forwarder) giveBackSends(j *job) {
--- a/forward/serverlimits.go
+++ b/forward/serverlimits.go
@@ -83,9 +83,6 @@
 	return l.limits.Wait(id, time.Now())
 }
 
-// closed reports whether a server is to be sent no request now.
-func (l *ServerLimits) closed(id string) bool { return l.wait(id) > 0 }
-
 // take notes a request that is about to be sent to a server, and reports whether it may be.
 func (l *ServerLimits) take(id string) bool {
 	if l.count.Load() == 0 {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -102,7 +102,7 @@
 	return a.relay(ctx, head, res)
 }
 
-// start has the engine begin the run. With its memory reserved, an engine refuses only
+// start has the engine begin the run. With its memory reserved, an engine that says nothing else refuses only
 // because it could not fetch the KV cache; it can read the prompt itself.
 func (a *streamAttempt) start(ctx context.Context) (AnswerHead, *upstream.Response, error) {
 	f, j := a.r.f, a.r.j
@@ -115,12 +115,12 @@
 	}
 	a.lease.reservation = ""
 	head, res, err := a.open(ctx, o)
-	if !errors.Is(err, errNotRun) || a.export == nil || head.Replaced {
+	if !errors.Is(err, errNotRun) || a.export == nil || head.Replaced || f.closed(a.lease.server.ID) {
 		return head, res, err
 	}
 	f.shun(j, a.export.server)
 	f.attemptFailed(j, a.export.server, outcome.KVLost, err)
-	if !f.mayAsk(a.lease.server) || !f.mayRepeat(j) {
+	if !f.mayRepeat(j) {
 		return head, res, err
 	}
 	o.KVFrom = ""
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -48,6 +48,7 @@
 	Quarantined        Reason = "quarantined"
 	ConfigUnproved     Reason = "config_unproved"
 	ServerLimited      Reason = "server_limited"
+	ServerResting      Reason = "server_resting"
 )
 
 // All lists every reason, for metrics registration and for the tests that hold
@@ -59,7 +60,7 @@
 		LinkBusy, PrefillBacklog, TargetUnreachable, ShareExceeded, StaleRevision, Leaving, Draining,
 		ReservationLapsed, LeaseLapsed, FencedOff, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
-		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited,
+		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited, ServerResting,
 	}
 }
 
@@ -96,7 +97,7 @@
 // reason ended an attempt, provided that the attempt did not run or may be repeated.
 func (r Reason) Retryable() bool {
 	switch r {
-	case NoBackend, NoPlace, Overloaded, ServerLimited, LinkBusy, PrefillBacklog, Leaving, Draining, ReservationLapsed, LeaseLapsed,
+	case NoBackend, NoPlace, Overloaded, ServerLimited, ServerResting, LinkBusy, PrefillBacklog, Leaving, Draining, ReservationLapsed, LeaseLapsed,
 		KVLost, EngineError, EngineLost, LinkDown, SidecarRestarted, StaleRevision, ShareExceeded:
 		return true
 	default:
--- a/policy/waiting/patience.go
+++ b/policy/waiting/patience.go
@@ -19,6 +19,8 @@
 	// BackMin and BackMax bound when a request that is turned away comes back. Bursts
 	// last some four seconds; returners are spread so that they are no second burst.
 	BackMin, BackMax time.Duration
+	// Spread is the time over which those come back who were told the same moment.
+	Spread time.Duration
 }
 
 // DefaultTerms returns the values that were measured; see docs/MEASUREMENTS.md. An engine
@@ -32,6 +34,7 @@
 		Doubt:        1.5,
 		BackMin:      3500 * time.Millisecond,
 		BackMax:      4600 * time.Millisecond,
+		Spread:       300 * time.Millisecond,
 	}
 }
 
@@ -63,6 +66,12 @@
 	return rate > 0 && float64(ahead)/rate > t.Doubt*wait.Seconds()
 }
 
+// ComeBackIn is when a request should come back for which there is a server after wait, with u in [0, 1): those that were
+// told the same come back one after the other.
+func (t Terms) ComeBackIn(wait, left time.Duration, u float64) time.Duration {
+	return min(wait+time.Duration(u*float64(t.Spread)), left/3)
+}
+
 // ComeBack is when a request that is turned away should come back, with u in [0, 1).
 // A caller honours up to a third of the time that it has left.
 func (t Terms) ComeBack(left time.Duration, u float64) time.Duration {
