What was read of a prompt goes with the request to the next engine

What callers saw: a run that its engine refused for rest, or that was not sent there any more since the engine had said that it leaves or takes no more, had its prompt read a second time at the next engine, a third of a second for 10,000 tokens, and that reading came out of the repeats of all.

Cause: a KV cache belonged to one attempt. Change: it is kept for the next one while four fifths of its life are not over, and freed if there is none.

Test: forward TestPromptIsReadOnceThoughAnEngineRests, seen failing (read twice).

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -204,6 +204,7 @@
 		defer f.streams.Add(-1)
 		r := &stream{course: course{f: f, j: j}, lastEvent: j.meta.LastEventID}
 		r.finish(life.Run(ctx, r))
+		f.freeExport(j, r.takeKept())
 		return
 	}
 	c := &call{course{f: f, j: j}}
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -18,6 +18,8 @@
 type source struct {
 	Export
 	server registry.Server
+	// readAt is when it was exported.
+	readAt time.Time
 }
 
 // prefillTries bounds how often a prompt is sent to prefill engines before the decode
@@ -43,7 +45,7 @@
 		tried = append(tried, c.Server.ID)
 		export, err := f.read(ctx, j, c)
 		if err == nil {
-			return &source{Export: export, server: c.Server}, false
+			return &source{Export: export, server: c.Server, readAt: time.Now()}, false
 		}
 		f.attemptLost(j, c.Server, f.explain(ctx, err), err)
 		if errors.Is(err, errBarred) {
@@ -125,6 +127,23 @@
 	}
 }
 
+// keptShare is the part of an exported KV cache's life after which another engine would hardly fetch it in time.
+const keptShare = 0.8
+
+// keep keeps the KV cache of a run that did not come to be, for the next attempt.
+func (r *stream) keep(export *source) { r.kept = export }
+
+// takeKept returns the KV cache that was kept, if it can still be fetched.
+func (r *stream) takeKept() *source {
+	export := r.kept
+	r.kept = nil
+	life := r.j.table.Services[r.j.service].Engine.ExportLife
+	if export == nil || time.Since(export.readAt) > time.Duration(keptShare*float64(life)) {
+		return nil
+	}
+	return export
+}
+
 // freeExport frees a KV cache that will not be fetched, without waiting for it. At an engine that wants nothing it lapses
 // by itself.
 func (f *Forwarder) freeExport(j *job, e *source) {
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
@@ -100,3 +101,22 @@
 	assert.Check(t, time.Since(began) >= 200*time.Millisecond, "the rest was not kept")
 	assert.Equal(t, w.sent("p1", site.Plain), 2)
 }
+
+// A run that its engine refuses for rest, or that is not sent there any more, goes to another engine with what was read of it.
+func TestPromptIsReadOnceThoughAnEngineRests(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "pre", "llm", registry.Prefill)
+	w.add(t, "d1", "llm", registry.Decode)
+	w.add(t, "d2", "llm", registry.Decode)
+	// d1 has the most memory, as soon as the service is known.
+	w.fwd.Use("llm")
+	w.fwd.SetOthers(map[string]kvmemory.Load{"d2": {Tokens: 4000, Runs: 1, Ahead: kvmemory.Constant(4000)}})
+	w.servers["d1"].Behave(site.Shed)
+	w.servers["d1"].SetRest(long)
+	assert.Equal(t, w.post(t, "/resume/1").status, 200)
+	assert.Equal(t, w.sent("d1", site.Decode), 1)
+	assert.Equal(t, w.sent("pre", site.Prefill), 1)
+	for _, c := range w.log.Calls() {
+		assert.Check(t, c.Kind != site.Decode || c.KVFrom != "", "%s reads the prompt", c.Server)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,6 +25,8 @@
 	waiter *waiting.Waiter
 	// run is what placement knows of it; nil as long.
 	run *kvmemory.Run
+	// kept is the KV cache of an attempt whose run was refused or not sent, for the next one.
+	kept *source
 	// yielded is how often it left an engine that had granted its memory.
 	yielded int
 	// eventAt is when the last event came.
@@ -69,6 +71,9 @@
 // Prefill implements life.Attempt.
 func (a *streamAttempt) Prefill(ctx context.Context) (outcome.Outcome, bool) {
 	f, j := a.r.f, a.r.j
+	if a.export = a.r.takeKept(); a.export != nil {
+		return outcome.Outcome{}, true
+	}
 	var owed bool
 	a.export, owed = f.prefill(ctx, j, a.lease)
 	if ctx.Err() != nil {
@@ -90,6 +95,9 @@
 	if err != nil {
 		reason := f.explain(ctx, err)
 		a.lease.refused = ctx.Err() == nil && !barred(reason) && !saidNo(err)
+		if saidNo(err) || errors.Is(err, errNotRun) && f.closed(a.lease.server.ID) {
+			a.r.keep(a.export)
+		}
 		f.attemptLost(j, a.lease.server, reason, err)
 		return j.unanswered(reason)
 	}
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -189,7 +189,7 @@
 		},
 		Services: map[string]route.Service{
 			"plain": {Name: "plain"},
-			"llm":   {Name: "llm", Engine: &route.Engine{Slots: 48, KVTokens: 10_000, MaxHold: 2 * time.Second}},
+			"llm":   {Name: "llm", Engine: &route.Engine{Slots: 48, KVTokens: 10_000, MaxHold: 2 * time.Second, ExportLife: time.Minute}},
 		},
 		Limits: route.Limits{BodyBytes: 1000},
 	}
