Soak: servers that name limits, ask for rest, and leave by their answers

Three kinds of faults more, after those that seeds with a past draw from, judged by what reaches the servers.

--- a/proofs/sitewatch_test.go
+++ b/proofs/sitewatch_test.go
@@ -36,6 +36,7 @@
 	accepted []accepted
 	shown    map[string]int
 	strikers *strikers
+	sayings  sayings
 }
 
 // accepted is a manifest that the store has taken.
@@ -57,6 +58,7 @@
 // called records what reaches a server. Reading a prompt is work, but no run.
 func (w *siteWatch) called(call site.Call) {
 	w.strikers.called(call)
+	w.sayings.called(call)
 	e := invariant.Event{Request: call.ID, Node: startID(call.Server, call.Born)}
 	if call.Refused || !slices.Contains([]string{site.Plain, site.Prefill, site.Decode}, call.Kind) {
 		return
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -95,6 +95,7 @@
 	time.Sleep(soakTail)
 	w.c.keys.probing.Wait()
 	w.judgeQuota()
+	w.judgeSayings()
 	w.strikers.judge()
 	w.recovers(soakRecover)
 	close(stop)
@@ -164,8 +165,10 @@
 	}
 }
 
-// everyKind are the faults of the site, those of keys and quotas last.
-func (x *soaker) everyKind() []faultKind { return append(x.kinds(), x.keyKinds()...) }
+// everyKind are the faults of the site, in the order in which they came to be: seeds that once failed draw from the first.
+func (x *soaker) everyKind() []faultKind {
+	return slices.Concat(x.kinds(), x.keyKinds(), x.sayingKinds())
+}
 
 func (x *soaker) gateway(i int) *siteGateway { return x.c.gateways[i%len(x.c.gateways)] }
 
