Engines that refuse and close the connection are left alone for a while

Cause: a refusal is forgotten whenever a run ends at that engine, since its memory has become free; every gateway then asks again. An engine that is about to stop frees memory all the while.

Change: a reservation that is refused with Connection: close is a failure and not a refusal: the engine is left alone for a second, longer each time, and the other gateways are told to prefer others. Servers that say Server-Leaving are out at once; this is for those that say only so much.

--- a/forward/doubts.go
+++ b/forward/doubts.go
@@ -60,10 +60,14 @@
 
 // engineFailed notes a failure of an engine, as opposed to a refusal, and has the other gateways told.
 func (f *Forwarder) engineFailed(s registry.Server, reason outcome.Reason) {
-	if s.Stage == registry.Whole || f.Off.Has(mechanism.Doubts) {
-		return
+	if s.Stage != registry.Whole && (reason == outcome.EngineLost || reason == outcome.EngineError) {
+		f.doubt(s)
 	}
-	if (reason == outcome.EngineLost || reason == outcome.EngineError) && f.doubts.failed(s.ID) {
+}
+
+// doubt prefers other engines for a moment, here and at the other gateways.
+func (f *Forwarder) doubt(s registry.Server) {
+	if !f.Off.Has(mechanism.Doubts) && f.doubts.failed(s.ID) {
 		f.tellPlaced()
 	}
 }
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -164,6 +164,12 @@
 		f.Metrics.Counter(metrics.ReservationsRefused).Inc(1)
 		e.refused(l.server.ID, l.run)
 		return j.unanswered(outcome.NoPlace)
+	case errors.Is(err, ErrStopping):
+		// As a refusal it would be forgotten whenever a run ends there, and the engine asked again by every gateway.
+		f.Metrics.Counter(metrics.ReservationsRefused).Inc(1)
+		f.doubt(l.server)
+		e.failed(l.server.ID, l.run)
+		return j.unanswered(outcome.NoPlace)
 	case ctx.Err() != nil:
 		e.release(l.server.ID, l.run)
 		return j.unanswered(reasonOf(ctx))
--- a/forward/types.go
+++ b/forward/types.go
@@ -20,8 +20,13 @@
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
 
-// ErrFull means that an engine has no room for a reservation.
-var ErrFull = errors.New("engine has no room")
+// Errors of reservations.
+var (
+	// ErrFull means that an engine has no room for it.
+	ErrFull = errors.New("engine has no room")
+	// ErrStopping means that an engine has none and closes its connection as well, as one does that is about to stop.
+	ErrStopping = errors.New("engine has no room and closes the connection")
+)
 
 // Meta is what a client says of its request.
 type Meta struct {
@@ -105,7 +110,7 @@
 // Engines are the calls of model engines beside the requests themselves. It must be
 // safe for concurrent use.
 type Engines interface {
-	// Reserve reserves a slot and memory for life; ErrFull if there is no room.
+	// Reserve reserves a slot and memory for life; ErrFull or ErrStopping if there is no room.
 	Reserve(ctx context.Context, s registry.Server, tokens int, life time.Duration) (string, error)
 	// Unreserve gives a reservation back that was not used.
 	Unreserve(ctx context.Context, s registry.Server, reservation string) error
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -51,6 +51,8 @@
 	next []Behaviour
 	then Behaviour
 	full bool
+	// stopping is set once it refuses reservations and closes its connections, being about to stop.
+	stopping bool
 	// limit is what its answers name as the requests a second that it takes; empty if they name none.
 	limit string
 	// leaving has its answers say that it leaves, rest is what its refusals ask for in seconds; empty if nothing.
@@ -101,6 +103,13 @@
 	s.full = full
 }
 
+// Stop makes the server refuse reservations and close the connections on which they come: it takes nothing new.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full, s.stopping = true, true
+}
+
 // SetLimit has all answers name the requests a second that the server takes; empty ends it.
 func (s *Server) SetLimit(limit string) {
 	s.mu.Lock()
@@ -175,11 +184,14 @@
 		return
 	}
 	s.mu.Lock()
-	full := s.full
+	full, stopping := s.full, s.stopping
 	s.hold++
 	id := fmt.Sprint(s.ID, "-hold-", s.hold)
 	s.mu.Unlock()
 	s.log.add(&s.log.calls, Call{Server: s.ID, Kind: Hold, Tokens: body.Tokens, Hold: id})
+	if stopping {
+		w.Header().Set("Connection", "close")
+	}
 	if full {
 		s.refuse(w)
 		return
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -38,6 +38,8 @@
 	Header http.Header
 	// Length is that of the body, or -1 if it is not known beforehand.
 	Length int64
+	// Close is set if the server closes the connection after the answer.
+	Close bool
 	// Sent is when the request began to be sent.
 	Sent time.Time
 	Body io.ReadCloser
@@ -152,6 +154,7 @@
 		Status: res.StatusCode,
 		Header: res.Header,
 		Length: res.ContentLength,
+		Close:  res.Close,
 		Sent:   x.begun,
 		Body:   &body{Reader: res.Body, x: x},
 	}
