What gateways tell each other of servers that leave comes to an end

Fault of the mend of leaving, found by reading: a gateway forgot after half a minute what it had told, and took it as new from the next report of another one, which did the same, so that reports would have grown for months.

Change: only what the registry doesn't know yet is noted and told on; it never forgets that a server leaves.

One look at the registry in place of two.

--- a/gateway/leavers.go
+++ b/gateway/leavers.go
@@ -24,18 +24,14 @@
 
 func newLeavers() *leavers { return &leavers{heard: map[string]time.Time{}} }
 
-// add notes a server and reports whether it is new here; those that said so to this process are news for the others.
-func (l *leavers) add(id string, news bool) bool {
+// add notes a server that was not known to leave; those that said so to this process are news for the others.
+func (l *leavers) add(id string, news bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.heard[id]; known {
-		return false
-	}
 	l.heard[id] = time.Now()
 	if news {
 		l.news = append(l.news, id)
 	}
-	return true
 }
 
 // takeNews returns what the others are to be told at once.
@@ -56,11 +52,7 @@
 }
 
 // Leaves implements forward.View.
-func (v *view) Leaves(s registry.Server) bool {
-	news := !v.Leaving(s.ID)
-	v.leaves(s.ID, true)
-	return news
-}
+func (v *view) Leaves(s registry.Server) bool { return v.leaves(s.ID, true) }
 
 // toldLeaving takes from another gateway which servers have said in answers that they leave.
 func (v *view) toldLeaving(ids []string) {
@@ -69,14 +61,15 @@
 	}
 }
 
-// leaves notes a server that has said in an answer that it leaves.
-func (v *view) leaves(id string, news bool) {
-	if !v.leaving.add(id, news) {
-		return
-	}
+// leaves notes a server that has said in an answer that it leaves, and reports whether that was not known.
+func (v *view) leaves(id string, news bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.registry.MarkLeaving(id) {
-		clear(v.usable)
+	if v.registry.Leaving(id) {
+		return false
 	}
+	v.registry.MarkLeaving(id)
+	clear(v.usable)
+	v.leaving.add(id, news)
+	return true
 }
