A limit that a server names holds through refusals and answers to our own calls

Change: a limit ends with an answer of success to a request alone, sent after the limit was last heard of. Our own calls may name a limit and end none.

Test: forward TestLimitHoldsThroughAnswersThatDoNotNameIt, seen failing (after a failure, and after reservations).

--- a/forward/call.go
+++ b/forward/call.go
@@ -208,7 +208,7 @@
 		f.serverEnded(s.ID, endedReplaced)
 		return res, nil
 	}
-	f.hear(s, head.Said, res.Sent)
+	f.hearAnswer(s, head, res.Sent)
 	return res, nil
 }
 
--- a/forward/closed_bench_test.go
+++ b/forward/closed_bench_test.go
@@ -25,6 +25,6 @@
 	}
 	b.Run("none", look)
 	f.rests.asked(ids[7], time.Hour)
-	f.limits.say(ids[9], Said{Limited: true, Limit: 1}, time.Now())
+	f.limits.name(ids[9], 1)
 	b.Run("one rests, one is limited", look)
 }
--- a/forward/limited_test.go
+++ b/forward/limited_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
@@ -97,6 +98,31 @@
 	}
 }
 
+// A server in need that doesn't name its limit in every answer still has it: refusals, failures and answers to other calls
+// than requests end none.
+func TestLimitHoldsThroughAnswersThatDoNotNameIt(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "p1", "plain", registry.Whole).SetLimit("40")
+	w.servers["p1"].NameSparingly()
+	w.servers["p1"].Behave(site.Shed, site.Answer, site.Fail, site.Answer)
+	limited := func() bool { return w.met.Gauge(metrics.ServersLimited).Value() == 1 }
+	const asks = 3000
+	for i := 0; i < asks && w.sent("p1", site.Plain) < 4; i++ {
+		w.post(t, "/unsafe/1")
+		assert.Assert(t, limited(), "after %d answers", w.sent("p1", site.Plain))
+	}
+	assert.Equal(t, w.sent("p1", site.Plain), 4)
+
+	w = newWorld(t)
+	w.add(t, "pre", "llm", registry.Prefill)
+	w.add(t, "d1", "llm", registry.Decode).SetLimit("40")
+	w.servers["d1"].NameSparingly()
+	for i := 0; i < asks && w.sent("d1", site.Hold) < 3; i++ {
+		w.post(t, "/resume/1")
+	}
+	assert.Equal(t, w.met.Gauge(metrics.ServersLimited).Value(), int64(1), "reservations don't name it")
+}
+
 // Callers are told at once where all servers are in need, and served as before once they name no limit any more.
 func TestCallersAreToldWhenAllServersAreLimited(t *testing.T) {
 	w := plain(t)
--- a/forward/said.go
+++ b/forward/said.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +15,7 @@
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
-// Said is what a server says of itself in an answer, beside the answer. What an answer does not say any more has ended.
+// Said is what a server says of itself in an answer, beside the answer.
 type Said struct {
 	// Limited is set if the server takes no more than Limit requests a second, of all routers together.
 	Limited bool
@@ -65,13 +66,23 @@
 	maps.DeleteFunc(f.fields, func(id, _ string) bool { return !known(id) })
 }
 
-// hear takes what a server says of itself in an answer to a request that was sent to it at a time.
-func (f *Forwarder) hear(s registry.Server, now Said, sent time.Time) {
+// hearAnswer takes what a server says of itself in the answer to a request that was sent to it at a time. A limit that an answer of success does not name
+// any more has ended; refusals and failures may come from what knows of none.
+func (f *Forwarder) hearAnswer(s registry.Server, head AnswerHead, sent time.Time) {
+	f.hear(s, head.Said)
+	names := head.Said.Limited || head.Said.Fault != ""
+	if !names && head.Status < http.StatusMultipleChoices && f.limits.end(s.ID, sent) {
+		f.logLimit(s, head.Said)
+	}
+}
+
+// hear takes what a server says of itself in any answer.
+func (f *Forwarder) hear(s registry.Server, now Said) {
 	if f.faults.begins(s.ID, now.Fault) {
 		event.SaidInvalid.Log(f.Log).Str("server", s.ID).Str("field", now.Fault).Msg("")
 	}
-	if f.limits.say(s.ID, now, sent) {
-		event.ServerLimited.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Bool("limited", now.Limited).Float64("per_second", now.Limit).Msg("")
+	if now.Limited && f.limits.name(s.ID, now.Limit) {
+		f.logLimit(s, now)
 	}
 	if now.Rest > 0 {
 		f.rests.asked(s.ID, now.Rest)
@@ -84,6 +95,10 @@
 	}
 }
 
+func (f *Forwarder) logLimit(s registry.Server, now Said) {
+	event.ServerLimited.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Bool("limited", now.Limited).Float64("per_second", now.Limit).Msg("")
+}
+
 // ServerLimits are what servers say that they take of all routers together.
 func (f *Forwarder) ServerLimits() *ServerLimits { return f.limits }
 
--- a/forward/serverlimits.go
+++ b/forward/serverlimits.go
@@ -41,19 +41,21 @@
 // Changed is sent to when Tell has news.
 func (l *ServerLimits) Changed() <-chan struct{} { return l.changed }
 
-// say takes what a server said in an answer to this router, and reports whether its limit has changed.
-func (l *ServerLimits) say(id string, now Said, sent time.Time) bool {
-	if now.Fault != "" || !now.Limited && l.count.Load() == 0 {
-		return false
-	}
-	at := time.Now()
-	said := serverlimit.Said{Limit: serverlimit.Limit{Named: now.Limited, PerSecond: now.Limit}, At: at}
-	if !now.Limited {
-		said.At = sent
-	}
+// name takes a limit that a server names, and reports whether it has changed.
+func (l *ServerLimits) name(id string, perSecond float64) bool {
+	now := time.Now()
+	return l.say(id, serverlimit.Said{Limit: serverlimit.Limit{Named: true, PerSecond: perSecond}, At: now}, now)
+}
+
+// end takes that a server names no limit in the answer to a request that was sent at a time, and reports whether it had one.
+func (l *ServerLimits) end(id string, sent time.Time) bool {
+	return l.count.Load() > 0 && l.say(id, serverlimit.Said{At: sent}, time.Now())
+}
+
+func (l *ServerLimits) say(id string, said serverlimit.Said, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.limits.Say(id, said, at) {
+	if !l.limits.Say(id, said, now) {
 		return false
 	}
 	l.news[id] = struct{}{}
--- a/forward/types.go
+++ b/forward/types.go
@@ -116,9 +116,9 @@
 	Unreserve(ctx context.Context, s registry.Server, reservation string) error
 	// FreeExport frees an exported KV cache that nobody will fetch.
 	FreeExport(ctx context.Context, s registry.Server, handle string) error
-	// Hear has f called with what engines say of themselves in answers to these calls, and when the call was sent. It is
-	// called once, before any other.
-	Hear(f func(s registry.Server, said Said, sent time.Time))
+	// Hear has f called with what engines say of themselves in answers to these calls. It is called once, before any
+	// other.
+	Hear(f func(s registry.Server, said Said))
 }
 
 // Quarantine holds back requests under which servers end. It must be safe for concurrent use.
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -55,6 +56,8 @@
 	stopping bool
 	// limit is what its answers name as the requests a second that it takes; empty if they name none.
 	limit string
+	// sparing has it name its limit in answers of success to requests alone.
+	sparing bool
 	// leaving has its answers say that it leaves, rest is what its refusals ask for in seconds; empty if nothing.
 	leaving bool
 	rest    string
@@ -117,6 +120,14 @@
 	s.limit = limit
 }
 
+// NameSparingly has the server name its limit in answers of success to requests alone: not in refusals, failures and answers
+// to other calls.
+func (s *Server) NameSparingly() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sparing = true
+}
+
 // SetLeaving has all answers say that the server leaves.
 func (s *Server) SetLeaving() {
 	s.mu.Lock()
@@ -135,6 +146,9 @@
 func (s *Server) refuse(w http.ResponseWriter) {
 	s.mu.Lock()
 	rest := s.rest
+	if s.sparing {
+		w.Header().Del(limitHeader)
+	}
 	s.mu.Unlock()
 	if rest != "" {
 		w.Header().Set(retryAfter, rest)
@@ -147,6 +161,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		limit, leaving := s.limit, s.leaving
+		if s.sparing && strings.HasPrefix(r.URL.Path, "/api/") {
+			limit = ""
+		}
 		s.mu.Unlock()
 		if leaving {
 			w.Header().Set(leavingHeader, "1")
@@ -285,6 +302,11 @@
 	}
 	switch {
 	case b == Fail:
+		s.mu.Lock()
+		if s.sparing {
+			w.Header().Del(limitHeader)
+		}
+		s.mu.Unlock()
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed at "+s.ID)
 	case c.Kind == Prefill:
