What servers say of themselves is called their signals

Names alone: forward.Said becomes Signals, serverlimit.Said a Statement that Update takes, and the files follow. A newcomer had to read the package to know what Said, passSend and saidNo were.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -72,7 +72,7 @@
 	ServerLimited   = Event{737, log.InfoLevel, "server names how much it takes, or no limit any more"}
 	ServerRests     = Event{739, log.InfoLevel, "server has turned a request away and asks for rest"}
 	ServerLeaves    = Event{740, log.InfoLevel, "server says in an answer that it leaves"}
-	SaidInvalid     = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
+	SignalInvalid   = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
 )
@@ -91,6 +91,6 @@
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerEnded,
 		RequestHeld, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaShared,
-		ServerLimited, SaidInvalid, ServerRests, ServerLeaves,
+		ServerLimited, SignalInvalid, ServerRests, ServerLeaves,
 	}
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -174,7 +174,7 @@
 	if err := f.barredNow(ctx, j); err != nil {
 		return nil, errors.Join(upstream.ErrNotSent, err)
 	}
-	if err := f.passSend(j, s.ID); err != nil {
+	if err := f.admitSend(j, s.ID); err != nil {
 		return nil, err
 	}
 	o.Left, o.Instance = j.left(time.Now()), s.Instance()
--- a/forward/forget_test.go
+++ b/forward/forget_test.go
@@ -30,7 +30,7 @@
 // silentEngines are engines that say nothing.
 type silentEngines struct{ Engines }
 
-func (silentEngines) Hear(func(registry.Server, Said)) {}
+func (silentEngines) Hear(func(registry.Server, Signals)) {}
 
 // TestForgetRoutes: a gateway runs for months while routes come and go under new names; what it
 // learned of those that are gone must not stay.
--- a/forward/serverlimits.go
+++ b/forward/serverlimits.go
@@ -44,18 +44,18 @@
 // name takes a limit that a server names, and reports whether it has changed.
 func (l *ServerLimits) name(id string, perSecond float64) bool {
 	now := time.Now()
-	return l.say(id, serverlimit.Said{Limit: serverlimit.Limit{Named: true, PerSecond: perSecond}, At: now}, now)
+	return l.update(id, serverlimit.Statement{Limit: serverlimit.Limit{Named: true, PerSecond: perSecond}, At: now}, now)
 }
 
 // end takes that a server names no limit in the answer to a request that was sent at a time, and reports whether it had one.
 func (l *ServerLimits) end(id string, sent time.Time) bool {
-	return l.count.Load() > 0 && l.say(id, serverlimit.Said{At: sent}, time.Now())
+	return l.count.Load() > 0 && l.update(id, serverlimit.Statement{At: sent}, time.Now())
 }
 
-func (l *ServerLimits) say(id string, said serverlimit.Said, now time.Time) bool {
+func (l *ServerLimits) update(id string, st serverlimit.Statement, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.limits.Say(id, said, now) {
+	if !l.limits.Update(id, st, now) {
 		return false
 	}
 	l.news[id] = struct{}{}
@@ -149,7 +149,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, t := range news.Limits {
-		l.limits.Say(t.ID, t.Said, now)
+		l.limits.Update(t.ID, t.Statement, now)
 	}
 	l.recount()
 	l.limits.Used().Hear(addr, incarnation, news.Informed, all, news.Used, now)
--- a/forward/said.go
+++ b/forward/signals.go
@@ -15,8 +15,8 @@
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
-// Said is what a server says of itself in an answer, beside the answer.
-type Said struct {
+// Signals is what a server says of itself in an answer, beside the answer.
+type Signals struct {
 	// Limited is set if the server takes no more than Limit requests a second, of all routers together.
 	Limited bool
 	Limit   float64
@@ -66,37 +66,38 @@
 	maps.DeleteFunc(f.fields, func(id, _ string) bool { return !known(id) })
 }
 
-// hearAnswer takes what a server says of itself in the answer to a request that was sent to it at a time. A limit that an answer of success does not name
-// any more has ended; refusals and failures may come from what knows of none.
+// hearAnswer takes what a server says of itself in the answer to a request that was sent to it at a time. A limit that an
+// answer of success does not name any more has ended; refusals and failures may come from what knows of none.
 func (f *Forwarder) hearAnswer(s registry.Server, head AnswerHead, sent time.Time) {
-	f.hear(s, head.Said)
-	names := head.Said.Limited || head.Said.Fault != ""
+	f.hear(s, head.Signals)
+	names := head.Signals.Limited || head.Signals.Fault != ""
 	if !names && head.Status < http.StatusMultipleChoices && f.limits.end(s.ID, sent) {
-		f.logLimit(s, head.Said)
+		f.logLimit(s, head.Signals)
 	}
 }
 
 // hear takes what a server says of itself in any answer.
-func (f *Forwarder) hear(s registry.Server, now Said) {
-	if f.faults.begins(s.ID, now.Fault) {
-		event.SaidInvalid.Log(f.Log).Str("server", s.ID).Str("field", now.Fault).Msg("")
+func (f *Forwarder) hear(s registry.Server, sig Signals) {
+	if f.faults.begins(s.ID, sig.Fault) {
+		event.SignalInvalid.Log(f.Log).Str("server", s.ID).Str("field", sig.Fault).Msg("")
 	}
-	if now.Limited && f.limits.name(s.ID, now.Limit) {
-		f.logLimit(s, now)
+	if sig.Limited && f.limits.name(s.ID, sig.Limit) {
+		f.logLimit(s, sig)
 	}
-	if now.Rest > 0 {
-		f.rests.asked(s.ID, now.Rest)
+	if sig.Rest > 0 {
+		f.rests.asked(s.ID, sig.Rest)
 		f.Metrics.Counter(metrics.RestsAsked).Inc(1)
-		event.ServerRests.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Dur("rest", now.Rest).Msg("")
+		event.ServerRests.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Dur("rest", sig.Rest).Msg("")
 	}
-	if now.Leaving && f.View.Leaves(s) {
+	if sig.Leaving && f.View.Leaves(s) {
 		f.tellPlaced()
 		event.ServerLeaves.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Msg("")
 	}
 }
 
-func (f *Forwarder) logLimit(s registry.Server, now Said) {
-	event.ServerLimited.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Bool("limited", now.Limited).Float64("per_second", now.Limit).Msg("")
+// logLimit logs a limit that has changed.
+func (f *Forwarder) logLimit(s registry.Server, sig Signals) {
+	event.ServerLimited.Log(f.Log).Str("server", s.ID).Str("service", s.Service).Bool("limited", sig.Limited).Float64("per_second", sig.Limit).Msg("")
 }
 
 // ServerLimits are what servers say that they take of all routers together.
@@ -117,8 +118,8 @@
 	return wait > 0
 }
 
-// Rests reports whether a server wants nothing from this process for now.
-func (f *Forwarder) Rests(id string) bool { return f.rests.left(id) > 0 }
+// Resting reports whether a server wants nothing from this process for now.
+func (f *Forwarder) Resting(id string) bool { return f.rests.left(id) > 0 }
 
 // reserveSend takes one request from what a server says that it takes, to be sent there later, and reports whether it may be.
 func (f *Forwarder) reserveSend(j *job, id string) bool {
@@ -132,9 +133,9 @@
 	return true
 }
 
-// passSend tells why the request may not be sent to a server now, or nil. What a server takes was reserved before or is taken
+// admitSend tells why the request may not be sent to a server now, or nil. What a server takes was reserved before or is taken
 // now.
-func (f *Forwarder) passSend(j *job, id string) error {
+func (f *Forwarder) admitSend(j *job, id string) error {
 	if f.View.Leaving(id) {
 		return f.heldBack(errLeaving)
 	}
@@ -157,8 +158,8 @@
 	return errors.Join(upstream.ErrNotSent, why)
 }
 
-// saidNo reports whether an attempt was not sent for what its server had said, which is no fault of the server.
-func saidNo(err error) bool {
+// isHeldBack reports whether an attempt was not sent for what its server had said, which is no fault of the server.
+func isHeldBack(err error) bool {
 	return errors.Is(err, errLimited) || errors.Is(err, errResting) || errors.Is(err, errLeaving)
 }
 
--- a/forward/said_test.go
+++ b/forward/signals_test.go
@@ -15,20 +15,20 @@
 func TestLimitsAreLogged(t *testing.T) {
 	w := newWorld(t)
 	s := w.add(t, "p1", "plain", registry.Whole)
-	said := func(text string) int { return strings.Count(w.logged.String(), text) }
+	logged := func(text string) int { return strings.Count(w.logged.String(), text) }
 	limited := func() int64 { return w.met.Gauge(metrics.ServersLimited).Value() }
 	// A server with a limit may take a while until it is asked again.
 	ask := func(limit, text string) {
 		s.SetLimit(limit)
 		const most = 5000
-		for i := 0; i < most && said(text) == 0; i++ {
+		for i := 0; i < most && logged(text) == 0; i++ {
 			w.post(t, "/safe/1")
 		}
 		w.post(t, "/safe/2")
-		assert.Equal(t, said(text), 1, "%s", text)
+		assert.Equal(t, logged(text), 1, "%s", text)
 	}
 	w.post(t, "/safe/1")
-	assert.Equal(t, said(`"event":737`), 0)
+	assert.Equal(t, logged(`"event":737`), 0)
 	ask("3000.5", `"limited":true,"per_second":3000.5`)
 	assert.Equal(t, limited(), int64(1))
 	ask("4000", `"limited":true,"per_second":4000`)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -94,8 +94,8 @@
 	head, res, err := a.start(run)
 	if err != nil {
 		reason := f.explain(ctx, err)
-		a.lease.refused = ctx.Err() == nil && !barred(reason) && !saidNo(err)
-		if saidNo(err) || errors.Is(err, errNotRun) && f.closed(a.lease.server.ID) {
+		a.lease.refused = ctx.Err() == nil && !barred(reason) && !isHeldBack(err)
+		if isHeldBack(err) || errors.Is(err, errNotRun) && f.closed(a.lease.server.ID) {
 			a.r.keep(a.export)
 		}
 		f.attemptLost(j, a.lease.server, reason, err)
--- a/forward/types.go
+++ b/forward/types.go
@@ -82,8 +82,8 @@
 	Encoded bool
 	// Replaced is set when another server than the one that was meant answered.
 	Replaced bool
-	// Said is what the server says of itself.
-	Said Said
+	// Signals is what the server says of itself.
+	Signals Signals
 }
 
 // Export is a KV cache that an engine keeps for another one to fetch.
@@ -118,7 +118,7 @@
 	FreeExport(ctx context.Context, s registry.Server, handle string) error
 	// Hear has f called with what engines say of themselves in answers to these calls. It is called once, before any
 	// other.
-	Hear(f func(s registry.Server, said Said))
+	Hear(f func(s registry.Server, signals Signals))
 }
 
 // Quarantine holds back requests under which servers end. It must be safe for concurrent use.
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -109,15 +109,15 @@
 }
 
 // decodeServerLimits leaves out what no server can have said, as a faulty process may tell.
-func decodeServerLimits(l *peer.ServerLimits, now time.Time) forward.ServerLimitNews {
-	out := forward.ServerLimitNews{Used: decodeUsages(l.GetSent()), Informed: l.GetSent().GetInformed()}
-	for _, t := range l.GetLimits() {
-		said := serverlimit.Limit{Named: t.GetLimited(), PerSecond: t.GetPerSecond()}
-		if !said.Valid() {
+func decodeServerLimits(told *peer.ServerLimits, now time.Time) forward.ServerLimitNews {
+	out := forward.ServerLimitNews{Used: decodeUsages(told.GetSent()), Informed: told.GetSent().GetInformed()}
+	for _, t := range told.GetLimits() {
+		l := serverlimit.Limit{Named: t.GetLimited(), PerSecond: t.GetPerSecond()}
+		if !l.Valid() {
 			continue
 		}
 		at := now.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond)
-		out.Limits = append(out.Limits, serverlimit.Told{ID: t.GetServer(), Said: serverlimit.Said{Limit: said, At: at}})
+		out.Limits = append(out.Limits, serverlimit.Told{ID: t.GetServer(), Statement: serverlimit.Statement{Limit: l, At: at}})
 	}
 	return out
 }
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -74,7 +74,7 @@
 	for ctx.Err() == nil {
 		servers, moving := s.view.all(service.Name)
 		m, ok := p.Next(servers, moving, load, now)
-		if !ok || s.fwd.Rests(m.Server.ID) {
+		if !ok || s.fwd.Resting(m.Server.ID) {
 			break
 		}
 		fence, err := s.order(ctx, m)
--- a/policy/serverlimit/routers_test.go
+++ b/policy/serverlimit/routers_test.go
@@ -110,12 +110,12 @@
 	ways := make([]way, routers)
 	for i := range ways {
 		ways[i] = newWay(i, routers)
-		said := named(limit, start)
+		st := named(limit, start)
 		if p, ok := ways[i].(parts); ok {
-			said.PerSecond /= float64(routers)
-			p.Say("a", said, start)
+			st.PerSecond /= float64(routers)
+			p.Update("a", st, start)
 		} else {
-			ways[i].(together).Say("a", said, start)
+			ways[i].(together).Update("a", st, start)
 		}
 	}
 	pace := 200 * time.Millisecond * time.Duration(max(routers, 8)) / 8
--- a/policy/serverlimit/serverlimit.go
+++ b/policy/serverlimit/serverlimit.go
@@ -48,9 +48,9 @@
 	return l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 0)
 }
 
-// Said is a limit at a time. An answer names one as of its arrival. It tells that there is none as of the sending of its
+// Statement is a limit at a time. An answer names one as of its arrival. It tells that there is none as of the sending of its
 // request only, since it may have been made before the server named one in another answer.
-type Said struct {
+type Statement struct {
 	Limit
 	At time.Time
 }
@@ -64,7 +64,7 @@
 }
 
 type server struct {
-	said Said
+	latest Statement
 	// turn is this router's share of the time that the turns of all take, in [0, 1).
 	turn float64
 }
@@ -80,26 +80,26 @@
 // Used is what routers tell each other of the requests that they sent to servers with limits.
 func (l *Limits) Used() *limit.Shared { return l.used }
 
-// Say takes what a server said, to this router or to another, and reports whether its limit has changed. What is older
+// Update takes what a server said, to this router or to another, and reports whether its limit has changed. What is older
 // than what is known changes nothing.
-func (l *Limits) Say(id string, said Said, now time.Time) bool {
+func (l *Limits) Update(id string, st Statement, now time.Time) bool {
 	s, known := l.servers[id]
-	if !known && !said.Named {
+	if !known && !st.Named {
 		return false
 	}
 	if !known {
 		s = &server{}
 		l.servers[id] = s
 	}
-	if said.At.Before(s.said.At) {
+	if st.At.Before(s.latest.At) {
 		return false
 	}
-	before := s.said.Limit
-	s.said = said
-	if before == said.Limit {
+	before := s.latest.Limit
+	s.latest = st
+	if before == st.Limit {
 		return false
 	}
-	if said.Named {
+	if st.Named {
 		l.used.Configure(id, s.terms(), now)
 	}
 	if !before.Named {
@@ -113,7 +113,7 @@
 
 // terms are those of the bucket of all routers.
 func (s *server) terms() limit.Terms {
-	rate := max(s.said.PerSecond, least)
+	rate := max(s.latest.PerSecond, least)
 	return limit.Terms{Rate: rate, Burst: burst + rate*burstFor.Seconds()}
 }
 
@@ -121,7 +121,7 @@
 func (l *Limits) Count() int {
 	n := 0
 	for _, s := range l.servers {
-		if s.said.Named {
+		if s.latest.Named {
 			n++
 		}
 	}
@@ -131,7 +131,7 @@
 // Of is the limit of a server.
 func (l *Limits) Of(id string) Limit {
 	if s, ok := l.servers[id]; ok {
-		return s.said.Limit
+		return s.latest.Limit
 	}
 	return Limit{}
 }
@@ -139,7 +139,7 @@
 // Wait is how long a server is to be sent no request; zero if it may be sent one now.
 func (l *Limits) Wait(id string, now time.Time) time.Duration {
 	s, ok := l.servers[id]
-	if !ok || !s.said.Named {
+	if !ok || !s.latest.Named {
 		return 0
 	}
 	t := s.terms()
@@ -150,7 +150,7 @@
 // Take notes a request that is sent to a server, and reports whether it may be.
 func (l *Limits) Take(id string, now time.Time) bool {
 	s, ok := l.servers[id]
-	if !ok || !s.said.Named {
+	if !ok || !s.latest.Named {
 		return true
 	}
 	if l.Wait(id, now) > 0 || !l.used.Admit(id, s.terms(), now, nil).Admitted {
@@ -176,15 +176,15 @@
 // Told is what is told of one server.
 type Told struct {
 	ID string
-	Said
+	Statement
 }
 
 // Tell returns the limits that other routers are to know, and those that ended a while ago.
 func (l *Limits) Tell(now time.Time) []Told {
 	var out []Told
 	for id, s := range l.servers {
-		if s.said.Named || now.Sub(s.said.At) < endToldFor {
-			out = append(out, Told{ID: id, Said: s.said})
+		if s.latest.Named || now.Sub(s.latest.At) < endToldFor {
+			out = append(out, Told{ID: id, Statement: s.latest})
 		}
 	}
 	return out
--- a/policy/serverlimit/serverlimit_test.go
+++ b/policy/serverlimit/serverlimit_test.go
@@ -12,8 +12,8 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // named is a server's limit as an answer of that time names it.
-func named(perSecond float64, now time.Time) Said {
-	return Said{Limit: Limit{Named: true, PerSecond: perSecond}, At: now}
+func named(perSecond float64, now time.Time) Statement {
+	return Statement{Limit: Limit{Named: true, PerSecond: perSecond}, At: now}
 }
 
 // old is a process that knows by itself what is left of limits.
@@ -32,39 +32,39 @@
 func TestLimitHoldsAsLongAsItIsNamed(t *testing.T) {
 	l := old()
 	assert.Equal(t, take(l, "a", 100, 0), 100, "no limit is known")
-	assert.Assert(t, l.Say("a", named(2, start), start))
+	assert.Assert(t, l.Update("a", named(2, start), start))
 	assert.Equal(t, l.Of("a"), Limit{Named: true, PerSecond: 2})
 	sent := take(l, "a", 1000, 10*time.Millisecond)
 	assert.Check(t, sent >= 19 && sent <= 22, "%d in ten seconds", sent)
 	assert.Equal(t, take(l, "b", 100, 0), 100, "another server")
 
-	assert.Check(t, !l.Say("a", named(2, at(11*time.Second)), at(11*time.Second)), "the same again is no change")
-	assert.Check(t, !l.Say("a", Said{At: at(10 * time.Second)}, at(12*time.Second)), "an answer to a request that was sent before")
+	assert.Check(t, !l.Update("a", named(2, at(11*time.Second)), at(11*time.Second)), "the same again is no change")
+	assert.Check(t, !l.Update("a", Statement{At: at(10 * time.Second)}, at(12*time.Second)), "an answer to a request that was sent before")
 	assert.Check(t, l.Wait("a", at(11*time.Second)) == 0 || l.Count() == 1)
-	assert.Check(t, l.Say("a", Said{At: at(11500 * time.Millisecond)}, at(12*time.Second)))
+	assert.Check(t, l.Update("a", Statement{At: at(11500 * time.Millisecond)}, at(12*time.Second)))
 	assert.Equal(t, l.Count(), 0)
 	assert.Equal(t, take(l, "a", 100, 0), 100, "it names none any more")
 }
 
 func TestLimitOfZeroIsAskedNowAndThen(t *testing.T) {
 	l := old()
-	l.Say("a", named(0, start), start)
+	l.Update("a", named(0, start), start)
 	sent := take(l, "a", 4000, 10*time.Millisecond)
 	assert.Check(t, sent >= 7 && sent <= 8, "%d in 40 seconds", sent)
 }
 
 func TestLimitThatRisesCountsAtOnce(t *testing.T) {
 	l := old()
-	l.Say("a", named(0.1, start), start)
+	l.Update("a", named(0.1, start), start)
 	assert.Assert(t, l.Wait("a", at(time.Second)) > time.Second)
-	l.Say("a", named(50, at(time.Second)), at(time.Second))
+	l.Update("a", named(50, at(time.Second)), at(time.Second))
 	assert.Assert(t, l.Wait("a", at(1100*time.Millisecond)) == 0)
 }
 
 func TestForgottenServersHaveNoLimit(t *testing.T) {
 	l := old()
-	l.Say("a", named(1, start), start)
-	l.Say("b", named(1, start), start)
+	l.Update("a", named(1, start), start)
+	l.Update("b", named(1, start), start)
 	l.Forget(func(id string) bool { return id == "b" })
 	assert.Equal(t, l.Count(), 1)
 	assert.Equal(t, take(l, "a", 10, 0), 10)
@@ -72,7 +72,7 @@
 
 func TestGivenBackIsThereAgain(t *testing.T) {
 	l := old()
-	l.Say("a", named(0.5, start), start)
+	l.Update("a", named(0.5, start), start)
 	now := at(3 * time.Second)
 	assert.Assert(t, l.Take("a", now))
 	assert.Assert(t, !l.Take("a", now))
@@ -82,9 +82,9 @@
 
 func TestEndsAreToldForAWhile(t *testing.T) {
 	l := old()
-	l.Say("a", named(1, start), start)
+	l.Update("a", named(1, start), start)
 	assert.Equal(t, len(l.Tell(at(time.Hour))), 1)
-	l.Say("a", Said{At: at(time.Second)}, at(time.Second))
-	assert.DeepEqual(t, l.Tell(at(2*time.Second)), []Told{{ID: "a", Said: Said{At: at(time.Second)}}})
+	l.Update("a", Statement{At: at(time.Second)}, at(time.Second))
+	assert.DeepEqual(t, l.Tell(at(2*time.Second)), []Told{{ID: "a", Statement: Statement{At: at(time.Second)}}})
 	assert.Equal(t, len(l.Tell(at(time.Second+endToldFor))), 0)
 }
