--- a/policy/limit/shared_test.go
+++ b/policy/limit/shared_test.go
@@ -239,3 +239,37 @@
 		})
 	}
 }
+
+// TestFree: when a request would be admitted, as Admit says at that moment.
+func TestFree(t *testing.T) {
+	s := learned()
+	assert.Check(t, s.Free(customer, quota, start) < 0)
+	s.Owe(customer, 500, start)
+	free := s.Free(customer, quota, start)
+	assert.Equal(t, free, 500*time.Millisecond)
+	n, _ := admit(s, 1, start.Add(free-time.Millisecond))
+	assert.Equal(t, n, 0)
+	n, _ = admit(s, 1, start.Add(free+time.Millisecond))
+	assert.Equal(t, n, 1)
+	s.Owe("nobody", 1, start)
+}
+
+// TestWithoutBeats: a quota that is nearly used up is told of when it is used and not besides, and nobody counts as silent for
+// that.
+func TestWithoutBeats(t *testing.T) {
+	for _, beats := range []bool{true, false} {
+		s := learned()
+		if !beats {
+			s.WithoutBeats()
+		}
+		s.Hear("other", 1, true, true, []Told{{Customer: customer, Charged: 900, Left: 100}}, start)
+		admit(s, 10, start)
+		s.Tell(true, start)
+		later := start.Add(500 * time.Millisecond)
+		s.Owe(customer, 0, later)
+		assert.Equal(t, s.Untold(later), beats)
+		s.Hear("other", 1, true, false, nil, start.Add(100*time.Millisecond))
+		s.Refresh(start.Add(110 * time.Millisecond))
+		assert.Equal(t, s.Silent(), 0)
+	}
+}
