kvmemory: late requests of over three quarters of an engine fit an empty one

What callers saw: a retried request whose prompt takes more than three quarters of an engine's memory waited for 3 s and was rejected again, whatever the load: 34 of 34 prompts of over 30,000 tokens in one small twin of the large site, also in its quiet seconds.

Cause: a late request has to leave a quarter of an engine free. One of over three quarters can't, so that no engine was ever eligible. Evidence: logs of the small twin by size of prompt (all of them waited 3.0 s, none was placed), and the new test, which failed on an empty engine for nine tenths of its memory and for all of it.

Change: such a request leaves free what remains of an empty engine. For others nothing changes.

Not what makes long prompts starve under load: TestLongPromptsAreServed still fails, an engine is hardly ever empty while shorter requests wait.

--- a/policy/kvmemory/late_requests_test.go
+++ b/policy/kvmemory/late_requests_test.go
@@ -170,3 +170,28 @@
 	assert.Assert(t, after.inTime > before.inTime+before.inTime/20)
 	assert.Assert(t, after.value() > 1.03*before.value())
 }
+
+// TestLateLongPromptFitsAnEmptyEngine: a retried request of more than three quarters of an engine's
+// memory was rejected even if all engines were empty, as it left less free than late requests must.
+func TestLateLongPromptFitsAnEmptyEngine(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		need      int
+		elsewhere int
+		want      bool
+	}{
+		{"three quarters", 37_500, 0, true},
+		{"nine tenths", 45_000, 0, true},
+		{"all of it", 50_000, 0, true},
+		{"more than all", 50_001, 0, false},
+		{"nine tenths beside a small run", 45_000, 1000, false},
+		{"half beside a run that leaves too little", 25_000, 13_000, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := pool("g", 1)
+			p.SetPeerLoad("a", constantLoad(c.elsewhere), start)
+			_, ok := p.Pick(kvmemory.Request{Run: run(c.need), Late: true}, ms(5000))
+			assert.Equal(t, ok, c.want)
+		})
+	}
+}
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		free := p.freeAtPeak(s, &requested, now)
-		if free < p.spare(s, r) || p.deferred(s, r.Late, now) {
+		if free < p.spare(s, r, &requested) || p.deferred(s, r.Late, now) {
 			continue
 		}
 		score, avoided := p.score(s, free, r.Zone), r.Avoid != nil && r.Avoid(s.ID)
@@ -115,12 +115,14 @@
 	return now.Sub(s.freedAt) < delay
 }
 
-// spare is the memory that has to remain free, in tokens.
-func (p *Pool) spare(s *server, r Request) float64 {
+// spare is the memory that has to remain free, in tokens. A late request that an empty engine can
+// hold, but not beside LateSpare, leaves free what remains of an empty engine.
+func (p *Pool) spare(s *server, r Request, requested *Forecast) float64 {
 	if !r.Late {
 		return 0
 	}
-	return p.cfg.LateSpare * float64(s.Capacity)
+	capacity := float64(s.Capacity)
+	return max(min(p.cfg.LateSpare*capacity, capacity-requested.Peak(p.cfg.Margin)), 0)
 }
 
 func (p *Pool) score(s *server, free float64, zone string) float64 {
