peer: a requested exchange stands until one has succeeded

What callers saw: a gateway without the store that asks others for a proof of its configuration got none from that query, and refused requests with keys for longer; an announced change of the list of servers reached a peer only with the next exchange of the pair, 7.5 s among 300 gateways.

Cause: the request was dropped where no link existed yet, and where the exchange failed. The gateway with the higher address makes no exchange of its own accord while the other side makes them, and proofs come only in responses.

Why it works: the request is a state that only a successful exchange ends.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -84,6 +84,10 @@
 			lctx, cancel := context.WithCancel(ctx)
 			l := &peerLink{addr: addr, cancel: cancel, requested: make(chan struct{}, 1)}
 			s.links[addr] = l
+			if s.pendingRequests > 0 {
+				s.pendingRequests--
+				l.requestExchange()
+			}
 			go s.exchangeLoop(lctx, l)
 		}
 	}
@@ -114,7 +118,9 @@
 		switch {
 		case err != nil:
 			l.conn.disconnect()
-			requested = wait(ctx, redialDelay, l.requested)
+			// A requested exchange stays requested until one succeeds: the exchanges that the peer
+			// initiates bring its report, but no proof.
+			requested = wait(ctx, redialDelay, l.requested) || requested
 		case !again:
 			requested = wait(ctx, jitter(s.ExchangeInterval()), l.requested)
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -70,6 +70,9 @@
 	members *Members
 	seeds   []string
 	links   map[string]*peerLink
+	// pendingRequests is the number of exchanges requested while there were too few links; the next new links
+	// make them.
+	pendingRequests int
 	// memberAdded receives a token when a gateway becomes known.
 	memberAdded chan struct{}
 	// lastInbound is the time of the last exchange that each peer initiated.
@@ -158,6 +161,7 @@
 		l.requestExchange()
 		peers--
 	}
+	s.pendingRequests = max(s.pendingRequests, peers)
 }
 
 // Leave announces to the peers that this gateway accepts no new work.
