--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +41,8 @@
 	provedAge     time.Duration
 	proofs        []receivedProof
 	wake          chan struct{}
+	// ended receives the result of Run.
+	ended chan error
 }
 
 func (g *gateway) Report(servers int64) *Report {
@@ -157,17 +160,49 @@
 		}
 		select {
 		case <-wake:
+		case err := <-g.ended:
+			t.Fatalf("%s: the gateway has ended: %v", what, err)
 		case <-t.Context().Done():
 			t.Fatal(what)
 		}
 	}
 }
 
+// reserved holds the listeners of the addresses that freeAddress has returned, until a gateway starts there.
+var reserved sync.Map
+
+// freeAddress reserves an address for a gateway. The listener stays open: between its end and the start of the
+// gateway, the kernel offered the same port to a second gateway or to an outgoing connection in one of some ten
+// thousand tests, and the gateway could not listen.
 func freeAddress(t *testing.T) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
+	addr := lis.Addr().String()
+	reserved.Store(addr, lis)
+	t.Cleanup(func() {
+		if _, unused := reserved.LoadAndDelete(addr); unused {
+			_ = lis.Close()
+		}
+	})
+	return addr
+}
+
+// reservedNetwork is TCP with the listeners of freeAddress. As long as no gateway has started at an address, it
+// refuses connections.
+type reservedNetwork struct{ tcpNetwork }
+
+func (n reservedNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if _, unused := reserved.Load(addr); unused {
+		return nil, syscall.ECONNREFUSED
+	}
+	return n.tcpNetwork.Dial(ctx, addr)
+}
+
+func (n reservedNetwork) Listen(addr string) (net.Listener, error) {
+	if lis, ok := reserved.LoadAndDelete(addr); ok {
+		return lis.(net.Listener), nil
+	}
+	return n.tcpNetwork.Listen(addr)
 }
 
 func newGateway(addr string, seeds []string) *gateway {
@@ -178,12 +213,17 @@
 
 func startGateway(t *testing.T, addr string, seeds ...string) *gateway {
 	g := newGateway(addr, seeds)
+	g.SetNetwork(reservedNetwork{})
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- g.Run(ctx) }()
+	g.ended = make(chan error, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.ended <- g.Run(ctx)
+	}()
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		<-done
 	})
 	return g
 }
