peer: queries for proofs go to the peer that reported the newest one

Cause: proofs count in responses only, and the two store readers, having the lowest addresses, initiate all of their exchanges. So proofs spread by queries alone, and these went to two peers drawn blindly, most of which had none newer.

Change: the age of a peer's proof, which its reports name, is kept as a hint; one query goes to the newest, one to a random other.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -96,6 +96,7 @@
 			l.cancel()
 			delete(s.links, addr)
 			delete(s.lastInbound, addr)
+			delete(s.reportedProofs, addr)
 		}
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -77,7 +77,10 @@
 	memberAdded chan struct{}
 	// lastInbound is the time of the last exchange that each peer initiated.
 	lastInbound map[string]time.Time
-	leaving     bool
+	// reportedProofs is the time of the proof that each peer last reported. It is a hint for whom to query: a
+	// report may have been in transit for any time, so the proof itself counts only in a response.
+	reportedProofs map[string]time.Time
+	leaving        bool
 }
 
 // New returns the service of the gateway that listens at self. Datagrams use port, the same at every gateway;
@@ -86,7 +89,7 @@
 	s := &Service{
 		net: tcpNetwork{}, local: local, self: self, members: NewMembers(self), seeds: seeds,
 		datagrams: newDatagrams(port), incarnation: rand.Uint64(),
-		links: map[string]*peerLink{}, lastInbound: map[string]time.Time{}, memberAdded: make(chan struct{}, 1),
+		links: map[string]*peerLink{}, lastInbound: map[string]time.Time{}, reportedProofs: map[string]time.Time{}, memberAdded: make(chan struct{}, 1),
 		server: stateServer{local: local, compressed: map[State]compressedState{}},
 	}
 	s.fetchers = map[State]*fetcher{
@@ -142,22 +145,50 @@
 	}
 }
 
-// QueryPeers triggers an exchange with a few randomly chosen peers at once.
-func (s *Service) QueryPeers() { s.requestExchanges(queryPeers) }
+// QueryPeers triggers an exchange at once with the peer that last reported the newest proof, and with a randomly
+// chosen one, since the first may be cut off by now.
+func (s *Service) QueryPeers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := s.newestProof()
+	if l, ok := s.links[newest]; ok {
+		l.requestExchange()
+		s.requestExchanges(queryPeers-1, newest)
+		return
+	}
+	s.requestExchanges(queryPeers, "")
+}
+
+// newestProof returns the peer that reported the newest proof; empty if none has reported any. The caller holds mu.
+func (s *Service) newestProof() string {
+	var newest string
+	for addr, at := range s.reportedProofs {
+		if newest == "" || at.After(s.reportedProofs[newest]) {
+			newest = addr
+		}
+	}
+	return newest
+}
 
 // Spread triggers an exchange with a few randomly chosen peers at once. It is for updates that came from
 // another gateway or that all gateways read from the store at the same moment: peers that the source could not
 // reach receive them from others.
-func (s *Service) Spread() { s.requestExchanges(spreadPeers) }
-
-func (s *Service) requestExchanges(peers int) {
+func (s *Service) Spread() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.requestExchanges(spreadPeers, "")
+}
+
+// requestExchanges triggers an exchange with randomly chosen peers other than except. The caller holds mu.
+func (s *Service) requestExchanges(peers int, except string) {
 	// Go iterates over maps in random order.
-	for _, l := range s.links {
+	for addr, l := range s.links {
 		if peers == 0 {
 			return
 		}
+		if addr == except {
+			continue
+		}
 		l.requestExchange()
 		peers--
 	}
@@ -231,6 +262,9 @@
 func (s *Service) receiveMembers(in *Report, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, linked := s.links[in.GetAddr()]; linked && in.GetProvedVersion() > 0 {
+		s.reportedProofs[in.GetAddr()] = now.Add(-time.Duration(in.GetProvedAgeMs()) * time.Millisecond)
+	}
 	added := false
 	if in.GetLeaving() {
 		s.members.RecordLeaving(in.GetAddr(), in.GetIncarnation(), now)
--- a/peer/query_test.go
+++ b/peer/query_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +49,39 @@
 	}
 }
 
+// TestQueryReachesNewestProof: of eight peers one has a proof from the store, the others have older ones. All of them
+// initiate the exchanges with the querying gateway, so that it receives proofs only by its queries. Each query has
+// to return the newest proof; two random peers have it in one query of four.
+func TestQueryReachesNewestProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const self, peers, holder = "10.0.0.9:1", 8, 3
+		ctx, cancel := context.WithCancel(t.Context())
+		network := simnet.New()
+		querying := simulate(ctx, network.Host(self, smallLink), self)
+		for i := range peers {
+			addr := fmt.Sprintf("10.0.0.%d:1", i+1)
+			g := simulate(ctx, network.Host(addr, smallLink), addr, self)
+			g.setProof(5)
+			if i != holder {
+				g.mu.Lock()
+				g.provedAge = time.Second
+				g.mu.Unlock()
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for range 10 {
+			at := querying.Uptime()
+			querying.QueryPeers()
+			time.Sleep(100 * time.Millisecond)
+			proofs := querying.receivedProofs()
+			newest := slices.MaxFunc(proofs, func(a, b receivedProof) int { return cmp.Compare(a.at, b.at) })
+			assert.Check(t, newest.at >= at, "the newest proof is %v older than the query", at-newest.at)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // setProof sets the proof sent in reports.
 func (g *gateway) setProof(version int64) {
 	g.mu.Lock()
