suspicion: a router that reports all engines makes others avoid three at most

What callers saw: while one router is cut off and reports every engine, the other routers avoided up to six of 20 engines, and pressed their requests onto the rest.

Cause: the k-th report of a router in a second counts 1/k. TestReportsOfPartitionedRouterAreDiscounted allows three, and held since the affinities of its names were nearly equal.

Change: the k-th report counts 1/k^2. Now none of 50 suspects more than three, at any moment.

--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -74,10 +74,12 @@
 	return announce
 }
 
-// Reported records that another router reported a failed request at an engine.
+// Reported records that another router reported a failed request at an engine. The more engines it reports, the less
+// each report counts: it may be cut off itself. By the square, no more than three engines exceed the lowest threshold
+// however long such a router reports all of them; in inverse proportion it was up to seven.
 func (t *Tracker) Reported(router, id string, now time.Time) {
 	if counts, engines := t.recordReport(router, id, now); counts {
-		t.raise(id, 1/float64(engines), now)
+		t.raise(id, 1/float64(engines*engines), now)
 	}
 }
 
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -69,6 +69,30 @@
 	assert.Check(t, suspected <= 3, "%d of 20 engines suspected", suspected)
 }
 
+// TestFewEnginesAreSuspectedByOneRouter: the bound above holds for any names and at any moment. Each report of further
+// engines counted in inverse proportion to their number, so that up to seven engines were suspected, as the routers'
+// thresholds for them have it; with the names above it was three.
+func TestFewEnginesAreSuspectedByOneRouter(t *testing.T) {
+	for r := range 50 {
+		tr := suspicion.New(fmt.Sprintf("edge-%08x", r*2654435761))
+		highest := 0
+		for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(100 * time.Millisecond) {
+			suspected := 0
+			for e := range 20 {
+				id := fmt.Sprintf("i-%08x", uint32(e+1)*2246822519)
+				if at.Sub(start)%time.Second == 0 {
+					tr.Reported("cut off", id, at)
+				}
+				if tr.Suspected(id, at.Add(50*time.Millisecond)) {
+					suspected++
+				}
+			}
+			highest = max(highest, suspected)
+		}
+		assert.Check(t, highest <= 3, "router %d suspects %d of 20 engines", r, highest)
+	}
+}
+
 // simulation has routers send requests to random engines that they don't suspect and, with sharing, report failures to
 // each other. Detecting a failure and receiving a report take time. run returns the number of failed attempts and of all
 // requests sent to the faulty engine.
