--- a/forward/cooldowns_test.go
+++ b/forward/cooldowns_test.go
@@ -37,6 +37,15 @@
 				w.add(t, "pre2", "llm", registry.Prefill)
 				w.add(t, "d1", "llm", registry.Decode)
 			}
+			before := 0
+			if c.stage == registry.Prefill {
+				// The engine in cooldown has to be the one that this gateway prefers.
+				assert.Equal(t, w.post(t, c.path).status, 200)
+				if w.sent(c.cooling, c.kind) == 0 {
+					c.cooling = "pre2"
+				}
+				before = 1
+			}
 			w.servers[c.cooling].Behave(site.Shed)
 			w.servers[c.cooling].SetRetryAfter(longCooldown)
 			if c.stage == registry.Decode {
@@ -46,7 +55,7 @@
 			for i := range requests {
 				assert.Equal(t, w.post(t, fmt.Sprint(c.path, i)).status, 200)
 			}
-			assert.Equal(t, w.sent(c.cooling, c.kind), 1, "of %d", requests)
+			assert.Equal(t, w.sent(c.cooling, c.kind)-before, 1, "of %d", requests)
 		})
 	}
 }
