--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -103,8 +103,7 @@
 
 // DefaultMargin returns the default margin. In replays with two deviations and no growth, fewer
 // requests are answered in time, and more are rejected for good (TestMarginAtManyRouters,
-// TestMarginWithYields). Without growth, three times as many runs are preempted where answers are as
-// long as prompts (TestPeakOfGrowingRuns).
+// TestMarginWithYields).
 func DefaultMargin() Margin { return Margin{Deviations: 1, Growth: 0.12} }
 
 // Peak is the highest memory at any horizon, in tokens: the mean plus the margin, limited to Max.
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -28,12 +28,13 @@
 	bestAvoided := false
 	var requested Forecast
 	r.Run.addTo(&requested, p.rate.tokensPerSecond())
+	need := requested.Peak(p.cfg.Margin)
 	for _, s := range p.sorted {
 		if !p.eligible(s, r, now) || slices.Contains(r.Exclude, s.ID) {
 			continue
 		}
 		free := p.freeAtPeak(s, &requested, now)
-		if free < p.spare(s, r, &requested) || p.deferred(s, r.Late, now) {
+		if free < p.spare(s, r.Late, need) || p.deferred(s, r.Late, now) {
 			continue
 		}
 		score, avoided := p.score(s, free, r.Zone), r.Avoid != nil && r.Avoid(s.ID)
@@ -68,8 +69,8 @@
 
 // saturationTolerance is the share of an engine's memory by which the placed load has to exceed it
 // before the engine counts as saturated, since a run that grows a little past its estimate is no
-// reason to leave. Two runs that were placed at the same moment rarely exceed it by more than a twentieth;
-// what is not resolved here ends in preempted runs.
+// reason to leave. Of two runs that were placed at the same moment, one that stays beyond it is likely
+// to be preempted.
 const saturationTolerance = 0.03
 
 // Saturated reports whether the load now known to be placed on an engine exceeds its memory, as
@@ -116,14 +117,15 @@
 	return now.Sub(s.freedAt) < delay
 }
 
-// spare is the memory that has to remain free, in tokens. A late request that an empty engine can
-// hold, but not beside LateSpare, leaves free what remains of an empty engine.
-func (p *Pool) spare(s *server, r Request, requested *Forecast) float64 {
-	if !r.Late {
+// spare is the memory that has to remain free, in tokens, beside a request that needs that much on an
+// empty engine. A late request that an empty engine can hold, but not beside LateSpare, leaves free
+// what remains of an empty engine.
+func (p *Pool) spare(s *server, late bool, need float64) float64 {
+	if !late {
 		return 0
 	}
 	capacity := float64(s.Capacity)
-	return max(min(p.cfg.LateSpare*capacity, capacity-requested.Peak(p.cfg.Margin)), 0)
+	return max(min(p.cfg.LateSpare*capacity, capacity-need), 0)
 }
 
 func (p *Pool) score(s *server, free float64, zone string) float64 {
