Event 741: a reading of the server list that is dropped as older

One dropped as older than the list in force left neither a log line nor a count, so that the hypothesis of a store that has gone back could not be told from readings that were never made or had changed nothing.

Event 741 names the version of the reading and the known one, once for several in a row; list_readings_dropped counts all. No logic is changed.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -72,6 +72,7 @@
 	ServerLimited        = Event{737, log.InfoLevel, "server names how much it takes, or no limit any more"}
 	ServerCooldown       = Event{739, log.InfoLevel, "server has turned a request away and asks for rest"}
 	ServerLeaveAnnounced = Event{740, log.InfoLevel, "server says in an answer that it leaves"}
+	ListReadingDropped   = Event{741, log.WarnLevel, "reading of the list of servers dropped as older than the one in force"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -91,6 +92,6 @@
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
-		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced,
+		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped,
 	}
 }
--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -24,6 +24,25 @@
 	*known = now
 }
 
+// listReadings tracks readings of the server list that are dropped. It belongs to one goroutine.
+type listReadings struct {
+	// dropping is set while readings are older than the list in force.
+	dropping bool
+}
+
+// record logs and counts a reading if it is older than the list in force.
+func (r *listReadings) record(s *Service, version int64) {
+	known := s.view.readVersion()
+	dropped := version < known
+	if dropped {
+		s.metrics.Counter(metrics.ListReadingsDropped).Inc(1)
+	}
+	if dropped && !r.dropping {
+		event.ListReadingDropped.Log(s.log).Int64("version", version).Int64("known", known).Msg("")
+	}
+	r.dropping = dropped
+}
+
 // incarnationsReplaced ends the attempts in progress at incarnations of servers that a later one has replaced, and
 // drops their connections. State kept under their IDs is no longer used; the sweep drops it.
 func (s *Service) incarnationsReplaced(replaced []registry.Server) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -137,7 +137,7 @@
 // followServers keeps the server list up to date.
 func (s *Service) followServers(ctx context.Context) {
 	dep := &dependency{s: s, what: "servers"}
-	faults, failures := entryFaults{}, 0
+	faults, readings, failures := entryFaults{}, listReadings{}, 0
 	for ctx.Err() == nil {
 		if !s.shouldReadServers() {
 			sleep(ctx, jitter(serverListInterval))
@@ -156,6 +156,7 @@
 		failures = 0
 		snapshot = snapshot.RequireStartTimes(s.view.latestIncarnation)
 		faults.record(s, snapshot.Faults)
+		readings.record(s, version)
 		s.view.recordRead(time.Now())
 		if s.view.applyServers(version, snapshot.List(), time.Now()) {
 			s.serversChanged(version, fromStore)
--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -85,6 +85,13 @@
 	return v.changedVersion
 }
 
+// readVersion returns the version of the store at which the list was last read.
+func (v *view) readVersion() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Version()
+}
+
 // recordRead records that this process read the list from the store.
 func (v *view) recordRead(now time.Time) {
 	v.mu.Lock()
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -57,5 +57,6 @@
 		{ServersLimited, Gauge},
 		{SendsWithheld, Counter},
 		{CooldownsRequested, Counter},
+		{ListReadingsDropped, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -55,4 +55,6 @@
 	StateBytesServed = "state_bytes_served"
 	Fetches          = "fetches"
 	FetchesFailed    = "fetches_failed"
+	// ListReadingsDropped counts readings of the server list that were older than the list in force.
+	ListReadingsDropped = "list_readings_dropped"
 )
