--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -51,12 +51,18 @@
 	rows    map[string]Row
 	history []Row
 	calls   int
+	// reads counts the answered reads of each table.
+	reads   map[string]int
 	changed chan struct{}
+	era     int64
 }
 
+// eraHeader is in all answers; it rises by one whenever the store is restored from a copy.
+const eraHeader = "Store-Era"
+
 // NewStore starts a store that is closed at the end of the test.
 func NewStore(t testing.TB) *Store {
-	s := &Store{rows: map[string]Row{}, changed: make(chan struct{})}
+	s := &Store{rows: map[string]Row{}, reads: map[string]int{}, changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/rows-tx", s.tx)
 	mux.HandleFunc("GET /api/rows-get", s.get)
@@ -91,6 +97,51 @@
 	s.apply(Row{Table: table, Key: key, Value: value, Deleted: value == nil})
 }
 
+// Restore restores the store from the copy that it made lost versions ago: later writes are gone, and their versions
+// are given out again. Connections are closed.
+func (s *Store) Restore(lost int64) {
+	s.CloseClientConnections()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.ver = max(s.ver-lost, 0)
+	s.history = slices.DeleteFunc(s.history, func(r Row) bool { return r.Ver > s.ver })
+	clear(s.rows)
+	for _, r := range s.history {
+		s.replay(r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Version returns the newest version.
+func (s *Store) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ver
+}
+
+// Reads returns the number of answered reads of a table.
+func (s *Store) Reads(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[table]
+}
+
+// Rows returns the rows of a table, ordered by key.
+func (s *Store) Rows(table string) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Row
+	for _, r := range s.rows {
+		if r.Table == table {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
 // FirstKey returns the first key of a table; empty if the table has no rows.
 func (s *Store) FirstKey(table string) string {
 	s.mu.Lock()
@@ -122,6 +173,7 @@
 		s.mu.Lock()
 		fault := s.fault
 		s.calls++
+		w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		switch fault {
 		case Unavailable:
@@ -144,16 +196,21 @@
 // apply writes a row with the current version. The caller holds mu.
 func (s *Store) apply(r Row) {
 	r.Ver = s.ver
-	if r.Deleted {
-		delete(s.rows, rowKey(r.Table, r.Part, r.Key))
-	} else {
-		s.rows[rowKey(r.Table, r.Part, r.Key)] = r
-	}
+	s.replay(r)
 	s.history = append(s.history, r)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// replay applies a write of the history. The caller holds mu.
+func (s *Store) replay(r Row) {
+	if r.Deleted {
+		delete(s.rows, rowKey(r.Table, r.Part, r.Key))
+		return
+	}
+	s.rows[rowKey(r.Table, r.Part, r.Key)] = r
+}
+
 func (s *Store) tx(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Expected []Row `json:"expected"`
@@ -206,6 +263,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	s.reads[q.Get("table")]++
 	truncated := len(rows) > limit
 	if truncated {
 		rows = rows[:limit]
@@ -227,9 +285,10 @@
 				rows = append(rows, row)
 			}
 		}
-		ver, changed, compacted := s.ver, s.changed, s.fault == Compacted
+		ver, changed, gone := s.ver, s.changed, s.fault == Compacted || after > s.ver
+		w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
-		if compacted {
+		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
