Lists of servers are ordered by the store's era, then its version

Callers saw requests at an engine 2.7 s after the store had acknowledged that it leaves (2.0 s allowed), and for as long as the run lasts in TestLeavingServerAfterRestore. New servers were not used either (TestNewServerAfterRestore).

Cause: the store was restored from a copy and gave versions out again; a reading of the list with a lower version than the list in force was taken for a late answer and dropped, at every gateway, until the version had passed the one that was lost. The number was taken to grow for ever.

Registry, list history, reports, fetches and the feed of the configuration compare positions. Why this holds: a late answer of the era before is lower whatever its version, and the first answer of the new era is higher.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -73,6 +73,7 @@
 	ServerCooldown       = Event{739, log.InfoLevel, "server has turned a request away and asks for rest"}
 	ServerLeaveAnnounced = Event{740, log.InfoLevel, "server says in an answer that it leaves"}
 	ListReadingDropped   = Event{741, log.WarnLevel, "reading of the list of servers dropped as older than the one in force"}
+	StoreRestored        = Event{742, log.WarnLevel, "platform's store was restored from a copy"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -92,6 +93,6 @@
 		SettingsRead, SettingsRefused, LinesDropped, PeerLost, PeerRegained, StageOrdered, StageFailed,
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
-		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped,
+		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 	}
 }
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -5,12 +5,13 @@
 	"slices"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // serversUpdate is a server list as one gateway reports it to another: the whole list when base is zero, otherwise
 // the changes since the version base.
 type serversUpdate struct {
-	base, version int64
+	base, version store.Position
 	servers       []registry.Server
 	// removed are instances. An instance that has restarted is not among them: its later incarnation, among servers,
 	// replaces the earlier one.
@@ -19,7 +20,7 @@
 
 // listChange is one change of the server list, from one version of the store to another.
 type listChange struct {
-	from, to int64
+	from, to store.Position
 	// updated are servers that are new or have changed; removed are instances.
 	updated []registry.Server
 	removed []string
@@ -37,7 +38,7 @@
 const maxHistory = 32
 
 // add records the change from one list to the next.
-func (h *listHistory) add(from, to int64, before, after []registry.Server) {
+func (h *listHistory) add(from, to store.Position, before, after []registry.Server) {
 	change := listChange{from: from, to: to}
 	old := byInstance(before)
 	for _, s := range after {
@@ -54,7 +55,7 @@
 }
 
 // since merges the changes after a version; false if that version is no longer in the history.
-func (h *listHistory) since(version int64) (serversUpdate, bool) {
+func (h *listHistory) since(version store.Position) (serversUpdate, bool) {
 	i := slices.IndexFunc(h.changes, func(change listChange) bool { return change.from == version })
 	if i < 0 {
 		return serversUpdate{}, false
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 	"github.com/hibiscusspur/hibiscusspur/policy/serverlimit"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 func encodeShares(shares []kvmemory.Share) []*peer.Share {
@@ -134,6 +135,15 @@
 	return out
 }
 
+// decodeServersUpdate decodes the list of servers, or the changes to it, in a report.
+func decodeServersUpdate(r *peer.Report) serversUpdate {
+	update := serversUpdate{version: r.ServersPosition(), servers: decodeServers(r.GetServers()), removed: r.GetRemovedServers()}
+	if base := r.GetServersBase(); base != 0 {
+		update.base = store.At(r.GetServersEra(), base)
+	}
+	return update
+}
+
 // decodeServers decodes the servers that another gateway reported. An invalid server, which a faulty process may
 // report, is listed as unusable.
 func decodeServers(list []*peer.Server) []registry.Server {
--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"github.com/phuslu/log"
+
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // entryFaults are the server entries that were invalid at the last reading. They belong to one goroutine.
@@ -30,17 +33,32 @@
 	dropping bool
 }
 
-// record logs and counts a reading if it is older than the list in force.
-func (r *listReadings) record(s *Service, version int64) {
-	known := s.view.readVersion()
-	dropped := version < known
+// accept reports whether a reading is as new as the list in force. It logs and counts one that is not, and logs one
+// that shows that the store was restored.
+func (r *listReadings) accept(s *Service, position store.Position) bool {
+	known := s.view.readPosition()
+	dropped := position < known
 	if dropped {
 		s.metrics.Counter(metrics.ListReadingsDropped).Inc(1)
 	}
 	if dropped && !r.dropping {
-		event.ListReadingDropped.Log(s.log).Int64("version", version).Int64("known", known).Msg("")
+		logPositions(event.ListReadingDropped.Log(s.log), position, known).Msg("")
 	}
 	r.dropping = dropped
+	s.logRestored(position, known, fromStore)
+	return !dropped
+}
+
+// logRestored logs that the store was restored if a list has a position of a later era than the one known.
+func (s *Service) logRestored(position, known store.Position, from string) {
+	if known != 0 && position.Era() > known.Era() {
+		logPositions(event.StoreRestored.Log(s.log), position, known).Str("from", from).Msg("")
+	}
+}
+
+func logPositions(line *log.Entry, position, known store.Position) *log.Entry {
+	return line.Int64("version", position.Version()).Int64("era", position.Era()).
+		Int64("known", known.Version()).Int64("known_era", known.Era())
 }
 
 // incarnationsReplaced ends the attempts in progress at incarnations of servers that a later one has replaced, and
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,7 +39,7 @@
 // followManifest keeps the route table up to date.
 func (s *Service) followManifest(ctx context.Context) {
 	dep := &dependency{s: s, what: "manifest"}
-	version, known, refused, failures := int64(0), false, "", 0
+	version, known, refused, failures := store.Position(0), false, "", 0
 	for ctx.Err() == nil {
 		requested := s.proofs.now()
 		r, err := s.readManifest(ctx, version, known)
@@ -62,7 +62,7 @@
 			failures++
 			sleep(ctx, s.nextStoreRetry(failures))
 		default:
-			version, known = r.Version, true
+			version, known = r.Position, true
 			s.installStored(r, requested)
 		}
 		if err == nil {
@@ -89,7 +89,7 @@
 }
 
 // readManifest reads the whole table if none was read or the history was lost, and otherwise waits for a change.
-func (s *Service) readManifest(ctx context.Context, version int64, known bool) (route.StoredTable, error) {
+func (s *Service) readManifest(ctx context.Context, version store.Position, known bool) (route.StoredTable, error) {
 	if !known {
 		return s.store.Manifest(ctx)
 	}
@@ -110,7 +110,7 @@
 		return true
 	}
 	now := time.Now()
-	return !s.view.synced() || min(s.view.listReadAge(now), s.peerLoads.listReadAge(now)) >= storeReaderTimeout
+	return !s.view.synced() || min(s.view.listReadAge(now), s.peerLoads.listReadAge(s.view.listVersion(), now)) >= storeReaderTimeout
 }
 
 // installStored takes the store's answer to a call that was made at the time requested.
@@ -119,7 +119,7 @@
 		return
 	}
 	s.installTable(stored.Table, stored.Encoded, fromStore)
-	s.proofs.recordRead(stored.Table.Version, stored.RowVersion, requested)
+	s.proofs.recordRead(stored.Table.Version, stored.RowPosition, requested)
 }
 
 // installTable puts a table in force unless a newer one is, and announces it to the other gateways.
@@ -156,8 +156,9 @@
 		failures = 0
 		snapshot = snapshot.RequireStartTimes(s.view.latestIncarnation)
 		faults.record(s, snapshot.Faults)
-		readings.record(s, version)
-		s.view.recordRead(time.Now())
+		if readings.accept(s, version) {
+			s.view.recordRead(time.Now())
+		}
 		if s.view.applyServers(version, snapshot.List(), time.Now()) {
 			s.serversChanged(version, fromStore)
 		}
@@ -166,10 +167,10 @@
 }
 
 // serversChanged announces a change of the server list to the other gateways.
-func (s *Service) serversChanged(version int64, from string) {
+func (s *Service) serversChanged(version store.Position, from string) {
 	s.announceUpdate(from)
 	list, _ := s.view.list()
-	event.ServersChanged.Log(s.log).Int64("version", version).Int("servers", len(list)).Str("from", from).Msg("")
+	event.ServersChanged.Log(s.log).Int64("version", version.Version()).Int64("era", version.Era()).Int("servers", len(list)).Str("from", from).Msg("")
 }
 
 // announceUpdate has other gateways informed of an update that was read from the store or received from a gateway:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
+	"github.com/hibiscusspur/hibiscusspur/store"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -32,17 +33,17 @@
 
 // Store reads the configuration and the server list. Its calls return promptly when their context ends.
 type Store interface {
-	// Servers returns the list of backend servers and its version.
-	Servers(ctx context.Context) (registry.Snapshot, int64, error)
+	// Servers returns the list of backend servers and the position at which it was read.
+	Servers(ctx context.Context) (registry.Snapshot, store.Position, error)
 	// Manifest returns the route table in force.
 	Manifest(ctx context.Context) (route.StoredTable, error)
 	// DecodeManifest decodes a route table that another gateway read.
 	DecodeManifest(encoded []byte) (*route.Table, error)
-	// NextManifest waits for a route table newer than a version of the store; the result holds no table if none
-	// appeared.
-	NextManifest(ctx context.Context, version int64, wait time.Duration) (route.StoredTable, error)
-	// ConfirmManifest reports whether the route table that was read at this version of its row is still in force.
-	ConfirmManifest(ctx context.Context, rowVersion int64) (bool, error)
+	// NextManifest waits for a route table newer than a position of the store; the result holds no table if none
+	// appeared. If the store was restored, the result is the table that it holds now.
+	NextManifest(ctx context.Context, after store.Position, wait time.Duration) (route.StoredTable, error)
+	// ConfirmManifest reports whether the route table whose row was written at this position is still in force.
+	ConfirmManifest(ctx context.Context, row store.Position) (bool, error)
 }
 
 // Settings configure a gateway.
--- a/gateway/peerload.go
+++ b/gateway/peerload.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // minPeerLoadTTL is the minimum time for which a gateway's reported load counts after its last report or datagram.
@@ -37,8 +38,9 @@
 	incarnation, number uint64
 	loads               map[string]reportedLoad
 	prefill             []*peer.Reading
-	// listRead is when the server list was last read from the store, as reported by the gateway.
+	// listRead is when the server list at position servers was last read from the store, as reported by the gateway.
 	listRead time.Time
+	servers  store.Position
 }
 
 // reportedLoad is the load that a gateway reports for one engine.
@@ -61,6 +63,7 @@
 // changed.
 func (p *peerLoads) receiveReport(r *peer.Report, now time.Time) map[string]kvmemory.Load {
 	report := peerLoadReport{at: now, incarnation: r.GetIncarnation(), number: r.GetPlacement(), loads: map[string]reportedLoad{}, prefill: r.GetReadings()}
+	report.servers = r.ServersPosition()
 	report.listRead = now.Add(-time.Duration(r.GetReadAgeMs()) * time.Millisecond)
 	for _, s := range r.GetShares() {
 		l := decodeLoad(s)
@@ -165,13 +168,17 @@
 	return changed
 }
 
-// listReadAge returns how long ago the server list was last read from the store, by the reports of other gateways.
-func (p *peerLoads) listReadAge(now time.Time) time.Duration {
+// listReadAge returns how long ago the server list was last read from the store, by the reports of other gateways. Those
+// whose list is of an earlier era of the store than known don't count: readings of gateways that don't know eras may be
+// dropped there.
+func (p *peerLoads) listReadAge(known store.Position, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	age := never
 	for _, r := range p.reports {
-		age = min(age, now.Sub(r.listRead))
+		if r.servers.Era() >= known.Era() {
+			age = min(age, now.Sub(r.listRead))
+		}
 	}
 	return age
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 var _ peer.LocalState = (*Service)(nil)
@@ -34,17 +35,17 @@
 // Report implements peer.LocalState. Of the route table it holds the version alone: when whole tables were sent to every
 // gateway that seemed to be behind, tables that all gateways had filled the links of small VMs for minutes, 23 MB a
 // second over 21 gateways by event 725, and newer ones did not come through.
-func (s *Service) Report(servers int64) *peer.Report {
+func (s *Service) Report(servers store.Position) *peer.Report {
 	r := &peer.Report{Vm: s.settings.VM, TableVersion: s.Version(peer.State_ROUTE_TABLE)}
 	changed, update := s.view.serversSince(servers)
-	r.ServersVersion = changed
+	r.ServersEra, r.ServersVersion = changed.Era(), changed.Version()
 	if update != nil && len(update.servers)+len(update.removed) <= maxReportServers {
-		r.ServersTold, r.ServersBase, r.RemovedServers = true, update.base, update.removed
+		r.ServersTold, r.ServersBase, r.RemovedServers = true, update.base.Version(), update.removed
 		r.Servers = encodeServers(update.servers)
 	}
 	r.ReadAgeMs = uint32(s.view.confirmedAge(time.Now()).Milliseconds())
-	if version, age, known := s.proofs.latest(); known && age < maxReportedProofAge {
-		r.ProvedVersion, r.ProvedAgeMs = version, uint32(age.Milliseconds())+1
+	if proof, age, known := s.proofs.latest(); known && age < maxReportedProofAge {
+		r.ProvedVersion, r.ProvedEra, r.ProvedAgeMs = proof.Version, proof.Era, uint32(age.Milliseconds())+1
 	}
 	r.Shares = encodeShares(s.fwd.Placements())
 	r.Usages = s.quotas.report(false)
@@ -71,13 +72,9 @@
 	now := time.Now()
 	from := "gateway " + r.GetVm()
 	if r.GetServersTold() {
-		update := serversUpdate{
-			base: r.GetServersBase(), version: r.GetServersVersion(),
-			servers: decodeServers(r.GetServers()), removed: r.GetRemovedServers(),
-		}
-		s.receiveServers(update, from)
+		s.receiveServers(decodeServersUpdate(r), from)
 	}
-	s.view.confirm(r.GetServersVersion(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
+	s.view.confirm(r.ServersPosition(), time.Duration(r.GetReadAgeMs())*time.Millisecond, now)
 	for _, sw := range r.GetSwitches() {
 		s.view.recordSwitch(s.view.incarnationID(sw.GetServer(), sw.GetStart()), registry.Stage(sw.GetStage()), time.Duration(sw.GetAgeMs())*time.Millisecond, now)
 	}
@@ -90,6 +87,7 @@
 
 // receiveServers applies a server list, or changes to it, from another gateway.
 func (s *Service) receiveServers(update serversUpdate, from string) {
+	s.logRestored(update.version, s.view.readPosition(), from)
 	if s.view.applyServersUpdate(update, time.Now()) {
 		s.serversChanged(update.version, from)
 	}
--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -4,10 +4,11 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // applyServers applies a server list and reports whether it changed anything.
-func (v *view) applyServers(version int64, list []registry.Server, now time.Time) bool {
+func (v *view) applyServers(version store.Position, list []registry.Server, now time.Time) bool {
 	changed, replaced := v.applyList(version, list, now)
 	if len(replaced) > 0 && v.onReplaced != nil {
 		v.onReplaced(replaced)
@@ -15,7 +16,7 @@
 	return changed
 }
 
-func (v *view) applyList(version int64, list []registry.Server, now time.Time) (changed bool, replaced []registry.Server) {
+func (v *view) applyList(version store.Position, list []registry.Server, now time.Time) (changed bool, replaced []registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	defer func() { replaced = v.registry.TakeTerminated() }()
@@ -24,16 +25,25 @@
 		return false, nil
 	}
 	after := v.registry.List()
-	if v.listed && equal(before, after) {
+	unchanged := v.listed && equal(before, after)
+	if unchanged && version.Era() == v.changedVersion.Era() {
 		return false, nil
 	}
-	if v.listed {
+	v.recordChange(version, before, after)
+	v.listed = true
+	clear(v.usable)
+	return !unchanged, nil
+}
+
+// recordChange records the version at which the list changed. The history begins anew with each era of the store, since
+// gateways with a list of an earlier era receive the whole list. The caller holds mu.
+func (v *view) recordChange(version store.Position, before, after []registry.Server) {
+	if version.Era() != v.changedVersion.Era() {
+		v.history = listHistory{}
+	} else if v.listed {
 		v.history.add(v.changedVersion, version, before, after)
 	}
-	v.listed = true
 	v.changedVersion = version
-	clear(v.usable)
-	return true, nil
 }
 
 // incarnationID returns the ID of an incarnation that another gateway reports by its tag.
@@ -65,34 +75,33 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if update.version > v.changedVersion {
-		v.history.add(v.changedVersion, update.version, nil, nil)
-		v.changedVersion = update.version
+		v.recordChange(update.version, nil, nil)
 	}
 	return changed
 }
 
 // list returns the server list and the version at which it last changed.
-func (v *view) list() ([]registry.Server, int64) {
+func (v *view) list() ([]registry.Server, store.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.registry.List(), v.changedVersion
 }
 
 // listVersion returns the version at which the server list last changed.
-func (v *view) listVersion() int64 {
+func (v *view) listVersion() store.Position {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.changedVersion
 }
 
-// readVersion returns the version of the store at which the list was last read.
-func (v *view) readVersion() int64 {
+// readPosition returns the position of the store at which the list was last read.
+func (v *view) readPosition() store.Position {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.Version()
+	return v.registry.Position()
 }
 
-// recordRead records that this process read the list from the store.
+// recordRead records that this process read the list in force from the store.
 func (v *view) recordRead(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -113,7 +122,7 @@
 
 // serversSince returns the version at which the list changed, and the update for a gateway that has the list of
 // another version; nil if that one is as new.
-func (v *view) serversSince(version int64) (changed int64, update *serversUpdate) {
+func (v *view) serversSince(version store.Position) (changed store.Position, update *serversUpdate) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.listed || v.changedVersion <= version {
@@ -152,7 +161,7 @@
 const never = time.Hour
 
 // confirm records that another process read the same list from the store a short time ago.
-func (v *view) confirm(version int64, age time.Duration, now time.Time) {
+func (v *view) confirm(version store.Position, age time.Duration, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if version != v.changedVersion {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -6,6 +6,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Version implements peer.LocalState; zero means none, as in reports. It is called for each incoming report and must not
@@ -14,7 +15,7 @@
 	if state == peer.State_ROUTE_TABLE {
 		return max(s.view.version(), 0)
 	}
-	return s.view.listVersion()
+	return int64(s.view.listVersion())
 }
 
 // EncodedState implements peer.LocalState.
@@ -31,7 +32,7 @@
 		event.FetchFailed.Log(s.log).Str("state", state.String()).Err(err).Msg("")
 		return 0, nil
 	}
-	return version, data
+	return int64(version), data
 }
 
 // ApplyState implements peer.LocalState.
@@ -45,7 +46,7 @@
 		event.FetchFailed.Log(s.log).Str("state", state.String()).Str("from", from).Err(err).Msg("")
 		return err
 	}
-	s.receiveServers(serversUpdate{version: version, servers: decodeServers(list.GetServers())}, from)
+	s.receiveServers(serversUpdate{version: store.Position(version), servers: decodeServers(list.GetServers())}, from)
 	return nil
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // view is the local state of routes and servers; it implements forward.View.
@@ -35,7 +36,7 @@
 	// changedVersion is the version of the store at which the list last changed, history its latest changes, lastRead
 	// when this process last read the list itself, and lastConfirmed when any gateway is known to have last read this
 	// version.
-	changedVersion          int64
+	changedVersion          store.Position
 	history                 listHistory
 	lastRead, lastConfirmed time.Time
 	// proofs tracks how recently the table was proved to be the newest.
--- a/holdback/persist.go
+++ b/holdback/persist.go
@@ -19,11 +19,11 @@
 // Table is a table of the platform's store with a change feed.
 type Table interface {
 	store.Table
-	// All returns all rows, and the version of the store from which Changes continues.
-	All(ctx context.Context) (rows []store.Row, version int64, err error)
-	// Changes waits for rows to change after a version. It returns the rows that were written, the keys of the rows that
-	// were removed, and the version to continue from.
-	Changes(ctx context.Context, after int64, wait time.Duration) (rows []store.Row, removed []string, next int64, err error)
+	// All returns all rows, and the position of the store from which Changes continues.
+	All(ctx context.Context) (rows []store.Row, position store.Position, err error)
+	// Changes waits for rows to change after a position. It returns the rows that were written, the keys of the rows that
+	// were removed, and the position to continue from. It returns store.ErrRestored if the store was restored since.
+	Changes(ctx context.Context, after store.Position, wait time.Duration) (rows []store.Row, removed []string, next store.Position, err error)
 }
 
 const (
@@ -70,12 +70,16 @@
 // Follow applies the holds of the table and their changes until ctx is done. It calls report with the result of each
 // call, and backOff after a failed one, with the number of consecutive failures.
 func (g *Guard) Follow(ctx context.Context, t Table, report func(error), backOff func(failures int)) {
-	version, synced, failures := int64(0), false, 0
+	position, synced, failures := store.Position(0), false, 0
 	for ctx.Err() == nil {
-		next, err := g.follow(ctx, t, version, synced)
+		next, err := g.follow(ctx, t, position, synced)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, store.ErrRestored) {
+			synced = false
+			continue
+		}
 		report(err)
 		synced = err == nil
 		if err != nil {
@@ -83,13 +87,13 @@
 			backOff(failures)
 			continue
 		}
-		version, failures = next, 0
+		position, failures = next, 0
 	}
 }
 
-func (g *Guard) follow(ctx context.Context, t Table, version int64, synced bool) (int64, error) {
+func (g *Guard) follow(ctx context.Context, t Table, position store.Position, synced bool) (store.Position, error) {
 	if synced {
-		rows, removed, next, err := t.Changes(ctx, version, changesTimeout)
+		rows, removed, next, err := t.Changes(ctx, position, changesTimeout)
 		if err == nil {
 			g.applyRows(rows, removed)
 		}
@@ -99,10 +103,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if next < version {
-		// A store that has lost its history may return its state of seconds ago: a row that it lacks was not removed.
+	if next < position {
+		// A late answer: a row that it lacks was not removed.
 		g.applyRows(rows, nil)
-		return version, nil
+		return position, nil
 	}
 	g.applyRows(rows, g.missingKeys(rows))
 	return next, nil
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Intervals and bounds.
@@ -35,8 +37,8 @@
 type peerLink struct {
 	addr string
 	conn peerConn
-	// serversVersion is the version of the list of servers that the peer last reported.
-	serversVersion int64
+	// servers is the position of the list of servers that the peer last reported.
+	servers store.Position
 	// repeated is set after an exchange that another follows at once; that one is not repeated in turn.
 	repeated bool
 	lost     bool
@@ -148,7 +150,7 @@
 	if err := l.conn.open(ctx, s.net, l.addr, &s.meter); err != nil {
 		return false, err
 	}
-	out := s.report(l.serversVersion, false)
+	out := s.report(l.servers, false)
 	requestedAt := s.local.Uptime()
 	in, err := NewDRPCPeersClient(l.conn.Conn).Exchange(ctx, out)
 	if err != nil {
@@ -156,12 +158,12 @@
 	}
 	s.receive(in)
 	if v := in.GetProvedVersion(); v > 0 {
-		s.local.ReceiveProof(v, requestedAt-time.Duration(in.GetProvedAgeMs())*time.Millisecond)
+		s.local.ReceiveProof(v, in.GetProvedEra(), requestedAt-time.Duration(in.GetProvedAgeMs())*time.Millisecond)
 	}
 	// Changes since a version can be applied only by a peer that has that version.
 	sent := out.GetServersTold() && out.GetServersBase() == 0
-	l.serversVersion = in.GetServersVersion()
-	behind := out.GetServersVersion() > l.serversVersion && !sent
+	l.servers = in.ServersPosition()
+	behind := out.ServersPosition() > l.servers && !sent
 	l.repeated = behind && !l.repeated
 	return l.repeated, nil
 }
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -144,14 +144,16 @@
 	defer caller.disconnect()
 	var compressed []byte
 	for {
-		part, err := caller.part(ctx, &FetchRequest{State: f.state, Version: done.Version, Offset: uint32(len(compressed))})
+		era, number := splitVersion(f.state, done.Version)
+		part, err := caller.part(ctx, &FetchRequest{State: f.state, Version: number, Era: era, Offset: uint32(len(compressed))})
 		if err != nil {
 			return nil, err
 		}
-		if done.Version != 0 && part.GetVersion() != done.Version {
+		version := joinVersion(f.state, part.GetEra(), part.GetVersion())
+		if done.Version != 0 && version != done.Version {
 			return nil, errVersionChanged
 		}
-		done.Version = part.GetVersion()
+		done.Version = version
 		compressed = append(compressed, part.GetData()...)
 		done.Bytes = len(compressed)
 		switch size := int(part.GetSize()); {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,7 +7,8 @@
 // Unsolicited messages are small, so that reports of dozens of peers at once get through a link of 10 Mbit/s
 // within callTimeout. Large state is fetched by the gateway that lacks it, from one peer at a time, in parts.
 //
-// The gateways need no consensus: versions only grow, each gateway adopts the newest version that it receives,
+// The gateways need no consensus: positions of the store only grow, also if it is restored from a copy (see
+// store.Position), and so do versions of the route table. Each gateway adopts the newest one that it receives,
 // and reported placement is a hint that expires.
 package peer
 
@@ -20,17 +21,19 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/hibiscusspur/hibiscusspur/link"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // LocalState is the gateway's state that is reported to peers and updated from their reports. It must be safe
 // for concurrent use.
 type LocalState interface {
-	// Report returns the report for a peer with this version of the list of servers; changes that the peer
+	// Report returns the report for a peer with the list of servers of this position; changes that the peer
 	// lacks are included if they are few. Members are left out.
-	Report(servers int64) *Report
+	Report(servers store.Position) *Report
 	// Receive handles a report of a peer.
 	Receive(r *Report)
-	// Version is the version of the state in force; zero if there is none.
+	// Version is the version of the state in force; zero if there is none. That of the list of servers is a
+	// store.Position, that of the route table the operator's number.
 	Version(state State) int64
 	// EncodedState returns a state and its version; nil if there is none. The bytes must not be modified.
 	EncodedState(state State) (version int64, data []byte)
@@ -39,8 +42,8 @@
 	// Uptime reads a clock that keeps running while the VM is suspended.
 	Uptime() time.Duration
 	// ReceiveProof handles a peer's statement that a version of the route table was the newest at a time of
-	// Uptime.
-	ReceiveProof(version int64, at time.Duration)
+	// Uptime, in this era of the store.
+	ReceiveProof(version, era int64, at time.Duration)
 	// StoreLost reports whether the last call to the store failed.
 	StoreLost() bool
 	// Fetched is called after each fetch.
@@ -241,7 +244,7 @@
 	s.mu.Unlock()
 	s.receive(in)
 	// A gateway that has just started gets the complete list of members.
-	return s.report(in.GetServersVersion(), !known), nil
+	return s.report(in.ServersPosition(), !known), nil
 }
 
 func (s *Service) receive(in *Report) {
@@ -254,7 +257,7 @@
 	}
 	s.local.Receive(in)
 	s.fetchers[State_ROUTE_TABLE].offer(in.GetAddr(), in.GetTableVersion())
-	s.fetchers[State_SERVER_LIST].offer(in.GetAddr(), in.GetServersVersion())
+	s.fetchers[State_SERVER_LIST].offer(in.GetAddr(), int64(in.ServersPosition()))
 }
 
 // receiveMembers records the sender of a report and the members that it names, and reports whether any of them
@@ -278,9 +281,9 @@
 	return added
 }
 
-// report returns the report for a peer with this version of the list of servers, with all members if all is
+// report returns the report for a peer with the list of servers of this position, with all members if all is
 // set.
-func (s *Service) report(servers int64, all bool) *Report {
+func (s *Service) report(servers store.Position, all bool) *Report {
 	// The number is read first, so the report is at least as recent as that placement.
 	number := s.datagrams.lastNumber()
 	r := s.local.Report(servers)
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -35,9 +35,12 @@
 			return nil, err
 		}
 	}
-	out := &FetchPart{Version: compressed.version, Size: uint32(len(compressed.data))}
+	era, number := splitVersion(in.GetState(), compressed.version)
+	out := &FetchPart{Version: number, Era: era, Size: uint32(len(compressed.data))}
 	from := min(int(in.GetOffset()), len(compressed.data))
-	if in.GetVersion() == 0 || in.GetVersion() == compressed.version {
+	// Gateways that don't know eras request later parts without one.
+	sameEra := in.GetEra() == era || in.GetEra() == 0
+	if in.GetVersion() == 0 || (in.GetVersion() == number && sameEra) {
 		out.Data = compressed.data[from:min(from+partBytes, len(compressed.data))]
 	}
 	return out, nil
--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -19,7 +19,9 @@
 // Proof states that Version was the newest at a time of this process's clock.
 type Proof struct {
 	Version int64
-	At      time.Duration
+	// Era is that of the store when Version was its newest one, see store.Position; zero if that is not known.
+	Era int64
+	At  time.Duration
 }
 
 // Ledger holds the proofs of one process.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -10,10 +10,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Stage is the part of a request that an engine serves.
@@ -77,9 +80,9 @@
 
 // Registry is the local view of all servers. It is not safe for concurrent use.
 type Registry struct {
-	// version is that of the newest snapshot applied.
-	version int64
-	servers map[string]*entry
+	// position is that of the newest snapshot applied.
+	position store.Position
+	servers  map[string]*entry
 	// leaving holds the incarnations that have announced a shutdown, so that no later
 	// snapshot makes them usable again.
 	leaving map[string]struct{}
@@ -90,6 +93,10 @@
 	// lastRead is when the list was last read successfully, and recoveredAt when that
 	// first succeeded after the last outage.
 	lastRead, recoveredAt time.Time
+	// removed is when each incarnation was removed that the list lacked, and restoredAt when
+	// a list of a restored store was first applied: its copy may list removed servers.
+	removed    map[string]time.Time
+	restoredAt time.Time
 }
 
 type entry struct {
@@ -100,7 +107,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: map[string]*entry{}, leaving: map[string]struct{}{}, latest: map[string]int64{}}
+	return &Registry{servers: map[string]*entry{}, leaving: map[string]struct{}{}, latest: map[string]int64{}, removed: map[string]time.Time{}}
 }
 
 // outageGap is the time without a snapshot that counts as an outage, in which entries may
@@ -108,19 +115,26 @@
 // an entry expires after three missed ones.
 const outageGap = 3 * time.Second
 
-// Version returns the version of the newest snapshot applied.
-func (r *Registry) Version() int64 { return r.version }
+const (
+	// staleEntryTTL is how long a restored store may list a server that had been removed: the
+	// entry of a server that is gone expires by then, and that of any other is renewed.
+	staleEntryTTL = 4 * time.Second
+	// removedTTL is how long the removal of a server is remembered. A copy from which a store
+	// is restored is some seconds old.
+	removedTTL = time.Minute
+)
+
+// Position returns the position of the newest snapshot applied.
+func (r *Registry) Position() store.Position { return r.position }
 
-// Apply applies a snapshot of the complete list, read from the store at version. It ignores
+// Apply applies a snapshot of the complete list, read from the store at a position. It ignores
 // a snapshot older than the newest one applied and returns false.
-func (r *Registry) Apply(version int64, list []Server, now time.Time) bool {
-	if version < r.version {
+func (r *Registry) Apply(position store.Position, list []Server, now time.Time) bool {
+	if position < r.position {
 		return false
 	}
-	if !r.lastRead.IsZero() && now.Sub(r.lastRead) > outageGap {
-		r.recoveredAt = now
-	}
-	r.version, r.lastRead = version, now
+	r.recordReading(position, now)
+	list = slices.DeleteFunc(slices.Clone(list), func(s Server) bool { return r.isStale(s.ID, now) })
 	seen := make(map[string]struct{}, len(list))
 	for _, s := range list {
 		r.recordStart(s)
@@ -145,6 +159,27 @@
 	return true
 }
 
+// recordReading records that a list was read, and whether entries may be missing from it
+// that servers write again: after an outage, and after the store was restored.
+func (r *Registry) recordReading(position store.Position, now time.Time) {
+	restored := r.position != 0 && position.Era() != r.position.Era()
+	if restored {
+		r.restoredAt = now
+	}
+	if restored || (!r.lastRead.IsZero() && now.Sub(r.lastRead) > outageGap) {
+		r.recoveredAt = now
+	}
+	r.position, r.lastRead = position, now
+	maps.DeleteFunc(r.removed, func(_ string, at time.Time) bool { return now.Sub(at) >= removedTTL })
+}
+
+// isStale reports whether the entry of a server may come from the copy of a restored store
+// alone: the server was removed before, and the entry is not confirmed by its age yet.
+func (r *Registry) isStale(id string, now time.Time) bool {
+	removedAt, removed := r.removed[id]
+	return removed && !removedAt.After(r.restoredAt) && now.Sub(r.restoredAt) < staleEntryTTL
+}
+
 // recordStart records the start time of s if it is the latest of its instance, and removes the earlier
 // incarnations as terminated.
 func (r *Registry) recordStart(s Server) {
@@ -201,6 +236,7 @@
 		}
 		e = &entry{}
 		r.servers[s.ID] = e
+		delete(r.removed, s.ID)
 	}
 	if s.Unusable && ok {
 		// The last valid entry still describes the server for the requests that run there.
@@ -225,6 +261,7 @@
 		return
 	}
 	delete(r.servers, id)
+	r.removed[id] = now
 }
 
 // MarkLeaving records that a server shuts down, for instance because a response said so. It returns false if that was
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 var start = time.Unix(1000, 0)
@@ -34,7 +35,7 @@
 // snapshot is one read of the server list, and the usable servers expected after it.
 type snapshot struct {
 	at      float64
-	version int64
+	version store.Position
 	list    []registry.Server
 	want    string
 }
@@ -72,6 +73,36 @@
 			{12.1, 4, []registry.Server{b}, "b"},
 			{13, 5, []registry.Server{a, b}, "ab"},
 		}},
+		{"the list of a restored store is newer, whatever its version", []snapshot{
+			{0, store.At(1, 28), []registry.Server{a, b}, "ab"},
+			{1, store.At(2, 24), []registry.Server{leaving("a"), b}, "b"},
+			{2, store.At(1, 30), []registry.Server{a, b, c}, "b"},
+		}},
+		{"servers that a restored store lacks stay for two seconds", []snapshot{
+			{0, store.At(1, 28), []registry.Server{a, b}, "ab"},
+			{1, store.At(2, 24), []registry.Server{b}, "ab"},
+			{2.9, store.At(2, 25), []registry.Server{b}, "ab"},
+			{3, store.At(2, 26), []registry.Server{b}, "b"},
+			{3.1, store.At(2, 27), []registry.Server{a, b}, "ab"},
+		}},
+		{"a removed server that a restored store lists is used once its entry has not expired", []snapshot{
+			{0, store.At(1, 20), []registry.Server{a, b}, "ab"},
+			{1, store.At(1, 21), []registry.Server{b}, "b"},
+			{2, store.At(2, 20), []registry.Server{a, b}, "b"},
+			{5.9, store.At(2, 20), []registry.Server{a, b}, "b"},
+			{6, store.At(2, 20), []registry.Server{a, b}, "ab"},
+		}},
+		{"a server that was leaving and that a restored store lists as ready stays unused", []snapshot{
+			{0, store.At(1, 20), []registry.Server{leaving("a"), b}, "b"},
+			{1, store.At(2, 19), []registry.Server{a, b}, "b"},
+			{9, store.At(2, 21), []registry.Server{a, b}, "b"},
+		}},
+		{"two copies in a row", []snapshot{
+			{0, store.At(1, 28), []registry.Server{a, b}, "ab"},
+			{1, store.At(2, 24), []registry.Server{b, c}, "abc"},
+			{2, store.At(3, 10), []registry.Server{b}, "abc"},
+			{4, store.At(3, 11), []registry.Server{b}, "b"},
+		}},
 		{"no grace for servers that were leaving", []snapshot{
 			{0, 1, []registry.Server{leaving("a"), b}, "b"},
 			{10, 2, []registry.Server{b}, "b"},
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // Kind says whether a request may be retried after it may have run.
@@ -141,8 +143,8 @@
 	Table *Table
 	// Encoded is the table as sent to other gateways; it contains no keys.
 	Encoded []byte
-	// Version is that of the store, RowVersion that of the table's row.
-	Version, RowVersion int64
+	// Position is that of the store when the table was read, RowPosition that of the write of the table's row.
+	Position, RowPosition store.Position
 }
 
 // hostRoutes are the routes of one host.
--- a/store/store.go
+++ b/store/store.go
@@ -23,6 +23,9 @@
 	ErrNotFound = errors.New("not found")
 	// ErrMalformed means that stored data could not be decoded.
 	ErrMalformed = errors.New("malformed content")
+	// ErrRestored means that the store was restored from a copy since the position of a call: its state has to be read
+	// as a whole.
+	ErrRestored = errors.New("the platform's store was restored from a copy")
 	// ErrInvalid means that the arguments of the call are invalid.
 	ErrInvalid = errors.New("invalid platform call")
 )
@@ -39,8 +42,21 @@
 	return fmt.Sprintf("conflict on %q: expected version %d, found %d", e.Key, e.Want, e.Have)
 }
 
+// NotFoundError is ErrNotFound for a row, with the position at which the row was missing.
+type NotFoundError struct {
+	Key string
+	At  Position
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("row %q not found", e.Key) }
+
+// Is reports whether target is ErrNotFound.
+func (e *NotFoundError) Is(target error) bool { return target == ErrNotFound }
+
 // Row is a row of the table. Versions start at 1 and increase by one with each write
-// of the row; a row that does not exist has version 0.
+// of the row; a row that does not exist has version 0. On the users' platform a version
+// is the Position of the write.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
