fencing: one holder and rising numbers also in a store restored from a copy

Cause: the lease trusted the store for what it had acknowledged. A row counted as unchanged by its version alone, the next number was the one in the row plus one, and an absent row was free. After a copy a version may be an older write, the number may have been exceeded, and the row of a later holder may be gone.

A fencing number now begins with the era in which it was written (32 bits of count below), so that it is higher than all numbers of earlier eras without having seen them. A row whose number is of an earlier era, or an absent row in a store that was restored, counts as held by a process that is not known: all but a process whose own lease is valid wait for Term plus Gap. That needs no memory of eras, so it holds for a process that has just started.

--- a/fencing/fencing.go
+++ b/fencing/fencing.go
@@ -7,6 +7,11 @@
 // by its own clock: clocks are never compared, and a process that was suspended in
 // between only waits longer. Every acquisition or renewal has a higher number, so
 // that an engine that checks numbers rejects orders of an earlier holder.
+//
+// A store that was restored from a copy may lack the latest holder and its numbers. So
+// a number begins with the era of the store in which it was written, and a row of an
+// earlier era, or its absence, counts as held by a process that is not known: all but a
+// process whose own lease is valid wait for Term plus Gap.
 package fencing
 
 import (
@@ -42,9 +47,9 @@
 
 	fence      int64
 	validUntil time.Duration
-	// lastVersion is the row version that was last read, unchangedSince the time at
+	// seen is the position of the row that was last read, unchangedSince the time at
 	// which it was first read.
-	lastVersion    uint64
+	seen           store.Position
 	unchangedSince time.Duration
 }
 
@@ -53,6 +58,33 @@
 	Fence  int64  `json:"fence"`
 }
 
+// countBits is the size of the part of a fencing number that counts the acquisitions of an
+// era of the store; the era precedes it. Engines hold numbers exactly up to 53 bits.
+const countBits = 32
+
+// firstEra is the era of a store that was never restored, and zero if it reports none.
+const firstEra = 1
+
+// nextFence returns a number that is higher than all that were used in this era and the
+// earlier ones.
+func nextFence(used, era int64) int64 { return max(used, era<<countBits) + 1 }
+
+// written is what a store holds of the lease: the record and the position of its write. A
+// row that does not exist has no holder and version zero.
+type written struct {
+	record
+	at store.Position
+}
+
+func (w written) exists() bool { return w.at.Version() != 0 }
+
+// mayBeOutdated reports whether the store may lack a later holder, since it was restored
+// after the row was written.
+func (w written) mayBeOutdated() bool {
+	era := w.at.Era()
+	return w.Fence>>countBits < era && (w.exists() || era > firstEra)
+}
+
 // New returns the lease stored in row key for holder, the name of a VM. A nil now
 // stands for clock.Uptime.
 func New(table store.Table, key, holder string, now func() time.Duration) *Lease {
@@ -70,43 +102,68 @@
 // after any other error the holder is unknown, and Acquire may be called again.
 func (l *Lease) Acquire(ctx context.Context) error {
 	start := l.now()
-	rec, version, err := l.read(ctx)
+	w, err := l.read(ctx)
 	if err != nil {
 		return err
 	}
-	if version != l.lastVersion {
-		l.lastVersion, l.unchangedSince = version, start
-		if rec.Holder != l.holder && version != 0 {
-			return ErrHeld
-		}
+	if w.at != l.seen {
+		l.seen, l.unchangedSince = w.at, start
 	}
-	if rec.Holder != l.holder && version != 0 && start-l.unchangedSince < Term+Gap {
+	if l.heldByAnother(w, start) {
 		return ErrHeld
 	}
-	next := record{Holder: l.holder, Fence: rec.Fence + 1}
-	if err := l.write(ctx, next, version); err != nil {
+	next := record{Holder: l.holder, Fence: nextFence(max(w.Fence, l.fence), w.at.Era())}
+	if err := l.write(ctx, next, w); err != nil {
 		return err
 	}
 	l.fence, l.validUntil = next.Fence, start+Term
 	return nil
 }
 
-func (l *Lease) read(ctx context.Context) (record, uint64, error) {
+// heldByAnother reports whether another process may hold the lease, or may have held it
+// recently.
+func (l *Lease) heldByAnother(w written, now time.Duration) bool {
+	if now-l.unchangedSince >= Term+Gap {
+		return false
+	}
+	if w.mayBeOutdated() {
+		_, held := l.Fence()
+		return !held
+	}
+	return w.exists() && w.Holder != l.holder
+}
+
+func (l *Lease) read(ctx context.Context) (written, error) {
 	row, err := l.table.Get(ctx, l.key)
 	if errors.Is(err, store.ErrNotFound) {
-		return record{}, 0, nil
+		return written{at: store.At(eraOf(err), 0)}, nil
 	}
 	if err != nil {
-		return record{}, 0, err
+		return written{}, err
 	}
-	var rec record
-	if err := json.Unmarshal(row.Value, &rec); err != nil {
-		return record{}, 0, fmt.Errorf("lease %s: %w", l.key, err)
+	w := written{at: store.Position(row.Version)}
+	if err := json.Unmarshal(row.Value, &w.record); err != nil {
+		return written{}, fmt.Errorf("lease %s: %w", l.key, err)
 	}
-	return rec, row.Version, nil
+	return w, nil
 }
 
-func (l *Lease) write(ctx context.Context, rec record, version uint64) error {
+// eraOf returns the era of the store in which a row was not found; zero if the error states none.
+func eraOf(err error) int64 {
+	var missing *store.NotFoundError
+	if !errors.As(err, &missing) {
+		return 0
+	}
+	return missing.At.Era()
+}
+
+// write replaces w, what the store held when it was read.
+func (l *Lease) write(ctx context.Context, rec record, w written) error {
+	version := uint64(0)
+	if w.exists() {
+		version = uint64(w.at)
+	}
+
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return err
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -55,6 +55,8 @@
 	reads   map[string]int
 	changed chan struct{}
 	era     int64
+	// beforeWrite is called once, before the next write.
+	beforeWrite func()
 }
 
 // eraHeader is in all answers; it rises by one whenever the store is restored from a copy.
@@ -114,6 +116,22 @@
 	s.changed = make(chan struct{})
 }
 
+// BeforeWrite has f called once, before the next write is executed.
+func (s *Store) BeforeWrite(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeWrite = f
+}
+
+// takeBeforeWrite returns what to call before a write.
+func (s *Store) takeBeforeWrite() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.beforeWrite
+	s.beforeWrite = nil
+	return f
+}
+
 // Version returns the newest version.
 func (s *Store) Version() int64 {
 	s.mu.Lock()
@@ -221,8 +239,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if f := s.takeBeforeWrite(); f != nil {
+		f()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 	var have []Row
 	conflict := false
 	for _, e := range body.Expected {
