freshness: a restored store that lacks the configuration in force proves nothing

Callers could have been served with a key that was taken away: the store acknowledges configuration 22, which takes a key away, is restored from a copy with 12, and states that 12 is its newest until the operator writes again. A gateway with 21 took that as a proof that nothing came after 21, since "an earlier version was the newest" proves a later one in a store that loses nothing.

One of an earlier version than the applied one does not count if its era is later than the one in which the applied version was known; one without an era does not count beside those with eras, since its version may have been confirmed by a number that was given out again.

TestProofsOfRestoredStore failed before (age 0 s of 2 s). Not covered, and open: a gateway that missed 22 and hears, of the restored store alone, that 21 is the newest before the operator has written 22 again.

--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -27,6 +27,9 @@
 // Ledger holds the proofs of one process.
 type Ledger struct {
 	applied int64
+	// appliedEra is the latest era of the store that was known when a version was applied or proved: a store that was
+	// restored in a later era may lack the applied version. era is the latest one of all proofs.
+	appliedEra, era int64
 	// newest is the latest proof; its version may not be applied here yet.
 	newest Proof
 	// provedAt is the time since which the applied version may be out of date; known is false without a proof.
@@ -36,12 +39,15 @@
 
 // Applied records the version that is applied from now on. Versions only grow.
 func (l *Ledger) Applied(version int64) {
-	l.applied = max(l.applied, version)
+	if version > l.applied {
+		l.applied, l.appliedEra = version, l.era
+	}
 	l.useNewest()
 }
 
 // AddProof adds a proof. One of a version that is not applied yet counts once it is.
 func (l *Ledger) AddProof(p Proof) {
+	l.era = max(l.era, p.Era)
 	if p.Version <= 0 || (l.newest.Version > 0 && p.At <= l.newest.At) {
 		l.use(p)
 		return
@@ -53,11 +59,18 @@
 func (l *Ledger) useNewest() { l.use(l.newest) }
 
 // use takes a proof of the applied version or of an earlier one into account: the applied version contains all
-// changes up to the time of either.
+// changes up to the time of either. That does not hold for an earlier version in a later era: the store lacks the applied
+// version, and may lack later ones. A proof without an era may be of a version that a restored store gave out again.
 func (l *Ledger) use(p Proof) {
-	if p.Version <= 0 || p.Version > l.applied {
+	if p.Version <= 0 || p.Version > l.applied || (p.Era == 0 && l.era > 0) {
+		return
+	}
+	if p.Version < l.applied && p.Era > l.appliedEra {
 		return
 	}
+	if p.Version == l.applied {
+		l.appliedEra = max(l.appliedEra, p.Era)
+	}
 	if !l.known || p.At > l.provedAt {
 		l.provedAt, l.known = p.At, true
 	}
--- a/policy/freshness/freshness_test.go
+++ b/policy/freshness/freshness_test.go
@@ -42,6 +42,32 @@
 	assert.Equal(t, newest, freshness.Proof{Version: 4, At: 4 * second})
 }
 
+// Guards against proofs of a restored store that lacks the applied version: it may lack later ones too.
+func TestProofsOfRestoredStore(t *testing.T) {
+	var l freshness.Ledger
+	age := func(now time.Duration) time.Duration {
+		age, known := l.Age(now)
+		assert.Assert(t, known)
+		return age
+	}
+	l.AddProof(freshness.Proof{Version: 21, Era: 1, At: 1 * second})
+	l.Applied(21)
+	l.AddProof(freshness.Proof{Version: 12, Era: 2, At: 3 * second})
+	assert.Equal(t, age(3*second), 2*second, "the copy has an earlier version")
+	l.AddProof(freshness.Proof{Version: 21, Era: 2, At: 4 * second})
+	assert.Equal(t, age(5*second), second, "the operator has written again")
+	l.AddProof(freshness.Proof{Version: 20, Era: 2, At: 5 * second})
+	assert.Equal(t, age(6*second), second, "in this era version 20 came before version 21")
+
+	l.AddProof(freshness.Proof{Version: 20, Era: 1, At: 6 * second})
+	assert.Equal(t, age(6*second), 0*second, "a late answer of the era before counts for its own time")
+	l.Applied(25)
+	l.AddProof(freshness.Proof{Version: 25, Era: 0, At: 7 * second})
+	assert.Equal(t, age(7*second), 1*second, "a gateway that knows no eras may confirm a version given out again")
+	l.AddProof(freshness.Proof{Version: 25, Era: 2, At: 8 * second})
+	assert.Equal(t, age(8*second), 0*second)
+}
+
 func TestTrusted(t *testing.T) {
 	closed := freshness.Bounds{Revoke: 5 * second}
 	for _, c := range []struct {
