holdback: holds and releases that a restored store lacks are written again

What callers would see: a request under which servers end is served again, at every gateway, since its quarantine was taken for released; or one that an operator has released is refused again for as long as its old hold lasts.

Cause: the rows of this table are written by gateways alone, and nobody else writes them again. A row that the copy lacks counted as removed by an operator, a hold taken as stored was never written again, and a row whose removal was lost came back.

When the table is read in a later era, rows that it lacks are forgotten instead, so that their holds are written again by the gateway that observed them or by one that reads the store for all. A row whose hold began before its release is removed again by one that reads for all.

--- a/holdback/persist.go
+++ b/holdback/persist.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
@@ -54,6 +55,8 @@
 	duration time.Duration
 	// removeAfter is the time from which the row may be removed.
 	removeAfter time.Time
+	// released is set if the hold was released before the row was read: a store that was restored lacks the removal.
+	released bool
 }
 
 // hold returns the hold of a row. Rows use wall-clock time, since a monotonic clock doesn't outlast its process; the
@@ -108,16 +111,34 @@
 		g.applyRows(rows, nil)
 		return position, nil
 	}
+	if position != 0 && next.Era() != position.Era() {
+		g.forgetLostRows(rows)
+	}
 	g.applyRows(rows, g.missingKeys(rows))
 	return next, nil
 }
 
-// missingKeys returns the keys of holds that were in the table and are missing in rows, the complete table.
-func (g *Guard) missingKeys(rows []store.Row) []string {
-	present := make(map[string]bool, len(rows))
+// forgetLostRows forgets the rows that a restored store lacks, so that their holds are written again. rows is the
+// complete table.
+func (g *Guard) forgetLostRows(rows []store.Row) {
+	present := keysOf(rows)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.stored, func(d fingerprint.Digest, _ storeState) bool { return !present[d.String()] })
+	notify(g.persistDue)
+}
+
+func keysOf(rows []store.Row) map[string]bool {
+	keys := make(map[string]bool, len(rows))
 	for _, r := range rows {
-		present[r.Key] = true
+		keys[r.Key] = true
 	}
+	return keys
+}
+
+// missingKeys returns the keys of holds that were in the table and are missing in rows, the complete table.
+func (g *Guard) missingKeys(rows []store.Row) []string {
+	present := keysOf(rows)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
@@ -169,7 +190,9 @@
 	if r.Version < g.stored[d].version {
 		return nil // An earlier state of the row.
 	}
-	g.stored[d] = storeState{version: r.Version, duration: h.Duration, removeAfter: h.Until.Add(h.Duration)}
+	g.stored[d] = storeState{
+		version: r.Version, duration: h.Duration, removeAfter: h.Until.Add(h.Duration), released: g.ledger.Released(h),
+	}
 	if !g.off {
 		g.applyHold(h, sourceStore)
 	}
@@ -246,7 +269,7 @@
 	}
 	for d, k := range g.stored {
 		_, removing := g.removals[d]
-		if k.version > 0 && (removing || (readsForAll && !k.removeAfter.After(now))) {
+		if k.version > 0 && (removing || (readsForAll && (k.released || !k.removeAfter.After(now)))) {
 			out = append(out, change{content: d, Txn: store.Txn{
 				Checks: []store.Check{{Key: d.String(), Version: k.version}},
 				Writes: []store.Write{{Key: d.String(), Delete: true}},
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -161,9 +161,15 @@
 	return changed
 }
 
+// Released reports whether a hold began before its request was last cleared.
+func (l *Ledger) Released(h Hold) bool {
+	cleared, ok := l.cleared[h.Content]
+	return ok && !h.StartedAt().After(cleared)
+}
+
 // AddHold adds a hold, also one that another router decided or that was persisted, and reports whether it is new.
 func (l *Ledger) AddHold(h Hold) bool {
-	if cleared, ok := l.cleared[h.Content]; ok && !h.StartedAt().After(cleared) {
+	if l.Released(h) {
 		return false
 	}
 	known, ok := l.holds[h.Content]
