Soak: the store comes back from a copy, also twice in a row

The new faults make the store unavailable for 300 ms and restore it without the last 61 to 72 writes, which gateways have read; operator and servers write again what is theirs 200 ms later.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -4,8 +4,10 @@
 package site
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -55,6 +57,8 @@
 	reads   map[string]int
 	changed chan struct{}
 	era     int64
+	// written is what the operator and the servers wrote last, by row; a removed row is marked as deleted.
+	written map[string]Row
 	// beforeWrite is called once, before the next write.
 	beforeWrite func()
 }
@@ -64,7 +68,7 @@
 
 // NewStore starts a store that is closed at the end of the test.
 func NewStore(t testing.TB) *Store {
-	s := &Store{rows: map[string]Row{}, reads: map[string]int{}, changed: make(chan struct{}), era: 1}
+	s := &Store{rows: map[string]Row{}, reads: map[string]int{}, written: map[string]Row{}, changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/rows-tx", s.tx)
 	mux.HandleFunc("GET /api/rows-get", s.get)
@@ -95,8 +99,29 @@
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(Row{Table: table, Key: key, Value: value, Deleted: value == nil})
+}
+
+// put writes a row in a transaction of its own. The caller holds mu.
+func (s *Store) put(r Row) {
 	s.ver++
-	s.apply(Row{Table: table, Key: key, Value: value, Deleted: value == nil})
+	s.written[rowKey(r.Table, r.Part, r.Key)] = r
+	s.apply(r)
+}
+
+// WriteAgain writes what the operator and the servers wrote last in these tables and the store lacks, since it was
+// restored, and removes what they removed.
+func (s *Store) WriteAgain(tables ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(s.written)) {
+		r := s.written[key]
+		current, exists := s.rows[key]
+		same := exists == !r.Deleted && bytes.Equal(current.Value, r.Value)
+		if slices.Contains(tables, r.Table) && !same {
+			s.put(r)
+		}
+	}
 }
 
 // Restore restores the store from the copy that it made lost versions ago: later writes are gone, and their versions
