fencing: an absent row is waited for in any store that states an era

A store that states an era above zero may have been restored, so an absent row counts as held for Term plus Gap. The cost is that the first order of a new system comes some 10 s after its start, which is when its traffic begins.

TestFirstAcquisitionLostWithCopy covers it from the first acquisition on; the other tests acquire the lease in this way.

--- a/fencing/fencing.go
+++ b/fencing/fencing.go
@@ -62,9 +62,6 @@
 // era of the store; the era precedes it. Engines hold numbers exactly up to 53 bits.
 const countBits = 32
 
-// firstEra is the era of a store that was never restored, and zero if it reports none.
-const firstEra = 1
-
 // nextFence returns a number that is higher than all that were used in this era and the
 // earlier ones.
 func nextFence(used, era int64) int64 { return max(used, era<<countBits) + 1 }
@@ -78,12 +75,9 @@
 
 func (w written) exists() bool { return w.at.Version() != 0 }
 
-// mayBeOutdated reports whether the store may lack a later holder, since it was restored
-// after the row was written.
-func (w written) mayBeOutdated() bool {
-	era := w.at.Era()
-	return w.Fence>>countBits < era && (w.exists() || era > firstEra)
-}
+// mayBeOutdated reports whether the store may lack a later holder: it was restored after
+// the row was written, or there is no row and it may have been restored before.
+func (w written) mayBeOutdated() bool { return w.Fence>>countBits < w.at.Era() }
 
 // New returns the lease stored in row key for holder, the name of a VM. A nil now
 // stands for clock.Uptime.
--- a/fencing/restored_test.go
+++ b/fencing/restored_test.go
@@ -21,7 +21,9 @@
 	highest int64
 }
 
-func newRestoredLease(t *testing.T) *restoredLease { return &restoredLease{t: t, store: site.NewStore(t)} }
+func newRestoredLease(t *testing.T) *restoredLease {
+	return &restoredLease{t: t, store: site.NewStore(t)}
+}
 
 // process returns the lease as seen by a process that has just started.
 func (r *restoredLease) process(holder string) *fencing.Lease {
@@ -39,6 +41,14 @@
 	r.highest = fence
 }
 
+// acquireFirst acquires the lease of which the store has no row.
+func (r *restoredLease) acquireFirst(l *fencing.Lease) {
+	r.t.Helper()
+	r.refused(l)
+	r.now += fencing.Term + fencing.Gap
+	r.acquire(l)
+}
+
 func (r *restoredLease) refused(l *fencing.Lease) {
 	r.t.Helper()
 	assert.ErrorIs(r.t, l.Acquire(r.t.Context()), fencing.ErrHeld)
@@ -49,7 +59,7 @@
 func TestRenewalsLostWithCopy(t *testing.T) {
 	r := newRestoredLease(t)
 	a, b := r.process("a"), r.process("b")
-	r.acquire(a)
+	r.acquireFirst(a)
 	r.refused(b)
 	for range 8 {
 		r.now += time.Second
@@ -72,7 +82,7 @@
 func TestTakeoverLostWithCopy(t *testing.T) {
 	r := newRestoredLease(t)
 	a, b := r.process("a"), r.process("b")
-	r.acquire(a)
+	r.acquireFirst(a)
 	r.refused(b)
 	r.now += fencing.Term + fencing.Gap
 	r.acquire(b)
@@ -88,7 +98,7 @@
 	r := newRestoredLease(t)
 	r.store.Put("others", "k", []byte("v"))
 	a := r.process("a")
-	r.acquire(a)
+	r.acquireFirst(a)
 	r.store.Restore(1)
 	b := r.process("b")
 	r.refused(b)
@@ -97,13 +107,9 @@
 	r.now += fencing.Term + fencing.Gap
 	r.acquire(b)
 
-	// Nobody writes the row again, and other writes change the position of the store meanwhile.
+	// Nobody writes the row again.
 	r.store.Restore(2)
-	c := r.process("c")
-	r.refused(c)
-	r.store.Put("others", "k", []byte("v"))
-	r.now += fencing.Term + fencing.Gap
-	r.acquire(c)
+	r.acquireFirst(r.process("c"))
 }
 
 // Guards against a holder by a renewal that the restored store took, whose row has the version that was read in the era
@@ -111,7 +117,7 @@
 func TestRenewalAnsweredByRestoredStore(t *testing.T) {
 	r := newRestoredLease(t)
 	a, b := r.process("a"), r.process("b")
-	r.acquire(a)
+	r.acquireFirst(a)
 	r.refused(b)
 	r.now += fencing.Term
 	r.store.BeforeWrite(func() { r.store.Restore(0) })
@@ -123,3 +129,15 @@
 	r.now += fencing.Term + fencing.Gap
 	r.acquire(b)
 }
+
+// Guards against a process that never acquires the lease since other writes change the store meanwhile.
+func TestAbsentRowIsUnchangedByOtherWrites(t *testing.T) {
+	r := newRestoredLease(t)
+	a := r.process("a")
+	for range 7 {
+		r.refused(a)
+		r.store.Put("others", "k", []byte("v"))
+		r.now += time.Second
+	}
+	r.acquire(a)
+}
