--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,6 +169,7 @@
 	s.metrics.GaugeFunc(metrics.LinkBytesSent, s.peers.Sent)
 	s.metrics.GaugeFunc(metrics.LinkBytesReceived, s.peers.Received)
 	s.metrics.GaugeFunc(metrics.ConfigProofAge, s.proofAge)
+	s.metrics.GaugeFunc(metrics.StoreEra, func() int64 { return s.view.listVersion().Era() })
 	s.metrics.GaugeFunc(metrics.QuotaReservedPeers, s.quotas.unresponsiveGateways)
 	s.peerLoads = newPeerLoads(s.view.incarnationID)
 	s.view.onReplaced = s.incarnationsReplaced
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -81,6 +82,9 @@
 	c.store.Put("servers", "a", entry(a, "one", "draining"))
 	c.awaitReadings(t)
 	assert.Equal(t, c.reached(t), "b")
+	for _, p := range c.gateways {
+		assert.Equal(t, p.gauge(t, metrics.StoreEra), 2.0)
+	}
 }
 
 // Guards against gateways that do not use a server whose entry has a lower version than the list in force.
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -58,5 +58,6 @@
 		{SendsWithheld, Counter},
 		{CooldownsRequested, Counter},
 		{ListReadingsDropped, Counter},
+		{StoreEra, Gauge},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -57,4 +57,6 @@
 	FetchesFailed    = "fetches_failed"
 	// ListReadingsDropped counts readings of the server list that were older than the list in force.
 	ListReadingsDropped = "list_readings_dropped"
+	// StoreEra is the era of the platform's store from which the server list in force was read.
+	StoreEra = "store_era"
 )
