forward: a refusal for a stated time is no failure of the server

Callers: a third of a service stood idle.

Cause: the refusal went to policy/outlier as a failed request. With few requests seen, one failure weighs a quarter, and an excess of a tenth costs as much as three outstanding requests; it fades with a half-life of 3 s and without new requests nothing contradicts it. So what the gateway inferred outlasted what the server had said. Requests that were not sent at all, because of a server's limit, cooldown or leaving, or because the request is held, counted as failures too.

None of these is evidence now, neither for outliers nor for the share of calls (overload).

TestServerIsUsedAfterItsCooldown failed before (0 of 60 requests) and passes.

--- a/forward/call.go
+++ b/forward/call.go
@@ -32,6 +32,8 @@
 	errTooLarge = errors.New("answer too large")
 	errNotRun   = errors.New("refused by the server")
 	errFailed   = errors.New("failed by the server")
+	// errCooldownRequested accompanies errNotRun if the server says for how long it wants no requests.
+	errCooldownRequested = errors.New("the server asked for a cooldown")
 )
 
 // call is a request of a plain service over all its attempts.
@@ -127,13 +129,21 @@
 	ctx, end := f.attempts.begin(ctx, s.ID)
 	defer end()
 	a, err := f.exchange(ctx, j, s)
-	ok := err == nil && a.head.Status < http.StatusInternalServerError
 	took := time.Since(start)
-	f.observeOutcome(j, s, ok)
-	f.observeLoad(j, s, err, took)
+	if !noEvidence(err) {
+		f.observeOutcome(j, s, err == nil && a.head.Status < http.StatusInternalServerError)
+		f.observeLoad(j, s, err, took)
+	}
 	return a, err
 }
 
+// noEvidence reports whether a call shows nothing about whether its server fails requests, or about its load: it was not
+// sent, or the server refused it and asked for a cooldown. The cooldown holds as long as the server says, and nothing that is inferred from
+// the refusal extends it.
+func noEvidence(err error) bool {
+	return isWithheld(err) || errors.Is(err, errBlocked) || errors.Is(err, errCooldownRequested)
+}
+
 // hedgeShare is the share of the remaining time after which a repeatable request is sent to another server: an
 // unresponsive server then costs half of the time instead of all of it.
 const hedgeShare = 0.5
@@ -153,7 +163,7 @@
 	head := f.Codec.ParseAnswer(res.Status, res.Header)
 	if head.NotRun {
 		discard(res)
-		return nil, fmt.Errorf("%w: status %d", errNotRun, head.Status)
+		return nil, refusal(head)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
 	if err != nil {
@@ -168,6 +178,15 @@
 	return &answer{head: head, body: body}, nil
 }
 
+// refusal returns the error of an answer that proves that the server did not run the request.
+func refusal(head AnswerHead) error {
+	err := fmt.Errorf("%w: status %d", errNotRun, head.Status)
+	if head.Signals.Cooldown > 0 {
+		return errors.Join(err, errCooldownRequested)
+	}
+	return err
+}
+
 // send sends the request to a server and returns the head of its answer. It marks the job as run unless the server
 // certainly did not receive it.
 func (f *Forwarder) send(ctx context.Context, j *job, s registry.Server, o Send) (*upstream.Response, error) {
--- a/forward/cooldowns_test.go
+++ b/forward/cooldowns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,3 +131,36 @@
 		assert.Check(t, c.Kind != site.Decode || c.KVFrom != "", "%s prefills the prompt", c.Server)
 	}
 }
+
+// Guards against a server that gets no requests for seconds after the cooldown that it asked for: its truthful refusal
+// counted as a failure.
+func TestServerIsUsedAfterItsCooldown(t *testing.T) {
+	const (
+		seconds  = "0.05"
+		cooldown = 50 * time.Millisecond
+		requests = 60
+	)
+	w := newTestEnv(t)
+	ids := []string{"p1", "p2", "p3"}
+	for _, id := range ids {
+		w.add(t, id, "plain", registry.Whole)
+	}
+	send := func(path string) { assert.Equal(t, w.post(t, path).status, 200) }
+	send("/safe/first")
+	// With one request at a time, the gateway sends all to the server that it prefers.
+	preferred := ids[slices.IndexFunc(ids, func(id string) bool { return w.sent(id, site.Plain) == 1 })]
+	w.servers[preferred].SetRetryAfter(seconds)
+	w.servers[preferred].Behave(site.Shed)
+	send("/safe/refused")
+	assert.Equal(t, w.sent(preferred, site.Plain), 2)
+	w.servers[preferred].Behave(site.Answer)
+	for start := time.Now(); time.Since(start) < cooldown; {
+		send("/safe/cooling")
+	}
+	before := w.sent(preferred, site.Plain)
+	for range requests {
+		send("/safe/after")
+	}
+	got := w.sent(preferred, site.Plain) - before
+	assert.Assert(t, got >= requests/2, "%d of %d requests", got, requests)
+}
