--- a/claim/table.go
+++ b/claim/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -97,10 +98,7 @@
 }
 
 func signal(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
+	notify.Send(ch)
 }
 
 // Run processes claims and releases until ctx ends. Claims that arrive during a
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -7,6 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -33,10 +34,7 @@
 	f.mu.Lock()
 	f.queue = append(f.queue, it)
 	f.mu.Unlock()
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	notify.Send(f.wake)
 }
 
 func (f *flow) pop() (flowItem, bool) {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/lifecycle"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
@@ -114,10 +115,7 @@
 func (f *Forwarder) PlacementChanged() <-chan struct{} { return f.placementChanged }
 
 func (f *Forwarder) notifyPlacementChanged() {
-	select {
-	case f.placementChanged <- struct{}{}:
-	default:
-	}
+	notify.Send(f.placementChanged)
 }
 
 // drain is the schedule of a shutdown: no stream is started from noStreamsFrom on, and the process exits at exitAt.
--- a/forward/serverlimits.go
+++ b/forward/serverlimits.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 	"github.com/hibiscusspur/hibiscusspur/policy/serverlimit"
 )
@@ -70,10 +71,7 @@
 
 // notify must be called with mu held.
 func (l *ServerLimits) notify() {
-	select {
-	case l.changed <- struct{}{}:
-	default:
-	}
+	notify.Send(l.changed)
 }
 
 // wait is how long a server may be sent no request; zero if it may be sent one now.
--- a/gateway/proofs.go
+++ b/gateway/proofs.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/clock"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/policy/freshness"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -129,7 +130,7 @@
 			t := time.NewTimer(proofWait)
 			defer t.Stop()
 			timeout = t.C
-			notify(p.due)
+			notify.Send(p.due)
 		}
 		select {
 		case <-changed:
@@ -141,14 +142,6 @@
 	}
 }
 
-// notify sends to a channel with a buffer of one unless it is full.
-func notify(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // requiresKeys reports whether requests need keys.
 func (s *Service) requiresKeys() bool {
 	t := s.view.Table()
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -93,7 +94,7 @@
 // announceIfDue has an update sent to the other gateways if one is due. The caller holds mu.
 func (q *quotas) announceIfDue() {
 	if q.shared.UpdateDue(time.Now()) {
-		notify(q.changed)
+		notify.Send(q.changed)
 	}
 }
 
--- a/holdback/holdback.go
+++ b/holdback/holdback.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 )
@@ -98,7 +99,7 @@
 			g.observations = append(g.observations, timedObservation{o, now})
 		}
 	}
-	notify(g.updates)
+	notify.Send(g.updates)
 	g.decide()
 }
 
@@ -112,11 +113,11 @@
 		return
 	}
 	g.releases[d] = now
-	notify(g.updates)
+	notify.Send(g.updates)
 	if held {
 		g.logRelease(d, sourceLocal)
 		g.removals[d] = now
-		notify(g.persistDue)
+		notify.Send(g.persistDue)
 	}
 }
 
@@ -143,7 +144,7 @@
 		g.logHold(h, sourceLocal)
 	}
 	if len(started) > 0 {
-		notify(g.updates)
+		notify.Send(g.updates)
 	}
 	if next.IsZero() || g.decisionScheduled {
 		return
@@ -161,7 +162,7 @@
 func (g *Guard) logHold(h quarantine.Hold, from string) {
 	event.RequestQuarantined.Log(g.log).Str("content", h.Content.String()).Strs("servers", g.ledger.TerminatedServers(h.Content)).
 		Dur("left", time.Until(h.Until)).Dur("for", h.Duration).Str("from", from).Msg("")
-	notify(g.persistDue)
+	notify.Send(g.persistDue)
 }
 
 func (g *Guard) logRelease(d fingerprint.Digest, from string) {
@@ -172,11 +173,3 @@
 func (g *Guard) observedLocally(d fingerprint.Digest) bool {
 	return slices.ContainsFunc(g.observations, func(o timedObservation) bool { return o.Content == d })
 }
-
-// notify sends to a channel of capacity one unless it is full.
-func notify(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
--- a/holdback/persist.go
+++ b/holdback/persist.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -125,7 +126,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	maps.DeleteFunc(g.stored, func(d fingerprint.Digest, _ storeState) bool { return !present[d.String()] })
-	notify(g.persistDue)
+	notify.Send(g.persistDue)
 }
 
 func keysOf(rows []store.Row) map[string]bool {
@@ -168,7 +169,7 @@
 		delete(g.removals, d)
 		if g.applyRelease(d, now, sourceStore) {
 			g.releases[d] = now
-			notify(g.updates)
+			notify.Send(g.updates)
 		}
 	}
 }
--- a/httpserver/writer.go
+++ b/httpserver/writer.go
@@ -7,6 +7,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/lesismal/nbio"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 )
 
 // maxPieceBytes is the size of the pieces in which large writes are passed to nbio.
@@ -108,8 +110,5 @@
 		return
 	}
 	c.out.pending.Add(-int64(n))
-	select {
-	case c.out.wake <- struct{}{}:
-	default:
-	}
+	notify.Send(c.out.wake)
 }
--- a/link/link.go
+++ b/link/link.go
@@ -13,6 +13,8 @@
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 )
 
 // Errors that end a link.
@@ -109,10 +111,7 @@
 		l.end(ErrOverflow)
 		return ErrOverflow
 	}
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	notify.Send(l.wake)
 	return nil
 }
 
@@ -282,10 +281,7 @@
 		return
 	}
 	l.slowTicks = false
-	select {
-	case l.shortenTick <- struct{}{}:
-	default:
-	}
+	notify.Send(l.shortenTick)
 }
 
 // silenceLimit is the silence limit, scaled to the interval that the peer announced.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -50,10 +51,7 @@
 // requestExchange triggers an exchange at once, or right after the one in progress, which may have missed an
 // update.
 func (l *peerLink) requestExchange() {
-	select {
-	case l.requested <- struct{}{}:
-	default:
-	}
+	notify.Send(l.requested)
 }
 
 // maintainLinks runs one exchange loop for each live member and seed.
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/link"
 	"github.com/hibiscusspur/hibiscusspur/policy/catchup"
 )
@@ -76,10 +77,7 @@
 	if version <= f.service.local.Version(f.state) {
 		return
 	}
-	select {
-	case f.offered <- struct{}{}:
-	default:
-	}
+	notify.Send(f.offered)
 }
 
 func (f *fetcher) next() (addr string, wait time.Duration) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,6 +20,7 @@
 
 	"storj.io/drpc/drpcmux"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/link"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -250,10 +251,7 @@
 func (s *Service) receive(in *Report) {
 	now := time.Now()
 	if s.receiveMembers(in, now) {
-		select {
-		case s.memberAdded <- struct{}{}:
-		default:
-		}
+		notify.Send(s.memberAdded)
 	}
 	s.local.Receive(in)
 	s.fetchers[State_ROUTE_TABLE].offer(in.GetAddr(), in.GetTableVersion())
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -6,6 +6,7 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/admission"
 	"github.com/hibiscusspur/hibiscusspur/wire"
@@ -52,10 +53,7 @@
 
 // wake makes the loop call advance soon.
 func (a *admitter) wake() {
-	select {
-	case a.wakeup <- struct{}{}:
-	default:
-	}
+	notify.Send(a.wakeup)
 }
 
 // decodeRequest returns the admission request for the decode slot of a reservation.
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 )
 
@@ -78,10 +79,7 @@
 	s.mu.Lock()
 	s.target = t
 	s.mu.Unlock()
-	select {
-	case s.newTarget <- struct{}{}:
-	default:
-	}
+	notify.Send(s.newTarget)
 }
 
 // reconcile gives the orders for the latest target. It reports whether the target is
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/admission"
@@ -254,10 +255,7 @@
 }
 
 func (s *Server) triggerSweep() {
-	select {
-	case s.sweepNow <- struct{}{}:
-	default:
-	}
+	notify.Send(s.sweepNow)
 }
 
 // Configure applies a delta of the configuration like one received from an entry. It
