--- a/registry/registry.go
+++ b/registry/registry.go
@@ -6,11 +6,15 @@
 // leaving is remembered for the lifetime of the process, so that an older list
 // can't make the server usable again. A later incarnation of an instance supersedes
 // the earlier ones at once and permanently.
+//
+// Snapshots are ordered by the position of the store at which they were read, so that the
+// first one of a store that was restored from a copy is newer than all before. Such a
+// snapshot may lack servers, which then have time to register again, and may list servers
+// that had been removed, which are used only once their entries have outlived that copy.
 package registry
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -115,15 +119,6 @@
 // an entry expires after three missed ones.
 const outageGap = 3 * time.Second
 
-const (
-	// staleEntryTTL is how long a restored store may list a server that had been removed: the
-	// entry of a server that is gone expires by then, and that of any other is renewed.
-	staleEntryTTL = 4 * time.Second
-	// removedTTL is how long the removal of a server is remembered. A copy from which a store
-	// is restored is some seconds old.
-	removedTTL = time.Minute
-)
-
 // Position returns the position of the newest snapshot applied.
 func (r *Registry) Position() store.Position { return r.position }
 
@@ -159,27 +154,6 @@
 	return true
 }
 
-// recordReading records that a list was read, and whether entries may be missing from it
-// that servers write again: after an outage, and after the store was restored.
-func (r *Registry) recordReading(position store.Position, now time.Time) {
-	restored := r.position != 0 && position.Era() != r.position.Era()
-	if restored {
-		r.restoredAt = now
-	}
-	if restored || (!r.lastRead.IsZero() && now.Sub(r.lastRead) > outageGap) {
-		r.recoveredAt = now
-	}
-	r.position, r.lastRead = position, now
-	maps.DeleteFunc(r.removed, func(_ string, at time.Time) bool { return now.Sub(at) >= removedTTL })
-}
-
-// isStale reports whether the entry of a server may come from the copy of a restored store
-// alone: the server was removed before, and the entry is not confirmed by its age yet.
-func (r *Registry) isStale(id string, now time.Time) bool {
-	removedAt, removed := r.removed[id]
-	return removed && !removedAt.After(r.restoredAt) && now.Sub(r.restoredAt) < staleEntryTTL
-}
-
 // recordStart records the start time of s if it is the latest of its instance, and removes the earlier
 // incarnations as terminated.
 func (r *Registry) recordStart(s Server) {
