gateway: equal lists under different versions are not fetched

When the two gateways that read the store for all read the same change within the time that an announcement takes, they hold it under different versions. Changes since a version that a gateway does not have can't be told, so that all gateways with the earlier version fetch the whole list, thousands of servers, from each other; and the next change, a server that leaves, reaches those only by another fetch. The busier the readers, the longer their announcements take.

A report to a gateway with another position now holds a digest of the list; one with the same list takes the version over. Nothing is added between gateways that agree. Gateways of earlier releases ignore the digest and fetch as before.

--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"hash/fnv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
@@ -135,6 +138,22 @@
 	return out
 }
 
+// encodeList encodes a whole list.
+func encodeList(list []registry.Server) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&peer.ServerList{Servers: encodeServers(list)})
+}
+
+// digestOf returns a digest of a list that is ordered by ID; zero if the list can't be encoded.
+func digestOf(list []registry.Server) uint64 {
+	data, err := encodeList(list)
+	if err != nil {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(data) // A hash returns no error.
+	return h.Sum64()
+}
+
 // decodeServersUpdate decodes the list of servers, or the changes to it, in a report.
 func decodeServersUpdate(r *peer.Report) serversUpdate {
 	update := serversUpdate{version: r.ServersPosition(), servers: decodeServers(r.GetServers()), removed: r.GetRemovedServers()}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -39,6 +39,9 @@
 	r := &peer.Report{Vm: s.settings.VM, TableVersion: s.Version(peer.State_ROUTE_TABLE)}
 	changed, update := s.view.serversSince(servers)
 	r.ServersEra, r.ServersVersion = changed.Era(), changed.Version()
+	if changed != servers {
+		r.ServersDigest = s.view.digest()
+	}
 	if update != nil && len(update.servers)+len(update.removed) <= maxReportServers {
 		r.ServersTold, r.ServersBase, r.RemovedServers = true, update.base.Version(), update.removed
 		r.Servers = encodeServers(update.servers)
@@ -71,6 +74,7 @@
 func (s *Service) Receive(r *peer.Report) {
 	now := time.Now()
 	from := "gateway " + r.GetVm()
+	s.view.adoptVersion(r.ServersPosition(), r.GetServersDigest(), now)
 	if r.GetServersTold() {
 		s.receiveServers(decodeServersUpdate(r), from)
 	}
--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -30,7 +30,7 @@
 		return false, nil
 	}
 	v.recordChange(version, before, after)
-	v.listed = true
+	v.listed, v.listDigest = true, 0
 	clear(v.usable)
 	return !unchanged, nil
 }
@@ -80,6 +80,26 @@
 	return changed
 }
 
+// adoptVersion takes over the version of another gateway's list if the lists are equal by their digests: when two
+// gateways read the same change at different versions, the others would otherwise fetch the whole list.
+func (v *view) adoptVersion(version store.Position, digest uint64, now time.Time) {
+	list, known := v.list()
+	if digest == 0 || version <= known || version.Era() != known.Era() || digest != v.digest() {
+		return
+	}
+	v.applyServersUpdate(serversUpdate{version: version, servers: list}, now)
+}
+
+// digest returns a digest of the list, which is computed once per change; zero if no list is known.
+func (v *view) digest() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.listed && v.listDigest == 0 {
+		v.listDigest = digestOf(v.registry.List())
+	}
+	return v.listDigest
+}
+
 // list returns the server list and the version at which it last changed.
 func (v *view) list() ([]registry.Server, store.Position) {
 	v.mu.Lock()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -27,7 +27,7 @@
 		return 0, nil
 	}
 	list, version := s.view.list()
-	data, err := proto.Marshal(&peer.ServerList{Servers: encodeServers(list)})
+	data, err := encodeList(list)
 	if err != nil {
 		event.FetchFailed.Log(s.log).Str("state", state.String()).Err(err).Msg("")
 		return 0, nil
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -36,8 +36,10 @@
 	// changedVersion is the version of the store at which the list last changed, history its latest changes, lastRead
 	// when this process last read the list itself, and lastConfirmed when any gateway is known to have last read this
 	// version.
-	changedVersion          store.Position
-	history                 listHistory
+	changedVersion store.Position
+	history        listHistory
+	// listDigest is a digest of the list; zero until it is needed.
+	listDigest              uint64
 	lastRead, lastConfirmed time.Time
 	// proofs tracks how recently the table was proved to be the newest.
 	proofs *proofs
