peer: a fetch in progress outlives the next version of the state

When the list of servers had changed, each gateway that began to fetch it there ended the fetches of all others, which began anew, and so on: while the list changes with each reading, a gateway with a slow link or processor may not get it for as long as that lasts, and hears of no server that leaves.

The last three versions are served now, compressed once each (some 64 kB a version). A gateway that gets an earlier one is told the changes since in the next report. Parts of a list of another era under the same version are not served.

TestFetchInProgressOutlivesNextVersion failed before (version 8 for a part of 7).

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -94,7 +94,7 @@
 		net: tcpNetwork{}, local: local, self: self, members: NewMembers(self), seeds: seeds,
 		datagrams: newDatagrams(port), incarnation: rand.Uint64(),
 		links: map[string]*peerLink{}, lastInbound: map[string]time.Time{}, reportedProofs: map[string]time.Time{}, memberAdded: make(chan struct{}, 1),
-		server: stateServer{local: local, compressed: map[State]compressedState{}},
+		server: stateServer{local: local, compressed: map[State][]compressedState{}},
 	}
 	s.fetchers = map[State]*fetcher{
 		State_ROUTE_TABLE: newFetcher(s, State_ROUTE_TABLE, tableGrace),
