--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -83,10 +83,11 @@
 // adoptVersion takes over the version of another gateway's list if the lists are equal by their digests: when two
 // gateways read the same change at different versions, the others would otherwise fetch the whole list.
 func (v *view) adoptVersion(version store.Position, digest uint64, now time.Time) {
-	list, known := v.list()
+	known := v.listVersion()
 	if digest == 0 || version <= known || version.Era() != known.Era() || digest != v.digest() {
 		return
 	}
+	list, _ := v.list()
 	v.applyServersUpdate(serversUpdate{version: version, servers: list}, now)
 }
 
