Read-through: positions are called so where they are read; a restored feed backs off

followManifest and followServers hold positions of the store, named version so far. A feed of holds that meets another era waits as after a failed call before it reads the table as a whole: a store whose answers name different eras in turn would have been asked in a loop.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,10 +39,10 @@
 // followManifest keeps the route table up to date.
 func (s *Service) followManifest(ctx context.Context) {
 	dep := &dependency{s: s, what: "manifest"}
-	version, known, refused, failures := store.Position(0), false, "", 0
+	position, known, refused, failures := store.Position(0), false, "", 0
 	for ctx.Err() == nil {
 		requested := s.proofs.now()
-		r, err := s.readManifest(ctx, version, known)
+		r, err := s.readManifest(ctx, position, known)
 		if ctx.Err() != nil {
 			return
 		}
@@ -62,7 +62,7 @@
 			failures++
 			sleep(ctx, s.nextStoreRetry(failures))
 		default:
-			version, known = r.Position, true
+			position, known = r.Position, true
 			s.installStored(r, requested)
 		}
 		if err == nil {
@@ -88,8 +88,9 @@
 	return min(storeRetryDelay<<min(max(failures-1, 0), maxRetryDoublings), maxStoreRetryDelay)
 }
 
-// readManifest reads the whole table if none was read or the history was lost, and otherwise waits for a change.
-func (s *Service) readManifest(ctx context.Context, version store.Position, known bool) (route.StoredTable, error) {
+// readManifest reads the whole table if none was read or the history was lost, and otherwise waits for a change after
+// a position of the store.
+func (s *Service) readManifest(ctx context.Context, position store.Position, known bool) (route.StoredTable, error) {
 	if !known {
 		return s.store.Manifest(ctx)
 	}
@@ -97,7 +98,7 @@
 	if !s.isStoreReader() {
 		wait = manifestIdleWait
 	}
-	return s.store.NextManifest(ctx, version, wait)
+	return s.store.NextManifest(ctx, position, wait)
 }
 
 // isStoreReader reports whether this process is one of the few that read the store for all gateways.
@@ -143,7 +144,7 @@
 			sleep(ctx, jitter(serverListInterval))
 			continue
 		}
-		snapshot, version, err := s.store.Servers(ctx)
+		snapshot, position, err := s.store.Servers(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -156,11 +157,11 @@
 		failures = 0
 		snapshot = snapshot.RequireStartTimes(s.view.latestIncarnation)
 		faults.record(s, snapshot.Faults)
-		if readings.accept(s, version) {
+		if readings.accept(s, position) {
 			s.view.recordRead(time.Now())
 		}
-		if s.view.applyServers(version, snapshot.List(), time.Now()) {
-			s.serversChanged(version, fromStore)
+		if s.view.applyServers(position, snapshot.List(), time.Now()) {
+			s.serversChanged(position, fromStore)
 		}
 		sleep(ctx, jitter(serverListInterval))
 	}
--- a/holdback/persist.go
+++ b/holdback/persist.go
@@ -82,6 +82,7 @@
 		}
 		if errors.Is(err, store.ErrRestored) {
 			synced = false
+			backOff(1)
 			continue
 		}
 		report(err)
