--- a/fencing/restored_test.go
+++ b/fencing/restored_test.go
@@ -141,3 +141,16 @@
 	}
 	r.acquire(a)
 }
+
+// A row of a release that knows no eras has a number without one: it is waited for once, and the next number is higher.
+func TestRowOfEarlierRelease(t *testing.T) {
+	r := newRestoredLease(t)
+	r.store.Put("ours", "orders", []byte(`{"holder":"a","fence":9}`))
+	r.highest = 9
+	a, b := r.process("a"), r.process("b")
+	r.refused(b)
+	r.acquireFirst(a)
+	r.refused(b)
+	r.now += fencing.Term + fencing.Gap
+	r.acquire(b)
+}
