standin: two accessors of the store that nothing uses are gone

Found in the last read of the whole change: Version and Rows of the stand-in came with its copies and no test calls them. No behaviour and no check changes.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -157,13 +157,6 @@
 	return f
 }
 
-// Version returns the newest version.
-func (s *Store) Version() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ver
-}
-
 // Reads returns the number of answered reads of a table.
 func (s *Store) Reads(table string) int {
 	s.mu.Lock()
@@ -171,20 +164,6 @@
 	return s.reads[table]
 }
 
-// Rows returns the rows of a table, ordered by key.
-func (s *Store) Rows(table string) []Row {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []Row
-	for _, r := range s.rows {
-		if r.Table == table {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
-	return out
-}
-
 // FirstKey returns the first key of a table; empty if the table has no rows.
 func (s *Store) FirstKey(table string) string {
 	s.mu.Lock()
