--- a/holdback/stored_test.go
+++ b/holdback/stored_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -36,3 +37,20 @@
 	assert.ErrorIs(t, Release(t.Context(), table, crashing.String()), ErrNotQuarantined)
 	assert.ErrorContains(t, Release(t.Context(), table, "other"), "digest of a request")
 }
+
+// A row that release 7b4c601 wrote holds the same request for the rest of its time.
+func TestRowOfEarlierRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := emptyTable(store.At(0, 5))
+		assert.NilError(t, table.Commit(t.Context(), store.Txn{Writes: []store.Write{{
+			Key:   "a54b2c3a672daf112696551b10f3e97a",
+			Value: []byte(`{"begun":"2000-01-01T00:00:00.3Z","for_s":600,"servers":["s0","s1","s2"]}`),
+		}}}))
+		time.Sleep(time.Minute)
+		g := newGuard(false)
+		syncFrom(t, g, table)
+		left, ok := g.Quarantined(crashing)
+		assert.Assert(t, ok)
+		assert.Equal(t, left, 9*time.Minute+300*time.Millisecond)
+	})
+}
