forward, prefillpool: engines are used again once their cooldown is over

A decode engine that refuses a run and asks for 0.05 s got 0 of the 60 requests after that time, and after four such refusals nothing for seven seconds; a prefill engine nothing for tens of seconds (the four refusals alone take 73 s to come about in the test).

Cause: a refused run counted as a failure after memory had been granted, which blocks the engine for 1 s, doubling; a refused prompt counted as a failed prefill in outlier detection and in the slowdown, and so did one that was not sent at all (limit, cooldown, leaving). Ruled out: the cooldown itself, which ends by its own time.

Change: both go by noEvidence, as plain calls do. The memory of such a run is released, such a prompt is taken from the backlog without an observation (prefillpool.Cancel).

TestServerIsUsedAfterItsCooldown has rows for calls, prefill and decode engines, with one refusal and with four; the four engine rows failed before (0 of 60 each), its check of half of the requests is unchanged.

--- a/forward/cooldowns_test.go
+++ b/forward/cooldowns_test.go
@@ -135,32 +135,61 @@
 // Guards against a server that gets no requests for seconds after the cooldown that it asked for: its truthful refusal
 // counted as a failure.
 func TestServerIsUsedAfterItsCooldown(t *testing.T) {
+	for _, c := range []struct {
+		name, path, kind, service string
+		stage                     registry.Stage
+		refusals                  int
+	}{
+		{"calls", "/safe/", site.Plain, "plain", registry.Whole, 1},
+		{"calls, refused repeatedly", "/safe/", site.Plain, "plain", registry.Whole, 4},
+		{"prefill engine", "/draft/", site.Prefill, "llm", registry.Prefill, 1},
+		{"prefill engine, refused repeatedly", "/draft/", site.Prefill, "llm", registry.Prefill, 4},
+		{"decode engine", "/resume/", site.Decode, "llm", registry.Decode, 1},
+		{"decode engine, refused repeatedly", "/resume/", site.Decode, "llm", registry.Decode, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestEnv(t)
+			if c.stage != registry.Whole {
+				other := map[registry.Stage]registry.Stage{registry.Prefill: registry.Decode, registry.Decode: registry.Prefill}[c.stage]
+				w.add(t, "other", c.service, other)
+			}
+			ids := []string{"p1", "p2", "p3"}
+			for _, id := range ids {
+				w.add(t, id, c.service, c.stage)
+			}
+			testUseAfterCooldown(t, w, ids, c.path, c.kind, c.refusals)
+		})
+	}
+}
+
+// testUseAfterCooldown has the server that the gateway prefers ask for some cooldowns, one after the other, and checks
+// that it is used again after the last one.
+func testUseAfterCooldown(t *testing.T, w *testEnv, ids []string, path, kind string, refusals int) {
 	const (
 		seconds  = "0.05"
 		cooldown = 50 * time.Millisecond
 		requests = 60
 	)
-	w := newTestEnv(t)
-	ids := []string{"p1", "p2", "p3"}
-	for _, id := range ids {
-		w.add(t, id, "plain", registry.Whole)
+	send := func() { assert.Equal(t, w.post(t, path+"1").status, 200) }
+	sendFor := func(d time.Duration) {
+		for start := time.Now(); time.Since(start) < d; {
+			send()
+		}
 	}
-	send := func(path string) { assert.Equal(t, w.post(t, path).status, 200) }
-	send("/safe/first")
+	send()
 	// With one request at a time, the gateway sends all to the server that it prefers.
-	preferred := ids[slices.IndexFunc(ids, func(id string) bool { return w.sent(id, site.Plain) == 1 })]
+	preferred := ids[slices.IndexFunc(ids, func(id string) bool { return w.sent(id, kind) == 1 })]
 	w.servers[preferred].SetRetryAfter(seconds)
 	w.servers[preferred].Behave(site.Shed)
-	send("/safe/refused")
-	assert.Equal(t, w.sent(preferred, site.Plain), 2)
-	w.servers[preferred].Behave(site.Answer)
-	for start := time.Now(); time.Since(start) < cooldown; {
-		send("/safe/cooling")
+	for refused := w.sent(preferred, kind) + refusals; w.sent(preferred, kind) < refused; {
+		send()
 	}
-	before := w.sent(preferred, site.Plain)
+	w.servers[preferred].Behave(site.Answer)
+	sendFor(cooldown)
+	before := w.sent(preferred, kind)
 	for range requests {
-		send("/safe/after")
+		send()
 	}
-	got := w.sent(preferred, site.Plain) - before
+	got := w.sent(preferred, kind) - before
 	assert.Assert(t, got >= requests/2, "%d of %d requests", got, requests)
 }
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -85,7 +85,7 @@
 	if err == nil {
 		f.suspicions.succeeded(c.Server.ID)
 	}
-	f.prefillEnds(j, c, err == nil, took)
+	f.prefillEnds(j, c, err, took)
 	return export, err
 }
 
@@ -97,11 +97,15 @@
 	s.engines.recordPrefill(c.Server.ID, s.prefillPool.OwnLoad(c.Server.ID))
 }
 
-func (f *Forwarder) prefillEnds(j *job, c prefillpool.Choice, ok bool, took time.Duration) {
+func (f *Forwarder) prefillEnds(j *job, c prefillpool.Choice, err error, took time.Duration) {
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.prefillPool.End(c, j.meta.PromptTokens, ok, took, time.Now())
+	if noEvidence(err) {
+		s.prefillPool.Cancel(c.Server.ID, j.meta.PromptTokens)
+	} else {
+		s.prefillPool.End(c, j.meta.PromptTokens, err == nil, took, time.Now())
+	}
 	s.engines.recordPrefill(c.Server.ID, s.prefillPool.OwnLoad(c.Server.ID))
 }
 
@@ -121,7 +125,7 @@
 	case http.StatusInternalServerError:
 		return Export{}, fmt.Errorf("%w: status %d", errFailed, res.Status)
 	default:
-		return Export{}, fmt.Errorf("%w: status %d", errNotRun, res.Status)
+		return Export{}, refusal(f.Codec.ParseAnswer(res.Status, res.Header))
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -93,7 +93,7 @@
 	head, res, err := a.start(runCtx)
 	if err != nil {
 		reason := f.reasonFor(ctx, err)
-		a.lease.refused = ctx.Err() == nil && !blocked(reason) && !isWithheld(err)
+		a.lease.refused = ctx.Err() == nil && !noEvidence(err)
 		if isWithheld(err) || errors.Is(err, errNotRun) && f.unavailable(a.lease.server.ID) {
 			a.r.keepExport(a.export)
 		}
@@ -156,7 +156,7 @@
 	head := a.r.f.Codec.ParseAnswer(res.Status, res.Header)
 	if head.NotRun {
 		discard(res)
-		return head, nil, fmt.Errorf("%w: status %d", errNotRun, head.Status)
+		return head, nil, refusal(head)
 	}
 	if head.Status == http.StatusOK && (!head.Stamped || head.Encoded) {
 		_ = res.Body.Close()
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -210,8 +210,8 @@
 
 // End records the outcome and the duration of a prefill for which Begin was called.
 func (p *Pool) End(c Choice, tokens int, ok bool, took time.Duration, now time.Time) {
+	p.Cancel(c.Server.ID, tokens)
 	e := p.engine(c.Server.ID)
-	e.own = max(e.own-tokens, 0)
 	p.outliers.Observe(c.Server.ID, ok, now)
 	if ok {
 		p.rate.Observe(tokens, took)
@@ -221,6 +221,13 @@
 	e.observedAt = now
 }
 
+// Cancel records that a prompt for which Begin was called is not prefilled, for a reason that shows nothing about the
+// engine.
+func (p *Pool) Cancel(id string, tokens int) {
+	e := p.engine(id)
+	e.own = max(e.own-tokens, 0)
+}
+
 // BackOff records that an export of an engine can't be fetched.
 func (p *Pool) BackOff(id string, now time.Time) { p.engine(id).avoidUntil = now.Add(p.cfg.BackOff) }
 
