eligibility: one verdict on whether a server may be asked

Ten policies kept requests from a server or made others preferable, joined by conditions in the code at each place where one is chosen. One with a longer memory outlasted what the server had said, and nobody could say who decided.

Change: policy/eligibility has the reasons in one order of precedence, with their effects, and one Decide. cooldown, serverlimit, outlier, overload, suspicion, kvmemory, prefillpool and the registry state conditions with author, effect, begin and end; calls, runs, prompts, sends and the list of usable servers go by the verdict. Three errors of withheld sends became one with the reason, counted in withheld.REASON.

In outlier, an excess failure rate below 1e-4 states nothing (it cost 0.003 requests), so that no condition lasts for ever.

--- a/forward/call.go
+++ b/forward/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -100,12 +101,8 @@
 		return outcome.EngineError
 	case errors.Is(err, errBlocked):
 		return blockedReason(err)
-	case errors.Is(err, errLimited):
-		return outcome.ServerLimited
-	case errors.Is(err, errCooldown):
-		return outcome.ServerCooldown
-	case errors.Is(err, errLeaving):
-		return outcome.Leaving
+	case withheldReason(err) != eligibility.None:
+		return unavailableReason(withheldReason(err))
 	case errors.Is(err, errNotRun):
 		return outcome.NoDecodeSlot
 	case errors.Is(err, errNoStamp):
@@ -141,7 +138,7 @@
 // sent, or the server refused it and asked for a cooldown. The cooldown holds as long as the server says, and nothing
 // that is inferred from the refusal extends it.
 func noEvidence(err error) bool {
-	return isWithheld(err) || errors.Is(err, errBlocked) || errors.Is(err, errCooldownRequested)
+	return withheldReason(err) != eligibility.None || errors.Is(err, errBlocked) || errors.Is(err, errCooldownRequested)
 }
 
 // hedgeShare is the share of the remaining time after which a repeatable request is sent to another server: an
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -7,7 +7,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
-	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
@@ -20,21 +20,29 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	why := outcome.NoBackend
-	best, ok := cheapest(servers, func(c registry.Server) (float64, bool) {
+	var best registry.Server
+	var bestVerdict eligibility.Verdict
+	lowest := 0.0
+	for i := range servers {
+		c := &servers[i]
 		if slices.Contains(tried, c.ID) {
-			return 0, false
+			continue
+		}
+		cost := f.cost(s, c)
+		if best.ID != "" && !bestVerdict.LastResort && cost >= lowest {
+			continue
 		}
-		if wait, reason := f.unavailableFor(c.ID); wait > 0 {
-			why = reason
-			return 0, false
+		v := f.callVerdict(s, c.ID, j.retried, now)
+		cost += v.Cost
+		if v.Excluded || v.Share < 1 && rand.Float64() >= v.Share {
+			why = unavailableReason(v.Reason)
+			continue
 		}
-		if !f.Off.Has(mechanism.Overload) && !s.limits.Admits(c.ID, j.retried, rand.Float64(), now) {
-			why = outcome.Overloaded
-			return 0, false
+		if best.ID == "" || v.Precedes(&bestVerdict, cost < lowest) {
+			best, bestVerdict, lowest = *c, v, cost
 		}
-		return f.cost(s, c, now), true
-	})
-	if !ok {
+	}
+	if best.ID == "" {
 		return best, why
 	}
 	if !f.reserveSend(j, best.ID) {
@@ -43,19 +51,6 @@
 	return best, ""
 }
 
-// cheapest returns the first eligible server of lowest cost.
-func cheapest(servers []registry.Server, cost func(registry.Server) (float64, bool)) (registry.Server, bool) {
-	var best registry.Server
-	lowest := 0.0
-	for _, s := range servers {
-		c, eligible := cost(s)
-		if eligible && (best.ID == "" || c < lowest) {
-			best, lowest = s, c
-		}
-	}
-	return best, best.ID != ""
-}
-
 // Weights of the cost of a server of a plain service, in requests outstanding.
 const (
 	// zoneCost keeps calls in the zone unless two more requests are outstanding there than elsewhere.
@@ -63,25 +58,16 @@
 	// failingCost makes a failure rate that is one in ten above the others' cost as much as three outstanding
 	// requests.
 	failingCost = 30
-	// ejectedCost puts a server that has just failed several requests in a row behind all others.
-	ejectedCost = 1000
 	// spreadCost spreads routers over equal servers. Each router sees only its own outstanding requests; without this
 	// cost all sent to the first server of the list that had none.
 	spreadCost = 0.5
 )
 
-func (f *Forwarder) cost(s *service, c registry.Server, now time.Time) float64 {
+// cost is the cost of a server without its conditions.
+func (f *Forwarder) cost(s *service, c *registry.Server) float64 {
 	cost := float64(s.outstanding[c.ID])
 	if c.Zone != f.Zone {
 		cost += zoneCost
 	}
-	cost += spreadCost * (1 - affinity.Of(f.VM, c.ID))
-	if f.Off.Has(mechanism.Outliers) {
-		return cost
-	}
-	cost += failingCost * s.outliers.ExcessFailureRate(c.ID, now)
-	if s.outliers.Ejected(c.ID, now) {
-		cost += ejectedCost
-	}
-	return cost
+	return cost + spreadCost*(1-affinity.Of(f.VM, c.ID))
 }
--- a/forward/cooldowns.go
+++ b/forward/cooldowns.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/cooldown"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 // cooldowns are the cooldowns that servers have asked this router for. It adds clocks and locking to policy/cooldown
@@ -30,12 +31,21 @@
 
 // remaining is how much longer a server is to be sent nothing; zero if it is in no cooldown.
 func (c *cooldowns) remaining(id string) time.Duration {
+	now := time.Now()
+	if cond, ok := c.condition(id, now); ok {
+		return cond.Until.Sub(now)
+	}
+	return 0
+}
+
+// condition returns the cooldown of a server, and whether there is one.
+func (c *cooldowns) condition(id string, now time.Time) (eligibility.Condition, bool) {
 	if c.count.Load() == 0 {
-		return 0
+		return eligibility.Condition{}, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.Remaining(id, time.Now())
+	return c.tracker.Condition(id, now)
 }
 
 // forget drops expired cooldowns, and servers that known does not report.
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/outputlength"
@@ -26,11 +27,9 @@
 	// list returns the servers that may get new work; synced is the list that memory was last updated with.
 	list   func() []registry.Server
 	synced engineList
-	// suspected reports whether requests have recently failed at an engine.
-	suspected func(id string) bool
-	// unavailable reports whether an engine has signalled that it takes nothing now.
-	unavailable func(id string) bool
-	queue       waitqueue.Queue
+	// verdicts are those on the engines; they must not take mu.
+	verdicts eligibility.Verdicts
+	queue    waitqueue.Queue
 	// entries are the requests in queue.
 	entries map[*waitqueue.Waiter]queueEntry
 	// lengths predicts the output length of runs, by route.
@@ -58,9 +57,9 @@
 	engine chan string
 }
 
-func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, suspected, unavailable func(string) bool, notify func()) *engines {
+func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, verdicts eligibility.Verdicts, notify func()) *engines {
 	return &engines{
-		list: list, suspected: suspected, unavailable: unavailable,
+		list: list, verdicts: verdicts,
 		changed: map[string]struct{}{}, prefilling: map[string]int{}, notify: notify,
 		zone:    zone,
 		policy:  queuePolicy(off),
@@ -199,7 +198,7 @@
 			var ok bool
 			entry := e.entries[w]
 			id, ok = e.memory.Pick(kvmemory.Request{
-				Run: entry.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Avoid: e.suspected, Unavailable: e.unavailable,
+				Run: entry.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Verdicts: e.verdicts,
 			}, now)
 			return ok && entry.reserve(id)
 		}, overtakeLimit, now)
@@ -299,6 +298,15 @@
 	return e.memory.Saturated(id, time.Now())
 }
 
+// conditions calls add with the conditions of an engine that the placement of runs tracks.
+func (e *engines) conditions(id string, now time.Time, add func(eligibility.Condition)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c, ok := e.memory.Condition(id, now); ok {
+		add(c)
+	}
+}
+
 // succeeded records that an engine ran a request.
 func (e *engines) succeeded(id string) {
 	e.mu.Lock()
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -64,7 +64,7 @@
 	s := f.service(j.service)
 	req := prefillpool.Request{
 		Tokens: j.meta.PromptTokens, Zone: l.server.Zone, SlotLoad: s.engines.slotLoad(l.server.ID), Exclude: tried,
-		Memory: j.table.Services[j.service].Engine.KVTokens, Avoid: f.suspicions.suspected, Unavailable: f.unavailable,
+		Memory: j.table.Services[j.service].Engine.KVTokens, Verdicts: f.engineVerdict,
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -75,16 +75,17 @@
 // allUnavailable reports whether there are untried decode engines but each has signalled that it takes nothing for
 // longer than the request can wait.
 func (r *stream) allUnavailable() (why outcome.Reason, unavailable bool) {
-	left := time.Until(r.waiter.GiveUpAt)
+	now := time.Now()
+	left := r.waiter.GiveUpAt.Sub(now)
 	for _, s := range r.f.View.Servers(r.j.service) {
 		if s.Stage != registry.Decode || slices.Contains(r.tried, s.ID) {
 			continue
 		}
-		wait, reason := r.f.unavailableFor(s.ID)
-		if wait <= max(left, 0) {
+		v := r.f.declaredVerdict(s.ID, now)
+		if v.Wait(now) <= max(left, 0) {
 			return "", false
 		}
-		why, unavailable = reason, true
+		why, unavailable = unavailableReason(v.Reason), true
 	}
 	return why, unavailable
 }
--- a/forward/serverlimits.go
+++ b/forward/serverlimits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 	"github.com/hibiscusspur/hibiscusspur/policy/serverlimit"
 )
@@ -74,14 +75,14 @@
 	notify.Send(l.changed)
 }
 
-// wait is how long a server may be sent no request; zero if it may be sent one now.
-func (l *ServerLimits) wait(id string) time.Duration {
+// condition returns that the limit of a server is used up, and whether it is.
+func (l *ServerLimits) condition(id string, now time.Time) (eligibility.Condition, bool) {
 	if l.count.Load() == 0 {
-		return 0
+		return eligibility.Condition{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limits.Wait(id, time.Now())
+	return l.limits.Condition(id, now)
 }
 
 // take counts a request that is about to be sent to a server, and reports whether it may be sent.
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -10,7 +10,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
-	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -28,15 +28,12 @@
 	InvalidField string
 }
 
-// Errors of requests withheld because of their server's signals.
-var (
-	// errLimited: the server's rate limit is used up for now.
-	errLimited = errors.New("the server's rate limit is used up for now")
-	// errCooldown: the server is in a cooldown.
-	errCooldown = errors.New("the server has asked for a cooldown")
-	// errLeaving: the server is shutting down.
-	errLeaving = errors.New("the server is shutting down")
-)
+// withheldError is the error of a request that was not sent because of what its server had signalled, which is no
+// failure of the server.
+type withheldError struct{ reason eligibility.Reason }
+
+// Error implements error.
+func (e *withheldError) Error() string { return "not sent to the server: " + e.reason.String() }
 
 // invalidFields are the servers whose last answer had a field that can't be parsed. It is safe for concurrent use.
 type invalidFields struct {
@@ -104,21 +101,8 @@
 // ServerLimits returns the request rates that servers declare for all routers together.
 func (f *Forwarder) ServerLimits() *ServerLimits { return f.limits }
 
-// unavailableFor is how long a server is to be sent nothing because of its signals, and why; zero if it may be sent a
-// request now.
-func (f *Forwarder) unavailableFor(id string) (time.Duration, outcome.Reason) {
-	limited, cooldown := f.limits.wait(id), f.cooldowns.remaining(id)
-	if cooldown >= limited {
-		return cooldown, outcome.ServerCooldown
-	}
-	return limited, outcome.ServerLimited
-}
-
 // unavailable reports whether a server has signalled that it takes nothing now.
-func (f *Forwarder) unavailable(id string) bool {
-	wait, _ := f.unavailableFor(id)
-	return wait > 0
-}
+func (f *Forwarder) unavailable(id string) bool { return f.declaredVerdict(id, time.Now()).Excluded }
 
 // CoolingDown reports whether a server is in a cooldown towards this process.
 func (f *Forwarder) CoolingDown(id string) bool { return f.cooldowns.remaining(id) > 0 }
@@ -139,32 +123,40 @@
 // admitSend returns why the request may not be sent to a server now, or nil. It uses an earlier reserveSend, or counts
 // the request against the server's limit now.
 func (f *Forwarder) admitSend(j *job, id string) error {
+	now, v := time.Now(), eligibility.NewVerdict()
 	if f.View.Leaving(id) {
-		return f.withheld(errLeaving)
+		v.Add(eligibility.Condition{Reason: eligibility.Leaving, Author: eligibility.Server}, now)
 	}
-	if f.cooldowns.remaining(id) > 0 {
-		return f.withheld(errCooldown)
+	if c, ok := f.cooldowns.condition(id, now); ok {
+		v.Add(c, now)
+	}
+	if v.Excluded {
+		return f.withheld(v.Reason)
 	}
 	if i := slices.Index(j.reserved, id); i >= 0 {
 		j.reserved = slices.Delete(j.reserved, i, i+1)
 		return nil
 	}
 	if !f.limits.take(id) {
-		return f.withheld(errLimited)
+		return f.withheld(eligibility.RateLimit)
 	}
 	return nil
 }
 
 // withheld is the error of a request that is not sent because of its server's signals.
-func (f *Forwarder) withheld(why error) error {
+func (f *Forwarder) withheld(why eligibility.Reason) error {
 	f.Metrics.Counter(metrics.SendsWithheld).Inc(1)
-	return errors.Join(upstream.ErrNotSent, why)
+	f.Metrics.Withheld(why)
+	return errors.Join(upstream.ErrNotSent, &withheldError{why})
 }
 
-// isWithheld reports whether an attempt was not sent because of its server's signals, which is no failure of the
-// server.
-func isWithheld(err error) bool {
-	return errors.Is(err, errLimited) || errors.Is(err, errCooldown) || errors.Is(err, errLeaving)
+// withheldReason returns why a request was not sent because of its server's signals; None if that is not its error.
+func withheldReason(err error) eligibility.Reason {
+	var w *withheldError
+	if errors.As(err, &w) {
+		return w.reason
+	}
+	return eligibility.None
 }
 
 // returnSends returns sends that were reserved and not used.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -94,7 +95,7 @@
 	if err != nil {
 		reason := f.reasonFor(ctx, err)
 		a.lease.refused = ctx.Err() == nil && !noEvidence(err)
-		if isWithheld(err) || errors.Is(err, errNotRun) && f.unavailable(a.lease.server.ID) {
+		if withheldReason(err) != eligibility.None || errors.Is(err, errNotRun) && f.unavailable(a.lease.server.ID) {
 			a.r.keepExport(a.export)
 		}
 		f.attemptLost(j, a.lease.server, reason, err)
--- a/forward/suspicions.go
+++ b/forward/suspicions.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/suspicion"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -13,6 +15,9 @@
 // suspicions are the engines at which requests of any gateway failed recently. It adds clocks and locking to
 // policy/suspicion and is safe for concurrent use.
 type suspicions struct {
+	// count is the number of engines in tracker; while it is zero, lookups need no lock.
+	count atomic.Int64
+
 	mu      sync.Mutex
 	tracker *suspicion.Tracker
 	// updates are engines whose failures are to be reported to the other gateways.
@@ -28,6 +33,7 @@
 	if !s.tracker.Failed(id, time.Now()) {
 		return false
 	}
+	s.count.Store(int64(s.tracker.Len()))
 	s.updates = append(s.updates, id)
 	return true
 }
@@ -36,6 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Reported(from, id, time.Now())
+	s.count.Store(int64(s.tracker.Len()))
 }
 
 func (s *suspicions) succeeded(id string) {
@@ -44,10 +51,14 @@
 	s.tracker.Succeeded(id)
 }
 
-func (s *suspicions) suspected(id string) bool {
+// condition returns the suspicion of an engine, and whether there is one.
+func (s *suspicions) condition(id string, now time.Time) (eligibility.Condition, bool) {
+	if s.count.Load() == 0 {
+		return eligibility.Condition{}, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.Suspected(id, time.Now())
+	return s.tracker.Condition(id, now)
 }
 
 func (s *suspicions) takeUpdates() []string {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -90,16 +91,30 @@
 	defer v.mu.Unlock()
 	list, ok := v.usable[service]
 	if !ok {
-		list = slices.DeleteFunc(v.registry.Usable(service), func(s registry.Server) bool {
-			_, moving := v.switching[s.ID]
-			_, down := v.down[s.ID]
-			return moving || down
-		})
+		list = slices.DeleteFunc(v.registry.Usable(service), func(s registry.Server) bool { return v.verdict(s.ID).Excluded })
 		v.usable[service] = list
 	}
 	return list
 }
 
+// verdict is the verdict on a server by what this process keeps besides its entry. A mark counts until expire drops it.
+// The caller holds mu.
+func (v *view) verdict(id string) eligibility.Verdict {
+	out := eligibility.NewVerdict()
+	v.conditions(id, func(c eligibility.Condition) { out.Add(c, time.Time{}) })
+	return out
+}
+
+// conditions calls add with the conditions of a server that this process keeps besides its entry. The caller holds mu.
+func (v *view) conditions(id string, add func(eligibility.Condition)) {
+	if sw, ok := v.switching[id]; ok {
+		add(eligibility.Condition{Reason: eligibility.StageChange, Author: eligibility.Peers, Since: sw.at, Until: sw.at.Add(switchTimeout)})
+	}
+	if until, ok := v.down[id]; ok {
+		add(eligibility.Condition{Reason: eligibility.Down, Author: eligibility.Router, Since: until.Add(-downTTL), Until: until})
+	}
+}
+
 // allServers returns the servers of a service that are not leaving, including those that change their stage, and the
 // new stage of these.
 func (v *view) allServers(service string) ([]registry.Server, map[string]registry.Stage) {
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -56,6 +56,7 @@
 		{QuotaReservedPeers, Gauge},
 		{ServersLimited, Gauge},
 		{SendsWithheld, Counter},
+		{WithheldPrefix, Counter},
 		{CooldownsRequested, Counter},
 		{ListReadingsDropped, Counter},
 		{StoreEra, Gauge},
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -10,6 +10,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
@@ -22,6 +23,8 @@
 	EndedPrefix       = "ended."
 	// AttemptFailedPrefix is followed by the reason of the failure.
 	AttemptFailedPrefix = "attempt_failed."
+	// WithheldPrefix is followed by the reason for which a request was not sent to its chosen server.
+	WithheldPrefix = "withheld."
 	// EntryUnreadablePrefix is followed by the reason for which the registry entry of a server can't be used.
 	EntryUnreadablePrefix = "entries_unreadable."
 	// RequestTimePrefix is followed by the kind of the route.
@@ -78,6 +81,10 @@
 // RetryDenied counts a failed request that is not retried.
 func (s *Set) RetryDenied(why string) { s.Counter(RetryDeniedPrefix + why).Inc(1) }
 
+// Withheld counts a request that is not sent to its chosen server, since it had announced that
+// it accepts no more.
+func (s *Set) Withheld(r eligibility.Reason) { s.Counter(WithheldPrefix + r.String()).Inc(1) }
+
 // Ended counts a request that ended with the given kind of outcome.
 func (s *Set) Ended(k outcome.Kind) { s.Counter(EndedPrefix + k.String()).Inc(1) }
 
--- a/policy/cooldown/cooldown.go
+++ b/policy/cooldown/cooldown.go
@@ -14,30 +14,46 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 // Cooldowns holds the cooldowns that servers asked one router for.
-type Cooldowns struct{ until map[string]time.Time }
+type Cooldowns struct{ servers map[string]period }
+
+// period is from when until when a server is to be sent nothing.
+type period struct{ since, until time.Time }
 
 // New returns empty Cooldowns.
-func New() *Cooldowns { return &Cooldowns{until: map[string]time.Time{}} }
+func New() *Cooldowns { return &Cooldowns{servers: map[string]period{}} }
 
 // Record records that a server has asked for a cooldown now.
 func (c *Cooldowns) Record(id string, duration time.Duration, now time.Time) {
-	if until := now.Add(duration); until.After(c.until[id]) {
-		c.until[id] = until
+	p := c.servers[id]
+	if !now.Before(p.until) {
+		p.since = now
+	}
+	if until := now.Add(duration); until.After(p.until) {
+		p.until = until
 	}
+	c.servers[id] = p
 }
 
 // Remaining returns how long a server is still to be sent nothing; zero if it has no cooldown.
 func (c *Cooldowns) Remaining(id string, now time.Time) time.Duration {
-	return max(c.until[id].Sub(now), 0)
+	return max(c.servers[id].until.Sub(now), 0)
+}
+
+// Condition returns the cooldown of a server, and whether there is one.
+func (c *Cooldowns) Condition(id string, now time.Time) (eligibility.Condition, bool) {
+	p, ok := c.servers[id]
+	return eligibility.Condition{Reason: eligibility.Cooldown, Author: eligibility.Server, Since: p.since, Until: p.until}, ok && now.Before(p.until)
 }
 
 // Forget drops cooldowns that are over, and servers for which known returns false.
 func (c *Cooldowns) Forget(known func(id string) bool, now time.Time) {
-	maps.DeleteFunc(c.until, func(id string, until time.Time) bool { return !known(id) || !now.Before(until) })
+	maps.DeleteFunc(c.servers, func(id string, p period) bool { return !known(id) || !now.Before(p.until) })
 }
 
 // Len returns the number of cooldowns held.
-func (c *Cooldowns) Len() int { return len(c.until) }
+func (c *Cooldowns) Len() int { return len(c.servers) }
--- a/policy/cooldown/cooldown_test.go
+++ b/policy/cooldown/cooldown_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/cooldown"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 var start = time.Unix(1000, 0)
@@ -66,3 +67,22 @@
 	assert.Check(t, rejected <= rejecting*int(runTime/cooldownTime+1))
 	assert.Check(t, rejectedIgnoring > 4*rejected)
 }
+
+// TestCondition: a cooldown begins with the first rejection, and is a condition exactly until its end.
+func TestCondition(t *testing.T) {
+	c := cooldown.New()
+	_, ok := c.Condition("a", start)
+	assert.Assert(t, !ok)
+	c.Record("a", 3*time.Second, start)
+	c.Record("a", 4*time.Second, at(2*time.Second))
+	got, ok := c.Condition("a", at(2*time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, got, eligibility.Condition{Reason: eligibility.Cooldown, Author: eligibility.Server, Since: start, Until: at(6 * time.Second)})
+	_, ok = c.Condition("a", at(6*time.Second-1))
+	assert.Assert(t, ok)
+	_, ok = c.Condition("a", at(6*time.Second))
+	assert.Assert(t, !ok)
+	c.Record("a", time.Second, at(7*time.Second))
+	got, _ = c.Condition("a", at(7*time.Second))
+	assert.Equal(t, got.Since, at(7*time.Second))
+}
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 // Config holds the parameters of a Pool.
@@ -244,6 +245,15 @@
 	s.failures++
 }
 
+// Condition returns that an engine gets no request since it failed, and whether that holds.
+func (p *Pool) Condition(id string, now time.Time) (eligibility.Condition, bool) {
+	s, ok := p.servers[id]
+	if !ok || s.refusedNeed > 0 || !now.Before(s.blockedUntil) {
+		return eligibility.Condition{}, false
+	}
+	return eligibility.Condition{Reason: eligibility.Unresponsive, Author: eligibility.Router, Until: s.blockedUntil}, true
+}
+
 // maxDoublings bounds the backoff of an engine that fails repeatedly to eight times the first one.
 const maxDoublings = 3
 
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 // Request describes a request to be placed.
@@ -15,9 +17,9 @@
 	Zone string
 	// Exclude are engines that must not get the request.
 	Exclude []string
-	// Avoid reports whether an engine is chosen only if no other one is estimated to have enough
-	// free memory, Unavailable whether it must not be asked now. Nil means none.
-	Avoid, Unavailable func(id string) bool
+	// Verdicts are those on the engines. A last resort is chosen only if no other engine is estimated
+	// to have enough free memory.
+	Verdicts eligibility.Verdicts
 }
 
 // Pick returns the engine to ask for a reservation, or false if none is estimated to have enough
@@ -25,7 +27,7 @@
 func (p *Pool) Pick(r Request, now time.Time) (string, bool) {
 	var best *server
 	var bestScore, bestFree float64
-	bestAvoided := false
+	var bestVerdict eligibility.Verdict
 	var requested Forecast
 	r.Run.addTo(&requested, p.rate.tokensPerSecond())
 	need := requested.Peak(p.cfg.Margin)
@@ -37,12 +39,14 @@
 		if free < p.spare(s, r.Late, need) || p.deferred(s, r.Late, now) {
 			continue
 		}
-		score, avoided := p.score(s, free, r.Zone), r.Avoid != nil && r.Avoid(s.ID)
-		better := best == nil || bestAvoided && !avoided
-		better = better || avoided == bestAvoided && (score > bestScore || score == bestScore && s.affinity > best.affinity)
-		// Checked last, as it is the most expensive condition.
-		if better && (r.Unavailable == nil || !r.Unavailable(s.ID)) {
-			best, bestScore, bestFree, bestAvoided = s, score, free, avoided
+		score := p.score(s, free, r.Zone)
+		better := best == nil || score > bestScore || score == bestScore && s.affinity > best.affinity
+		if !better && !bestVerdict.LastResort {
+			continue
+		}
+		v := r.Verdicts.Of(s.ID, now)
+		if !v.Excluded && (best == nil || v.Precedes(&bestVerdict, better)) {
+			best, bestScore, bestFree, bestVerdict = s, score, free, v
 		}
 	}
 	if best == nil {
--- a/policy/outlier/outlier.go
+++ b/policy/outlier/outlier.go
@@ -12,6 +12,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 // halfLife is the age at which an observation counts half. A recovered server gets its
@@ -138,14 +140,30 @@
 	return max(rate-baseline, 0)
 }
 
-// Ejected reports whether a server should get no request that can't be retried: it
-// failed suspectStreak requests in a row, the last one within suspectDuration.
+// Ejected reports whether a server is to be asked only if no other one can be: it
+// failed ejectionStreak requests in a row, the last one within ejectionDuration.
 func (t *Tracker) Ejected(id string, now time.Time) bool {
 	r, ok := t.servers[id]
 	return ok && r.streak >= ejectionStreak && now.Sub(r.lastFailure) < ejectionDuration
 }
 
+// Conditions calls add with the conditions of a server: that it is ejected, and that it fails
+// more requests than the others. failingCost is the cost of a server that fails all, in
+// outstanding requests.
+func (t *Tracker) Conditions(id string, failingCost float64, now time.Time, add func(eligibility.Condition)) {
+	if t.Ejected(id, now) {
+		at := t.servers[id].lastFailure
+		add(eligibility.Condition{Reason: eligibility.Ejected, Author: eligibility.Router, Since: at, Until: at.Add(ejectionDuration)})
+	}
+	if rate := t.ExcessFailureRate(id, now); rate > negligibleRate {
+		add(eligibility.Condition{Reason: eligibility.Failing, Author: eligibility.Router, Cost: failingCost * rate})
+	}
+}
+
 const (
+	// negligibleRate is an excess failure rate that states nothing about a server: failures of
+	// a minute ago decay to less.
+	negligibleRate = 1e-4
 	// ejectionStreak failures in a row have a probability of about one in a thousand at a
 	// failure rate of a seventh.
 	ejectionStreak = 3
--- a/policy/outlier/outlier_test.go
+++ b/policy/outlier/outlier_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
 )
 
@@ -92,3 +93,27 @@
 		}
 	}
 }
+
+// TestConditions: a server that fails is ejected until a while after its last failure, and costly for longer.
+func TestConditions(t *testing.T) {
+	tr := outlier.New()
+	conditions := func(id string, at time.Time) (out []eligibility.Condition) {
+		tr.Conditions(id, 30, at, func(c eligibility.Condition) { out = append(out, c) })
+		return out
+	}
+	for range 3 {
+		tr.Observe("a", false, start)
+		tr.Observe("b", true, start)
+	}
+	assert.Equal(t, len(conditions("b", start)), 0)
+	got := conditions("a", start)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].Reason, eligibility.Ejected)
+	assert.Equal(t, got[0].Since, start)
+	assert.Assert(t, tr.Ejected("a", got[0].Until.Add(-1)) && !tr.Ejected("a", got[0].Until))
+	assert.Equal(t, got[1].Reason, eligibility.Failing)
+	assert.Equal(t, got[1].Cost, 30*tr.ExcessFailureRate("a", start))
+	later := conditions("a", got[0].Until)
+	assert.Equal(t, len(later), 1)
+	assert.Equal(t, later[0].Reason, eligibility.Failing)
+}
--- a/policy/overload/overload.go
+++ b/policy/overload/overload.go
@@ -18,7 +18,11 @@
 // for concurrent use.
 package overload
 
-import "time"
+import (
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
+)
 
 const (
 	// maxShare is the share at a healthy server. The part above one is credit, so that the
@@ -110,13 +114,24 @@
 }
 
 // Admits reports whether a call may be sent to a server, with u a random number in [0, 1).
-// Calls past their objective are admitted less, in favor of those that can still meet it.
 func (l *Limiter) Admits(id string, pastObjective bool, u float64, now time.Time) bool {
+	return u < l.admittedShare(id, pastObjective, now)
+}
+
+// admittedShare is the share of calls to send to a server. Calls past their objective are
+// admitted less, in favor of those that can still meet it.
+func (l *Limiter) admittedShare(id string, pastObjective bool, now time.Time) float64 {
 	share := l.server(id).shareAt(now)
 	if pastObjective {
 		share = 2*share - 1
 	}
-	return u < share
+	return share
+}
+
+// Condition returns that a server is sent only a share of the calls, and whether it is.
+func (l *Limiter) Condition(id string, pastObjective bool, now time.Time) (eligibility.Condition, bool) {
+	share := l.admittedShare(id, pastObjective, now)
+	return eligibility.Condition{Reason: eligibility.Overload, Author: eligibility.Router, Share: max(share, 0)}, share < 1
 }
 
 // Share returns the share of calls that a server is sent, in [0, 1].
--- a/policy/overload/overload_test.go
+++ b/policy/overload/overload_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 )
 
@@ -179,3 +180,22 @@
 	fmt.Println(l.Admits("i-1", false, 0.99, start))
 	// Output: true
 }
+
+// TestCondition: a server that rejects calls is sent a share of them, and less of those past their objective.
+func TestCondition(t *testing.T) {
+	l := overload.New()
+	_, ok := l.Condition("a", false, start)
+	assert.Assert(t, !ok, "healthy")
+	for range 10 {
+		l.Observe("a", overload.Outcome{Rejected: true}, start)
+	}
+	c, ok := l.Condition("a", false, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Reason, eligibility.Overload)
+	assert.Assert(t, l.Admits("a", false, c.Share-0.001, start) && !l.Admits("a", false, c.Share, start))
+	late, ok := l.Condition("a", true, start)
+	assert.Assert(t, ok)
+	assert.Assert(t, late.Share >= 0 && late.Share < c.Share, "%v", late.Share)
+	_, ok = l.Condition("a", false, start.Add(time.Minute))
+	assert.Assert(t, !ok, "an idle server recovers")
+}
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/outlier"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -104,9 +105,8 @@
 	Memory int
 	// Exclude lists the engines that must not get the prompt.
 	Exclude []string
-	// Avoid reports whether an engine gets the prompt only if no other one can, Unavailable whether
-	// it must not get the prompt now; nil means none.
-	Avoid, Unavailable func(id string) bool
+	// Verdicts are those on the engines.
+	Verdicts eligibility.Verdicts
 }
 
 // Choice is the engine that prefills a prompt.
@@ -122,7 +122,7 @@
 func (p *Pool) Pick(servers []registry.Server, q Request, now time.Time) (Choice, bool) {
 	var best Choice
 	var lowest time.Duration
-	bestAvoided := false
+	var bestVerdict eligibility.Verdict
 	for _, s := range servers {
 		if s.Stage != registry.Prefill || slices.Contains(q.Exclude, s.ID) {
 			continue
@@ -133,10 +133,14 @@
 		}
 		expected := p.expected(e, q.Tokens, now)
 		cost := expected + p.penalty(s, q.Zone, now) + time.Duration(float64(p.cfg.Preference)*(1-e.preference))
-		avoided := q.Avoid != nil && q.Avoid(s.ID)
-		better := best.Server.ID == "" || bestAvoided && !avoided || avoided == bestAvoided && cost < lowest
-		if better && (q.Unavailable == nil || !q.Unavailable(s.ID)) {
-			best, lowest, bestAvoided = Choice{Server: s, Expected: expected}, cost, avoided
+		none := best.Server.ID == ""
+		better := none || cost < lowest
+		if !better && !bestVerdict.LastResort {
+			continue
+		}
+		v := q.Verdicts.Of(s.ID, now)
+		if !v.Excluded && (none || v.Precedes(&bestVerdict, better)) {
+			best, lowest, bestVerdict = Choice{Server: s, Expected: expected}, cost, v
 		}
 	}
 	if best.Server.ID == "" || lowest > p.decodePrefillCost(q) {
@@ -231,6 +235,15 @@
 // BackOff records that an export of an engine can't be fetched.
 func (p *Pool) BackOff(id string, now time.Time) { p.engine(id).avoidUntil = now.Add(p.cfg.BackOff) }
 
+// Conditions calls add with the conditions of an engine that the Pool knows: that an export could
+// not be fetched, and that prompts fail there. The cost of failing is the probability.
+func (p *Pool) Conditions(id string, now time.Time, add func(eligibility.Condition)) {
+	if e, ok := p.engines[id]; ok && now.Before(e.avoidUntil) {
+		add(eligibility.Condition{Reason: eligibility.ExportLost, Author: eligibility.Router, Until: e.avoidUntil})
+	}
+	p.outliers.Conditions(id, 1, now, add)
+}
+
 // SetPeerLoad sets the tokens that all other routers sent to an engine.
 func (p *Pool) SetPeerLoad(id string, tokens int) {
 	e, ok := p.engines[id]
--- a/policy/serverlimit/serverlimit.go
+++ b/policy/serverlimit/serverlimit.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 )
 
@@ -151,6 +152,17 @@
 	return max(l.usage.TimeToAdmit(id, t, now)+time.Duration(s.staggerPosition*float64(maxStagger)), 0)
 }
 
+// Condition returns that the limit of a server is used up, and whether it is.
+func (l *Limits) Condition(id string, now time.Time) (eligibility.Condition, bool) {
+	wait := l.Wait(id, now)
+	if wait == 0 {
+		return eligibility.Condition{}, false
+	}
+	return eligibility.Condition{
+		Reason: eligibility.RateLimit, Author: eligibility.Server, Since: l.servers[id].latest.At, Until: now.Add(wait),
+	}, true
+}
+
 // Take reports whether a request may be sent to a server, and if so counts it.
 func (l *Limits) Take(id string, now time.Time) bool {
 	s, ok := l.servers[id]
--- a/policy/serverlimit/serverlimit_test.go
+++ b/policy/serverlimit/serverlimit_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 var start = time.Unix(1000, 0)
@@ -88,3 +90,25 @@
 	assert.DeepEqual(t, l.Report(at(2*time.Second)), []ReportedLimit{{ID: "a", Statement: Statement{At: at(time.Second)}}})
 	assert.Equal(t, len(l.Report(at(time.Second+endReportedFor))), 0)
 }
+
+// TestCondition: a server with a limit has a condition exactly while no request may be sent to it.
+func TestCondition(t *testing.T) {
+	l := newInformed()
+	_, ok := l.Condition("a", start)
+	assert.Assert(t, !ok, "no limit")
+	l.Update("a", limited(2, start), start)
+	for range 20 {
+		now := start
+		c, ok := l.Condition("a", now)
+		if !ok {
+			assert.Assert(t, l.Take("a", now))
+			continue
+		}
+		assert.Equal(t, c.Reason, eligibility.RateLimit)
+		assert.Equal(t, c.Since, start)
+		assert.Assert(t, l.Wait("a", c.Until.Add(-time.Millisecond)) > 0)
+		assert.Equal(t, l.Wait("a", c.Until), time.Duration(0))
+		return
+	}
+	t.Fatal("the limit is never used up")
+}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 )
 
 const (
@@ -117,6 +118,21 @@
 	return ok && e.decayed(now) > e.threshold
 }
 
+// Condition returns that the router should prefer other engines to this one, and whether it should.
+func (t *Tracker) Condition(id string, now time.Time) (eligibility.Condition, bool) {
+	if !t.Suspected(id, now) {
+		return eligibility.Condition{}, false
+	}
+	e := t.engines[id]
+	halfLives := math.Log2(e.suspicion / e.threshold)
+	return eligibility.Condition{
+		Reason: eligibility.Suspected, Author: eligibility.Peers, Since: e.at, Until: e.at.Add(time.Duration(halfLives * float64(halfLife))),
+	}, true
+}
+
+// Len returns the number of engines that are or were suspected recently.
+func (t *Tracker) Len() int { return len(t.engines) }
+
 func (t *Tracker) raise(id string, by float64, now time.Time) {
 	e, ok := t.engines[id]
 	if !ok {
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/suspicion"
 )
 
@@ -210,3 +211,23 @@
 	}
 	assert.Check(t, suspected == 0, "%d routers still suspect it", suspected)
 }
+
+// TestConditionEndsWithTheSuspicion: a suspicion states the moment at which it ends, however strong it is.
+func TestConditionEndsWithTheSuspicion(t *testing.T) {
+	for failures := 1; failures <= 5; failures++ {
+		tr := suspicion.New("r")
+		_, ok := tr.Condition("e", start)
+		assert.Check(t, !ok)
+		last := start
+		for i := range failures {
+			last = start.Add(time.Duration(i) * time.Second)
+			tr.Failed("e", last)
+		}
+		c, ok := tr.Condition("e", last)
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Reason, eligibility.Suspected)
+		assert.Equal(t, c.Since, last)
+		assert.Check(t, tr.Suspected("e", c.Until.Add(-time.Millisecond)), "%d failures", failures)
+		assert.Check(t, !tr.Suspected("e", c.Until.Add(time.Millisecond)), "%d failures", failures)
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -20,6 +20,7 @@
 	"strings"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -262,7 +263,7 @@
 	latest := r.latestStartByAddr()
 	var out []Server
 	for _, e := range r.servers {
-		if e.Service == service && e.usable() && e.Born >= latest[e.Addr] {
+		if e.Service == service && !e.verdict(latest).Excluded {
 			out = append(out, e.Server)
 		}
 	}
@@ -283,6 +284,36 @@
 
 func (e *entry) usable() bool { return !e.Leaving && !e.Unusable }
 
+// verdict is the verdict on a server by its entry.
+func (e *entry) verdict(latest map[string]int64) eligibility.Verdict {
+	v := eligibility.NewVerdict()
+	e.conditions(latest, func(c eligibility.Condition) { v.Add(c, time.Time{}) })
+	return v
+}
+
+// conditions calls add with the conditions of a server by its entry, given the latest start time at each address.
+func (e *entry) conditions(latest map[string]int64, add func(eligibility.Condition)) {
+	if e.Leaving {
+		add(eligibility.Condition{Reason: eligibility.Leaving, Author: eligibility.Server})
+	}
+	if e.Unusable {
+		add(eligibility.Condition{Reason: eligibility.InvalidEntry, Author: eligibility.Store})
+	}
+	if e.Born < latest[e.Addr] {
+		add(eligibility.Condition{Reason: eligibility.AddressReused, Author: eligibility.Store})
+	}
+}
+
+// Conditions returns the conditions of each listed server by its entry, by ID.
+func (r *Registry) Conditions() map[string][]eligibility.Condition {
+	latest := r.latestStartByAddr()
+	out := make(map[string][]eligibility.Condition, len(r.servers))
+	for id, e := range r.servers {
+		e.conditions(latest, func(c eligibility.Condition) { out[id] = append(out[id], c) })
+	}
+	return out
+}
+
 // Get returns the server with an ID.
 func (r *Registry) Get(id string) (Server, bool) {
 	e, ok := r.servers[id]
