--- a/cmd/hibiscusspur/access.go
+++ b/cmd/hibiscusspur/access.go
@@ -1,80 +1,30 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"net/netip"
 	"text/tabwriter"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/gateway"
-	"github.com/hibiscusspur/hibiscusspur/operator"
 )
 
-// accessTimeout bounds the request to a gateway.
-const accessTimeout = 5 * time.Second
-
-// accessDriver runs the access command with its flags.
-type accessDriver struct{ gateway, format string }
-
 func accessCmd() *cobra.Command {
-	d := &accessDriver{}
+	r := &gatewayReport{}
 	c := &cobra.Command{
 		Use: "access", Short: "Show a gateway's customers, their quotas, the age of its configuration, and whom it turned away",
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return d.show(cmd.Context(), cmd.OutOrStdout()) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return showReport(cmd, r, gateway.AccessPath, writeAccess)
+		},
 	}
-	c.Flags().StringVar(&d.gateway, "gateway", "", "address of a gateway's metrics, ip:port")
-	c.Flags().StringVarP(&d.format, "output", "o", formatText, "text or json")
+	r.addFlags(c)
 	return c
 }
 
-func (d *accessDriver) show(ctx context.Context, out io.Writer) error {
-	if d.format != formatText && d.format != formatJSON {
-		return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", d.format)
-	}
-	if _, err := netip.ParseAddrPort(d.gateway); err != nil {
-		return merry.Appendf(operator.ErrInput, "--gateway must be ip:port, is %q", d.gateway)
-	}
-	if ctx == nil {
-		ctx = context.Background()
-	}
-	a, err := fetchAccess(ctx, d.gateway)
-	if err != nil {
-		return err
-	}
-	if d.format == formatJSON {
-		return writeJSON(out, a)
-	}
-	return writeAccess(out, a)
-}
-
-func fetchAccess(ctx context.Context, addr string) (gateway.Access, error) {
-	var a gateway.Access
-	ctx, cancel := context.WithTimeout(ctx, accessTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+gateway.AccessPath, nil)
-	if err != nil {
-		return a, merry.Wrap(err)
-	}
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return a, merry.Wrap(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		return a, merry.Errorf("gateway at %s answered %s", addr, res.Status)
-	}
-	return a, merry.Wrap(json.NewDecoder(res.Body).Decode(&a))
-}
-
 func writeAccess(out io.Writer, a gateway.Access) error {
 	proof := "never proved to be the newest"
 	if a.ProofAgeMs >= 0 {
--- a/cmd/hibiscusspur/main.go
+++ b/cmd/hibiscusspur/main.go
@@ -14,7 +14,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(entryCmd(), sidecarCmd(), gatewayCmd(), heldCmd(), accessCmd(), contractCmd(), backendCmd(), configCmd(), versionCmd())
+	root.AddCommand(entryCmd(), sidecarCmd(), gatewayCmd(), heldCmd(), accessCmd(), serversCmd(), contractCmd(), backendCmd(), configCmd(), versionCmd())
 	if err := root.Execute(); err != nil {
 		os.Exit(report(err))
 	}
--- /dev/null
+++ b/cmd/hibiscusspur/servers.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hibiscusspur/hibiscusspur/gateway"
+	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
+)
+
+func serversCmd() *cobra.Command {
+	r, service := &gatewayReport{}, ""
+	c := &cobra.Command{
+		Use: "servers", Short: "Show whether a gateway asks each server, and which condition decides",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return showReport(cmd, r, gateway.ServersPath+"?"+url.Values{"service": {service}}.Encode(), writeServers)
+		},
+	}
+	r.addFlags(c)
+	c.Flags().StringVar(&service, "service", "", "name of a service; all if empty")
+	return c
+}
+
+// writeServers writes a line for each server, and below it one for each of its conditions.
+func writeServers(out io.Writer, s gateway.Servers) error {
+	_, _ = fmt.Fprintf(out, "%s: %d servers\n", s.VM, len(s.Servers))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "SERVER\tSERVICE\tSTAGE\tZONE\tASKED\tDECIDES\tAUTHOR\tEFFECT\tSINCE\tLEFT")
+	for _, server := range s.Servers {
+		asked := map[bool]string{true: "no", false: "yes"}[server.Excluded]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t\t\t\t\n", server.ID, server.Service, server.Stage, server.Zone, asked, server.Decides)
+		for _, c := range server.Conditions {
+			_, _ = fmt.Fprintf(w, "\t\t\t\t\t%s\t%s\t%s\t%s\t%s\n", c.Reason, c.Author, effectText(c), durationText(c.AgeMs), durationText(c.LeftMs))
+		}
+	}
+	return w.Flush()
+}
+
+// effectText is the effect of a condition and its size.
+func effectText(c gateway.ServerCondition) string {
+	switch c.Effect {
+	case eligibility.Reduced.String():
+		return fmt.Sprintf("reduced to %.2f", c.Share)
+	case eligibility.Costly.String():
+		return fmt.Sprintf("costs %.2f", c.Cost)
+	default:
+		return c.Effect
+	}
+}
+
+// durationText is a time in milliseconds, or a dash if it is not known.
+func durationText(ms int64) string {
+	if ms < 0 {
+		return "-"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -75,8 +75,13 @@
 }
 
 func (s *Service) handleAccess(w http.ResponseWriter, _ *http.Request) {
+	s.writeJSON(w, AccessPath, s.access())
+}
+
+// writeJSON answers a request for the report at a path.
+func (s *Service) writeJSON(w http.ResponseWriter, path string, report any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s.access()); err != nil {
-		event.Library.Log(s.log).Str("path", AccessPath).Err(err).Msg("")
+	if err := json.NewEncoder(w).Encode(report); err != nil {
+		event.Library.Log(s.log).Str("path", path).Err(err).Msg("")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -216,6 +216,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
 	mux.HandleFunc("GET "+AccessPath, s.handleAccess)
+	mux.HandleFunc("GET "+ServersPath, s.handleServers)
 	_, err = s.serve("metrics", s.settings.MetricsAddr, mux, nil)
 	return err
 }
