entry: requests that crash engines are held back

Cause: an entry forgot a request with its answer, as gateways did.

Change: entries have the gateways' holdback.Guard. An attempt that ended with the loss of its engine, or with a restart of its sidecar, raises suspicion against the digest of customer, model and prompt; after three ends without a success the request is refused with quarantined, before the contract's limits are charged and before each further attempt. Entries tell each other over all sidecars; holds are rows under quarantine/ of the platform's table, read by holdback.PolledTable. policy.quarantine switches it off.

With the policy off the fourth send still ends the engine (TestQuarantineOff).

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -11,7 +11,7 @@
 	case *wire.SidecarFrame_Chunk:
 		return a.handleChunk(b.Chunk)
 	case *wire.SidecarFrame_Refused:
-		return a.refine(refusedOutcome(b.Refused)), true
+		return a.refine(a.refused(b.Refused)), true
 	case *wire.SidecarFrame_Done:
 		return a.handleDone(b.Done)
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -30,13 +30,17 @@
 	ackedPosition int
 	// workDone is set when a prefill was done or begun.
 	workDone bool
+	// receivedBefore is the number of tokens from earlier attempts, engineLosses that of the loss of an engine that
+	// ended the attempt.
+	receivedBefore int
+	engineLosses   uint32
 	// endedBy is the server that ended the attempt; nil stands for the decode server.
 	endedBy *peer
 }
 
 // newAttempt returns an attempt that receives from its decode sidecar.
 func newAttempt(s *Service, r *request, n uint32, sv servers) *attempt {
-	a := &attempt{s: s, r: r, key: wire.Key{RequestID: r.id, Attempt: n}, servers: sv}
+	a := &attempt{s: s, r: r, key: wire.Key{RequestID: r.id, Attempt: n}, servers: sv, receivedBefore: r.received}
 	a.decode = sv.decode.openFlow(a.key)
 	a.incarnation = sv.decode.incarnation()
 	return a
@@ -62,11 +66,31 @@
 
 // retryAttempt describes the ended attempt to the retry policy.
 func (a *attempt) retryAttempt(o outcome.Outcome) retry.Attempt {
-	at := a.endedBy
-	if at == nil {
-		at = a.servers.decode
+	return retryAttemptAt(o, a.endedAt(), a.workDone || a.started)
+}
+
+// endedAt is the server that ended the attempt.
+func (a *attempt) endedAt() *peer {
+	if a.endedBy != nil {
+		return a.endedBy
+	}
+	return a.servers.decode
+}
+
+// end describes the ended attempt to the quarantine.
+func (a *attempt) end(o outcome.Outcome) end {
+	at := a.endedAt()
+	e := end{outcome: o, backend: at.backend.ID, incarnation: a.incarnation, engineLosses: a.engineLosses, generated: a.r.received - a.receivedBefore}
+	if at != a.servers.decode {
+		e.incarnation = at.incarnation()
 	}
-	return retryAttemptAt(o, at, a.workDone || a.started)
+	return e
+}
+
+// refused returns the outcome in m and keeps whether an engine was lost.
+func (a *attempt) refused(m *wire.Refused) outcome.Outcome {
+	a.engineLosses = m.GetEngineLosses()
+	return refusedOutcome(m)
 }
 
 // Release implements lifecycle.Attempt: it notifies both sidecars that the attempt is over. They release what
@@ -140,7 +164,7 @@
 	}
 	if ref := f.GetRefused(); ref != nil {
 		a.workDone = false
-		return refusedOutcome(ref), false
+		return a.refused(ref), false
 	}
 	a.endedBy = nil
 	a.kv = f.GetPrefilled()
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/wire"
@@ -42,15 +43,23 @@
 	if !ok {
 		return
 	}
+	path := servicePath(hr)
+	work := content{request: fingerprint.Request{
+		Caller: c.contract.Customer, Method: hr.Method, Host: name, Target: withQuery(path, hr.URL.RawQuery), Body: body,
+	}}
+	if out, held := s.quarantined(&work); held {
+		s.refuseRequest(w, c.contract.Brand, out, "")
+		return
+	}
 	allow, done, out, ok := s.limiter.admit(c.contract, s.pool.coverageOf(name))
 	if !ok {
 		s.refuseRequest(w, c.contract.Brand, out, "")
 		return
 	}
 	defer done()
-	path := servicePath(hr)
 	r := &call{
 		allowance:    allow,
+		content:      work,
 		id:           rand.Text(),
 		caller:       c,
 		service:      svc,
@@ -119,6 +128,7 @@
 	unrepeatable bool
 	template     *wire.Call
 	allowance    allowance
+	content      content
 }
 
 // executeCallGuarded claims the idempotency key of an unrepeatable call first.
@@ -143,7 +153,13 @@
 		if p == nil {
 			return nil, t.conclude(outcome.Refuse(outcome.NoBackend, noBackendRetryAfter))
 		}
-		reply, out := s.tryCall(ctx, r, p, n)
+		if out, held := s.quarantined(&r.content); held && n > 1 {
+			return nil, t.conclude(out)
+		}
+		e := end{backend: p.backend.ID, incarnation: p.incarnation()}
+		reply, out := s.tryCall(ctx, r, p, n, &e.engineLosses)
+		e.outcome = out
+		s.recordEnd(&r.content, e)
 		final, again := t.attemptEnded(ctx, retryAttemptAt(out, p, out.Kind != outcome.NotRun), 0, 0)
 		if !again {
 			return reply, final
@@ -171,7 +187,8 @@
 	}
 }
 
-func (s *Service) tryCall(ctx context.Context, r *call, p *peer, n uint32) (*wire.Reply, outcome.Outcome) {
+// tryCall makes one attempt. It sets engineLosses if the service was lost during it.
+func (s *Service) tryCall(ctx context.Context, r *call, p *peer, n uint32, engineLosses *uint32) (*wire.Reply, outcome.Outcome) {
 	key := wire.Key{RequestID: r.id, Attempt: n}
 	fl := p.openFlow(key)
 	defer fl.close()
@@ -192,6 +209,7 @@
 		case f.GetReply() != nil:
 			return f.GetReply(), outcome.Outcome{Kind: outcome.Completed}
 		case f.GetRefused() != nil:
+			*engineLosses = f.GetRefused().GetEngineLosses()
 			return nil, refusedOutcome(f.GetRefused())
 		}
 	}
--- a/entry/frames.go
+++ b/entry/frames.go
@@ -26,6 +26,8 @@
 		p.pool.headAnnounced(p, b.Beat.GetHeadRevision())
 	case *wire.SidecarFrame_Records:
 		p.onRecords(b.Records)
+	case *wire.SidecarFrame_Suspects:
+		p.pool.receiveSuspects(b.Suspects, p.backend.ID)
 	default:
 		p.deliver(f)
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 )
@@ -164,6 +165,10 @@
 		s.refuseRequest(w, c.contract.Brand, outcome.Refuse(outcome.PromptTooLong, 0), m.promptField)
 		return
 	}
+	if out, held := s.quarantined(&r.content); held {
+		s.refuseRequest(w, c.contract.Brand, out, "")
+		return
+	}
 	allow, done, out, ok := s.limiter.admit(c.contract, s.pool.coverageOf(r.model))
 	if !ok {
 		s.refuseRequest(w, c.contract.Brand, out, "")
@@ -252,6 +257,7 @@
 		promptTokens:   engine.EstimateTokens(m.prompt),
 		prefixHashes:   engine.PrefixHashes(m.prompt),
 		maxTokens:      m.maxTokens,
+		content:        content{request: fingerprint.Request{Caller: c.contract.Customer, Method: hr.Method, Target: m.model, Body: []byte(m.prompt)}},
 		start:          now,
 		deadline:       now.Add(class.Deadline),
 	}
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -20,6 +20,8 @@
 	// Limits is how the contracts' limits are enforced over all entries: demand, by the load that sidecars
 	// report, or static, a fixed share for each entry.
 	Limits string `yaml:"limits"`
+	// Quarantine sets whether requests are held back under which backend servers repeatedly terminated.
+	Quarantine bool `yaml:"quarantine"`
 	// Entries and Index, when set, are the number of entries and this one's index among them, from 0. They
 	// even out how many entries link to one server, and divide the polls of the list of VMs among the
 	// entries. Static limits need the number.
@@ -38,7 +40,7 @@
 
 // DefaultPolicy returns the policy that is meant for production.
 func DefaultPolicy() Policy {
-	return Policy{Placement: placement.Expected, Reserve: true, SubsetSize: defaultSubsetSize, Limits: limit.Demand}
+	return Policy{Placement: placement.Expected, Reserve: true, SubsetSize: defaultSubsetSize, Limits: limit.Demand, Quarantine: true}
 }
 
 func (p *Policy) check(fail func(field, format string, args ...any)) {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/link"
+	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
 // roleService is the role of backend servers that are plain services.
@@ -28,6 +29,8 @@
 	state       *dissemination.State
 	index       *dissemination.Index
 	limiter     *limiter
+	// onSuspects receives other entries' reports of suspected requests, with the backend server that passed them on.
+	onSuspects func(m *wire.Suspects, backend string)
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -50,6 +53,24 @@
 	return p
 }
 
+// broadcast sends a frame to every sidecar that is linked. Each link gets a frame of its own.
+func (p *pool) broadcast(newFrame func() *wire.EntryFrame) {
+	p.mu.Lock()
+	peers := slices.Collect(maps.Values(p.peers))
+	p.mu.Unlock()
+	for _, peer := range peers {
+		// A link that is down is skipped: its sidecar has nothing to pass on.
+		_ = peer.send(newFrame())
+	}
+}
+
+// receiveSuspects takes a report of suspected requests that a sidecar has passed on.
+func (p *pool) receiveSuspects(m *wire.Suspects, backend string) {
+	if p.onSuspects != nil {
+		p.onSuspects(m, backend)
+	}
+}
+
 // refresh reconciles the peers with the backend records.
 func (p *pool) refresh() {
 	p.mu.Lock()
--- a/entry/request.go
+++ b/entry/request.go
@@ -33,6 +33,8 @@
 	// prefixHashes are the hashes of the prompt's prefixes.
 	prefixHashes []uint64
 	allowance    allowance
+	// content identifies requests for the same work.
+	content content
 }
 
 // sink receives the answer. Its methods are called from one goroutine.
@@ -86,6 +88,9 @@
 		if o, ok := e.s.refreshContract(e.r); !ok {
 			return nil, e.tracker.conclude(o), false
 		}
+		if o, held := e.s.quarantined(&e.r.content); held {
+			return nil, e.tracker.conclude(o), false
+		}
 	}
 	sv, ok := e.s.placer.place(e.s.pool, e.r, e.tracker.decision)
 	if !ok {
@@ -97,6 +102,7 @@
 
 // Ended implements lifecycle.Request.
 func (e *execution) Ended(ctx context.Context, a *attempt, o outcome.Outcome) (outcome.Outcome, bool) {
+	e.s.recordEnd(&e.r.content, a.end(o))
 	final, again := e.tracker.attemptEnded(ctx, a.retryAttempt(o), a.servers.expectedTTFT, e.r.received)
 	if again {
 		event.RequestRetried.Log(e.s.log).Str("request", e.r.id).Uint32("attempt", e.attempts).Str("outcome", o.String()).Msg("")
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -33,10 +34,12 @@
 	callers  *httpserver.Watcher
 	vms      store.VMs
 	guard    *keyGuard
-	poller   *poller
-	placer   *placer
-	retrier  *retrier
-	limiter  *limiter
+	// quarantine holds back requests under which backend servers repeatedly terminated.
+	quarantine *holdback.Guard
+	poller     *poller
+	placer     *placer
+	retrier    *retrier
+	limiter    *limiter
 
 	http, admin *httpserver.Server
 	draining    atomic.Bool
@@ -49,6 +52,7 @@
 // New returns the service for checked settings.
 func New(set Settings, l *log.Logger, m *metrics.Set) *Service {
 	s := &Service{settings: set, log: l, metrics: m, state: dissemination.NewState(), callers: httpserver.NewWatcher()}
+	s.quarantine = holdback.New(l, m, !set.Policy.Quarantine)
 	s.index = dissemination.NewIndex(s.state, func(key string, rev uint64, err error) {
 		event.RecordInvalid.Log(l).Str("key", key).Uint64("revision", rev).Err(err).Msg("")
 	})
@@ -84,6 +88,7 @@
 		return err
 	}
 	s.pool.limiter = s.limiter
+	s.pool.onSuspects = s.receiveSuspects
 	if s.guard, err = newKeyGuard(s.settings, s.pool, s.table); err != nil {
 		return err
 	}
@@ -101,6 +106,7 @@
 	s.work.Go(func() { s.claimSweepLoop(ctx) })
 	s.work.Go(func() { s.vmListLoop(ctx) })
 	s.work.Go(func() { s.confirmLoop(ctx) })
+	s.startQuarantine(ctx)
 	return s.listen()
 }
 
--- a/holdback/report.go
+++ b/holdback/report.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
@@ -32,6 +34,21 @@
 	}))
 }
 
+// EncodeRecent returns Recent in its wire format.
+func (g *Guard) EncodeRecent(within time.Duration) ([]byte, error) {
+	return proto.Marshal(g.Recent(within))
+}
+
+// ReceiveEncoded applies a report in its wire format.
+func (g *Guard) ReceiveEncoded(data []byte, from string) error {
+	var in peer.Suspects
+	if err := proto.Unmarshal(data, &in); err != nil {
+		return err
+	}
+	g.Receive(&in, from)
+	return nil
+}
+
 // Report returns the periodic report to every gateway: the updates that originated here within some time, and all holds.
 func (g *Guard) Report(within time.Duration) *peer.Suspects {
 	now := time.Now()
--- a/holdback/stored.go
+++ b/holdback/stored.go
@@ -33,20 +33,31 @@
 
 // List returns the holds of a table, including those that have ended but were not removed yet.
 func List(ctx context.Context, t store.Table) ([]StoredHold, error) {
+	rows, err := listAll(ctx, t)
+	if err != nil {
+		return nil, err
+	}
 	var out []StoredHold
+	for _, r := range rows {
+		out = append(out, decodeRow(r))
+	}
+	return out, nil
+}
+
+// listAll returns all rows of a table.
+func listAll(ctx context.Context, t store.Table) ([]store.Row, error) {
+	var out []store.Row
 	after := ""
 	for {
 		rows, err := t.List(ctx, "", after, pageSize)
 		if err != nil {
 			return nil, err
 		}
-		for _, r := range rows {
-			out = append(out, decodeRow(r))
-			after = r.Key
-		}
+		out = append(out, rows...)
 		if len(rows) < pageSize {
 			return out, nil
 		}
+		after = rows[len(rows)-1].Key
 	}
 }
 
--- a/internal/pathtest/pathtest.go
+++ b/internal/pathtest/pathtest.go
@@ -203,9 +203,16 @@
 	return contract.Backend{ID: id, Address: sc.Addr(), Zone: zone, Role: role, Models: models}
 }
 
-func (p *Path) startEntry() {
+// AddEntry starts another entry and returns its address for callers.
+func (p *Path) AddEntry(id string) string {
+	e, _ := p.newEntry(id)
+	return "http://" + e.Addr()
+}
+
+// newEntry starts an entry, and returns it and how to drain it.
+func (p *Path) newEntry(id string) (e *entry.Service, drain func() error) {
 	set := entry.DefaultSettings()
-	set.ID, set.Zone, set.Platform = "entry-1", zone, p.Platform.URL()
+	set.ID, set.Zone, set.Platform = id, zone, p.Platform.URL()
 	set.Listen, set.Admin = anyPort, anyPort
 	set.TLS = p.opts.EntryTLS
 	set.TicketSecrets = []string{writeSecret(p.t)}
@@ -213,8 +220,13 @@
 	if p.opts.Entry != nil {
 		p.opts.Entry(&set)
 	}
-	e := entry.New(set, p.Log.logger(), metrics.NewSet())
-	p.drain = p.run(e)
+	e = entry.New(set, p.Log.logger(), metrics.NewSet())
+	return e, p.run(e)
+}
+
+func (p *Path) startEntry() {
+	e, drain := p.newEntry("entry-1")
+	p.drain = drain
 	p.URL = "http://" + e.Addr()
 	if !p.opts.SkipReadyWait {
 		poll.WaitOn(p.t, p.checkServing, poll.WithTimeout(startBound), poll.WithDelay(10*time.Millisecond))
