--- a/cmd/hibiscusspur/held.go
+++ b/cmd/hibiscusspur/held.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 
+	"github.com/hibiscusspur/hibiscusspur/entry"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/operator"
@@ -20,13 +21,16 @@
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
-// heldDriver runs the commands on quarantined requests with their shared flags.
-type heldDriver struct{ store, format string }
+// heldDriver runs the commands on quarantined requests with their shared flags. The holds of gateways are in the store of
+// the users' platform, those of entries in the platform's table.
+type heldDriver struct{ store, platform, settings, format string }
 
 func heldCmd() *cobra.Command {
 	d := &heldDriver{}
-	c := &cobra.Command{Use: "held", Short: "Requests that gateways hold back, since servers end under them"}
-	c.PersistentFlags().StringVar(&d.store, "store", "", "address of the users' platform's store, ip:port")
+	c := &cobra.Command{Use: "held", Short: "Requests that gateways or entries hold back, since servers end under them"}
+	c.PersistentFlags().StringVar(&d.store, "store", "", "holds of gateways: address of the users' platform's store, ip:port")
+	c.PersistentFlags().StringVar(&d.platform, "platform", "", "holds of entries: base URL of the platform's table")
+	c.PersistentFlags().StringVar(&d.settings, "settings", "", "holds of entries: settings file (YAML) with the platform and TLS files")
 	c.PersistentFlags().StringVarP(&d.format, "output", "o", formatText, "text or json")
 	c.AddCommand(
 		&cobra.Command{
@@ -36,7 +40,7 @@
 			},
 		},
 		&cobra.Command{
-			Use: "release DIGEST", Short: "Have all gateways let a request through", Args: cobra.ExactArgs(1),
+			Use: "release DIGEST", Short: "Have all gateways or entries let a request through", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				if _, err := fingerprint.Parse(args[0]); err != nil {
 					return merry.Appendf(operator.ErrInput, "DIGEST: %v", err)
@@ -53,14 +57,36 @@
 	if d.format != formatText && d.format != formatJSON {
 		return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", d.format)
 	}
-	if _, err := netip.ParseAddrPort(d.store); err != nil {
-		return merry.Appendf(operator.ErrInput, "--store must be ip:port, is %q", d.store)
-	}
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	s := platform.NewStore(upstream.New(upstream.Options{}), d.store, storeTimeout)
-	return f(ctx, s.Table(holdback.TableName))
+	t, err := d.table()
+	if err != nil {
+		return err
+	}
+	return f(ctx, t)
+}
+
+// table returns the table that the flags name.
+func (d *heldDriver) table() (store.Table, error) {
+	if d.platform != "" || d.settings != "" {
+		if d.store != "" {
+			return nil, merry.Append(operator.ErrInput, "give either --store, or --platform or --settings")
+		}
+		set, err := (&driver{platform: d.platform, settings: d.settings}).load()
+		if err != nil {
+			return nil, err
+		}
+		t, err := set.Table()
+		if err != nil {
+			return nil, err
+		}
+		return holdback.NewPolledTable(t, entry.HoldPrefix, 0), nil
+	}
+	if _, err := netip.ParseAddrPort(d.store); err != nil {
+		return nil, merry.Appendf(operator.ErrInput, "--store must be ip:port, is %q", d.store)
+	}
+	return platform.NewStore(upstream.New(upstream.Options{}), d.store, storeTimeout).Table(holdback.TableName), nil
 }
 
 func (d *heldDriver) list(ctx context.Context, t store.Table, out io.Writer) error {
--- a/cmd/hibiscusspur/held_test.go
+++ b/cmd/hibiscusspur/held_test.go
@@ -9,10 +9,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/entry"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/operator"
+	splatform "github.com/hibiscusspur/hibiscusspur/standin/platform"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // TestHeld checks that the commands list the quarantined requests and release one of them.
@@ -43,6 +46,24 @@
 	assert.ErrorIs(t, err, holdback.ErrNotQuarantined)
 }
 
+// TestHeldByEntries: the commands work on the holds of entries in the platform's table as well.
+func TestHeldByEntries(t *testing.T) {
+	p, err := splatform.Start(splatform.Options{Listen: "127.0.0.1:0"})
+	assert.NilError(t, err)
+	t.Cleanup(p.Stop)
+	key := fingerprint.Of(fingerprint.Request{Target: "/deadly"}).String()
+	assert.NilError(t, p.Store().Table().Commit(t.Context(), store.Txn{Writes: []store.Write{{
+		Key: entry.HoldPrefix + key, Value: []byte(`{"begun":"1970-01-12T13:46:40Z","for_s":600,"servers":["engine-1@i/1"]}`),
+	}}}))
+	out, _, err := execute(heldCmd(), "list", "--platform", p.URL())
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, key) && strings.Contains(out, "engine-1@i/1"), out)
+	_, _, err = execute(heldCmd(), "release", key, "--platform", p.URL())
+	assert.NilError(t, err)
+	_, _, err = execute(heldCmd(), "release", key, "--platform", p.URL())
+	assert.ErrorIs(t, err, holdback.ErrNotQuarantined)
+}
+
 // TestHeldInput checks that the error for bad input names the flag or argument.
 func TestHeldInput(t *testing.T) {
 	for _, c := range []struct {
@@ -51,6 +72,7 @@
 	}{
 		{[]string{"list"}, "--store must be ip:port"},
 		{[]string{"list", "--store", "store"}, "--store must be ip:port"},
+		{[]string{"list", "--store", "127.0.0.1:1", "--platform", "http://127.0.0.1:1"}, "either --store"},
 		{[]string{"list", "--store", "127.0.0.1:1", "-o", "xml"}, "--output must be text or json"},
 		{[]string{"release", "nonsense", "--store", "127.0.0.1:1"}, "DIGEST"},
 	} {
