--- a/dissemination/sweep.go
+++ b/dissemination/sweep.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -148,10 +149,10 @@
 				return nil
 			}
 		case isConflict(err): // another process changed a row; read the page again
-			sleep(ctx, retryDelay)
+			sleep.For(ctx, retryDelay)
 		case isTransient(err) && failures < maxConsecutiveFailures:
 			failures++
-			sleep(ctx, retryDelay)
+			sleep.For(ctx, retryDelay)
 		default:
 			return err
 		}
@@ -206,7 +207,7 @@
 	if err := s.table.Commit(ctx, t); err != nil {
 		return err
 	}
-	sleep(ctx, s.interval)
+	sleep.For(ctx, s.interval)
 	return nil
 }
 
--- a/dissemination/writer.go
+++ b/dissemination/writer.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -98,7 +99,7 @@
 				return entry.Revision, nil
 			}
 		}
-		if !sleep(ctx, backoff) {
+		if !sleep.For(ctx, backoff) {
 			return 0, &UnknownOutcomeError{Revision: entry.Revision, ChangeID: entry.ChangeID, Cause: cause}
 		}
 	}
@@ -188,14 +189,3 @@
 	}
 	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrInvalid)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/holdback"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
@@ -46,7 +47,7 @@
 			s.metrics.Counter(metrics.StoreErrors).Inc(1)
 		}
 	}
-	backOff := func(int) { sleep(ctx, interval) }
+	backOff := func(int) { sleep.For(ctx, interval) }
 	s.work.Go(func() { s.announceSuspects(ctx) })
 	s.work.Go(func() { s.quarantine.Follow(ctx, table, report, backOff) })
 	s.work.Go(func() {
@@ -54,21 +55,12 @@
 	})
 	s.work.Go(func() {
 		for ctx.Err() == nil {
-			sleep(ctx, quarantineSweepInterval)
+			sleep.For(ctx, quarantineSweepInterval)
 			s.quarantine.Expire()
 		}
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // announceSuspects sends new observations, holds and releases to the other entries, over all sidecars, until ctx ends.
 func (s *Service) announceSuspects(ctx context.Context) {
 	for {
@@ -77,7 +69,7 @@
 			return
 		case <-s.quarantine.Updates():
 		}
-		sleep(ctx, suspectBatchInterval)
+		sleep.For(ctx, suspectBatchInterval)
 		report, err := s.quarantine.EncodeRecent(recentSuspectAge)
 		if err != nil {
 			event.Library.Log(s.log).Err(err).Msg("")
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -49,18 +50,18 @@
 		switch {
 		case errors.Is(err, store.ErrNotFound):
 			err = nil
-			sleep(ctx, storeRetryDelay)
+			sleep.For(ctx, storeRetryDelay)
 		case errors.Is(err, store.ErrMalformed):
 			if err.Error() != refused {
 				refused = err.Error()
 				event.TableRefused.Log(s.log).Str("from", fromStore).Err(err).Msg("")
 			}
 			known, err = false, nil
-			sleep(ctx, serverListInterval)
+			sleep.For(ctx, serverListInterval)
 		case err != nil:
 			known = false
 			failures++
-			sleep(ctx, s.nextStoreRetry(failures))
+			sleep.For(ctx, s.nextStoreRetry(failures))
 		default:
 			position, known = r.Position, true
 			s.installStored(r, requested)
@@ -141,7 +142,7 @@
 	faults, readings, failures := entryFaults{}, listReadings{}, 0
 	for ctx.Err() == nil {
 		if !s.shouldReadServers() {
-			sleep(ctx, jitter(serverListInterval))
+			sleep.For(ctx, jitter(serverListInterval))
 			continue
 		}
 		snapshot, position, err := s.store.Servers(ctx)
@@ -151,7 +152,7 @@
 		dep.record(err)
 		if err != nil {
 			failures++
-			sleep(ctx, s.nextStoreRetry(failures))
+			sleep.For(ctx, s.nextStoreRetry(failures))
 			continue
 		}
 		failures = 0
@@ -163,7 +164,7 @@
 		if s.view.applyServers(position, snapshot.List(), time.Now()) {
 			s.serversChanged(position, fromStore)
 		}
-		sleep(ctx, jitter(serverListInterval))
+		sleep.For(ctx, jitter(serverListInterval))
 	}
 }
 
@@ -188,12 +189,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.9 + 0.2*rand.Float64()))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/peer"
@@ -280,9 +281,9 @@
 	s.peers.Leave()
 	drainCtx, cancel := context.WithDeadline(ctx, end.Add(-closeMargin))
 	defer cancel()
-	sleep(drainCtx, s.settings.Notice)
+	sleep.For(drainCtx, s.settings.Notice)
 	for s.fwd.ActiveStreams() > 0 && drainCtx.Err() == nil {
-		sleep(drainCtx, drainCheckInterval)
+		sleep.For(drainCtx, drainCheckInterval)
 	}
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -126,7 +127,7 @@
 		case <-s.quotas.changed:
 		case <-s.fwd.ServerLimits().Changed():
 		}
-		sleep(ctx, datagramBatchInterval)
+		sleep.For(ctx, datagramBatchInterval)
 		update := &peer.Placement{
 			Shares: encodeShares(s.fwd.TakeChangedPlacements()), Usages: s.quotas.report(true), Failures: encodeFailures(s.fwd.TakeFailures()),
 			ServerLimits: encodeServerLimits(s.fwd.ServerLimits().Report(true), time.Now()), LeavingServers: s.view.leaving.takeUpdates(),
--- a/gateway/proofs.go
+++ b/gateway/proofs.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscusspur/hibiscusspur/clock"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/policy/freshness"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -166,14 +167,14 @@
 			failures = 0
 			continue
 		}
-		sleep(ctx, s.nextStoreRetry(failures))
+		sleep.For(ctx, s.nextStoreRetry(failures))
 	}
 }
 
 // proofDue waits until a proof is due, or for a short while, and reports whether one is.
 func (s *Service) proofDue(ctx context.Context) bool {
 	if !s.requiresKeys() {
-		sleep(ctx, proofInterval)
+		sleep.For(ctx, proofInterval)
 		return false
 	}
 	maxAge := fallbackProofAge
@@ -223,7 +224,7 @@
 func (s *Service) requestPeerProofs(ctx context.Context) {
 	refused := false
 	for ctx.Err() == nil {
-		sleep(ctx, peerProofInterval)
+		sleep.For(ctx, peerProofInterval)
 		age, known := s.proofs.age()
 		if s.requiresKeys() && (!known || age >= peerProofAge) {
 			s.peers.QueryPeers()
--- a/gateway/proofs_test.go
+++ b/gateway/proofs_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/policy/freshness"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -92,10 +93,10 @@
 	lost := o.lost
 	o.mu.Unlock()
 	if lost {
-		sleep(ctx, lostCallTimeout)
+		sleep.For(ctx, lostCallTimeout)
 		return store.ErrUnavailable
 	}
-	sleep(ctx, storeLatency)
+	sleep.For(ctx, storeLatency)
 	return ctx.Err()
 }
 
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -119,7 +120,7 @@
 // refreshQuotas checks for gateways that have become unresponsive, until ctx ends.
 func (s *Service) refreshQuotas(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, limit.MemberCheckInterval)
+		sleep.For(ctx, limit.MemberCheckInterval)
 		s.quotas.refresh(s.peers.ExchangeInterval())
 		s.fwd.ServerLimits().CheckMembers(s.view.Routers(), s.peers.ExchangeInterval())
 	}
--- a/gateway/restored_replay_test.go
+++ b/gateway/restored_replay_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -63,7 +64,7 @@
 
 // Servers implements Store.
 func (c *copiedStoreClient) Servers(ctx context.Context) (registry.Snapshot, store.Position, error) {
-	sleep(ctx, storeLatency)
+	sleep.For(ctx, storeLatency)
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	c.mu.Lock()
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fencing"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/stages"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -39,7 +40,7 @@
 // plans; the lease prevents two gateways that can't reach each other from both giving orders.
 func (s *Service) planStages(ctx context.Context) {
 	planners := map[string]*stages.Planner{}
-	sleep(ctx, planWarmup)
+	sleep.For(ctx, planWarmup)
 	for ctx.Err() == nil {
 		now := time.Now()
 		s.view.expire(now)
@@ -57,7 +58,7 @@
 				s.planService(ctx, p, service, now)
 			}
 		}
-		sleep(ctx, planInterval)
+		sleep.For(ctx, planInterval)
 	}
 }
 
@@ -81,7 +82,7 @@
 			if !errors.Is(err, fencing.ErrHeld) {
 				event.StageFailed.Log(s.log).Str("server", m.Server.ID).Str("to", m.To.String()).Int64("fence", fence).Err(err).Msg("")
 			}
-			sleep(ctx, planInterval)
+			sleep.For(ctx, planInterval)
 			break
 		}
 		p.RecordMove(m, now)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 )
@@ -27,7 +28,7 @@
 		return
 	}
 	s.work.Go(func() { s.announceSuspects(ctx) })
-	wait := func(failures int) { sleep(ctx, s.nextStoreRetry(failures)) }
+	wait := func(failures int) { sleep.For(ctx, s.nextStoreRetry(failures)) }
 	s.work.Go(func() {
 		dep := &dependency{s: s, what: "holds"}
 		s.guard.Follow(ctx, s.holds, dep.record, wait)
@@ -47,10 +48,10 @@
 			return
 		case <-s.guard.Updates():
 		}
-		sleep(ctx, datagramBatchInterval)
+		sleep.For(ctx, datagramBatchInterval)
 		s.peers.Broadcast(&peer.Placement{Suspects: s.guard.Recent(recentSuspectAge)})
 		s.peers.Spread()
-		sleep(ctx, suspectRepeatInterval)
+		sleep.For(ctx, suspectRepeatInterval)
 		s.peers.Broadcast(&peer.Placement{Suspects: s.guard.Recent(recentSuspectAge)})
 	}
 }
--- a/load/capacity/change.go
+++ b/load/capacity/change.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load/lab"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 )
@@ -93,7 +94,7 @@
 		}
 	}
 	waitFor(ctx, linkTimeout, func() bool { return f.segs.connections() == n*changeEntries })
-	sleep(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	if connected, err = r.changeSeries(ctx, l, f, w, otherRelay); err != nil {
 		return nil, nil, err
 	}
@@ -110,7 +111,7 @@
 	var out []changeCost
 	for i := range count {
 		// Varies the phase of the commits relative to the polls.
-		sleep(ctx, time.Duration(i)*170*time.Millisecond)
+		sleep.For(ctx, time.Duration(i)*170*time.Millisecond)
 		c, err := measureChange(ctx, l, f, w, otherRelay)
 		if err != nil {
 			return nil, err
@@ -138,7 +139,7 @@
 		return c, merry.Errorf("revision %d is not applied everywhere after %s", w.store.head, changeTimeout)
 	}
 	c.applyTime = time.Since(start)
-	sleep(ctx, confirmTime)
+	sleep.For(ctx, confirmTime)
 	after := w.store.calls()
 	c.linkBytes, c.storeBytes = bytes()-links, stored()-relayed
 	c.reads = float64(after.table.Reads - before.table.Reads)
--- a/load/capacity/farm.go
+++ b/load/capacity/farm.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/link"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/sidecar"
@@ -116,20 +117,9 @@
 func waitFor(ctx context.Context, limit time.Duration, cond func() bool) bool {
 	deadline := time.Now().Add(limit)
 	for !cond() {
-		if time.Now().After(deadline) || !sleep(ctx, pollInterval) {
+		if time.Now().After(deadline) || !sleep.For(ctx, pollInterval) {
 			return false
 		}
 	}
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/load/capacity/idle.go
+++ b/load/capacity/idle.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/entry"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load/lab"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/sidecar"
@@ -162,11 +163,11 @@
 
 // sampleWindow takes a sample after the settling time and another after the window.
 func (r *runner) sampleWindow(ctx context.Context, take func() (sample, error)) (before, after sample, err error) {
-	sleep(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	if before, err = take(); err != nil {
 		return before, after, err
 	}
-	sleep(ctx, r.idleWindow())
+	sleep.For(ctx, r.idleWindow())
 	after, err = take()
 	return before, after, err
 }
--- a/load/capacity/load.go
+++ b/load/capacity/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/engine"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load"
 	"github.com/hibiscusspur/hibiscusspur/load/lab"
 	"github.com/hibiscusspur/hibiscusspur/sidecar"
@@ -250,7 +251,7 @@
 		if res.Verdict.Completed() {
 			return nil
 		}
-		if time.Now().After(deadline) || !sleep(ctx, 10*pollInterval) {
+		if time.Now().After(deadline) || !sleep.For(ctx, 10*pollInterval) {
 			return merry.Errorf("entry does not serve: %s %s", res.Verdict, res.Reason)
 		}
 	}
--- a/load/capacity/platformidle.go
+++ b/load/capacity/platformidle.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/hibiscusspur/hibiscusspur/entry"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load/lab"
 	standin "github.com/hibiscusspur/hibiscusspur/standin/platform"
 	"github.com/hibiscusspur/hibiscusspur/store/memory"
@@ -44,9 +45,9 @@
 				return s, err
 			}
 		}
-		sleep(ctx, settleTime/3)
+		sleep.For(ctx, settleTime/3)
 		before := w.store.calls()
-		sleep(ctx, r.idleWindow()/2)
+		sleep.For(ctx, r.idleWindow()/2)
 		after := w.store.calls()
 		t := after.at.Sub(before.at).Seconds()
 		s.add("table reads", "1/s", "entries", float64(n), float64(after.table.Reads-before.table.Reads)/t)
--- a/load/lab/apply.go
+++ b/load/lab/apply.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/hibiscusspur/hibiscusspur/contract"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load"
 )
 
@@ -121,7 +122,7 @@
 		if p := l.exitedProcess(); p != nil {
 			return merry.Errorf("%s exited: %s", p.name, p.tail(3))
 		}
-		if !sleep(ctx, readyInterval) {
+		if !sleep.For(ctx, readyInterval) {
 			return merry.Errorf("no answer from %s: %w", url, ctx.Err())
 		}
 	}
@@ -152,15 +153,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // awaitServing sends requests of every class to every entry until one of each class
 // completes.
 func (l *Lab) awaitServing(ctx context.Context) error {
@@ -192,7 +184,7 @@
 		if p := l.exitedProcess(); p != nil {
 			return merry.Errorf("%s exited: %s", p.name, p.tail(3))
 		}
-		if !sleep(ctx, serveInterval) {
+		if !sleep.For(ctx, serveInterval) {
 			return merry.Errorf("class %s is not served: %s %s", class.ID(), res.Verdict, res.Reason)
 		}
 	}
--- a/load/lab/check.go
+++ b/load/lab/check.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/engine"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/invariant"
 	"github.com/hibiscusspur/hibiscusspur/load"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
@@ -75,7 +76,7 @@
 	const left = "left"
 	c.recorder.Add(invariant.Event{Kind: invariant.RequestSent, Request: left})
 	c.recorder.Add(invariant.Event{Kind: invariant.CallerGone, Request: left})
-	sleep(ctx, invariant.DefaultBounds().Memory+time.Second)
+	sleep.For(ctx, invariant.DefaultBounds().Memory+time.Second)
 	for _, e := range l.Engines {
 		var runs []engine.Run
 		if e.proc.exited() {
--- a/load/lab/experiment.go
+++ b/load/lab/experiment.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load"
 	"github.com/hibiscusspur/hibiscusspur/standin/engine"
 )
@@ -136,6 +137,6 @@
 
 // finalCounters reads the counters after the remaining KV caches have expired.
 func (l *Lab) finalCounters(ctx context.Context) map[string]engine.Counters {
-	sleep(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	return l.Counters(ctx)
 }
--- a/load/lab/fault.go
+++ b/load/lab/fault.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/load"
 	"github.com/hibiscusspur/hibiscusspur/standin/fault"
 	"github.com/hibiscusspur/hibiscusspur/standin/platform"
@@ -94,13 +95,13 @@
 
 // inject switches the fault on and off at its times.
 func (s Scenario) inject(ctx context.Context, l *Lab, p load.Phases) error {
-	if s.Begin == nil || (!s.WholeRun && !sleep(ctx, p.Begin)) {
+	if s.Begin == nil || (!s.WholeRun && !sleep.For(ctx, p.Begin)) {
 		return nil
 	}
 	if err := s.Begin(ctx, l); err != nil {
 		return err
 	}
-	if s.End == nil || !sleep(ctx, p.End-p.Begin) {
+	if s.End == nil || !sleep.For(ctx, p.End-p.Begin) {
 		return nil
 	}
 	return s.End(ctx, l)
--- a/load/runner.go
+++ b/load/runner.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 )
 
 // prepareAhead is how many requests are prepared before they are due.
@@ -42,7 +44,7 @@
 	start := time.Now()
 	for i, a := range arrivals {
 		req := <-ready
-		if req == nil || !sleepUntil(ctx, start.Add(a.At)) {
+		if req == nil || !sleep.For(ctx, time.Until(start.Add(a.At))) {
 			results = results[:i]
 			break
 		}
@@ -79,18 +81,3 @@
 	}()
 	return ready
 }
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/operator/compact.go
+++ b/operator/compact.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/dissemination"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -161,8 +162,8 @@
 		default:
 			return err
 		}
-		if err := sleep(ctx, opts.Interval); err != nil {
-			return err
+		if !sleep.For(ctx, opts.Interval) {
+			return ctx.Err()
 		}
 	}
 }
@@ -188,14 +189,3 @@
 	begin, err = dissemination.LogBegin(ctx, o.table)
 	return h.Revision, begin, err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/operator/wait.go
+++ b/operator/wait.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 )
 
 // waitInterval is the interval at which Wait reads the confirmations.
@@ -65,7 +67,7 @@
 		if ctx.Err() == nil {
 			unconfirmed.Cause = err
 		}
-		if sleep(ctx, waitInterval) != nil {
+		if !sleep.For(ctx, waitInterval) {
 			return nil, unconfirmed
 		}
 	}
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -7,6 +7,7 @@
 	"github.com/hibiscusspur/hibiscusspur/engine"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/admission"
 	"github.com/hibiscusspur/hibiscusspur/wire"
@@ -239,7 +240,7 @@
 		s.adm.wake()
 	}
 	s.begin(r, func(w *worker) {
-		if w.sleep(d.Wait) {
+		if sleep.For(w.ctx, d.Wait) {
 			w.decode(m)
 		}
 	})
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -53,21 +53,6 @@
 	w.s.triggerSweep()
 }
 
-// sleep waits for d; it returns false if the run was abandoned meanwhile.
-func (w *worker) sleep(d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-w.ctx.Done():
-		return false
-	}
-}
-
 // enginePriority converts an urgency, where the lowest goes first, into an engine
 // priority, where the highest goes first.
 func enginePriority(t *wire.Terms) int {
