overload, eligibility: what nothing but tests used is gone

MarshalText of three types had none. cooldown's Condition goes by Remaining, so that the end of a cooldown is decided once. The page for operators must name each reason (TestPageNamesReasons). No behaviour changes.

--- a/policy/cooldown/cooldown.go
+++ b/policy/cooldown/cooldown.go
@@ -46,8 +46,8 @@
 
 // Condition returns the cooldown of a server, and whether there is one.
 func (c *Cooldowns) Condition(id string, now time.Time) (eligibility.Condition, bool) {
-	p, ok := c.servers[id]
-	return eligibility.Condition{Reason: eligibility.Cooldown, Author: eligibility.Server, Since: p.since, Until: p.until}, ok && now.Before(p.until)
+	p := c.servers[id]
+	return eligibility.Condition{Reason: eligibility.Cooldown, Author: eligibility.Server, Since: p.since, Until: p.until}, c.Remaining(id, now) > 0
 }
 
 // Forget drops cooldowns that are over, and servers for which known returns false.
--- a/policy/eligibility/eligibility.go
+++ b/policy/eligibility/eligibility.go
@@ -42,9 +42,6 @@
 // String returns the name of a.
 func (a Author) String() string { return authorNames[a] }
 
-// MarshalText implements encoding.TextMarshaler.
-func (a Author) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
-
 // Effect is what a condition means for choosing its server.
 type Effect uint8
 
@@ -65,9 +62,6 @@
 // String returns the name of e.
 func (e Effect) String() string { return effectNames[e] }
 
-// MarshalText implements encoding.TextMarshaler.
-func (e Effect) MarshalText() ([]byte, error) { return []byte(e.String()), nil }
-
 // Reason is why a condition holds. It determines the effect.
 type Reason uint8
 
@@ -137,9 +131,6 @@
 // String returns the name of r, as shown to operators and used in metrics.
 func (r Reason) String() string { return reasonRows[r].name }
 
-// MarshalText implements encoding.TextMarshaler.
-func (r Reason) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
-
 // Effect returns the effect of conditions with this reason.
 func (r Reason) Effect() Effect { return reasonRows[r].effect }
 
--- a/policy/eligibility/eligibility_test.go
+++ b/policy/eligibility/eligibility_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +42,15 @@
 	}
 }
 
+// TestPageNamesReasons checks that the page for operators explains each reason.
+func TestPageNamesReasons(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for _, r := range Reasons() {
+		assert.Assert(t, strings.Contains(string(page), "`"+r.String()+"`"), "%s", r)
+	}
+}
+
 // TestLastEndDecides checks, for each pair of reasons that exclude a server, that the one that ends last decides, and
 // that one without a known end does so before all others.
 func TestLastEndDecides(t *testing.T) {
--- a/policy/overload/overload.go
+++ b/policy/overload/overload.go
@@ -113,24 +113,13 @@
 	return min(s.share+recoveryRate*elapsed.Seconds(), maxShare)
 }
 
-// Admits reports whether a call may be sent to a server, with u a random number in [0, 1).
-func (l *Limiter) Admits(id string, pastObjective bool, u float64, now time.Time) bool {
-	return u < l.admittedShare(id, pastObjective, now)
-}
-
-// admittedShare is the share of calls to send to a server. Calls past their objective are
-// admitted less, in favor of those that can still meet it.
-func (l *Limiter) admittedShare(id string, pastObjective bool, now time.Time) float64 {
+// Condition returns that a server is to be sent only a share of the calls, and whether it is.
+// Calls past their objective are admitted less, in favor of those that can still meet it.
+func (l *Limiter) Condition(id string, pastObjective bool, now time.Time) (eligibility.Condition, bool) {
 	share := l.server(id).shareAt(now)
 	if pastObjective {
 		share = 2*share - 1
 	}
-	return share
-}
-
-// Condition returns that a server is sent only a share of the calls, and whether it is.
-func (l *Limiter) Condition(id string, pastObjective bool, now time.Time) (eligibility.Condition, bool) {
-	share := l.admittedShare(id, pastObjective, now)
 	return eligibility.Condition{Reason: eligibility.Overload, Author: eligibility.Router, Share: max(share, 0)}, share < 1
 }
 
--- a/policy/overload/overload_test.go
+++ b/policy/overload/overload_test.go
@@ -79,7 +79,7 @@
 	}
 	c := call{router: s.rng.IntN(routers), sent: now}
 	switch l := s.limiters[c.router]; {
-	case limited && !l.Admits("a", false, s.rng.Float64(), now):
+	case limited && !admits(l, "a", false, s.rng.Float64(), now):
 		s.rejected[second]++
 	case len(s.queued) >= queue:
 		l.Observe("a", overload.Outcome{Objective: objective, Rejected: true}, now)
@@ -149,6 +149,12 @@
 	assert.Equal(t, l.Share("a"), 1.0)
 }
 
+// admits reports whether a call is sent to a server, with u a random number in [0, 1).
+func admits(l *overload.Limiter, id string, pastObjective bool, u float64, now time.Time) bool {
+	c, reduced := l.Condition(id, pastObjective, now)
+	return !reduced || u < c.Share
+}
+
 // TestPastObjectiveIsAdmittedLess: under overload, calls past their objective are admitted less,
 // and none at a share of half or below.
 func TestPastObjectiveIsAdmittedLess(t *testing.T) {
@@ -158,8 +164,8 @@
 	}
 	share := l.Share("a")
 	assert.Assert(t, share > 0.4 && share < 0.5, "%g", share)
-	assert.Assert(t, l.Admits("a", false, share-0.01, start))
-	assert.Assert(t, !l.Admits("a", true, 0, start))
+	assert.Assert(t, admits(l, "a", false, share-0.01, start))
+	assert.Assert(t, !admits(l, "a", true, 0, start))
 }
 
 // TestIdleServerRecovers: a server that got no call for some time is tried again.
@@ -168,8 +174,8 @@
 	for i := range 200 {
 		l.Observe("a", overload.Outcome{Rejected: true}, start.Add(time.Duration(i)))
 	}
-	assert.Assert(t, !l.Admits("a", false, 0.5, start))
-	assert.Assert(t, l.Admits("a", false, 0.5, start.Add(4*time.Second)))
+	assert.Assert(t, !admits(l, "a", false, 0.5, start))
+	assert.Assert(t, admits(l, "a", false, 0.5, start.Add(4*time.Second)))
 	l.Forget(func(string) bool { return false })
 	assert.Equal(t, l.Share("a"), 1.0)
 }
@@ -177,7 +183,7 @@
 func ExampleLimiter() {
 	l := overload.New()
 	l.Observe("i-1", overload.Outcome{Took: 40 * time.Millisecond, Objective: objective}, start)
-	fmt.Println(l.Admits("i-1", false, 0.99, start))
+	fmt.Println(admits(l, "i-1", false, 0.99, start))
 	// Output: true
 }
 
@@ -192,7 +198,8 @@
 	c, ok := l.Condition("a", false, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, c.Reason, eligibility.Overload)
-	assert.Assert(t, l.Admits("a", false, c.Share-0.001, start) && !l.Admits("a", false, c.Share, start))
+	assert.Assert(t, c.Share > 0 && c.Share < 1, "%v", c.Share)
+	assert.Equal(t, c.Share, l.Share("a"))
 	late, ok := l.Condition("a", true, start)
 	assert.Assert(t, ok)
 	assert.Assert(t, late.Share >= 0 && late.Share < c.Share, "%v", late.Share)
