forward: a stream without events has the head of its answer

A client that had received all events resumed behind the last one; the engine had nothing left to send. The head of the engine's answer was sent with the first event, so that the HTTP server sent a bare 200 in its place.

Change: the head is sent at the end of a whole answer that had no events.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -32,6 +32,10 @@
 	err := a.r.copyEvents(head, res)
 	f.observeOutcome(j, s, err == nil)
 	if err == nil {
+		if !j.started {
+			// A client that resumes may have received all events already.
+			f.head(j, head, 0)
+		}
 		f.recordSuccess(j)
 		f.observeHold(j, a.lease)
 		f.service(j.service).engines.finished(a.lease.run)
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -177,3 +178,15 @@
 	got := <-done
 	assert.Equal(t, got.body, whole)
 }
+
+// Guards against an answer without its server's stamp: a client that had received all events and resumes its stream got
+// an empty success without the head of the engine's answer, which was sent with the first event.
+func TestStreamWithoutEventsHasItsHead(t *testing.T) {
+	w := newEngineEnv(t)
+	a := w.post(t, "/resume/1", "Last-Event-Id", fmt.Sprint(site.Events))
+	assert.Equal(t, a.status, 200)
+	assert.Equal(t, a.body, "")
+	assert.Assert(t, !a.cut)
+	assert.Assert(t, a.header.Get(site.Stamp) != "", "%v", a.header)
+	assert.Equal(t, a.header.Get("Content-Type"), "text/event-stream")
+}
