entry: a prompt is copied for its digest only when the digest is needed

The content of each request was built with a copy of the prompt, though its digest is needed only while a request is suspected or after a loss. Now it is built on first use, once (TestContentIsComputedOnce counts). A call's path with its query is joined once.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -44,8 +44,9 @@
 		return
 	}
 	path := servicePath(hr)
-	work := content{request: fingerprint.Request{
-		Caller: c.contract.Customer, Method: hr.Method, Host: name, Target: withQuery(path, hr.URL.RawQuery), Body: body,
+	target := withQuery(path, hr.URL.RawQuery)
+	work := content{request: func() fingerprint.Request {
+		return fingerprint.Request{Caller: c.contract.Customer, Method: hr.Method, Host: name, Target: target, Body: body}
 	}}
 	if out, held := s.quarantined(&work); held {
 		s.refuseRequest(w, c.contract.Brand, out, "")
@@ -67,7 +68,7 @@
 		template: &wire.Call{
 			Service: name,
 			Method:  hr.Method,
-			Path:    withQuery(path, hr.URL.RawQuery),
+			Path:    target,
 			Headers: forwardedHeaders(hr.Header, w.Header().Get(requestIDHeader)),
 			Body:    body,
 		},
--- a/entry/end_test.go
+++ b/entry/end_test.go
@@ -35,11 +35,15 @@
 // TestContentIsComputedOnce: the digest is that of the request, and differs between customers.
 func TestContentIsComputedOnce(t *testing.T) {
 	r := fingerprint.Request{Caller: "woods", Target: "model", Body: []byte("prompt")}
-	c := content{request: r}
+	calls := 0
+	c := content{request: func() fingerprint.Request {
+		calls++
+		return r
+	}}
 	first := c.get()
 	assert.Equal(t, first, fingerprint.Of(r))
-	c.request.Body = nil
 	assert.Equal(t, c.get(), first)
+	assert.Equal(t, calls, 1)
 	r.Caller = "another"
 	assert.Assert(t, fingerprint.Of(r) != first)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -257,9 +257,11 @@
 		promptTokens:   engine.EstimateTokens(m.prompt),
 		prefixHashes:   engine.PrefixHashes(m.prompt),
 		maxTokens:      m.maxTokens,
-		content:        content{request: fingerprint.Request{Caller: c.contract.Customer, Method: hr.Method, Target: m.model, Body: []byte(m.prompt)}},
-		start:          now,
-		deadline:       now.Add(class.Deadline),
+		content: content{request: func() fingerprint.Request {
+			return fingerprint.Request{Caller: c.contract.Customer, Method: hr.Method, Target: m.model, Body: []byte(m.prompt)}
+		}},
+		start:    now,
+		deadline: now.Add(class.Deadline),
 	}
 }
 
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -28,9 +28,9 @@
 	suspectBatchInterval = 2 * time.Millisecond
 	// recentSuspectAge is how old an observation may be in such a frame.
 	recentSuspectAge = time.Second
-	// keepersShare is the reciprocal of the chance with which an entry also writes the holds of others, and removes
-	// ended ones, when it checks its own, twice a second: one entry suffices.
-	keepersShare = 20
+	// othersOneIn is how rarely an entry also writes the holds of others, and removes ended ones, when it checks its own
+	// twice a second: once in so many checks, at random, since one entry suffices.
+	othersOneIn = 20
 	// quarantineSweepInterval is the interval at which outdated observations are dropped.
 	quarantineSweepInterval = 10 * time.Second
 )
@@ -51,7 +51,7 @@
 	s.work.Go(func() { s.announceSuspects(ctx) })
 	s.work.Go(func() { s.quarantine.Follow(ctx, table, report, backOff) })
 	s.work.Go(func() {
-		s.quarantine.Persist(ctx, table, func() bool { return rand.N(keepersShare) == 0 }, report, backOff)
+		s.quarantine.Persist(ctx, table, func() bool { return rand.N(othersOneIn) == 0 }, report, backOff)
 	})
 	s.work.Go(func() {
 		for ctx.Err() == nil {
@@ -90,14 +90,15 @@
 
 // content computes the digest of a request when it is first needed.
 type content struct {
-	request  fingerprint.Request
+	// request is called once at most.
+	request  func() fingerprint.Request
 	computed bool
 	digest   fingerprint.Digest
 }
 
 func (c *content) get() fingerprint.Digest {
 	if !c.computed {
-		c.digest, c.computed = fingerprint.Of(c.request), true
+		c.digest, c.computed = fingerprint.Of(c.request()), true
 	}
 	return c.digest
 }
