--- a/cmd/hibiscusspur/gatewayreport.go
+++ b/cmd/hibiscusspur/gatewayreport.go
@@ -27,8 +27,8 @@
 
 // showReport validates the flags and shows the report at a path: with write, or as JSON.
 func showReport[T any](cmd *cobra.Command, r *gatewayReport, path string, write func(io.Writer, T) error) error {
-	if r.format != formatText && r.format != formatJSON {
-		return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", r.format)
+	if err := checkFormat(r.format); err != nil {
+		return err
 	}
 	if _, err := netip.ParseAddrPort(r.gateway); err != nil {
 		return merry.Appendf(operator.ErrInput, "--gateway must be ip:port, is %q", r.gateway)
--- a/cmd/hibiscusspur/held.go
+++ b/cmd/hibiscusspur/held.go
@@ -54,8 +54,8 @@
 
 // with validates the flags and runs f on the table of quarantined requests.
 func (d *heldDriver) with(ctx context.Context, f func(context.Context, store.Table) error) error {
-	if d.format != formatText && d.format != formatJSON {
-		return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", d.format)
+	if err := checkFormat(d.format); err != nil {
+		return err
 	}
 	if ctx == nil {
 		ctx = context.Background()
--- a/cmd/hibiscusspur/operator.go
+++ b/cmd/hibiscusspur/operator.go
@@ -26,6 +26,14 @@
 	formatJSON = "json"
 )
 
+// checkFormat returns an error that names the flag unless format is an output format.
+func checkFormat(format string) error {
+	if format == formatText || format == formatJSON {
+		return nil
+	}
+	return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", format)
+}
+
 // driver runs the operator commands: it has their shared flags and opens the operator.
 type driver struct {
 	platform string
@@ -66,8 +74,8 @@
 }
 
 func (d *driver) open(f func(*operator.Operator) error) error {
-	if d.format != formatText && d.format != formatJSON {
-		return merry.Appendf(operator.ErrInput, "--output must be text or json, is %q", d.format)
+	if err := checkFormat(d.format); err != nil {
+		return err
 	}
 	set, err := d.load()
 	if err != nil {
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -154,8 +154,10 @@
 		if p == nil {
 			return nil, t.conclude(outcome.Refuse(outcome.NoBackend, noBackendRetryAfter))
 		}
-		if out, held := s.quarantined(&r.content); held && n > 1 {
-			return nil, t.conclude(out)
+		if n > 1 {
+			if out, held := s.quarantined(&r.content); held {
+				return nil, t.conclude(out)
+			}
 		}
 		e := end{backend: p.backend.ID, incarnation: p.incarnation()}
 		reply, out := s.tryCall(ctx, r, p, n, &e.engineLosses)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -116,7 +116,8 @@
 type end struct {
 	outcome outcome.Outcome
 	backend string
-	// incarnation is that of the sidecar when the attempt began.
+	// incarnation is that of the sidecar: of a decode server or service when the attempt began, of a prefill server when
+	// it ended the attempt.
 	incarnation string
 	// engineLosses is the sidecar's number of the loss of its engine that ended the attempt; zero if none did.
 	engineLosses uint32
--- a/policy/cooldown/cooldown.go
+++ b/policy/cooldown/cooldown.go
@@ -24,6 +24,9 @@
 // period is from when until when a server is to be sent nothing.
 type period struct{ since, until time.Time }
 
+// left is the rest of the period; zero if it is over.
+func (p period) left(now time.Time) time.Duration { return max(p.until.Sub(now), 0) }
+
 // New returns empty Cooldowns.
 func New() *Cooldowns { return &Cooldowns{servers: map[string]period{}} }
 
@@ -41,18 +44,18 @@
 
 // Remaining returns how long a server is still to be sent nothing; zero if it has no cooldown.
 func (c *Cooldowns) Remaining(id string, now time.Time) time.Duration {
-	return max(c.servers[id].until.Sub(now), 0)
+	return c.servers[id].left(now)
 }
 
 // Condition returns the cooldown of a server, and whether there is one.
 func (c *Cooldowns) Condition(id string, now time.Time) (eligibility.Condition, bool) {
 	p := c.servers[id]
-	return eligibility.Condition{Reason: eligibility.Cooldown, Author: eligibility.Server, Since: p.since, Until: p.until}, c.Remaining(id, now) > 0
+	return eligibility.Condition{Reason: eligibility.Cooldown, Author: eligibility.Server, Since: p.since, Until: p.until}, p.left(now) > 0
 }
 
 // Forget drops cooldowns that are over, and servers for which known returns false.
 func (c *Cooldowns) Forget(known func(id string) bool, now time.Time) {
-	maps.DeleteFunc(c.servers, func(id string, p period) bool { return !known(id) || !now.Before(p.until) })
+	maps.DeleteFunc(c.servers, func(id string, p period) bool { return !known(id) || p.left(now) == 0 })
 }
 
 // Len returns the number of cooldowns held.
