exclusion: engines at which every request fails get nothing but trial requests

Cause: engines that answer everything with 500 look empty.

Change: policy/exclusion excludes an engine when requests of at least two gateways failed there in a row, more than a working engine would fail at the learned failure rate (1 in 1,000). One gateway at a time sends a trial request, preferably of a repeatable route, and the first success ends the exclusion at all gateways. At most a third of the engines of a service and stage is excluded; reports of a gateway that fails everywhere are divided among the engines that it reports.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -53,6 +53,8 @@
 	servers []string
 	// reserved are rate-limited servers at which one send is already counted for the request.
 	reserved []string
+	// trials are excluded engines to which the request is sent as a trial.
+	trials []string
 	// cachedDigest is the request's digest once it has been computed.
 	cachedDigest *fingerprint.Digest
 	// lastActivity is when a server was last sent the request, or last sent part of its answer.
@@ -217,7 +219,7 @@
 // attemptFailed records why server s does not answer a request that was sent to it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
 	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
-	f.engineFailed(s, reason)
+	f.engineFailed(s, reason, err)
 	if err != nil && f.attempts.hasTerminated(s.ID) {
 		err = errors.Join(errIncarnationTerminated, err)
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -33,6 +33,8 @@
 	errTooLarge = errors.New("answer too large")
 	errNotRun   = errors.New("refused by the server")
 	errFailed   = errors.New("failed by the server")
+	// errRequestInvalid is the error of an answer that blames the request, as opposed to the server.
+	errRequestInvalid = errors.New("the server says that the request is invalid")
 	// errCooldownRequested accompanies errNotRun if the server says for how long it wants no requests.
 	errCooldownRequested = errors.New("the server asked for a cooldown")
 )
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -27,21 +27,35 @@
 	return v
 }
 
-// engineConditions calls add with the conditions of an engine, of either stage, except those that its placement tracks.
-func (f *Forwarder) engineConditions(id string, now time.Time, add func(eligibility.Condition)) {
+// engineConditions calls add with the conditions of an engine, of either stage, except those that its placement tracks,
+// for a request that may or may not be repeated. A trial request is sent to an excluded engine although failures there
+// are known.
+func (f *Forwarder) engineConditions(id string, repeatable bool, now time.Time, add func(eligibility.Condition)) {
 	f.declaredConditions(id, now, add)
+	c, ok, trial := f.exclusions.condition(id, repeatable, now)
+	if ok {
+		add(c)
+	}
+	if trial {
+		return
+	}
 	if c, ok := f.suspicions.condition(id, now); ok {
 		add(c)
 	}
 }
 
-// engineVerdict is the verdict on an engine; it implements eligibility.Verdicts.
-func (f *Forwarder) engineVerdict(id string, now time.Time) eligibility.Verdict {
-	v := eligibility.NewVerdict()
-	f.engineConditions(id, now, func(c eligibility.Condition) { v.Add(c, now) })
-	return v
+// engineVerdicts returns the verdicts on engines for a request that may or may not be repeated.
+func (f *Forwarder) engineVerdicts(repeatable bool) eligibility.Verdicts {
+	return func(id string, now time.Time) eligibility.Verdict {
+		v := eligibility.NewVerdict()
+		f.engineConditions(id, repeatable, now, func(c eligibility.Condition) { v.Add(c, now) })
+		return v
+	}
 }
 
+// retryLeft reports whether a stream may be sent to another engine after a failure.
+func (j *job) retryLeft() bool { return j.route.Repeatable() && j.sends+1 < j.route.Attempts }
+
 // callConditions calls add with the conditions of a server of a plain service, for a request that is or is not a
 // client's retry. The caller holds mu.
 func (f *Forwarder) callConditions(s *service, id string, retried bool, now time.Time, add func(eligibility.Condition)) {
@@ -74,7 +88,12 @@
 		f.callConditions(s, c.ID, false, now, add)
 		return out
 	}
-	f.engineConditions(c.ID, now, add)
+	f.engineConditions(c.ID, true, now, add)
+	if excluded, _, trial := f.exclusions.condition(c.ID, true, now); trial {
+		// The exclusion holds, for all requests but one, until that has succeeded.
+		excluded.Until = time.Time{}
+		add(excluded)
+	}
 	if c.Stage == registry.Prefill {
 		s.prefillPool.Conditions(c.ID, now, add)
 	} else {
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -53,10 +53,19 @@
 	quarantined func() bool
 	// reserve takes one request from the rate limit that an engine has declared.
 	reserve func(id string) bool
+	// verdicts are those on the engines for this request; nil for those of the service.
+	verdicts eligibility.Verdicts
 	// engine receives the ID of the engine to use, or the empty string if the request need not wait any more.
 	engine chan string
 }
 
+func (q queueEntry) verdictsOr(other eligibility.Verdicts) eligibility.Verdicts {
+	if q.verdicts == nil {
+		return other
+	}
+	return q.verdicts
+}
+
 func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, verdicts eligibility.Verdicts, notify func()) *engines {
 	return &engines{
 		list: list, verdicts: verdicts,
@@ -198,7 +207,7 @@
 			var ok bool
 			entry := e.entries[w]
 			id, ok = e.memory.Pick(kvmemory.Request{
-				Run: entry.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Verdicts: e.verdicts,
+				Run: entry.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Verdicts: entry.verdictsOr(e.verdicts),
 			}, now)
 			return ok && entry.reserve(id)
 		}, overtakeLimit, now)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -64,6 +64,8 @@
 	interrupted *interrupted
 	// suspicions tracks engines at which requests have recently failed.
 	suspicions *suspicions
+	// exclusions tracks engines at which every request fails.
+	exclusions *exclusions
 	// limits are the request rates that servers declare, invalidFields the fields of their answers that can't be
 	// parsed.
 	limits        *ServerLimits
@@ -104,10 +106,11 @@
 func New(c Config) *Forwarder {
 	f := &Forwarder{
 		Config: c, services: map[string]*service{}, placementChanged: make(chan struct{}, 1), attempts: newAttempts(),
-		interrupted: newInterrupted(), suspicions: newSuspicions(c.VM), limits: newServerLimits(c.VM), invalidFields: &invalidFields{byServer: map[string]string{}}, cooldowns: newCooldowns(),
+		interrupted: newInterrupted(), suspicions: newSuspicions(c.VM), exclusions: newExclusions(c.VM), limits: newServerLimits(c.VM), invalidFields: &invalidFields{byServer: map[string]string{}}, cooldowns: newCooldowns(),
 	}
 	c.Engines.OnSignals(f.receiveSignals)
 	c.Metrics.GaugeFunc(metrics.ServersLimited, f.limits.count.Load)
+	c.Metrics.GaugeFunc(metrics.EnginesExcluded, f.exclusions.excluded.Load)
 	return f
 }
 
@@ -170,7 +173,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), retryDetectors: map[string]*waitqueue.RetryDetector{},
-			prefillPool: prefillpool.New(prefillConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.engineVerdict, f.notifyPlacementChanged),
+			prefillPool: prefillpool.New(prefillConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, func() []registry.Server { return f.View.Servers(name) }, f.engineVerdicts(false), f.notifyPlacementChanged),
 		}
 		f.services[name] = s
 	}
@@ -313,6 +316,7 @@
 	f.limits.forget(known)
 	f.invalidFields.forget(known)
 	f.cooldowns.forget(known)
+	f.forgetExclusions(known)
 	table := f.View.Table()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -64,11 +64,15 @@
 	s := f.service(j.service)
 	req := prefillpool.Request{
 		Tokens: j.meta.PromptTokens, Zone: l.server.Zone, SlotLoad: s.engines.slotLoad(l.server.ID), Exclude: tried,
-		Memory: j.table.Services[j.service].Engine.KVTokens, Verdicts: f.engineVerdict,
+		Memory: j.table.Services[j.service].Engine.KVTokens, Verdicts: f.engineVerdicts(len(tried)+1 < maxPrefillTries),
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.prefillPool.Pick(servers, req, time.Now())
+	c, ok := s.prefillPool.Pick(servers, req, time.Now())
+	if ok {
+		f.beginTrial(j, c.Server.ID)
+	}
+	return c, ok
 }
 
 // runPrefill sends the prompt to one prefill engine.
@@ -83,7 +87,7 @@
 	took := time.Since(start)
 	j.prefillTime += took
 	if err == nil {
-		f.suspicions.succeeded(c.Server.ID)
+		f.engineSucceeded(c.Server, start)
 	}
 	f.prefillEnds(j, c, err, took)
 	return export, err
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -51,7 +51,7 @@
 		return nil, r.noServerLeft(why), false
 	}
 	for {
-		id, ok := e.await(ctx, r.waiter, queueEntry{run: r.run, quarantined: r.quarantined, reserve: r.reserveAt}, spec.KVTokens, spec.Slots)
+		id, ok := e.await(ctx, r.waiter, queueEntry{run: r.run, quarantined: r.quarantined, reserve: r.reserveAt, verdicts: f.engineVerdicts(j.retryLeft())}, spec.KVTokens, spec.Slots)
 		if !ok && ctx.Err() != nil {
 			return nil, j.unanswered(reasonOf(ctx)), false
 		}
@@ -69,8 +69,14 @@
 	}
 }
 
-// reserveAt takes one request from the rate limit that the engine has declared.
-func (r *stream) reserveAt(id string) bool { return r.f.reserveSend(r.j, id) }
+// reserveAt takes one request from the rate limit that the engine has declared, and begins a trial if it is excluded.
+func (r *stream) reserveAt(id string) bool {
+	if !r.f.reserveSend(r.j, id) {
+		return false
+	}
+	r.f.beginTrial(r.j, id)
+	return true
+}
 
 // allUnavailable reports whether there are untried decode engines but each has signalled that it takes nothing for
 // longer than the request can wait.
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -130,6 +130,10 @@
 	if c, ok := f.cooldowns.condition(id, now); ok {
 		v.Add(c, now)
 	}
+	// The engine may have been excluded since the request was placed there.
+	if c, ok, _ := f.exclusions.condition(id, j.retryLeft(), now); ok && !slices.Contains(j.trials, id) {
+		v.Add(c, now)
+	}
 	if v.Excluded {
 		return f.withheld(v.Reason)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -91,6 +91,7 @@
 	f, j := a.r.f, a.r.j
 	runCtx, end := f.attempts.begin(ctx, a.lease.server.ID)
 	defer end()
+	sent := time.Now()
 	head, res, err := a.start(runCtx)
 	if err != nil {
 		reason := f.reasonFor(ctx, err)
@@ -106,7 +107,7 @@
 	if head.Status != http.StatusOK {
 		return a.keepFailure(head, res)
 	}
-	f.suspicions.succeeded(a.lease.server.ID)
+	f.engineSucceeded(a.lease.server, sent)
 	return a.relay(ctx, head, res)
 }
 
@@ -179,10 +180,19 @@
 	if err == nil && !j.started {
 		a.r.failure = &answer{head: head, body: body}
 	}
-	a.r.f.attemptFailed(j, a.lease.server, outcome.EngineError, fmt.Errorf("status %d", head.Status))
+	a.r.f.attemptFailed(j, a.lease.server, outcome.EngineError, statusError(head.Status))
 	return j.unanswered(outcome.EngineError)
 }
 
+// statusError is the error of an answer with a status that is not a success.
+func statusError(status int) error {
+	err := fmt.Errorf("status %d", status)
+	if status < http.StatusInternalServerError {
+		return errors.Join(err, errRequestInvalid)
+	}
+	return err
+}
+
 // Release implements lifecycle.Attempt.
 func (a *streamAttempt) Release() {
 	if a.lease != nil {
--- a/forward/suspicions.go
+++ b/forward/suspicions.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,7 +35,6 @@
 		return false
 	}
 	s.count.Store(int64(s.tracker.Len()))
-	s.updates = append(s.updates, id)
 	return true
 }
 
@@ -45,6 +45,20 @@
 	s.count.Store(int64(s.tracker.Len()))
 }
 
+// clear forgets the failures at an engine.
+func (s *suspicions) clear(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Clear(id)
+}
+
+// report adds an engine to those whose failures are reported to the other gateways.
+func (s *suspicions) report(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updates = append(s.updates, id)
+}
+
 func (s *suspicions) succeeded(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,20 +83,41 @@
 	return out
 }
 
-// engineFailed records a failure of an engine, as opposed to a refusal, and reports it to the other gateways.
-func (f *Forwarder) engineFailed(s registry.Server, reason outcome.Reason) {
-	if s.Stage != registry.Whole && (reason == outcome.EngineLost || reason == outcome.EngineError) {
-		f.suspect(s)
+// engineFailed records a failure of an engine, as opposed to a refusal, and reports it to the other gateways. An error
+// that blames the request shows nothing about the engine.
+func (f *Forwarder) engineFailed(s registry.Server, reason outcome.Reason, err error) {
+	if s.Stage == registry.Whole || reason != outcome.EngineLost && reason != outcome.EngineError || errors.Is(err, errRequestInvalid) {
+		return
+	}
+	announce := f.exclusionFailed(s)
+	if f.suspected(s) || announce {
+		f.reportFailure(s)
 	}
 }
 
 // suspect makes this and the other gateways prefer other engines for a while.
 func (f *Forwarder) suspect(s registry.Server) {
-	if !f.Off.Has(mechanism.Suspicion) && f.suspicions.failed(s.ID) {
-		f.notifyPlacementChanged()
+	if f.suspected(s) {
+		f.reportFailure(s)
 	}
 }
 
+// suspected records a failure and returns whether to report it to the other gateways.
+func (f *Forwarder) suspected(s registry.Server) bool {
+	return !f.Off.Has(mechanism.Suspicion) && f.suspicions.failed(s.ID)
+}
+
+func (f *Forwarder) reportFailure(s registry.Server) {
+	f.suspicions.report(s.ID)
+	f.notifyPlacementChanged()
+}
+
+// engineSucceeded records that an engine runs, or has prefilled, a request that was sent at the given time.
+func (f *Forwarder) engineSucceeded(s registry.Server, sent time.Time) {
+	f.suspicions.succeeded(s.ID)
+	f.exclusionSucceeded(s.ID, sent)
+}
+
 // TakeFailures returns the engines at which requests failed here since the last call. PlacementChanged is signalled
 // when there are any.
 func (f *Forwarder) TakeFailures() []string { return f.suspicions.takeUpdates() }
@@ -92,4 +127,5 @@
 	if !f.Off.Has(mechanism.Suspicion) {
 		f.suspicions.reported(gateway, id)
 	}
+	f.exclusionReported(gateway, id)
 }
--- a/forward/suspicions_test.go
+++ b/forward/suspicions_test.go
@@ -61,3 +61,18 @@
 		})
 	}
 }
+
+// TestExcludedEnginesAreNoLastResort: an engine at which the requests of two gateways failed gets no request even if no
+// other has free memory, as opposed to one that is only suspected.
+func TestExcludedEnginesAreNoLastResort(t *testing.T) {
+	w := newEngineEnv(t)
+	assert.Equal(t, w.post(t, "/draft/1").status, 200)
+	before := len(w.log.Calls())
+	w.fwd.ReceiveFailure("g2", "d1")
+	w.fwd.ReceiveFailure("g3", "d1")
+	w.servers["d2"].SetFull(true)
+	assert.Equal(t, w.post(t, "/draft/2").status, 503)
+	for _, c := range w.log.Calls()[before:] {
+		assert.Check(t, c.Server != "d1", "%s", c.Kind)
+	}
+}
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -75,6 +75,15 @@
 	return out
 }
 
+func encodeEngineRefs(ids []string) []*peer.EngineRef {
+	out := make([]*peer.EngineRef, 0, len(ids))
+	for _, id := range ids {
+		incarnation := registry.ParseID(id)
+		out = append(out, &peer.EngineRef{Server: incarnation.Instance, Start: incarnation.Tag()})
+	}
+	return out
+}
+
 // encodeUsages returns nil if there is nothing to report.
 func encodeUsages(usages []limit.ReportedUsage, informed bool) *peer.Usages {
 	if len(usages) == 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -107,6 +107,12 @@
 	for _, failed := range p.GetFailures() {
 		s.fwd.ReceiveFailure(p.GetAddr(), s.view.incarnationID(failed.GetServer(), failed.GetStart()))
 	}
+	for _, e := range p.GetRecovered() {
+		s.fwd.ReceiveRecovered(p.GetAddr(), s.view.incarnationID(e.GetServer(), e.GetStart()))
+	}
+	for _, e := range p.GetTrials() {
+		s.fwd.ReceiveTrial(s.view.incarnationID(e.GetServer(), e.GetStart()))
+	}
 	if changed := s.peerLoads.receivePlacement(p, time.Now()); len(changed) > 0 {
 		s.fwd.SetPeerLoads(changed)
 	}
@@ -128,9 +134,11 @@
 		case <-s.fwd.ServerLimits().Changed():
 		}
 		sleep.For(ctx, datagramBatchInterval)
+		recovered, trials := s.fwd.TakeRecovered()
 		update := &peer.Placement{
 			Shares: encodeShares(s.fwd.TakeChangedPlacements()), Usages: s.quotas.report(true), Failures: encodeFailures(s.fwd.TakeFailures()),
 			ServerLimits: encodeServerLimits(s.fwd.ServerLimits().Report(true), time.Now()), LeavingServers: s.view.leaving.takeUpdates(),
+			Recovered: encodeEngineRefs(recovered), Trials: encodeEngineRefs(trials),
 		}
 		if proto.Size(update) > 0 {
 			s.peers.Broadcast(update)
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -58,6 +58,9 @@
 		{SendsWithheld, Counter},
 		{WithheldPrefix, Counter},
 		{CooldownsRequested, Counter},
+		{EnginesExcluded, Gauge},
+		{EngineExclusions, Counter},
+		{EngineTrials, Counter},
 		{ListReadingsDropped, Counter},
 		{StoreEra, Gauge},
 	}
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -47,6 +47,11 @@
 	ServersLimited = "servers_limited"
 	// CooldownsRequested counts rejections in which servers asked for a cooldown.
 	CooldownsRequested = "rests_asked"
+	// EnginesExcluded is the number of engines that get nothing but trial requests, since all requests fail there;
+	// EngineExclusions counts the exclusions, EngineTrials the trial requests of this process.
+	EnginesExcluded  = "engines_excluded"
+	EngineExclusions = "engine_exclusions"
+	EngineTrials     = "engine_trials"
 	// SendsWithheld counts requests that were not sent to the chosen server, since it had announced that it
 	// accepts no more.
 	SendsWithheld = "sends_held_back"
--- a/policy/eligibility/eligibility.go
+++ b/policy/eligibility/eligibility.go
@@ -87,6 +87,8 @@
 	Unresponsive
 	// ExportLost: an export of the engine could not be fetched.
 	ExportLost
+	// Unhealthy: requests of several routers failed at the engine and none succeeded since.
+	Unhealthy
 	// Overload: the server's answers are late, or it rejects requests for lack of capacity.
 	Overload
 	// Ejected: several requests in a row failed at the server.
@@ -113,6 +115,7 @@
 	Down:          {"down", Excluded},
 	Unresponsive:  {"unresponsive", Excluded},
 	ExportLost:    {"export_lost", Excluded},
+	Unhealthy:     {"unhealthy", Excluded},
 	Overload:      {"overload", Reduced},
 	Ejected:       {"ejected", LastResort},
 	Suspected:     {"suspected", LastResort},
--- a/policy/eligibility/eligibility_test.go
+++ b/policy/eligibility/eligibility_test.go
@@ -27,7 +27,7 @@
 // that the reasons are ordered by effect.
 func TestPrecedence(t *testing.T) {
 	reasons := Reasons()
-	assert.Equal(t, fmt.Sprint(reasons), "[leaving cooldown rate_limit invalid_entry address_reused stage_change down unresponsive export_lost "+
+	assert.Equal(t, fmt.Sprint(reasons), "[leaving cooldown rate_limit invalid_entry address_reused stage_change down unresponsive export_lost unhealthy "+
 		"overload ejected suspected failing]")
 	for i, first := range reasons {
 		for _, second := range reasons[i:] {
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -45,12 +45,17 @@
 	Quarantine
 	// Suspicion avoids engines at which other gateways observed failing requests.
 	Suspicion
+	// Exclusion sends nothing but trial requests to engines at which all requests fail.
+	Exclusion
+	// PromptReuse prefers the engine that prefilled a prompt when its request is sent again.
+	PromptReuse
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
+	"exclusion", "prompt-reuse",
 }
 
 // String returns the name of m as used in settings.
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// Clear records that an engine at which requests failed works again.
+func (t *Tracker) Clear(id string) { delete(t.engines, id) }
+
 // Suspected reports whether the router should prefer other engines to this one.
 func (t *Tracker) Suspected(id string, now time.Time) bool {
 	e, ok := t.engines[id]
