prefillpool: a prompt that is sent again returns to the engine that has it cached

Change: a request names the engines that have prefilled its prompt. The pool estimates from the tokens sent there since how much is still cached, and counts only the rest in the delay and the backlog. Time saved counts twice, since prefilling again delays other prompts. A prefill of a cached prompt is no evidence of the engine's rate or slowness. Mechanism `prompt-reuse`.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/prefillpool"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
@@ -53,6 +54,8 @@
 	servers []string
 	// reserved are rate-limited servers at which one send is already counted for the request.
 	reserved []string
+	// prefilled are the engines that have prefilled the prompt.
+	prefilled []prefillpool.Prefilled
 	// trials are excluded engines to which the request is sent as a trial.
 	trials []string
 	// cachedDigest is the request's digest once it has been computed.
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/prefillpool"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
@@ -66,6 +68,9 @@
 		Tokens: j.meta.PromptTokens, Zone: l.server.Zone, SlotLoad: s.engines.slotLoad(l.server.ID), Exclude: tried,
 		Memory: j.table.Services[j.service].Engine.KVTokens, Verdicts: f.engineVerdicts(len(tried)+1 < maxPrefillTries),
 	}
+	if !f.Off.Has(mechanism.PromptReuse) {
+		req.Prefilled = j.prefilled
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, ok := s.prefillPool.Pick(servers, req, time.Now())
@@ -82,23 +87,31 @@
 	defer cancel()
 	ctx, end := f.attempts.begin(ctx, c.Server.ID)
 	defer end()
-	f.prefillBegins(j, c)
+	mark := f.prefillBegins(j, c)
 	export, err := f.requestExport(ctx, j, c.Server)
 	took := time.Since(start)
 	j.prefillTime += took
+	j.forgetPrefilled(c.Server.ID)
 	if err == nil {
 		f.engineSucceeded(c.Server, start)
+		j.prefilled = append(j.prefilled, prefillpool.Prefilled{ID: c.Server.ID, Mark: mark})
 	}
 	f.prefillEnds(j, c, err, took)
 	return export, err
 }
 
-func (f *Forwarder) prefillBegins(j *job, c prefillpool.Choice) {
+// forgetPrefilled drops what is known of an engine's earlier prefill of the prompt.
+func (j *job) forgetPrefilled(id string) {
+	j.prefilled = slices.DeleteFunc(j.prefilled, func(p prefillpool.Prefilled) bool { return p.ID == id })
+}
+
+func (f *Forwarder) prefillBegins(j *job, c prefillpool.Choice) (mark int64) {
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.prefillPool.Begin(c.Server.ID, j.meta.PromptTokens)
+	mark = s.prefillPool.Begin(c.Server.ID, c.Tokens)
 	s.engines.recordPrefill(c.Server.ID, s.prefillPool.OwnLoad(c.Server.ID))
+	return mark
 }
 
 func (f *Forwarder) prefillEnds(j *job, c prefillpool.Choice, err error, took time.Duration) {
@@ -106,7 +119,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if noEvidence(err) {
-		s.prefillPool.Cancel(c.Server.ID, j.meta.PromptTokens)
+		s.prefillPool.Cancel(c.Server.ID, c.Tokens)
 	} else {
 		s.prefillPool.End(c, j.meta.PromptTokens, err == nil, took, time.Now())
 	}
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -14,6 +14,11 @@
 // which all wait meanwhile. So it prefills a prompt only when that is faster by a factor that
 // grows with the number of those runs: on an idle engine no run is delayed.
 //
+// A request whose decode engine is lost is sent again, and its prompt, 5,200 tokens in the mean, is
+// prefilled once more. The engine that prefilled it keeps it in its prefix cache until other
+// prompts take the memory, so a Request names the engines that have prefilled its prompt, and only
+// what is expected to be evicted since counts there.
+//
 // A Pool is deterministic, takes the time from its caller, and is not safe for concurrent
 // use.
 package prefillpool
@@ -49,6 +54,9 @@
 	// InterferenceFactor by how much more that counts when all its decode slots are taken. With
 	// a DecodePrefillFactor of zero it prefills no prompt while a prefill engine can.
 	DecodePrefillFactor, InterferenceFactor float64
+	// CachedBonus is how much more the time for prefilling the cached part of a prompt counts:
+	// prefilling it again also delays the prompts of others.
+	CachedBonus float64
 	// TimeoutFactor is how many times the expected time a prefill may take, MinTimeout the
 	// shortest timeout: an idle engine needs some 200 ms for a long prompt.
 	TimeoutFactor float64
@@ -59,7 +67,7 @@
 func DefaultConfig() Config {
 	return Config{
 		PerToken: 20 * time.Microsecond, CrossZone: 27 * time.Millisecond, Preference: 20 * time.Millisecond, Failure: 2 * time.Second, BackOff: 2 * time.Second,
-		DecodePrefillFactor: 2, InterferenceFactor: 4, TimeoutFactor: 3, MinTimeout: 600 * time.Millisecond,
+		DecodePrefillFactor: 2, InterferenceFactor: 4, CachedBonus: 1, TimeoutFactor: 3, MinTimeout: 600 * time.Millisecond,
 	}
 }
 
@@ -79,6 +87,8 @@
 	// own and peers are the tokens that this router and its peers sent to it and that are not
 	// prefilled yet.
 	own, peers int
+	// arrived is the tokens known to have been sent to it since the start, by any router.
+	arrived int64
 	// avoidUntil is until when it gets no prompts.
 	avoidUntil time.Time
 	// preference is how much this router prefers it, in [0, 1).
@@ -107,6 +117,8 @@
 	Exclude []string
 	// Verdicts are those on the engines.
 	Verdicts eligibility.Verdicts
+	// Prefilled are the engines that have prefilled the prompt before.
+	Prefilled []Prefilled
 }
 
 // Choice is the engine that prefills a prompt.
@@ -115,6 +127,8 @@
 	// Expected is the estimated time until the prompt is prefilled, Timeout the time after which
 	// the prefill is given up.
 	Expected, Timeout time.Duration
+	// Tokens is the part of the prompt that is expected to be prefilled; the rest is cached.
+	Tokens int
 }
 
 // Pick returns the engine with the shortest expected delay. It returns false when the decode
@@ -131,8 +145,10 @@
 		if now.Before(e.avoidUntil) || e.outOfMemory(q) {
 			continue
 		}
-		expected := p.expected(e, q.Tokens, now)
+		tokens := q.Tokens - e.cached(s.ID, q)
+		expected := p.expected(e, tokens, now)
 		cost := expected + p.penalty(s, q.Zone, now) + time.Duration(float64(p.cfg.Preference)*(1-e.preference))
+		cost -= time.Duration(p.cfg.CachedBonus * float64(q.Tokens-tokens) * float64(p.perToken()))
 		none := best.Server.ID == ""
 		better := none || cost < lowest
 		if !better && !bestVerdict.LastResort {
@@ -140,13 +156,15 @@
 		}
 		v := q.Verdicts.Of(s.ID, now)
 		if !v.Excluded && (none || v.Precedes(&bestVerdict, better)) {
-			best, lowest, bestVerdict = Choice{Server: s, Expected: expected}, cost, v
+			best, lowest, bestVerdict = Choice{Server: s, Expected: expected, Tokens: tokens}, cost, v
 		}
 	}
 	if best.Server.ID == "" || lowest > p.decodePrefillCost(q) {
 		return Choice{}, false
 	}
-	best.Timeout = max(time.Duration(p.cfg.TimeoutFactor*float64(best.Expected)), p.cfg.MinTimeout)
+	// The prompt may have been evicted after all.
+	whole := p.expected(p.engine(best.Server.ID), q.Tokens, now)
+	best.Timeout = max(time.Duration(p.cfg.TimeoutFactor*float64(whole)), p.cfg.MinTimeout)
 	return best, true
 }
 
@@ -209,14 +227,25 @@
 	return e.slowdown
 }
 
-// Begin records that a prompt was sent to an engine.
-func (p *Pool) Begin(id string, tokens int) { p.engine(id).own += tokens }
+// Begin records that that many tokens are to be prefilled by an engine. It returns what the Prefilled
+// of the prompt will need.
+func (p *Pool) Begin(id string, tokens int) (mark int64) {
+	e := p.engine(id)
+	e.own += tokens
+	e.arrived += int64(tokens)
+	return e.arrived
+}
 
-// End records the outcome and the duration of a prefill for which Begin was called.
+// End records the outcome and the duration of the prefill of a prompt of that many tokens, for which
+// Begin was called with those of the Choice. A prefill that found part of the prompt in the cache
+// shows nothing about the engine's rate.
 func (p *Pool) End(c Choice, tokens int, ok bool, took time.Duration, now time.Time) {
-	p.Cancel(c.Server.ID, tokens)
+	p.Cancel(c.Server.ID, c.Tokens)
 	e := p.engine(c.Server.ID)
 	p.outliers.Observe(c.Server.ID, ok, now)
+	if c.Tokens < tokens {
+		return
+	}
 	if ok {
 		p.rate.Observe(tokens, took)
 	}
@@ -251,6 +280,7 @@
 		e = p.engine(id)
 	}
 	if e != nil {
+		e.arrived += int64(max(tokens-e.peers, 0))
 		e.peers = tokens
 	}
 }
