forward: wasted prefill is counted by cause

Change: a ledger of each request counts the tokens of prefills whose result delivered no event, and of those that repeat one that did, by the cause of the attempt's end: deadline, client disconnected, engine lost, no memory at the hand-over, another attempt. Counters wasted_prefill., fields wasted and wasted_by of event 701. An export that could not be fetched is no longer kept for another attempt.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -56,6 +56,8 @@
 	reserved []string
 	// prefilled are the engines that have prefilled the prompt.
 	prefilled []prefillpool.Prefilled
+	// prefills counts the wasted prefill of the prompt.
+	prefills prefillLedger
 	// trials are excluded engines to which the request is sent as a trial.
 	trials []string
 	// cachedDigest is the request's digest once it has been computed.
@@ -175,6 +177,7 @@
 			Dur("read", j.prefillTime).Dur("first", j.firstEvent).Dur("patience", j.meta.ClientTimeout).Bool("late", j.retried).
 			Int("generated", j.generated).Int("expected", j.expected).Int("room", j.freeMemory).Dur("pause", j.maxEventGap)
 	}
+	e = f.recordWaste(j, e, reason)
 	e.Int("sends", j.sends).Dur("waited", j.waited).Dur("took", now.Sub(j.arrived)).
 		Dur("left", j.left(now)).Int64("version", j.version()).Msg("")
 }
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -94,6 +94,7 @@
 	j.forgetPrefilled(c.Server.ID)
 	if err == nil {
 		f.engineSucceeded(c.Server, start)
+		j.prefills.prefilled(c.Tokens)
 		j.prefilled = append(j.prefilled, prefillpool.Prefilled{ID: c.Server.ID, Mark: mark})
 	}
 	f.prefillEnds(j, c, err, took)
--- a/forward/promptreuse_test.go
+++ b/forward/promptreuse_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,3 +36,36 @@
 	}
 	assert.DeepEqual(t, prefills, []string{first, first})
 }
+
+// TestWastedPrefillIsCounted: the counters and the log line of a request name the tokens that were prefilled in vain.
+func TestWastedPrefillIsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		set    func(w *testEnv)
+		path   string
+		cause  string
+		tokens int64
+	}{
+		{"answered", func(*testEnv) {}, "/draft/1", "engine_lost", 0},
+		{"failed before the first event", func(w *testEnv) { w.fail("d1", "d2") }, "/draft/1", "engine_lost", 1000},
+		{"not fetched", func(w *testEnv) {
+			w.servers["d1"].Behave(site.Answer, site.FailKVFetch)
+			w.servers["d2"].Behave(site.Answer, site.FailKVFetch)
+		}, "/draft/1", "no_memory", 1000},
+		{"the decode engine prefilled itself", func(w *testEnv) { w.fail("pre") }, "/draft/1", "no_memory", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newEngineEnv(t)
+			c.set(w)
+			w.post(t, c.path)
+			assert.Equal(t, w.met.Counter("wasted_prefill."+c.cause).Count(), c.tokens)
+			assert.Equal(t, strings.Contains(w.logged.String(), `"wasted":1000,"wasted_by":["`+c.cause+`"]`), c.tokens > 0, "%s", w.logged)
+		})
+	}
+}
+
+func (w *testEnv) fail(ids ...string) {
+	for _, id := range ids {
+		w.servers[id].Behave(site.Fail)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -57,6 +57,7 @@
 // Ended implements lifecycle.Request. An engine that grants no memory costs no retry, since nothing of the request was
 // sent to it. After an interrupted run the stream waits for memory again.
 func (r *stream) Ended(ctx context.Context, a *streamAttempt, o outcome.Outcome) (outcome.Outcome, bool) {
+	r.j.prefills.attemptEnded(o.Reason, r.j.generated > r.j.generatedBefore, r.spareExport != nil)
 	if a.lease == nil && ctx.Err() == nil {
 		return outcome.Outcome{}, true
 	}
@@ -108,6 +109,9 @@
 		return a.keepFailure(head, res)
 	}
 	f.engineSucceeded(a.lease.server, sent)
+	if a.export == nil {
+		j.prefills.prefilled(j.meta.PromptTokens)
+	}
 	return a.relay(ctx, head, res)
 }
 
@@ -129,6 +133,8 @@
 	}
 	f.avoidPrefillEngine(j, a.export.server)
 	f.attemptFailed(j, a.export.server, outcome.KVLost, err)
+	a.export = nil
+	j.prefills.discard(wasteNoMemory)
 	if !f.takeRetry(j) {
 		return head, res, err
 	}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -58,6 +58,7 @@
 		{SendsWithheld, Counter},
 		{WithheldPrefix, Counter},
 		{CooldownsRequested, Counter},
+		{WastedPrefillPrefix, Counter},
 		{EnginesExcluded, Gauge},
 		{EngineExclusions, Counter},
 		{EngineTrials, Counter},
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -25,6 +25,8 @@
 	AttemptFailedPrefix = "attempt_failed."
 	// WithheldPrefix is followed by the reason for which a request was not sent to its chosen server.
 	WithheldPrefix = "withheld."
+	// WastedPrefillPrefix is followed by the cause for which prefilled tokens were not used.
+	WastedPrefillPrefix = "wasted_prefill."
 	// EntryUnreadablePrefix is followed by the reason for which the registry entry of a server can't be used.
 	EntryUnreadablePrefix = "entries_unreadable."
 	// RequestTimePrefix is followed by the kind of the route.
