--- a/forward/answer.go
+++ b/forward/answer.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/prefillpool"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
@@ -53,6 +54,10 @@
 	servers []string
 	// reserved are rate-limited servers at which one send is already counted for the request.
 	reserved []string
+	// prefilled are the engines that have prefilled the prompt.
+	prefilled []prefillpool.Prefilled
+	// prefills counts the wasted prefill of the prompt.
+	prefills prefillLedger
 	// trials are excluded engines to which the request is sent as a trial.
 	trials []string
 	// cachedDigest is the request's digest once it has been computed.
@@ -172,6 +177,7 @@
 			Dur("read", j.prefillTime).Dur("first", j.firstEvent).Dur("patience", j.meta.ClientTimeout).Bool("late", j.retried).
 			Int("generated", j.generated).Int("expected", j.expected).Int("room", j.freeMemory).Dur("pause", j.maxEventGap)
 	}
+	e = f.recordWaste(j, e, reason)
 	e.Int("sends", j.sends).Dur("waited", j.waited).Dur("took", now.Sub(j.arrived)).
 		Dur("left", j.left(now)).Int64("version", j.version()).Msg("")
 }
