forward, runcopy: streams continue from backups when their engine is lost

Change: where engines declare backups, a stream that can't be recovered otherwise is sent with the address of a second engine, to which its KV cache is copied as it grows. policy/runcopy decides which runs: not resumable or on their last attempt, expected to last at least 0.5 s, no request waiting for memory. The memory pool counts the copy like a run, with the spare memory that late requests leave. Outcomes of the deadline, the client or a revoked key are not continued, nor are quarantined requests. A silent engine is left after 0.6 of the copies' time to live, since the copy expires then; a stream with longer intervals before is given twice the longest of them.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -74,6 +74,8 @@
 	ServerLeaveAnnounced = Event{740, log.InfoLevel, "server says in an answer that it leaves"}
 	ListReadingDropped   = Event{741, log.WarnLevel, "reading of the list of servers dropped as older than the one in force"}
 	StoreRestored        = Event{742, log.WarnLevel, "platform's store was restored from a copy"}
+	RunContinued         = Event{743, log.InfoLevel, "run continued at another engine from a copy"}
+	ContinuationFailed   = Event{744, log.WarnLevel, "run did not continue from a copy"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -94,5 +96,6 @@
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
+		RunContinued, ContinuationFailed,
 	}
 }
--- /dev/null
+++ b/forward/backup.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
+	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
+	"github.com/hibiscusspur/hibiscusspur/registry"
+)
+
+// runCopy is a copy of a run's KV cache at another engine. The memory pool counts it like the run itself until it is
+// used or dropped.
+type runCopy struct {
+	server registry.Server
+	// sent is set once an engine was sent the run with this engine as its backup.
+	sent bool
+}
+
+// chooseBackup returns the engine that backs the run of the attempt up; nil if none does. attemptsLeft is the number of
+// attempts that the route allows after this one.
+func (a *streamAttempt) chooseBackup(attemptsLeft int) *runCopy {
+	f, j, r := a.r.f, a.r.j, a.r
+	spec := j.table.Services[j.service].Engine
+	if !spec.Backups || f.Off.Has(mechanism.Backups) {
+		return nil
+	}
+	e := f.service(j.service).engines
+	now := time.Now()
+	b := runcopy.Backup{
+		Resumable: j.route.Resumable, AttemptsLeft: attemptsLeft,
+		MemoryShort: e.memoryShort(now), Remaining: e.remaining(r.run, j.generated),
+	}
+	if !b.Wanted() {
+		return nil
+	}
+	c := r.placeCopy(a.lease.server)
+	if c != nil {
+		f.Metrics.Counter(metrics.BackupsStarted).Inc(1)
+	}
+	return c
+}
+
+// placeCopy takes memory in the pool for a copy of the run that the engine source executes; nil if no other engine has
+// enough.
+func (r *stream) placeCopy(source registry.Server) *runCopy {
+	f, j := r.f, r.j
+	spec := j.table.Services[j.service].Engine
+	e := f.service(j.service).engines
+	exclude := append(slices.Clone(r.tried), source.ID)
+	id, ok := e.placeCopy(r.run, source.Zone, exclude, spec.KVTokens, spec.Slots)
+	if !ok {
+		return nil
+	}
+	s, ok := findServer(f.View.Servers(j.service), id)
+	if !ok {
+		e.release(id, r.run)
+		return nil
+	}
+	return &runCopy{server: s}
+}
+
+// markBackupSent records whether an engine may have started to back the run up.
+func (a *streamAttempt) markBackupSent(sent bool) {
+	if a.backup != nil {
+		a.backup.sent = sent
+	}
+}
+
+// dropCopy returns the memory of a copy that is not used to the pool. The engine frees the copy by itself when the run
+// has ended.
+func (r *stream) dropCopy(c *runCopy) {
+	if c != nil {
+		r.f.service(r.j.service).engines.release(c.server.ID, r.run)
+	}
+}
+
+// placeCopy chooses an engine for a copy of a run and takes memory for it, until release is called. The engine must
+// keep memory free beside the copy, as for late requests, so that copies don't displace requests.
+func (e *engines) placeCopy(r *kvmemory.Run, zone string, exclude []string, capacity, slots int) (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sync(e.list(), capacity, slots)
+	id, ok := e.memory.Pick(kvmemory.Request{Run: r, Late: true, Zone: zone, Exclude: exclude, Verdicts: e.verdicts}, time.Now())
+	if ok {
+		e.memory.Place(id, r)
+		e.markChanged(id)
+	}
+	return id, ok
+}
+
+// remaining is the expected time until a run that has generated this many tokens ends.
+func (e *engines) remaining(r *kvmemory.Run, generated int) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := r.Need - r.Prompt
+	if r.Length != nil {
+		r.Length.Progress(generated)
+		total = r.Length.Median()
+	}
+	return time.Duration(float64(max(total-generated, 0)) / e.memory.TokensPerSecond() * float64(time.Second))
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -208,7 +208,9 @@
 	}
 	j.servers = append(j.servers, s.ID)
 	if !o.PrefillOnly {
-		j.sends++
+		if !o.Continues {
+			j.sends++
+		}
 		j.ran = true
 	}
 	if err != nil {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -29,7 +30,7 @@
 // interrupted stream can be resumed elsewhere.
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
-	err := a.r.copyEvents(head, res)
+	err := a.copyEvents(head, res)
 	f.observeOutcome(j, s, err == nil)
 	if err == nil {
 		if !j.started {
@@ -52,8 +53,9 @@
 // errClient means that the client accepts no more events.
 var errClient = errors.New("client disconnected")
 
-func (r *stream) copyEvents(head AnswerHead, res *upstream.Response) error {
-	stall := r.watchStall(res)
+func (a *streamAttempt) copyEvents(head AnswerHead, res *upstream.Response) error {
+	r := a.r
+	stall := a.watchStall(res)
 	defer stall.end()
 	br := bufio.NewReaderSize(res.Body, eventBuffer)
 	for {
@@ -147,36 +149,47 @@
 // disconnect after 3.6 s without an event; usual intervals are far below 0.3 s.
 const stallLimit = 1500 * time.Millisecond
 
-// stallTimer closes an answer whose engine sends nothing for stallLimit, if the stream can be resumed elsewhere.
+// stallTimer closes an answer whose engine sends nothing for some time, if the stream can continue elsewhere.
 type stallTimer struct {
 	timer *time.Timer
-	fired *atomic.Bool
+	// limit returns the interval without events after which the answer is closed.
+	limit func() time.Duration
+	fired atomic.Bool
 }
 
-func (r *stream) watchStall(res *upstream.Response) stallTimer {
-	if !r.j.route.Resumable || r.j.sends >= r.j.route.Attempts {
-		return stallTimer{}
-	}
-	fired := new(atomic.Bool)
-	t := time.AfterFunc(stallLimit, func() {
-		fired.Store(true)
+// watchStall returns a timer for an answer; nil if a silent engine is waited for. A stream with a backup is watched from
+// its first event: before it, an engine may be silent for long, and the copy would have expired when that is noticed.
+func (a *streamAttempt) watchStall(res *upstream.Response) *stallTimer {
+	j := a.r.j
+	s := &stallTimer{}
+	s.timer = time.AfterFunc(stallLimit, func() {
+		s.fired.Store(true)
 		_ = res.Body.Close()
 	})
-	return stallTimer{timer: t, fired: fired}
+	switch {
+	case a.backup != nil:
+		ttl := j.table.Services[j.service].Engine.ExportTTL
+		s.limit = func() time.Duration { return runcopy.SilenceLimit(ttl, j.maxEventGap) }
+		s.timer.Stop()
+	case j.route.Resumable && j.sends < j.route.Attempts:
+		s.limit = func() time.Duration { return stallLimit }
+	default:
+		s.timer.Stop()
+		return nil
+	}
+	return s
 }
 
-func (s stallTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(stallLimit)
+func (s *stallTimer) reset() {
+	if s != nil {
+		s.timer.Reset(s.limit())
 	}
 }
 
-func (s stallTimer) end() {
-	if s.timer != nil {
+func (s *stallTimer) end() {
+	if s != nil {
 		s.timer.Stop()
 	}
 }
 
-func (s stallTimer) stalled() bool {
-	return s.fired != nil && s.fired.Load()
-}
+func (s *stallTimer) stalled() bool { return s != nil && s.fired.Load() }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -32,6 +32,8 @@
 	yieldCount int
 	// lastEventAt is when the last event arrived.
 	lastEventAt time.Time
+	// continuations is how often the request was sent to an engine to continue from a copy.
+	continuations int
 }
 
 // memoryNeed is the expected memory of the run at its end, in tokens.
@@ -52,6 +54,8 @@
 	lease *lease
 	// export is where the KV cache of the prompt is; nil if the decode engine prefills the prompt.
 	export *kvSource
+	// backup is the copy of the run at another engine; nil if there is none.
+	backup *runCopy
 }
 
 // Ended implements lifecycle.Request. An engine that grants no memory costs no retry, since nothing of the request was
@@ -86,8 +90,22 @@
 	return outcome.Outcome{}, true
 }
 
-// Answer implements lifecycle.Attempt: the engine of the lease generates the tokens.
+// Answer implements lifecycle.Attempt: the engine of the lease generates the tokens. If it is lost and another engine
+// has a copy of the run, the run continues there.
 func (a *streamAttempt) Answer(ctx context.Context) outcome.Outcome {
+	o := a.firstRun(ctx)
+	for a.backup != nil && a.backup.sent && a.r.mayContinue(ctx, o) {
+		next, ran := a.continueFromBackup(ctx)
+		if !ran {
+			break
+		}
+		o = next
+	}
+	return o
+}
+
+// firstRun has the engine of the lease generate the tokens until the answer is whole or the run is lost.
+func (a *streamAttempt) firstRun(ctx context.Context) outcome.Outcome {
 	f, j := a.r.f, a.r.j
 	runCtx, end := f.attempts.begin(ctx, a.lease.server.ID)
 	defer end()
@@ -114,6 +132,7 @@
 // because it could not fetch the KV cache; it can prefill the prompt itself.
 func (a *streamAttempt) start(ctx context.Context) (AnswerHead, *upstream.Response, error) {
 	f, j := a.r.f, a.r.j
+	a.backup = a.chooseBackup(j.route.Attempts - j.sends - 1)
 	o := Send{Reservation: a.lease.reservation, LastEventID: a.r.lastEvent}
 	if a.export != nil && f.attempts.hasTerminated(a.export.server.ID) {
 		a.export = nil
@@ -150,11 +169,16 @@
 
 // open sends the request to the decode engine and reads the head of the answer.
 func (a *streamAttempt) open(ctx context.Context, o Send) (AnswerHead, *upstream.Response, error) {
+	if a.backup != nil {
+		o.BackupTo = a.backup.server.Addr
+	}
 	res, err := a.r.f.send(ctx, a.r.j, a.lease.server, o)
 	if err != nil {
+		a.markBackupSent(!errors.Is(err, upstream.ErrNotSent))
 		return AnswerHead{}, nil, err
 	}
 	head := a.r.f.Codec.ParseAnswer(res.Status, res.Header)
+	a.markBackupSent(!head.NotRun)
 	if head.NotRun {
 		discard(res)
 		return head, nil, refusal(head)
@@ -185,6 +209,7 @@
 
 // Release implements lifecycle.Attempt.
 func (a *streamAttempt) Release() {
+	a.r.dropCopy(a.backup)
 	if a.lease != nil {
 		a.r.f.releaseLease(a.r.j, a.lease)
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -59,6 +59,10 @@
 	PrefillOnly bool
 	// KVFrom is where to fetch the KV cache of the prompt.
 	KVFrom string
+	// BackupTo is the address of the engine to which the run's KV cache is copied as it grows; empty for none.
+	BackupTo string
+	// Continues is set if the request continues a run from a copy of it, so that it is no further attempt.
+	Continues bool
 	// Reservation is the memory reserved for the request.
 	Reservation string
 	// LastEventID is the last event of the stream that was delivered.
@@ -105,6 +109,9 @@
 	DecodeExport(body []byte) (Export, error)
 	// ExportSource is the value of Send.KVFrom for an export that s holds.
 	ExportSource(s registry.Server, handle string) string
+	// CopySource is the value of Send.KVFrom for a copy of a run: of a backup that s holds, named by the ID of the
+	// request, or of a move that s is the source of, named by its handle.
+	CopySource(s registry.Server, name string) string
 }
 
 // Engines makes the calls to model engines other than the requests themselves. It must be safe for concurrent use.
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -60,5 +60,8 @@
 		{CooldownsRequested, Counter},
 		{ListReadingsDropped, Counter},
 		{StoreEra, Gauge},
+		{BackupsStarted, Counter},
+		{Continuations, Counter},
+		{ContinuationFailedPrefix, Counter},
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,8 @@
 	WithheldPrefix = "withheld."
 	// EntryUnreadablePrefix is followed by the reason for which the registry entry of a server can't be used.
 	EntryUnreadablePrefix = "entries_unreadable."
+	// ContinuationFailedPrefix is followed by the reason for which a run did not continue from a copy.
+	ContinuationFailedPrefix = "continuations_failed."
 	// RequestTimePrefix is followed by the kind of the route.
 	RequestTimePrefix = "request_time."
 )
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -59,4 +59,8 @@
 	ListReadingsDropped = "list_readings_dropped"
 	// StoreEra is the era of the platform's store from which the server list in force was read.
 	StoreEra = "store_era"
+	// BackupsStarted counts streams that were sent to an engine with another one to back them up.
+	BackupsStarted = "backups_started"
+	// Continuations counts runs that continued from a copy.
+	Continuations = "continuations"
 )
--- a/policy/kvmemory/run.go
+++ b/policy/kvmemory/run.go
@@ -97,3 +97,6 @@
 	}
 	return e.tokens / e.seconds
 }
+
+// TokensPerSecond is the estimated rate at which one run generates tokens, over all engines.
+func (p *Pool) TokensPerSecond() float64 { return p.rate.tokensPerSecond() }
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -45,12 +45,15 @@
 	Quarantine
 	// Suspicion avoids engines at which other gateways observed failing requests.
 	Suspicion
+	// Backups keeps copies of running streams at other engines, from which they continue after a loss.
+	Backups
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
+	"backups",
 }
 
 // String returns the name of m as used in settings.
--- /dev/null
+++ b/policy/runcopy/runcopy.go
@@ -0,0 +1,63 @@
+// Package runcopy decides when the KV cache of a running stream is copied to another engine, and where a stream
+// continues from such a copy.
+//
+// Load pattern: engines crash, are replaced and leave while streams of several seconds run on them. A stream whose
+// route allows no second run is lost with its engine, and one that may be resumed has its prompt prefilled again, about
+// 5,200 tokens each time. On a day with 6 crashes, 4 leaving engines and 13 replaced ones 84 attempts were lost, most
+// within half a second of their start. With a copy at another engine the stream continues there, and only the tokens
+// that the copy lacks are prefilled.
+//
+// A copy occupies memory and a slot at its engine and bytes on the links, so only runs get one that would be lost
+// otherwise, and only while no request waits for memory.
+//
+// The package is deterministic and takes times from its caller.
+package runcopy
+
+import "time"
+
+// MaxContinuations bounds how often one request continues from a copy. A request under which three servers terminated
+// is quarantined, so a fourth loss is not expected.
+const MaxContinuations = 3
+
+// minBackupTime is the shortest expected remaining time of a run that is backed up. Engines send parts several times a
+// second; a run that ends within two of them has no useful copy when its engine is lost.
+const minBackupTime = 500 * time.Millisecond
+
+// Backup describes a run that is about to be sent to an engine.
+type Backup struct {
+	// Resumable is set if the route allows another run, AttemptsLeft is the number of attempts after this one.
+	Resumable    bool
+	AttemptsLeft int
+	// MemoryShort is set if requests have recently waited for memory.
+	MemoryShort bool
+	// Remaining is the expected time until the end of the run.
+	Remaining time.Duration
+}
+
+// Wanted reports whether the run is backed up.
+func (b Backup) Wanted() bool {
+	if b.MemoryShort || b.Resumable && b.AttemptsLeft > 0 {
+		return false
+	}
+	return b.Remaining >= minBackupTime
+}
+
+const (
+	// silenceShare is the share of the time to live of a copy after which a silent engine counts as lost. The latest
+	// part of a backup may be a fifth of a second older than the latest event, and the request still has to reach the
+	// copy before it expires.
+	silenceShare = 0.6
+	// gapFactor is the factor by which the silence has to exceed the longest interval between two events of the
+	// stream, so that an engine that is slow, or preempts the run, does not count as lost.
+	gapFactor = 2
+	// maxSilence is the longest interval without events after which a stream leaves its engine. Clients disconnect
+	// after 3.6 s without an event; usual intervals are far below 0.3 s.
+	maxSilence = 1500 * time.Millisecond
+)
+
+// SilenceLimit returns the interval without events after which a stream that has a backup continues from it, for
+// copies with this time to live and the longest interval between two events of the stream so far.
+func SilenceLimit(copyTTL, longestGap time.Duration) time.Duration {
+	limit := max(time.Duration(silenceShare*float64(copyTTL)), gapFactor*longestGap)
+	return min(limit, maxSilence)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -104,6 +104,9 @@
 	SwitchTime time.Duration
 	// MaxReservationTTL is the maximum time to live of a reservation.
 	MaxReservationTTL time.Duration
+	// Moves and Backups are set if the engines support moves of running requests to other engines, and backups of
+	// them there.
+	Moves, Backups bool
 }
 
 // Service is a set of backend servers that serve the same requests.
--- a/standin/site/log.go
+++ b/standin/site/log.go
@@ -17,6 +17,9 @@
 	Hold      string
 	KVFrom    string
 	LastEvent string
+	// Backup is the address of the engine that backs the run up. Continued is set if a run continued from a copy.
+	Backup    string
+	Continued bool
 	Header    http.Header
 	Body      string
 	// Refused is set when the server did not run the request.
@@ -42,6 +45,7 @@
 	abandoned []Call
 	wake      chan struct{}
 	watcher   func(Call)
+	copies    copies
 }
 
 // NewLog returns an empty log.
--- a/standin/site/names.go
+++ b/standin/site/names.go
@@ -13,6 +13,7 @@
 	Stamp         = "Hibiscusspur-Stamp"
 	Reservation   = "Hibiscusspur-Hold"
 	KVFrom        = "Hibiscusspur-Kv-From"
+	kvBackup      = "Hibiscusspur-Kv-Backup"
 	notRun        = "Hibiscusspur-Not-Run"
 	instance      = "Hibiscusspur-Expect-Instance"
 	stage         = "Hibiscusspur-Stage"
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -36,6 +36,9 @@
 	StallStream
 )
 
+// exportPrefix is the prefix of the handles of exported KV caches.
+const exportPrefix = "kv-"
+
 // Events is the number of events of a complete stream.
 const Events = 5
 
@@ -255,7 +258,7 @@
 	c := Call{
 		Server: s.ID, Kind: Plain, Path: r.RequestURI, ID: r.Header.Get(RequestID),
 		Hold: r.Header.Get(Reservation), KVFrom: r.Header.Get(KVFrom),
-		LastEvent: r.Header.Get(lastEventID), Header: r.Header, Body: string(body), Born: s.Born(),
+		Backup: r.Header.Get(kvBackup), LastEvent: r.Header.Get(lastEventID), Header: r.Header, Body: string(body), Born: s.Born(),
 	}
 	switch {
 	case r.Header.Get(stage) == "prefill":
@@ -272,6 +275,10 @@
 	}
 	b := s.nextBehaviour()
 	c.Refused = b == Shed || b == FailKVFetch && c.KVFrom != ""
+	if !c.Refused && isCopy(c.KVFrom) {
+		c.Continued = s.log.copies.take(c.KVFrom)
+		c.Refused = !c.Continued
+	}
 	s.log.add(&s.log.calls, c)
 	s.active.Add(1)
 	defer s.active.Add(-1)
@@ -292,6 +299,7 @@
 		s.reject(w)
 		return
 	case b == Reset:
+		s.backUp(c, 0)
 		panic(http.ErrAbortHandler)
 	case b == NeverAnswer:
 		<-r.Context().Done()
@@ -311,7 +319,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed at "+s.ID)
 	case c.Kind == Prefill:
-		reply(w, http.StatusOK, map[string]any{"kv_handle": "kv-" + c.ID, "tokens": 100, "version": 1})
+		reply(w, http.StatusOK, map[string]any{"kv_handle": exportPrefix + c.ID, "tokens": 100, "version": 1})
 	case c.Kind == Decode:
 		s.stream(w, r, c, b)
 	case b == CutBody:
@@ -328,6 +336,7 @@
 	if _, err := fmt.Sscan(c.LastEvent, &firstEvent); err == nil {
 		firstEvent++
 	}
+	s.backUp(c, firstEvent-1)
 	for i := firstEvent; i <= Events; i++ {
 		if i > 2 && b == CutStream {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: par", i)
@@ -339,7 +348,9 @@
 			s.log.add(&s.log.abandoned, c)
 			return
 		}
+		s.backUp(c, i)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
 		w.(http.Flusher).Flush()
 	}
+	s.endBackup(c)
 }
