forward, runcopy: streams move off engines that leave

Cause: an engine that leaves serves 3 s at least, streams last up to 14 s, and those that still run are cut.

Change: where engines declare moves, a stream whose probability of ending while the engine still serves is below 0.9 is copied to another engine while it goes on, then stopped, and the request continues at the destination; if that refuses, at the source, which keeps the memory. policy/runcopy has the state of one run and decides when a move is due, at most 4 of a request and 8 of a router at a time. A move takes one retry before it stops the run. A stream that ends after the engine was asked to stop it counts as complete only if the engine answers that it does not run the request, or was not asked after all.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -76,6 +76,8 @@
 	StoreRestored        = Event{742, log.WarnLevel, "platform's store was restored from a copy"}
 	RunContinued         = Event{743, log.InfoLevel, "run continued at another engine from a copy"}
 	ContinuationFailed   = Event{744, log.WarnLevel, "run did not continue from a copy"}
+	RunMoved             = Event{745, log.InfoLevel, "run moved to another engine"}
+	MoveFailed           = Event{746, log.WarnLevel, "run was not moved"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -96,6 +98,6 @@
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
-		RunContinued, ContinuationFailed,
+		RunContinued, ContinuationFailed, RunMoved, MoveFailed,
 	}
 }
--- a/forward/backup.go
+++ b/forward/backup.go
@@ -36,7 +36,7 @@
 	if !b.Wanted() {
 		return nil
 	}
-	c := r.placeCopy(a.lease.server)
+	c := r.placeCopy(a.lease.server, true)
 	if c != nil {
 		f.Metrics.Counter(metrics.BackupsStarted).Inc(1)
 	}
@@ -44,13 +44,14 @@
 }
 
 // placeCopy takes memory in the pool for a copy of the run that the engine source executes; nil if no other engine has
-// enough.
-func (r *stream) placeCopy(source registry.Server) *runCopy {
+// enough. With late set the engine must keep memory free beside the copy, as for late requests, so that copies don't
+// displace requests.
+func (r *stream) placeCopy(source registry.Server, late bool) *runCopy {
 	f, j := r.f, r.j
 	spec := j.table.Services[j.service].Engine
 	e := f.service(j.service).engines
 	exclude := append(slices.Clone(r.tried), source.ID)
-	id, ok := e.placeCopy(r.run, source.Zone, exclude, spec.KVTokens, spec.Slots)
+	id, ok := e.placeCopy(kvmemory.Request{Run: r.run, Late: late, Zone: source.Zone, Exclude: exclude, Verdicts: e.verdicts}, spec.KVTokens, spec.Slots)
 	if !ok {
 		return nil
 	}
@@ -77,15 +78,14 @@
 	}
 }
 
-// placeCopy chooses an engine for a copy of a run and takes memory for it, until release is called. The engine must
-// keep memory free beside the copy, as for late requests, so that copies don't displace requests.
-func (e *engines) placeCopy(r *kvmemory.Run, zone string, exclude []string, capacity, slots int) (string, bool) {
+// placeCopy chooses an engine for a copy of a run and takes memory for it, until release is called.
+func (e *engines) placeCopy(r kvmemory.Request, capacity, slots int) (string, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sync(e.list(), capacity, slots)
-	id, ok := e.memory.Pick(kvmemory.Request{Run: r, Late: true, Zone: zone, Exclude: exclude, Verdicts: e.verdicts}, time.Now())
+	id, ok := e.memory.Pick(r, time.Now())
 	if ok {
-		e.memory.Place(id, r)
+		e.memory.Place(id, r.Run)
 		e.markChanged(id)
 	}
 	return id, ok
@@ -102,3 +102,18 @@
 	}
 	return time.Duration(float64(max(total-generated, 0)) / e.memory.TokensPerSecond() * float64(time.Second))
 }
+
+// endsWithin is the probability that a run that has generated this many tokens ends within d.
+func (e *engines) endsWithin(r *kvmemory.Run, generated int, d time.Duration) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tokens := float64(generated) + e.memory.TokensPerSecond()*d.Seconds()
+	if r.Length == nil {
+		if tokens >= float64(r.Need-r.Prompt) {
+			return 1
+		}
+		return 0
+	}
+	r.Length.Progress(generated)
+	return 1 - r.Length.Survival(tokens)
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -190,7 +190,7 @@
 	if err := f.checkBlocked(ctx, j); err != nil {
 		return nil, errors.Join(upstream.ErrNotSent, err)
 	}
-	if err := f.admitSend(j, s.ID); err != nil {
+	if err := f.admitSend(j, s.ID, o.Returns); err != nil {
 		return nil, err
 	}
 	o.TimeLeft, o.Instance = j.left(time.Now()), s.Instance()
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -17,69 +19,113 @@
 type copyKind string
 
 // Kinds of copies.
-const copyOfBackup copyKind = "backup"
+const (
+	copyOfBackup copyKind = "backup"
+	copyOfMove   copyKind = "move"
+)
 
-// mayContinue reports whether a run that ended with outcome o may continue from a copy: its engine was lost, and the
-// client still waits for the answer.
-func (r *stream) mayContinue(ctx context.Context, o outcome.Outcome) bool {
-	return o.Kind != outcome.Completed && o.Reason == outcome.EngineLost && ctx.Err() == nil && !r.j.caller.Gone() &&
-		r.continuations < runcopy.MaxContinuations && !r.quarantined()
+// continuation is a copy of a run and the engine that continues the run from it.
+type continuation struct {
+	kind copyKind
+	// to is the engine; nil if the engine of the lease itself has stopped the run and takes it back.
+	to *runCopy
+	// source names the copy.
+	source  string
+	returns bool
 }
 
-// continueFromBackup continues the run, which was lost with its engine, at the engine that backs it up. It returns
-// false if that engine did not run the request: the rules of the route apply to the loss then.
-func (a *streamAttempt) continueFromBackup(ctx context.Context) (outcome.Outcome, bool) {
-	f, j := a.r.f, a.r.j
-	b, from := a.backup, a.lease.server
-	a.backup = nil
-	a.takeOver(b)
-	if !f.takeRetry(j) {
-		a.continuationFailed(from, copyOfBackup, outcome.RetryBudgetSpent, nil)
-		return outcome.Outcome{}, false
+// continueAt sends the request to an engine to continue the run from a copy. The connection to the earlier engine has
+// been closed. It returns the outcome, and false if the engine did not run the request.
+func (a *streamAttempt) continueAt(ctx context.Context, c continuation) (outcome.Outcome, bool) {
+	f, j, old := a.r.f, a.r.j, a.lease
+	if c.to != nil {
+		a.lease = &lease{server: c.to.server, run: a.r.run, since: old.since}
 	}
-	return a.continueAt(ctx, from, copyOfBackup, Send{KVFrom: f.Codec.CopySource(b.server, j.meta.ID)})
-}
-
-// takeOver makes the engine of a copy the engine of the attempt. The memory that the pool counts for the copy becomes
-// that of the run.
-func (a *streamAttempt) takeOver(c *runCopy) {
-	since := a.lease.since
-	a.r.f.releaseLease(a.r.j, a.lease)
-	a.lease = &lease{server: c.server, run: a.r.run, since: since}
-}
-
-// continueAt sends the request to the engine of the lease, to continue the run from a copy. The connection to the
-// earlier engine has been closed. It returns false if the engine did not run the request.
-func (a *streamAttempt) continueAt(ctx context.Context, from registry.Server, kind copyKind, o Send) (outcome.Outcome, bool) {
-	f, j, s := a.r.f, a.r.j, a.lease.server
-	a.r.continuations++
-	a.backup = a.chooseBackup(j.route.Attempts - j.sends)
-	o.Continues, o.LastEventID = true, a.r.lastEvent
-	runCtx, end := f.attempts.begin(ctx, s.ID)
+	o := Send{KVFrom: c.source, LastEventID: a.r.lastEvent, Continues: true, Returns: c.returns}
+	runCtx, end := f.attempts.begin(ctx, a.lease.server.ID)
 	defer end()
-	head, res, err := a.open(runCtx, o)
+	head, res, reason, err := a.openContinuation(runCtx, ctx, o)
 	if err != nil {
-		reason := f.reasonFor(ctx, err)
-		f.attemptLost(j, s, reason, err)
-		a.continuationFailed(from, kind, reason, err)
-		notRun := errors.Is(err, errNotRun) || errors.Is(err, upstream.ErrNotSent)
-		if !notRun {
-			a.r.tried = append(a.r.tried, s.ID)
-		}
-		return j.unanswered(reason), !notRun || ctx.Err() != nil || blocked(reason)
+		a.continuationFailed(old.server, c.kind, reason, err)
+	}
+	if errors.Is(err, errNotRun) || errors.Is(err, upstream.ErrNotSent) {
+		a.notContinued(c, old)
+		return outcome.Outcome{}, false
+	}
+	a.accepted(c, old)
+	if err != nil {
+		a.next = a.streamEnded(ctx, err)
+		return j.unanswered(reason), true
 	}
 	defer func() { _ = res.Body.Close() }()
-	a.r.tried = append(a.r.tried, s.ID)
 	if head.Status != http.StatusOK {
-		a.continuationFailed(from, kind, outcome.EngineError, nil)
+		a.continuationFailed(old.server, c.kind, outcome.EngineError, nil)
+		a.next = a.on(runcopy.Abandoned)
 		return a.keepFailure(head, res), true
 	}
 	f.Metrics.Counter(metrics.Continuations).Inc(1)
-	event.RunContinued.Log(f.Log).Str("request", j.meta.ID).Str("copy", string(kind)).Str("from", from.ID).Str("to", s.ID).
-		Str("after", a.r.lastEvent).Int("generated", j.generated).Msg("")
+	event.RunContinued.Log(f.Log).Str("request", j.meta.ID).Str("copy", string(c.kind)).Str("from", old.server.ID).
+		Str("to", a.lease.server.ID).Str("after", a.r.lastEvent).Int("generated", j.generated).Msg("")
 	return a.relay(ctx, head, res), true
 }
 
+// openContinuation sends the request to the engine of the lease and reads the head of the answer. A continuation after a
+// loss takes a retry from the budget; a move has taken one before it stopped the run, also for its return to the source.
+func (a *streamAttempt) openContinuation(runCtx, ctx context.Context, o Send) (AnswerHead, *upstream.Response, outcome.Reason, error) {
+	f, j := a.r.f, a.r.j
+	if a.next == runcopy.ContinueAtBackup && !f.takeRetry(j) {
+		return AnswerHead{}, nil, outcome.RetryBudgetSpent, errors.Join(upstream.ErrNotSent, errRetryBudget)
+	}
+	kept := a.backup
+	a.backup = a.chooseBackup(j.route.Attempts - j.sends)
+	head, res, err := a.open(runCtx, o)
+	if err == nil {
+		a.r.dropCopy(kept)
+		return head, res, "", nil
+	}
+	if errors.Is(err, errNotRun) || errors.Is(err, upstream.ErrNotSent) {
+		a.r.dropCopy(a.backup)
+		a.backup = kept
+	} else {
+		a.r.dropCopy(kept)
+	}
+	reason := f.reasonFor(ctx, err)
+	f.attemptLost(j, a.lease.server, reason, err)
+	return head, nil, reason, err
+}
+
+// errRetryBudget means that the retry budget allows no continuation.
+var errRetryBudget = errors.New("the retry budget is spent")
+
+// accepted records that the engine of the lease may run the request: it is the only one now.
+func (a *streamAttempt) accepted(c continuation, old *lease) {
+	if c.to != nil {
+		a.r.f.releaseLease(a.r.j, old)
+	}
+	if !slices.Contains(a.r.tried, a.lease.server.ID) {
+		a.r.tried = append(a.r.tried, a.lease.server.ID)
+	}
+	if c.kind == copyOfMove && c.to != nil {
+		a.move.dropped = true // The copy's memory is that of the run now.
+		a.move.moved(a.r.j.generated)
+	}
+	a.dropMove()
+	a.on(runcopy.Accepted)
+	a.state.setBackup(a.backup != nil && a.backup.sent)
+	a.move, a.leavingSince = nil, time.Time{}
+}
+
+// notContinued records that the engine of the lease did not run the request, and chooses another copy.
+func (a *streamAttempt) notContinued(c continuation, old *lease) {
+	if c.to != nil {
+		if c.kind == copyOfBackup {
+			a.r.dropCopy(c.to)
+		}
+		a.lease = old
+	}
+	a.next = a.on(runcopy.NotRun)
+}
+
 // continuationFailed records that a run did not continue from a copy at the engine of the lease.
 func (a *streamAttempt) continuationFailed(from registry.Server, kind copyKind, reason outcome.Reason, err error) {
 	f, j := a.r.f, a.r.j
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -56,6 +56,8 @@
 	drain atomic.Pointer[drain]
 	// streams counts the streams in progress.
 	streams atomic.Int64
+	// moving counts the moves of runs in progress.
+	moving atomic.Int64
 	// placementChanged is signalled when the placement on decode engines has changed.
 	placementChanged chan struct{}
 	// attempts are the attempts in progress.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -31,8 +31,11 @@
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
 	err := a.copyEvents(head, res)
-	f.observeOutcome(j, s, err == nil)
-	if err == nil {
+	_ = res.Body.Close()
+	a.next = a.streamEnded(ctx, err)
+	stopped := a.state.stopped()
+	f.observeOutcome(j, s, err == nil || stopped)
+	if a.next == runcopy.Complete {
 		if !j.started {
 			// A client that resumes may have received all events already.
 			f.head(j, head, 0)
@@ -42,6 +45,12 @@
 		f.service(j.service).engines.finished(a.lease.run)
 		return outcome.Outcome{Kind: outcome.Completed}
 	}
+	if stopped {
+		return j.unanswered(outcome.EngineLost)
+	}
+	if err == nil {
+		err = errStopped
+	}
 	reason := f.reasonFor(ctx, err)
 	if errors.Is(err, errClient) {
 		reason = outcome.CallerGone
@@ -50,6 +59,10 @@
 	return j.unanswered(reason)
 }
 
+// errStopped means that a stream that ended like a complete one may have been stopped for a move, so that it does not
+// count as complete.
+var errStopped = errors.New("the run was or may have been stopped for a move")
+
 // errClient means that the client accepts no more events.
 var errClient = errors.New("client disconnected")
 
@@ -72,6 +85,7 @@
 			if werr := r.deliver(head, event, !wholeEventBuffered(br)); werr != nil {
 				return werr
 			}
+			a.considerMove(r.j.lastActivity)
 		}
 		if err == io.EOF {
 			return nil
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -121,10 +121,11 @@
 }
 
 // admitSend returns why the request may not be sent to a server now, or nil. It uses an earlier reserveSend, or counts
-// the request against the server's limit now.
-func (f *Forwarder) admitSend(j *job, id string) error {
+// the request against the server's limit now. A run that returns to the server that stopped it may be sent there though
+// the server is leaving.
+func (f *Forwarder) admitSend(j *job, id string, returns bool) error {
 	now, v := time.Now(), eligibility.NewVerdict()
-	if f.View.Leaving(id) {
+	if !returns && f.View.Leaving(id) {
 		v.Add(eligibility.Condition{Reason: eligibility.Leaving, Author: eligibility.Server}, now)
 	}
 	if c, ok := f.cooldowns.condition(id, now); ok {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -32,8 +33,12 @@
 	yieldCount int
 	// lastEventAt is when the last event arrived.
 	lastEventAt time.Time
-	// continuations is how often the request was sent to an engine to continue from a copy.
-	continuations int
+	// movable is set if the run may move to another engine. moveCheckedAt is when that was last considered, movesBegun how
+	// often it was begun, and moveBegunAt when it last was.
+	movable       bool
+	moveCheckedAt time.Time
+	movesBegun    int
+	moveBegunAt   time.Time
 }
 
 // memoryNeed is the expected memory of the run at its end, in tokens.
@@ -56,6 +61,13 @@
 	export *kvSource
 	// backup is the copy of the run at another engine; nil if there is none.
 	backup *runCopy
+	// state is the state of the run and its copies, next what to do once its stream has ended, and move the latest move
+	// of the run; nil if there is none.
+	state *runState
+	next  runcopy.Action
+	move  *move
+	// leavingSince is since when the engine is known to leave; zero if it is not.
+	leavingSince time.Time
 }
 
 // Ended implements lifecycle.Request. An engine that grants no memory costs no retry, since nothing of the request was
@@ -93,15 +105,9 @@
 // Answer implements lifecycle.Attempt: the engine of the lease generates the tokens. If it is lost and another engine
 // has a copy of the run, the run continues there.
 func (a *streamAttempt) Answer(ctx context.Context) outcome.Outcome {
-	o := a.firstRun(ctx)
-	for a.backup != nil && a.backup.sent && a.r.mayContinue(ctx, o) {
-		next, ran := a.continueFromBackup(ctx)
-		if !ran {
-			break
-		}
-		o = next
-	}
-	return o
+	a.state = &runState{}
+	a.r.movable = a.r.mayMove()
+	return a.continueRun(ctx, a.firstRun(ctx))
 }
 
 // firstRun has the engine of the lease generate the tokens until the answer is whole or the run is lost.
@@ -110,6 +116,7 @@
 	runCtx, end := f.attempts.begin(ctx, a.lease.server.ID)
 	defer end()
 	head, res, err := a.start(runCtx)
+	a.state.setBackup(a.backup != nil && a.backup.sent)
 	if err != nil {
 		reason := f.reasonFor(ctx, err)
 		a.lease.refused = ctx.Err() == nil && !noEvidence(err)
@@ -117,6 +124,7 @@
 			a.r.keepExport(a.export)
 		}
 		f.attemptLost(j, a.lease.server, reason, err)
+		a.next = a.streamEnded(ctx, err)
 		return j.unanswered(reason)
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -210,6 +218,7 @@
 // Release implements lifecycle.Attempt.
 func (a *streamAttempt) Release() {
 	a.r.dropCopy(a.backup)
+	a.dropMove()
 	if a.lease != nil {
 		a.r.f.releaseLease(a.r.j, a.lease)
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -28,6 +28,22 @@
 	ErrStopping = errors.New("engine has no free capacity and closes the connection")
 )
 
+// Errors of moves, besides ErrFull if the destination has no memory or can't be reached.
+var (
+	// ErrNoRun means that the engine does not run the request.
+	ErrNoRun = errors.New("engine does not run the request")
+	// ErrMoveInProgress means that another call that moves the run is in progress.
+	ErrMoveInProgress = errors.New("a move of the run is in progress")
+)
+
+// MovedCopy is the copy of a run that an engine has moved.
+type MovedCopy struct {
+	// Handle names the copy at the engine that moved it.
+	Handle string
+	// Events is the number of events that the run had generated.
+	Events int
+}
+
 // Meta is the metadata in a client's request.
 type Meta struct {
 	// ID identifies this attempt of the client.
@@ -63,6 +79,8 @@
 	BackupTo string
 	// Continues is set if the request continues a run from a copy of it, so that it is no further attempt.
 	Continues bool
+	// Returns is set if the server itself stopped the run and keeps its memory: it takes it back even if it is leaving.
+	Returns bool
 	// Reservation is the memory reserved for the request.
 	Reservation string
 	// LastEventID is the last event of the stream that was delivered.
@@ -120,7 +138,12 @@
 	Reserve(ctx context.Context, s registry.Server, tokens int, lifetime time.Duration) (string, error)
 	// Unreserve returns an unused reservation.
 	Unreserve(ctx context.Context, s registry.Server, reservation string) error
-	// FreeExport frees an exported KV cache that will not be fetched.
+	// Move copies the KV cache of a run that s executes to another engine. If last is set, s stops the run first and
+	// keeps its memory under the handle, which is then also returned with ErrFull. It returns once the copy is complete;
+	// ctx bounds it.
+	Move(ctx context.Context, s registry.Server, request string, to registry.Server, last bool) (MovedCopy, error)
+	// FreeExport frees an exported KV cache that will not be fetched, or a copy of a run: at the source of a move at both
+	// engines.
 	FreeExport(ctx context.Context, s registry.Server, handle string) error
 	// OnSignals registers f to be called with the signals in answers to these calls. It is called once, before any
 	// other method.
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -63,5 +63,7 @@
 		{BackupsStarted, Counter},
 		{Continuations, Counter},
 		{ContinuationFailedPrefix, Counter},
+		{MovedPrefix, Counter},
+		{MovesRefused, Counter},
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,8 @@
 	EntryUnreadablePrefix = "entries_unreadable."
 	// ContinuationFailedPrefix is followed by the reason for which a run did not continue from a copy.
 	ContinuationFailedPrefix = "continuations_failed."
+	// MovedPrefix is followed by the reason for which a run moved to another engine.
+	MovedPrefix = "moves."
 	// RequestTimePrefix is followed by the kind of the route.
 	RequestTimePrefix = "request_time."
 )
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -63,4 +63,6 @@
 	BackupsStarted = "backups_started"
 	// Continuations counts runs that continued from a copy.
 	Continuations = "continuations"
+	// MovesRefused counts moves that the destination refused.
+	MovesRefused = "moves_refused"
 )
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -47,13 +47,15 @@
 	Suspicion
 	// Backups keeps copies of running streams at other engines, from which they continue after a loss.
 	Backups
+	// Moves moves running streams off engines that leave or are too slow.
+	Moves
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
-	"backups",
+	"backups", "moves",
 }
 
 // String returns the name of m as used in settings.
--- a/standin/site/copies.go
+++ b/standin/site/copies.go
@@ -1,53 +1,86 @@
 package site
 
 import (
+	"slices"
 	"strings"
 	"sync"
 )
 
-// copies are the copies of runs that the engines of one log hold. An engine names a copy by the address under which
-// requests name the holder of a backup or the source of a move.
+// copies are the copies of runs that the engines of one log hold, by the name under which requests refer to them: an
+// address and, of a backup, the ID of its request, of a move, its handle.
 type copies struct {
-	mu sync.Mutex
-	// events is the number of events that each copy contains.
-	events map[string]int
+	mu     sync.Mutex
+	byName map[string]runCopy
 	lost   bool
 }
 
+// runCopy is one copy of a run.
+type runCopy struct {
+	// events is the number of events that it contains, holders the addresses of the engines that can continue from it.
+	events  int
+	holders []string
+}
+
 // LoseCopies makes all engines lose their copies, as when these expire or there was no memory for them.
 func (l *Log) LoseCopies() {
 	l.copies.mu.Lock()
 	defer l.copies.mu.Unlock()
 	l.copies.lost = true
-	l.copies.events = nil
+	l.copies.byName = nil
 }
 
 // Copies returns the number of copies of runs that engines hold.
 func (l *Log) Copies() int {
 	l.copies.mu.Lock()
 	defer l.copies.mu.Unlock()
-	return len(l.copies.events)
+	return len(l.copies.byName)
 }
 
-func (c *copies) put(name string, events int) {
+func (c *copies) put(name string, events int, holders ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lost {
 		return
 	}
-	if c.events == nil {
-		c.events = map[string]int{}
+	if c.byName == nil {
+		c.byName = map[string]runCopy{}
+	}
+	c.byName[name] = runCopy{events: events, holders: holders}
+}
+
+// take removes a copy that an engine holds, and reports whether there was one.
+func (c *copies) take(name, holder string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x, ok := c.byName[name]
+	if !ok || !slices.Contains(x.holders, holder) {
+		return false
 	}
-	c.events[name] = events
+	delete(c.byName, name)
+	return true
 }
 
-// take removes a copy and reports whether there was one.
-func (c *copies) take(name string) bool {
+// free removes the copy with a handle.
+func (c *copies) free(handle string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, ok := c.events[name]
-	delete(c.events, name)
-	return ok
+	for name := range c.byName {
+		if strings.HasSuffix(name, "/"+handle) {
+			delete(c.byName, name)
+		}
+	}
+}
+
+// drop removes an engine that has crashed from the holders of copies.
+func (c *copies) drop(holder string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, x := range c.byName {
+		x.holders = slices.DeleteFunc(slices.Clone(x.holders), func(h string) bool { return h == holder })
+		if c.byName[name] = x; len(x.holders) == 0 {
+			delete(c.byName, name)
+		}
+	}
 }
 
 // isCopy reports whether a KV cache is fetched from a copy of a run, and not from an exported prompt.
@@ -59,13 +92,13 @@
 // backUp records how much of a run its backup contains.
 func (s *Server) backUp(c Call, events int) {
 	if c.Backup != "" {
-		s.log.copies.put(c.Backup+"/"+c.ID, events)
+		s.log.copies.put(c.Backup+"/"+c.ID, events, c.Backup)
 	}
 }
 
 // endBackup frees the backup of a run that has ended successfully.
 func (s *Server) endBackup(c Call) {
 	if c.Backup != "" {
-		s.log.copies.take(c.Backup + "/" + c.ID)
+		s.log.copies.take(c.Backup+"/"+c.ID, c.Backup)
 	}
 }
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -33,6 +33,7 @@
 	if crashed {
 		return
 	}
+	s.log.copies.drop(s.name())
 	if beforeCrash != nil {
 		beforeCrash()
 	}
--- a/standin/site/log.go
+++ b/standin/site/log.go
@@ -20,8 +20,10 @@
 	// Backup is the address of the engine that backs the run up. Continued is set if a run continued from a copy.
 	Backup    string
 	Continued bool
-	Header    http.Header
-	Body      string
+	// Last is set if a move stops the run.
+	Last   bool
+	Header http.Header
+	Body   string
 	// Refused is set when the server did not run the request.
 	Refused bool
 }
@@ -36,6 +38,7 @@
 	Free    = "free"
 	Order   = "order"
 	Report  = "report"
+	Move    = "move"
 )
 
 // Log records the calls of several servers in order. It is safe for concurrent use.
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -34,6 +34,10 @@
 	// CutStream closes the connection after two events, StallStream sends nothing more after two.
 	CutStream
 	StallStream
+	// HoldStream sends two events and then waits to be stopped for a move, after which it ends like a whole stream.
+	// HoldCutStream closes the connection then.
+	HoldStream
+	HoldCutStream
 )
 
 // exportPrefix is the prefix of the handles of exported KV caches.
@@ -50,6 +54,8 @@
 	log *Log
 
 	active, born atomic.Int64
+	// advertised is the address by which requests name the engine; nil if it is its own.
+	advertised atomic.Pointer[string]
 
 	mu               sync.Mutex
 	nextBehaviours   []Behaviour
@@ -73,15 +79,20 @@
 	// beforeCrash is called when the server begins to crash, and crashed is set then.
 	beforeCrash func()
 	crashed     bool
+	// runs are the streams being generated, and those stopped for a move, by request. nextMoves are the behaviours of the
+	// next moves.
+	runs      map[string]*liveRun
+	nextMoves []MoveBehaviour
 }
 
 // NewServer starts a server that is closed at the end of the test.
 func NewServer(t testing.TB, id string, l *Log) *Server {
-	s := &Server{ID: id, log: l}
+	s := &Server{ID: id, log: l, runs: map[string]*liveRun{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/hold-take", s.reserve)
 	mux.HandleFunc("DELETE /api/hold-drop/{id}", s.record(Drop))
-	mux.HandleFunc("DELETE /api/kv-handle/{id}", s.record(Free))
+	mux.HandleFunc("DELETE /api/kv-handle/{id}", s.free)
+	mux.HandleFunc("POST /api/kv-move", s.move)
 	mux.HandleFunc("POST /api/order", s.order)
 	mux.HandleFunc("GET /api/report", s.report)
 	mux.HandleFunc("/", s.request)
@@ -196,6 +207,11 @@
 	}
 }
 
+func (s *Server) free(w http.ResponseWriter, r *http.Request) {
+	s.log.copies.free(r.PathValue("id"))
+	s.record(Free)(w, r)
+}
+
 func (s *Server) reserve(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Tokens int `json:"tokens"`
@@ -276,7 +292,7 @@
 	b := s.nextBehaviour()
 	c.Refused = b == Shed || b == FailKVFetch && c.KVFrom != ""
 	if !c.Refused && isCopy(c.KVFrom) {
-		c.Continued = s.log.copies.take(c.KVFrom)
+		c.Continued = s.log.copies.take(c.KVFrom, s.name())
 		c.Refused = !c.Continued
 	}
 	s.log.add(&s.log.calls, c)
@@ -337,6 +353,8 @@
 		firstEvent++
 	}
 	s.backUp(c, firstEvent-1)
+	run := s.beginRun(c)
+	defer s.endRun(c, run)
 	for i := firstEvent; i <= Events; i++ {
 		if i > 2 && b == CutStream {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: par", i)
@@ -348,6 +366,20 @@
 			s.log.add(&s.log.abandoned, c)
 			return
 		}
+		if i > 2 && (b == HoldStream || b == HoldCutStream) {
+			select {
+			case <-run.stop:
+			case <-r.Context().Done():
+				s.log.add(&s.log.abandoned, c)
+				return
+			}
+		}
+		if !s.generated(run, i) {
+			if b == HoldCutStream {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
 		s.backUp(c, i)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
 		w.(http.Flusher).Flush()
