--- a/policy/runcopy/runcopy_test.go
+++ b/policy/runcopy/runcopy_test.go
@@ -33,3 +33,36 @@
 	assert.Equal(t, runcopy.SilenceLimit(ttl, 200*time.Millisecond), 400*time.Millisecond)
 	assert.Equal(t, runcopy.SilenceLimit(time.Minute, 0), 1500*time.Millisecond)
 }
+
+// A run leaves its engine when it would be cut there or end too late, and not more often than the links carry.
+func TestMoveDue(t *testing.T) {
+	late := runcopy.Forecast{Generated: 100, EndsHere: 0.1, EndsThere: 0.9, Left: 5 * time.Second}
+	change := func(f func(*runcopy.Forecast)) runcopy.Forecast {
+		c := late
+		f(&c)
+		return c
+	}
+	for _, c := range []struct {
+		name string
+		in   runcopy.Move
+		want runcopy.Reason
+	}{
+		{"stays", runcopy.Move{}, ""},
+		{"outlives its engine", runcopy.Move{Leaving: true, EndsBefore: 0.8}, runcopy.Leaving},
+		{"ends before its engine leaves", runcopy.Move{Leaving: true, EndsBefore: 0.95}, ""},
+		{"moved often", runcopy.Move{Leaving: true, Begun: runcopy.MaxMoves, Since: time.Minute}, ""},
+		{"moved just now", runcopy.Move{Leaving: true, Begun: 1, Since: 299 * time.Millisecond}, ""},
+		{"moved before", runcopy.Move{Leaving: true, Begun: 1, Since: runcopy.MoveInterval}, runcopy.Leaving},
+		{"late here", runcopy.Move{Forecast: late}, runcopy.Late},
+		{"late there too", runcopy.Move{Forecast: change(func(f *runcopy.Forecast) { f.EndsThere = 0.3 })}, ""},
+		{"in time here", runcopy.Move{Forecast: change(func(f *runcopy.Forecast) { f.EndsHere = 0.6 })}, ""},
+		{"too late to move", runcopy.Move{Forecast: change(func(f *runcopy.Forecast) { f.Left = time.Second })}, ""},
+		{"not begun", runcopy.Move{Forecast: change(func(f *runcopy.Forecast) { f.Generated = 0 })}, ""},
+	} {
+		got, due := c.in.Due()
+		assert.Equal(t, got, c.want, c.name)
+		assert.Equal(t, due, c.want != "", c.name)
+	}
+	assert.Equal(t, runcopy.ServesFor(0), 2*time.Second)
+	assert.Equal(t, runcopy.ServesFor(5*time.Second), time.Duration(0))
+}
--- a/policy/runcopy/state.go
+++ b/policy/runcopy/state.go
@@ -90,8 +90,8 @@
 // maxStopCalls bounds how often an engine is asked to stop a run: once more after a lost response.
 const maxStopCalls = 2
 
-// Run is the state of one run and its copies. The zero value is a run without a backup. It is not safe for concurrent
-// use.
+// Run is the state of one run and its copies. The zero value is a run without a backup. A call that copies the run must
+// have ended, with its event, before Accepted. It is not safe for concurrent use.
 type Run struct {
 	state State
 	// backup is set while another engine backs the run up.
@@ -147,8 +147,7 @@
 	case StreamBroken:
 		return r.lost()
 	default:
-		// A copy that is complete after its run was continued elsewhere is of no use.
-		return Step{Free: e == Copied}
+		return Step{}
 	}
 }
 
