--- a/forward/call.go
+++ b/forward/call.go
@@ -192,7 +192,7 @@
 	if err := f.checkBlocked(ctx, j); err != nil {
 		return nil, errors.Join(upstream.ErrNotSent, err)
 	}
-	if err := f.admitSend(j, s.ID); err != nil {
+	if err := f.admitSend(j, s.ID, o.Returns); err != nil {
 		return nil, err
 	}
 	o.TimeLeft, o.Instance = j.left(time.Now()), s.Instance()
@@ -210,7 +210,9 @@
 	}
 	j.servers = append(j.servers, s.ID)
 	if !o.PrefillOnly {
-		j.sends++
+		if !o.Continues {
+			j.sends++
+		}
 		j.ran = true
 	}
 	if err != nil {
--- a/forward/exclusions_test.go
+++ b/forward/exclusions_test.go
@@ -42,7 +42,7 @@
 		v := verdict()
 		assert.Equal(t, v.Reason, eligibility.Unhealthy)
 		assert.Assert(t, v.Excluded)
-		assert.ErrorContains(t, f.admitSend(j, s.ID), "unhealthy", "a request placed there before is not sent")
+		assert.ErrorContains(t, f.admitSend(j, s.ID, false), "unhealthy", "a request placed there before is not sent")
 
 		time.Sleep(v.Wait(time.Now()))
 		v = verdict()
@@ -50,7 +50,7 @@
 		assert.Equal(t, reasonsOf(f, s)[0], eligibility.Unhealthy, "the condition is shown until the engine works")
 		f.beginTrial(j, s.ID)
 		assert.Assert(t, verdict().Excluded, "one at a time")
-		assert.NilError(t, f.admitSend(j, s.ID))
+		assert.NilError(t, f.admitSend(j, s.ID, false))
 		recovered, trials := f.TakeRecovered()
 		assert.DeepEqual(t, trials, []string{s.ID})
 		assert.Equal(t, len(recovered), 0)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -32,6 +33,12 @@
 	yieldCount int
 	// lastEventAt is when the last event arrived.
 	lastEventAt time.Time
+	// movable is set if the run may move to another engine. moveCheckedAt is when that was last considered, movesBegun how
+	// often it was begun, and moveBegunAt when it last was.
+	movable       bool
+	moveCheckedAt time.Time
+	movesBegun    int
+	moveBegunAt   time.Time
 }
 
 // memoryNeed is the expected memory of the run at its end, in tokens.
@@ -52,6 +59,15 @@
 	lease *lease
 	// export is where the KV cache of the prompt is; nil if the decode engine prefills the prompt.
 	export *kvSource
+	// backup is the copy of the run at another engine; nil if there is none.
+	backup *runCopy
+	// state is the state of the run and its copies, next what to do once its stream has ended, and move the latest move
+	// of the run; nil if there is none.
+	state *runState
+	next  runcopy.Action
+	move  *move
+	// leavingSince is since when the engine is known to leave; zero if it is not.
+	leavingSince time.Time
 }
 
 // Ended implements lifecycle.Request. An engine that grants no memory costs no retry, since nothing of the request was
@@ -87,13 +103,22 @@
 	return outcome.Outcome{}, true
 }
 
-// Answer implements lifecycle.Attempt: the engine of the lease generates the tokens.
+// Answer implements lifecycle.Attempt: the engine of the lease generates the tokens. If it is lost and another engine
+// has a copy of the run, the run continues there.
 func (a *streamAttempt) Answer(ctx context.Context) outcome.Outcome {
+	a.state = &runState{}
+	a.r.movable = a.r.mayMove()
+	return a.continueRun(ctx, a.firstRun(ctx))
+}
+
+// firstRun has the engine of the lease generate the tokens until the answer is whole or the run is lost.
+func (a *streamAttempt) firstRun(ctx context.Context) outcome.Outcome {
 	f, j := a.r.f, a.r.j
 	runCtx, end := f.attempts.begin(ctx, a.lease.server.ID)
 	defer end()
 	sent := time.Now()
 	head, res, err := a.start(runCtx)
+	a.state.setBackup(a.backup != nil && a.backup.sent)
 	if err != nil {
 		reason := f.reasonFor(ctx, err)
 		a.lease.refused = ctx.Err() == nil && !noEvidence(err)
@@ -101,6 +126,7 @@
 			a.r.keepExport(a.export)
 		}
 		f.attemptLost(j, a.lease.server, reason, err)
+		a.next = a.streamEnded(ctx, err)
 		return j.unanswered(reason)
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -119,6 +145,7 @@
 // because it could not fetch the KV cache; it can prefill the prompt itself.
 func (a *streamAttempt) start(ctx context.Context) (AnswerHead, *upstream.Response, error) {
 	f, j := a.r.f, a.r.j
+	a.backup = a.chooseBackup(j.route.Attempts - j.sends - 1)
 	o := Send{Reservation: a.lease.reservation, LastEventID: a.r.lastEvent}
 	if a.export != nil && f.attempts.hasTerminated(a.export.server.ID) {
 		a.export = nil
@@ -157,11 +184,16 @@
 
 // open sends the request to the decode engine and reads the head of the answer.
 func (a *streamAttempt) open(ctx context.Context, o Send) (AnswerHead, *upstream.Response, error) {
+	if a.backup != nil {
+		o.BackupTo = a.backup.server.Addr
+	}
 	res, err := a.r.f.send(ctx, a.r.j, a.lease.server, o)
 	if err != nil {
+		a.markBackupSent(!errors.Is(err, upstream.ErrNotSent))
 		return AnswerHead{}, nil, err
 	}
 	head := a.r.f.Codec.ParseAnswer(res.Status, res.Header)
+	a.markBackupSent(!head.NotRun)
 	if head.NotRun {
 		discard(res)
 		return head, nil, refusal(head)
@@ -201,6 +233,8 @@
 
 // Release implements lifecycle.Attempt.
 func (a *streamAttempt) Release() {
+	a.r.dropCopy(a.backup)
+	a.dropMove()
 	if a.lease != nil {
 		a.r.f.releaseLease(a.r.j, a.lease)
 	}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -64,5 +64,10 @@
 		{EngineTrials, Counter},
 		{ListReadingsDropped, Counter},
 		{StoreEra, Gauge},
+		{BackupsStarted, Counter},
+		{Continuations, Counter},
+		{ContinuationFailedPrefix, Counter},
+		{MovedPrefix, Counter},
+		{MovesRefused, Counter},
 	}
 }
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -49,6 +49,10 @@
 	Exclusion
 	// PromptReuse prefers the engine that prefilled a prompt when its request is sent again.
 	PromptReuse
+	// Backups keeps copies of running streams at other engines, from which they continue after a loss.
+	Backups
+	// Moves moves running streams off engines that leave or are too slow.
+	Moves
 	count
 )
 
@@ -56,6 +60,7 @@
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
 	"exclusion", "prompt-reuse",
+	"backups", "moves",
 }
 
 // String returns the name of m as used in settings.
--- a/standin/site/log.go
+++ b/standin/site/log.go
@@ -17,8 +17,13 @@
 	Hold      string
 	KVFrom    string
 	LastEvent string
-	Header    http.Header
-	Body      string
+	// Backup is the address of the engine that backs the run up. Continued is set if a run continued from a copy.
+	Backup    string
+	Continued bool
+	// Last is set if a move stops the run.
+	Last   bool
+	Header http.Header
+	Body   string
 	// Refused is set when the server did not run the request.
 	Refused bool
 }
@@ -33,6 +38,7 @@
 	Free    = "free"
 	Order   = "order"
 	Report  = "report"
+	Move    = "move"
 )
 
 // Log records the calls of several servers in order. It is safe for concurrent use.
@@ -42,6 +48,7 @@
 	abandoned []Call
 	wake      chan struct{}
 	watcher   func(Call)
+	copies    copies
 }
 
 // NewLog returns an empty log.
