--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -74,7 +74,7 @@
 	ServerLeaveAnnounced = Event{740, log.InfoLevel, "server says in an answer that it leaves"}
 	ListReadingDropped   = Event{741, log.WarnLevel, "reading of the list of servers dropped as older than the one in force"}
 	StoreRestored        = Event{742, log.WarnLevel, "platform's store was restored from a copy"}
-	RunContinued         = Event{743, log.InfoLevel, "run continued at another engine from a copy"}
+	RunContinued         = Event{743, log.InfoLevel, "run continued from a copy"}
 	ContinuationFailed   = Event{744, log.WarnLevel, "run did not continue from a copy"}
 	RunMoved             = Event{745, log.InfoLevel, "run moved to another engine"}
 	MoveFailed           = Event{746, log.WarnLevel, "run was not moved"}
--- a/forward/backup.go
+++ b/forward/backup.go
@@ -28,10 +28,9 @@
 		return nil
 	}
 	e := f.service(j.service).engines
-	now := time.Now()
 	b := runcopy.Backup{
 		Resumable: j.route.Resumable, AttemptsLeft: attemptsLeft,
-		MemoryShort: e.memoryShort(now), Remaining: e.remaining(r.run, j.generated),
+		MemoryShort: e.waiting(), Remaining: e.remaining(r.run, j.generated),
 	}
 	if !b.Wanted() {
 		return nil
@@ -78,6 +77,13 @@
 	}
 }
 
+// waiting reports whether a request waits for memory.
+func (e *engines) waiting() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queue.Len() > 0
+}
+
 // placeCopy chooses an engine for a copy of a run and takes memory for it, until release is called.
 func (e *engines) placeCopy(r kvmemory.Request, capacity, slots int) (string, bool) {
 	e.mu.Lock()
--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -84,7 +84,7 @@
 			assert.Equal(t, got.header.Get(site.Stamp) == first.ID, c.firstHead)
 			assert.Equal(t, w.met.Counter(metrics.Continuations).Count(), int64(1))
 			assert.Equal(t, w.fwd.MemoryInUse("llm"), 0, "memory of the run or its copy was not returned")
-			assert.Assert(t, strings.Contains(w.logged.String(), "run continued at another engine from a copy"))
+			assert.Assert(t, strings.Contains(w.logged.String(), "run continued from a copy"))
 		})
 	}
 }
--- a/invariant/check.go
+++ b/invariant/check.go
@@ -87,6 +87,7 @@
 	connectionLost bool
 	responseEnd    time.Duration
 	runs           []Event
+	continuations  []Event
 	tokens         int
 	streamedText   strings.Builder
 }
@@ -142,6 +143,8 @@
 	case RunStarted:
 		r := c.request(e.Request)
 		r.runs = append(r.runs, e)
+	case RunContinued:
+		c.runContinued(e)
 	case MemoryHeld:
 		c.memoryHeld(e)
 	case Leaving:
@@ -216,6 +219,15 @@
 	}
 }
 
+// runContinued requires that there is a run to continue.
+func (c *checker) runContinued(e Event) {
+	r := c.request(e.Request)
+	if len(r.runs) == 0 {
+		c.report(RunsOnce, e, "continued, but never run")
+	}
+	r.continuations = append(r.continuations, e)
+}
+
 func (c *checker) memoryHeld(e Event) {
 	r, ok := c.requests[e.Request]
 	if ok && r.ended && e.At-r.firstEnd > c.bounds.Memory {
@@ -271,7 +283,7 @@
 		return
 	}
 	nodes := []string{r.sent.Node}
-	for _, b := range r.runs {
+	for _, b := range slices.Concat(r.runs, r.continuations) {
 		nodes = append(nodes, b.Node)
 	}
 	if slices.ContainsFunc(nodes, func(n string) bool { return c.hadFault(n, r.sent.At, r.responseEnd) }) {
--- a/invariant/check_test.go
+++ b/invariant/check_test.go
@@ -31,6 +31,11 @@
 		{"answer to another", []Point{WholeAnswer}, []Event{{Kind: ResponseReceived, Request: "x", Outcome: outcome.Completed}}},
 		{"not run, but run later", []Point{NotRunIsTrue}, []Event{sent, {At: second, Kind: ResponseReceived, Request: "r", Outcome: outcome.NotRun}, {At: 2 * second, Kind: RunStarted, Request: "r"}}},
 		{"run twice", []Point{RunsOnce}, []Event{sent, begun, begun, whole}},
+		{"a run that continues is the same run", nil, []Event{sent, begun, {At: 3, Kind: RunContinued, Request: "r", Node: "other"}, whole}},
+		{"continued without a run", []Point{RunsOnce}, []Event{sent, {At: 3, Kind: RunContinued, Request: "r", Node: "other"}, whole}},
+		{"shutdown fails a continued run", []Point{ShutdownCutsNothing}, []Event{
+			sent, begun, {At: 2, Kind: RunContinued, Request: "r", Node: "other"}, {At: 3, Kind: Draining, Node: "other"}, {At: 4, Kind: ResponseReceived, Request: "r", Outcome: outcome.Unknown},
+		}},
 		{"run twice under one key", []Point{RunsOnce}, []Event{
 			{Kind: RequestSent, Request: "r", Key: "k", Unrepeatable: true}, {Kind: RunStarted, Request: "r"},
 			{Kind: RequestSent, Request: "s", Key: "k", Unrepeatable: true}, {Kind: RunStarted, Request: "s"},
--- a/invariant/event.go
+++ b/invariant/event.go
@@ -29,6 +29,8 @@
 	WorkAccepted
 	// RunStarted: an engine or service Node started a run of Request.
 	RunStarted
+	// RunContinued: an engine Node continues a run of Request from a copy of it. It is the same run.
+	RunContinued
 	// MemoryHeld: the engine Node lists memory held for Request: a run, a reserved decode slot or an exported
 	// KV cache.
 	MemoryHeld
--- a/policy/runcopy/runcopy.go
+++ b/policy/runcopy/runcopy.go
@@ -28,7 +28,9 @@
 	// Resumable is set if the route allows another run, AttemptsLeft is the number of attempts after this one.
 	Resumable    bool
 	AttemptsLeft int
-	// MemoryShort is set if requests have recently waited for memory.
+	// MemoryShort is set if a request waits for memory. Beside a copy, engines keep memory free as for late requests.
+	// Whether a request has waited lately is no measure: gateways delay requests by some milliseconds also when memory
+	// is free, and with that few streams of a busy service would be backed up.
 	MemoryShort bool
 	// Remaining is the expected time until the end of the run.
 	Remaining time.Duration
--- a/proofs/gateway_cluster_test.go
+++ b/proofs/gateway_cluster_test.go
@@ -95,6 +95,7 @@
 	s := &clusterServer{Server: site.NewServer(c.t, id, c.log), service: service, stage: stage}
 	s.Restart(time.Now().UnixMilli(), false)
 	s.relay = newRelay(c.t, s.Addr())
+	s.SetAddr(s.relay.addr)
 	s.CrashOn(crashPrefix, func(*site.Server) {
 		defer c.crashes.Done()
 		c.replaceCrashed(s)
@@ -165,7 +166,9 @@
 		},
 		"services": []any{
 			map[string]any{"name": plainService, "max_conns": 200},
-			map[string]any{"name": modelService, "max_conns": 200, "engine": map[string]any{"slots": 48, "kv_capacity": 50_000, "hold_ms": 2000}},
+			map[string]any{"name": modelService, "max_conns": 200, "engine": map[string]any{
+				"slots": 48, "kv_capacity": 1_000_000, "hold_ms": 2000, "stride": eventTokens, "kv_ttl_s": 2, "moves": true, "backups": true,
+			}},
 		},
 	})
 	assert.NilError(c.t, err)
@@ -173,6 +176,9 @@
 	return c.version
 }
 
+// eventTokens is the number of tokens of one event.
+const eventTokens = 1600
+
 // routeHost is the host of all routes.
 const routeHost = "h"
 
--- a/proofs/gateway_observer_test.go
+++ b/proofs/gateway_observer_test.go
@@ -66,9 +66,16 @@
 		return
 	}
 	w.checkTenant(call)
-	e.Kind = invariant.WorkAccepted
-	w.rec.Add(e)
-	if call.Kind != site.Prefill {
+	if !call.Returned {
+		e.Kind = invariant.WorkAccepted
+		w.rec.Add(e)
+	}
+	switch {
+	case call.Continued:
+		e.Kind = invariant.RunContinued
+		w.rec.Add(e)
+		w.count(fmt.Sprint("continued ", strings.Split(call.KVFrom, "/")[1][:5] == "move-"))
+	case call.Kind != site.Prefill:
 		e.Kind = invariant.RunStarted
 		w.rec.Add(e)
 	}
@@ -117,6 +124,9 @@
 // token is the text of stream event i, counted from zero.
 func token(i int) string { return fmt.Sprint("token ", i+1) }
 
+// streamTokens is the length of a whole stream, in tokens: so long that gateways expect it to run for seconds.
+const streamTokens = site.Events * eventTokens
+
 // clientTimeout is how long a client waits for an answer.
 const clientTimeout = 5 * time.Second
 
@@ -208,7 +218,8 @@
 	e.Kind = invariant.ConnectionLost
 	h := http.Header{site.Credentials: {w.credentials(q)}, site.RequestID: {q.id}, site.Deadline: {strconv.FormatInt(clientTimeout.Milliseconds(), 10)}}
 	if q.streams() {
-		h.Set(site.Tokens, "1000,200")
+		h.Set(site.Tokens, fmt.Sprint("1000,", streamTokens))
+		h.Set(site.LengthHint, strconv.Itoa(streamTokens))
 	}
 	method := http.MethodPost
 	if q.kind() == "safe" || q.kind() == "v" {
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -168,7 +168,7 @@
 // everyKind returns all fault kinds in the order in which they were added: the regression seeds draw from the
 // first ones only.
 func (x *soaker) everyKind() []faultKind {
-	return slices.Concat(x.kinds(), x.keyKinds(), x.announcementKinds(), x.restoreKinds())
+	return slices.Concat(x.kinds(), x.keyKinds(), x.announcementKinds(), x.restoreKinds(), x.copyKinds())
 }
 
 func (x *soaker) gateway(i int) *clusterGateway { return x.c.gateways[i%len(x.c.gateways)] }
--- a/standin/site/copies.go
+++ b/standin/site/copies.go
@@ -29,6 +29,13 @@
 	l.copies.byName = nil
 }
 
+// KeepCopies ends the effect of LoseCopies.
+func (l *Log) KeepCopies() {
+	l.copies.mu.Lock()
+	defer l.copies.mu.Unlock()
+	l.copies.lost = false
+}
+
 // Copies returns the number of copies of runs that engines hold.
 func (l *Log) Copies() int {
 	l.copies.mu.Lock()
--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 )
 
 // MoveBehaviour is how an engine answers one call that moves a run.
@@ -154,3 +155,22 @@
 	s.log.copies.put(s.name()+"/"+movePrefix+id, events, holders...)
 	return events
 }
+
+// pause waits before an event of a stream that is held or slow. It returns false if the caller has disconnected.
+func pause(r *http.Request, x *liveRun, b Behaviour, event int) bool {
+	var due <-chan time.Time
+	switch {
+	case b == SlowStream:
+		due = time.After(slowInterval)
+	case event > 2 && (b == HoldStream || b == HoldCutStream):
+	default:
+		return true
+	}
+	select {
+	case <-due:
+	case <-x.stop:
+	case <-r.Context().Done():
+		return false
+	}
+	return true
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Behaviour is how a backend server answers one request.
@@ -38,8 +39,13 @@
 	// HoldCutStream closes the connection then.
 	HoldStream
 	HoldCutStream
+	// SlowStream waits for slowInterval before each event.
+	SlowStream
 )
 
+// slowInterval makes a slow stream last three seconds, longer than a fault.
+const slowInterval = 600 * time.Millisecond
+
 // exportPrefix is the prefix of the handles of exported KV caches.
 const exportPrefix = "kv-"
 
@@ -294,6 +300,7 @@
 	if !c.Refused && isCopy(c.KVFrom) {
 		c.Continued = s.log.copies.take(c.KVFrom, s.name())
 		c.Refused = !c.Continued
+		c.Returned = strings.HasPrefix(c.KVFrom, s.name()+"/"+movePrefix)
 	}
 	s.log.add(&s.log.calls, c)
 	s.active.Add(1)
@@ -366,13 +373,9 @@
 			s.log.add(&s.log.abandoned, c)
 			return
 		}
-		if i > 2 && (b == HoldStream || b == HoldCutStream) {
-			select {
-			case <-run.stop:
-			case <-r.Context().Done():
-				s.log.add(&s.log.abandoned, c)
-				return
-			}
+		if !pause(r, run, b, i) {
+			s.log.add(&s.log.abandoned, c)
+			return
 		}
 		if !s.generated(run, i) {
 			if b == HoldCutStream {
