prefillpool: exports count as memory, and prompts without time are not sent

An engine holds a prompt until the decode engine has fetched it or its time to live ends; the pool counted it only until it was prefilled. And prompts were prefilled although the first event could only come after the deadline, or after the reservation at the decode engine had lapsed.

Change: exported prompts count as memory until the run has begun, the export was freed or has expired; other gateways are told in Share.held (new field, earlier releases ignore it). A prefill engine is left out when backlog, prefill and the learned hand-over leave no time before the deadline, or the reservation lapses before; if the decode engine can't prefill in time either, the request is rejected as not run. The check is made before each try.

--- a/forward/baserequest.go
+++ b/forward/baserequest.go
@@ -50,7 +50,7 @@
 func (b *baseRequest) retryable(reason outcome.Reason) bool {
 	j := b.j
 	switch {
-	case reason == outcome.CallerGone || reason == outcome.RetryBudgetSpent || blocked(reason):
+	case reason == outcome.CallerGone || reason == outcome.DeadlineExceeded || reason == outcome.RetryBudgetSpent || blocked(reason):
 		return false
 	case j.ran && !j.route.Repeatable():
 		return false
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -38,10 +38,10 @@
 	checkScheduled bool
 	// shortageAt is when a request last waited for memory.
 	shortageAt time.Time
-	// changed are the engines whose placement has changed since it was last reported; prefilling is the tokens that
-	// were sent to each prefill engine and are not prefilled yet.
+	// changed are the engines whose placement has changed since it was last reported; prefilling is the load of each
+	// prefill engine.
 	changed    map[string]struct{}
-	prefilling map[string]int
+	prefilling map[string]kvmemory.Load
 	// notify is called, with mu held, when changed becomes non-empty; it must not block.
 	notify func()
 }
@@ -69,7 +69,7 @@
 func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, verdicts eligibility.Verdicts, notify func()) *engines {
 	return &engines{
 		list: list, verdicts: verdicts,
-		changed: map[string]struct{}{}, prefilling: map[string]int{}, notify: notify,
+		changed: map[string]struct{}{}, prefilling: map[string]kvmemory.Load{}, notify: notify,
 		zone:    zone,
 		policy:  queuePolicy(off),
 		off:     off,
@@ -247,11 +247,12 @@
 	e.markChanged(id)
 }
 
-// recordPrefill records the tokens that were sent to a prefill engine and are not prefilled yet.
-func (e *engines) recordPrefill(id string, tokens int) {
+// recordPrefill records the tokens that were sent to a prefill engine and are not prefilled yet, and those of exported
+// prompts that it holds.
+func (e *engines) recordPrefill(id string, tokens, held int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.prefilling[id] = tokens; tokens == 0 {
+	if e.prefilling[id] = (kvmemory.Load{Tokens: tokens, Held: held}); tokens+held == 0 {
 		delete(e.prefilling, id)
 	}
 	e.markChanged(id)
@@ -259,8 +260,8 @@
 
 // load returns the load that this process placed on an engine. The caller holds mu.
 func (e *engines) load(id string, now time.Time) kvmemory.Load {
-	if tokens := e.prefilling[id]; tokens > 0 {
-		return kvmemory.Load{Tokens: tokens}
+	if l, ok := e.prefilling[id]; ok {
+		return l
 	}
 	return e.memory.OwnLoad(id, now)
 }
@@ -336,8 +337,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := e.memory.OwnLoads(time.Now())
-	for id, tokens := range e.prefilling {
-		out = append(out, kvmemory.Share{ID: id, Load: kvmemory.Load{Tokens: tokens}})
+	for id, l := range e.prefilling {
+		out = append(out, kvmemory.Share{ID: id, Load: l})
 	}
 	return out
 }
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
@@ -22,6 +23,8 @@
 	server registry.Server
 	// exportedAt is when the KV cache was exported.
 	exportedAt time.Time
+	// release records, once, that the engine no longer holds it.
+	release func()
 }
 
 // maxPrefillTries bounds how often a prompt is sent to prefill engines before the decode engine prefills it itself.
@@ -46,7 +49,7 @@
 		tried = append(tried, c.Server.ID)
 		export, err := f.runPrefill(ctx, j, c)
 		if err == nil {
-			return &kvSource{Export: export, server: c.Server, exportedAt: time.Now()}, false
+			return &kvSource{Export: export, server: c.Server, exportedAt: time.Now(), release: f.holdExport(j, c.Server.ID)}, false
 		}
 		f.attemptLost(j, c.Server, f.reasonFor(ctx, err), err)
 		if errors.Is(err, errBlocked) {
@@ -63,23 +66,49 @@
 // choosePrefill returns the engine to prefill the prompt, or none if the decode engine of the lease had better do it.
 func (f *Forwarder) choosePrefill(j *job, l *lease, tried []string) (prefillpool.Choice, bool) {
 	servers := f.View.Servers(j.service)
-	s := f.service(j.service)
+	s, now := f.service(j.service), time.Now()
 	req := prefillpool.Request{
 		Tokens: j.meta.PromptTokens, Zone: l.server.Zone, SlotLoad: s.engines.slotLoad(l.server.ID), Exclude: tried,
 		Memory: j.table.Services[j.service].Engine.KVTokens, Verdicts: f.engineVerdicts(len(tried)+1 < maxPrefillTries),
+		Left: j.left(now), ReservationLeft: f.reservationLeft(j, l, now),
 	}
 	if !f.Off.Has(mechanism.PromptReuse) {
 		req.Prefilled = j.prefilled
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, ok := s.prefillPool.Pick(servers, req, time.Now())
+	c, ok := s.prefillPool.Pick(servers, req, now)
 	if ok {
 		f.beginTrial(j, c.Server.ID)
 	}
 	return c, ok
 }
 
+// reservationLeft is the time until a reservation that is not used lapses; zero if it does not.
+func (f *Forwarder) reservationLeft(j *job, l *lease, now time.Time) time.Duration {
+	lifetime := j.table.Services[j.service].Engine.MaxReservationTTL
+	if lifetime == 0 || l.reservation == "" {
+		return 0
+	}
+	return max(l.since.Add(lifetime).Sub(now), 1)
+}
+
+// prefillTooLate reports whether the decode engine itself can't prefill the prompt before the deadline.
+func (f *Forwarder) prefillTooLate(j *job) bool {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.prefillPool.DecodePrefillTooLate(prefillpool.Request{Tokens: j.meta.PromptTokens, Left: j.left(time.Now())})
+}
+
+// observeHandOver records that a run has begun that fetched the KV cache of its prompt.
+func (f *Forwarder) observeHandOver(j *job, took time.Duration) {
+	s := f.service(j.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.prefillPool.ObserveHandOver(took)
+}
+
 // runPrefill sends the prompt to one prefill engine.
 func (f *Forwarder) runPrefill(ctx context.Context, j *job, c prefillpool.Choice) (Export, error) {
 	start := time.Now()
@@ -111,7 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	mark = s.prefillPool.Begin(c.Server.ID, c.Tokens)
-	s.engines.recordPrefill(c.Server.ID, s.prefillPool.OwnLoad(c.Server.ID))
+	s.recordPrefill(c.Server.ID)
 	return mark
 }
 
@@ -124,7 +153,34 @@
 	} else {
 		s.prefillPool.End(c, j.meta.PromptTokens, err == nil, took, time.Now())
 	}
-	s.engines.recordPrefill(c.Server.ID, s.prefillPool.OwnLoad(c.Server.ID))
+	s.recordPrefill(c.Server.ID)
+}
+
+// recordPrefill passes the load of a prefill engine on to what is reported to other processes. The caller holds
+// Forwarder.mu.
+func (s *service) recordPrefill(id string) {
+	s.engines.recordPrefill(id, s.prefillPool.OwnLoad(id), s.prefillPool.OwnHeld(id))
+}
+
+// holdExport records that a prefill engine holds the prompt, until the returned function is called, or the export
+// expires.
+func (f *Forwarder) holdExport(j *job, id string) (release func()) {
+	s, tokens := f.service(j.service), j.meta.PromptTokens
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.prefillPool.Exported(id, tokens)
+	s.recordPrefill(id)
+	released := sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		s.prefillPool.Released(id, tokens)
+		s.recordPrefill(id)
+	})
+	expiry := time.AfterFunc(j.table.Services[j.service].Engine.ExportTTL, released)
+	return func() {
+		expiry.Stop()
+		released()
+	}
 }
 
 func (f *Forwarder) requestExport(ctx context.Context, j *job, s registry.Server) (Export, error) {
@@ -174,7 +230,9 @@
 	go func() {
 		if err := f.Engines.FreeExport(context.Background(), e.server, e.Handle); err != nil {
 			f.attemptFailed(j, e.server, outcome.KVLost, err)
+			return
 		}
+		e.release()
 	}()
 }
 
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -276,6 +276,7 @@
 		}
 		for id, l := range loads {
 			s.prefillPool.SetPeerLoad(id, l.Tokens)
+			s.prefillPool.SetPeerHeld(id, l.Held)
 		}
 	}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -81,6 +81,9 @@
 		f.freeExport(j, a.export)
 		return j.unanswered(reasonOf(ctx)), false
 	}
+	if a.export == nil && f.prefillTooLate(j) {
+		return j.unanswered(outcome.DeadlineExceeded), false
+	}
 	if retryDue && !f.takeRetry(j) {
 		return j.unanswered(outcome.RetryBudgetSpent), false
 	}
@@ -111,6 +114,9 @@
 	f.engineSucceeded(a.lease.server, sent)
 	if a.export == nil {
 		j.prefills.prefilled(j.meta.PromptTokens)
+	} else {
+		a.export.release()
+		f.observeHandOver(j, time.Since(sent))
 	}
 	return a.relay(ctx, head, res)
 }
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -25,7 +25,7 @@
 
 func encodeShare(s kvmemory.Share) *peer.Share {
 	incarnation := registry.ParseID(s.ID)
-	out := &peer.Share{Server: incarnation.Instance, Start: incarnation.Tag(), Tokens: uint32(max(s.Tokens, 0)), Runs: uint32(s.Runs)}
+	out := &peer.Share{Server: incarnation.Instance, Start: incarnation.Tag(), Tokens: uint32(max(s.Tokens, 0)), Runs: uint32(s.Runs), Held: uint32(max(s.Held, 0))}
 	if s.Runs == 0 {
 		return out
 	}
@@ -40,7 +40,7 @@
 // decodeLoad decodes a share. A share without a forecast, as gateways of earlier versions send, counts as a constant
 // load.
 func decodeLoad(s *peer.Share) kvmemory.Load {
-	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns())}
+	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns()), Held: int(s.GetHeld())}
 	mean, variance := s.GetMean(), s.GetVariance()
 	if len(mean) != kvmemory.NumHorizons || len(variance) != kvmemory.NumHorizons {
 		l.Forecast = kvmemory.Constant(l.Tokens)
--- a/gateway/peerload_test.go
+++ b/gateway/peerload_test.go
@@ -99,3 +99,13 @@
 	assert.Assert(t, unreported.Max > 30_000)
 	assert.Assert(t, unreported.Peak(kvmemory.DefaultMargin()) < 10_000, "%g", unreported.Peak(kvmemory.DefaultMargin()))
 }
+
+// TestHeldPromptsAreReported: the memory of exported prompts reaches the other gateways, and earlier releases, which
+// don't send it, count as holding none.
+func TestHeldPromptsAreReported(t *testing.T) {
+	p, now := newPeerLoads(func(instance string, _ uint32) string { return instance }), time.Unix(1000, 0)
+	shares := encodeShares([]kvmemory.Share{{ID: "pre", Load: kvmemory.Load{Tokens: 100, Held: 6000}}})
+	assert.Equal(t, p.receiveReport(&peer.Report{Addr: "g2", Shares: shares}, now)["pre"].Held, 6000)
+	assert.Equal(t, p.receiveReport(&peer.Report{Addr: "g3", Shares: []*peer.Share{{Server: "pre", Tokens: 100}}}, now)["pre"].Held, 6000)
+	assert.Equal(t, p.receiveReport(&peer.Report{Addr: "g2"}, now)["pre"].Held, 0)
+}
--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -147,11 +147,14 @@
 	// Tokens is the estimated memory that the runs take at their ends, Runs their number.
 	Tokens, Runs int
 	Forecast     Forecast
+	// Held is the memory that exported prompts take at a prefill engine until they are fetched, besides Tokens.
+	Held int
 }
 
 // Add adds sign times o.
 func (l *Load) Add(o *Load, sign int) {
 	l.Tokens += sign * o.Tokens
 	l.Runs += sign * o.Runs
+	l.Held += sign * o.Held
 	l.Forecast.Add(&o.Forecast, float64(sign))
 }
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -80,6 +80,8 @@
 	rate     stages.PrefillRate
 	outliers *outlier.Tracker
 	engines  map[string]*engine
+	// handOver is the mean time from the sending of a run to its beginning; zero until it is known.
+	handOver time.Duration
 }
 
 // engine is the state of one prefill engine.
@@ -87,6 +89,8 @@
 	// own and peers are the tokens that this router and its peers sent to it and that are not
 	// prefilled yet.
 	own, peers int
+	// ownHeld and peersHeld are the tokens of their exported prompts that no decode engine has fetched.
+	ownHeld, peersHeld int
 	// arrived is the tokens known to have been sent to it since the start, by any router.
 	arrived int64
 	// avoidUntil is until when it gets no prompts.
@@ -119,6 +123,9 @@
 	Verdicts eligibility.Verdicts
 	// Prefilled are the engines that have prefilled the prompt before.
 	Prefilled []Prefilled
+	// Left is the time until the deadline of the request, ReservationLeft that until its reservation at the
+	// decode engine lapses; zero if there is none.
+	Left, ReservationLeft time.Duration
 }
 
 // Choice is the engine that prefills a prompt.
@@ -147,6 +154,9 @@
 		}
 		tokens := q.Tokens - e.cached(s.ID, q)
 		expected := p.expected(e, tokens, now)
+		if p.tooLate(q, expected) {
+			continue
+		}
 		cost := expected + p.penalty(s, q.Zone, now) + time.Duration(float64(p.cfg.Preference)*(1-e.preference))
 		cost -= time.Duration(p.cfg.CachedBonus * float64(q.Tokens-tokens) * float64(p.perToken()))
 		none := best.Server.ID == ""
@@ -171,8 +181,8 @@
 // outOfMemory reports whether an engine has no memory for one more prompt: it holds each from
 // its arrival until the export is fetched, and rejects what doesn't fit, at the cost of a retry.
 func (e *engine) outOfMemory(q Request) bool {
-	backlog := e.own + e.peers
-	return q.Memory > 0 && backlog > 0 && backlog+q.Tokens > q.Memory
+	used := e.own + e.peers + e.ownHeld + e.peersHeld
+	return q.Memory > 0 && used > 0 && used+q.Tokens > q.Memory
 }
 
 // decodePrefillCost is the cost of a prefill by the decode engine.
@@ -261,6 +271,15 @@
 	e.own = max(e.own-tokens, 0)
 }
 
+// Exported records that an engine holds a prompt of that many tokens, until Released is called.
+func (p *Pool) Exported(id string, tokens int) { p.engine(id).ownHeld += tokens }
+
+// Released records that an engine no longer holds a prompt for which Exported was called.
+func (p *Pool) Released(id string, tokens int) {
+	e := p.engine(id)
+	e.ownHeld = max(e.ownHeld-tokens, 0)
+}
+
 // BackOff records that an export of an engine can't be fetched.
 func (p *Pool) BackOff(id string, now time.Time) { p.engine(id).avoidUntil = now.Add(p.cfg.BackOff) }
 
@@ -273,6 +292,13 @@
 	p.outliers.Conditions(id, 1, now, add)
 }
 
+// SetPeerHeld sets the tokens of exported prompts of all other routers that an engine holds.
+func (p *Pool) SetPeerHeld(id string, tokens int) {
+	if _, ok := p.engines[id]; ok || tokens > 0 {
+		p.engine(id).peersHeld = tokens
+	}
+}
+
 // SetPeerLoad sets the tokens that all other routers sent to an engine.
 func (p *Pool) SetPeerLoad(id string, tokens int) {
 	e, ok := p.engines[id]
@@ -293,6 +319,14 @@
 	return 0
 }
 
+// OwnHeld returns the tokens of exported prompts of this router that an engine holds.
+func (p *Pool) OwnHeld(id string) int {
+	if e, ok := p.engines[id]; ok {
+		return e.ownHeld
+	}
+	return 0
+}
+
 // TokensPerSecond returns the prefill rate of one engine; zero while it is unknown.
 func (p *Pool) TokensPerSecond() float64 { return p.rate.TokensPerSecond() }
 
@@ -300,7 +334,7 @@
 func (p *Pool) Forget(keep func(id string) bool) {
 	p.outliers.Forget(keep)
 	for id, e := range p.engines {
-		if !keep(id) && e.own == 0 {
+		if !keep(id) && e.own == 0 && e.ownHeld == 0 {
 			delete(p.engines, id)
 		}
 	}
