policy: place runs by the learned speed of each engine

Cause: engines of one service differ in speed by a factor of 2.7, and no policy knew it. Long runs on slow engines reached their deadline, and the memory forecast used one rate for all engines.

Change: package enginepace learns the time per token of each incarnation of an engine from the events of all gateways' runs (fields 8 and 9 of peer.Share, added up like the load). kvmemory forecasts a run's memory at its engine's rate, prefers fast engines by 0.3 of an engine's memory for each halving of the time per token, and lets a run wait for an engine at which it ends in time if it would reach its deadline with a probability above 0.2 at the one with free memory. An engine that becomes 2.2 times slower than usual is a last resort until it recovers. Nothing applies while the slowest engine takes less than 1.7 times as long as the fastest. Mechanism `pace` switches all of it off.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -49,6 +49,8 @@
 // queueEntry is a request in the wait queue.
 type queueEntry struct {
 	run *kvmemory.Run
+	// deadline is that of the request.
+	deadline time.Time
 	// quarantined reports whether the request may not be sent to any server.
 	quarantined func() bool
 	// reserve takes one request from the rate limit that an engine has declared.
@@ -75,6 +77,9 @@
 	// queueCheckInterval is the interval at which a queue that does not move is checked again: the staggered delays of
 	// two other gateways.
 	queueCheckInterval = 10 * time.Millisecond
+	// startDelay is the time that is expected from a choice of an engine to the first token: prompts of some 5,000
+	// tokens are prefilled and transferred in 0.2 to 0.4 s.
+	startDelay = 300 * time.Millisecond
 )
 
 // engineList identifies a list of servers, which is the same slice in the view until something changes, together with
@@ -199,6 +204,7 @@
 			entry := e.entries[w]
 			id, ok = e.memory.Pick(kvmemory.Request{
 				Run: entry.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Verdicts: e.verdicts,
+				Deadline: entry.deadline, Delay: startDelay, GiveUpAt: w.GiveUpAt,
 			}, now)
 			return ok && entry.reserve(id)
 		}, overtakeLimit, now)
--- a/forward/mechanisms.go
+++ b/forward/mechanisms.go
@@ -21,6 +21,9 @@
 	if off.Has(mechanism.ZoneBonus) {
 		c.ZoneBonus = 0
 	}
+	if off.Has(mechanism.Pace) {
+		c.Pace = kvmemory.PaceConfig{}
+	}
 	return c
 }
 
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -51,7 +51,7 @@
 		return nil, r.noServerLeft(why), false
 	}
 	for {
-		id, ok := e.await(ctx, r.waiter, queueEntry{run: r.run, quarantined: r.quarantined, reserve: r.reserveAt}, spec.KVTokens, spec.Slots)
+		id, ok := e.await(ctx, r.waiter, queueEntry{run: r.run, deadline: j.deadline, quarantined: r.quarantined, reserve: r.reserveAt}, spec.KVTokens, spec.Slots)
 		if !ok && ctx.Err() != nil {
 			return nil, j.unanswered(reasonOf(ctx)), false
 		}
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -2,12 +2,14 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 	"github.com/hibiscusspur/hibiscusspur/policy/serverlimit"
@@ -34,13 +36,16 @@
 		out.Variance = append(out.Variance, uint64(s.Forecast.Variance[i]))
 	}
 	out.Most = uint32(s.Forecast.Max)
+	if perToken := s.Pace.PerToken(); perToken > 0 {
+		out.TokenMicros, out.TokenWeight = uint32(math.Round(1e6*perToken)), uint32(s.Pace.Tokens)
+	}
 	return out
 }
 
 // decodeLoad decodes a share. A share without a forecast, as gateways of earlier versions send, counts as a constant
 // load.
 func decodeLoad(s *peer.Share) kvmemory.Load {
-	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns())}
+	l := kvmemory.Load{Tokens: int(s.GetTokens()), Runs: int(s.GetRuns()), Pace: decodePace(s)}
 	mean, variance := s.GetMean(), s.GetVariance()
 	if len(mean) != kvmemory.NumHorizons || len(variance) != kvmemory.NumHorizons {
 		l.Forecast = kvmemory.Constant(l.Tokens)
@@ -53,6 +58,21 @@
 	return l
 }
 
+const (
+	// maxTokenMicros and maxTokenWeight bound what a gateway can have observed: an event of a token in ten
+	// seconds, and ten thousand runs at a hundred tokens a second.
+	maxTokenMicros = 10_000_000
+	maxTokenWeight = 1_000_000
+)
+
+// decodePace drops a pace that no gateway can have observed, which a faulty process may report.
+func decodePace(s *peer.Share) enginepace.Evidence {
+	if s.GetTokenMicros() > maxTokenMicros || s.GetTokenWeight() > maxTokenWeight {
+		return enginepace.Evidence{}
+	}
+	return enginepace.Evidence{Tokens: int(s.GetTokenWeight()), Micros: int(s.GetTokenWeight()) * int(s.GetTokenMicros())}
+}
+
 // unreportedMaxFactor is the ratio of the maximum to the expected memory of runs that is assumed for gateways of
 // earlier versions, which do not report the maximum: callers' length hints are seldom wrong by more than a factor of
 // two.
--- a/gateway/peerload_test.go
+++ b/gateway/peerload_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 )
 
@@ -99,3 +100,22 @@
 	assert.Assert(t, unreported.Max > 30_000)
 	assert.Assert(t, unreported.Peak(kvmemory.DefaultMargin()) < 10_000, "%g", unreported.Peak(kvmemory.DefaultMargin()))
 }
+
+// TestPaceOfPeers: gateways add up the pace of an engine that each observed. Gateways that report
+// none, or one that can't be, must not change it.
+func TestPaceOfPeers(t *testing.T) {
+	p := newPeerLoads(newView().incarnationID)
+	share := func(tokens, micros int) *peer.Share {
+		l := constantLoad(100)
+		l.Runs, l.Pace = 1, enginepace.Evidence{Tokens: tokens, Micros: micros}
+		return encodeShare(kvmemory.Share{ID: "i-1", Load: l})
+	}
+	report := func(addr string, s *peer.Share) enginepace.Evidence {
+		return p.receiveReport(&peer.Report{Addr: addr, Shares: []*peer.Share{s}}, start)["i-1"].Pace
+	}
+	assert.Equal(t, report("a", share(100, 700_000)), enginepace.Evidence{Tokens: 100, Micros: 700_000})
+	assert.Equal(t, report("b", share(50, 600_000)), enginepace.Evidence{Tokens: 150, Micros: 1_300_000})
+	assert.Equal(t, report("c", share(0, 0)), enginepace.Evidence{Tokens: 150, Micros: 1_300_000})
+	assert.Equal(t, report("d", &peer.Share{Server: "i-1", Runs: 1, TokenMicros: 1 << 31, TokenWeight: 1}), enginepace.Evidence{Tokens: 150, Micros: 1_300_000})
+	assert.Equal(t, report("a", share(0, 0)), enginepace.Evidence{Tokens: 50, Micros: 600_000})
+}
--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 )
 
 // NumHorizons is the number of horizons for which memory is forecast.
@@ -147,6 +149,8 @@
 	// Tokens is the estimated memory that the runs take at their ends, Runs their number.
 	Tokens, Runs int
 	Forecast     Forecast
+	// Pace is what the runs generated lately.
+	Pace enginepace.Evidence
 }
 
 // Add adds sign times o.
@@ -154,4 +158,5 @@
 	l.Tokens += sign * o.Tokens
 	l.Runs += sign * o.Runs
 	l.Forecast.Add(&o.Forecast, float64(sign))
+	l.Pace.Add(o.Pace, sign)
 }
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -33,6 +33,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/policy/affinity"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
+	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 )
 
 // Config holds the parameters of a Pool.
@@ -59,11 +60,13 @@
 	MaxStagger time.Duration
 	// Margin is the safety margin between the forecast memory of all runs and an engine's memory.
 	Margin Margin
+	// Pace weighs the engines' speed.
+	Pace PaceConfig
 }
 
 // DefaultConfig returns the default parameters; see docs/DECISIONS.md for the measurements.
 func DefaultConfig() Config {
-	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, LateSpare: 0.25, Margin: DefaultMargin(), Stagger: 4 * time.Millisecond, MaxStagger: 100 * time.Millisecond}
+	return Config{Backoff: 150 * time.Millisecond, FailBackoff: time.Second, ZoneBonus: 0.1, LateSpare: 0.25, Margin: DefaultMargin(), Stagger: 4 * time.Millisecond, MaxStagger: 100 * time.Millisecond, Pace: DefaultPace()}
 }
 
 // Server is a decode engine.
@@ -89,6 +92,8 @@
 	unlisted map[string]Load
 	// routers is the number of routers that place runs.
 	routers int
+	// pace is what is known of the engines' speed.
+	pace fleetPace
 }
 
 type server struct {
@@ -96,6 +101,10 @@
 	// listed is false once the engine may get no new work. The entry remains while runs of this
 	// router are on the engine.
 	listed bool
+	// slow is set while the engine is several times slower than usual. paceClass is the class of its
+	// expected time per token.
+	slow      bool
+	paceClass uint8
 	// runs are those that this router placed. ownLoad is their load as of ownAt, peerLoad the load
 	// reported by peers.
 	runs              []*Run
@@ -114,6 +123,10 @@
 	endInterval time.Duration
 	// failures counts consecutive failures since the last successful request.
 	failures int
+	// observed is what this router's runs generated lately, pace the estimate from the observations
+	// of all routers.
+	observed enginepace.Window
+	pace     enginepace.Estimate
 }
 
 // New returns an empty pool. The seed has to differ between routers.
@@ -175,10 +188,14 @@
 	}
 	s.ownAt = now
 	s.ownLoad = Load{Runs: len(s.runs)}
+	for _, r := range s.runs {
+		s.observe(r, now)
+	}
+	p.updatePace(s, now)
 	for _, r := range s.runs {
 		p.rate.sample(r, now)
 		s.ownLoad.Tokens += r.Need
-		r.addTo(&s.ownLoad.Forecast, p.rate.tokensPerSecond())
+		r.addTo(&s.ownLoad.Forecast, p.rateAt(s))
 	}
 	s.updateTotal()
 }
@@ -195,6 +212,7 @@
 // Place records that a run is placed, or about to be placed, on an engine.
 func (p *Pool) Place(id string, r *Run) {
 	if s, ok := p.servers[id]; ok {
+		r.resetPace()
 		s.runs = append(s.runs, r)
 		s.ownLoad.Runs++
 		s.ownLoad.Tokens += r.Need
@@ -220,6 +238,7 @@
 	if !ok {
 		return
 	}
+	s.observe(r, now)
 	s.removeRun(r)
 	s.blockedUntil = time.Time{}
 	s.recordRunEnd(now)
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -11,6 +11,12 @@
 type Request struct {
 	// Run is the run of the request.
 	Run *Run
+	// Deadline is when the run has to end; zero if that is not known. Delay is the time until it
+	// generates its first token at an engine.
+	Deadline time.Time
+	Delay    time.Duration
+	// GiveUpAt is when the request is rejected if no engine was chosen; zero if that is not known.
+	GiveUpAt time.Time
 	// Late is set when the request can no longer meet its latency objective.
 	Late bool
 	// Zone is the router's zone.
@@ -25,21 +31,36 @@
 // Pick returns the engine to ask for a reservation, or false if none is estimated to have enough
 // free memory.
 func (p *Pool) Pick(r Request, now time.Time) (string, bool) {
-	var best *server
-	var bestScore, bestFree float64
+	best, free := p.pick(&r, now)
+	if best == nil {
+		return "", false
+	}
+	r.Run.FreeAtPeak = int(free)
+	return best.ID, true
+}
+
+// pick returns the best engine and its memory, in tokens, that remains free at the peak; nil if none
+// has enough, or if the run would probably end in time only at engines that have none at the moment.
+func (p *Pool) pick(r *Request, now time.Time) (best *server, bestFree float64) {
+	var bestScore float64
 	var bestVerdict eligibility.Verdict
-	var requested Forecast
-	r.Run.addTo(&requested, p.rate.tokensPerSecond())
-	need := requested.Peak(p.cfg.Margin)
+	p.updateFleet(now)
+	p.pace.choice++
+	maxMiss := p.maxMiss(r, now)
 	for _, s := range p.sorted {
 		if !p.eligible(s, r, now) || slices.Contains(r.Exclude, s.ID) {
 			continue
 		}
-		free := p.freeAtPeak(s, &requested, now)
-		if free < p.spare(s, r.Late, need) || p.deferred(s, r.Late, now) {
+		p.refresh(s, now)
+		o := p.optionAt(s.paceClass, r, now)
+		free := p.freeAtPeak(s, &o.forecast)
+		if free < p.spare(s, r.Late, o.need) || p.deferred(s, r.Late, now) {
 			continue
 		}
-		score := p.score(s, free, r.Zone)
+		score := p.score(s, free, r.Zone) + o.bias
+		if s.slow || o.miss > maxMiss {
+			score -= lastResortPenalty
+		}
 		better := best == nil || score > bestScore || score == bestScore && s.affinity > best.affinity
 		if !better && !bestVerdict.LastResort {
 			continue
@@ -49,15 +70,16 @@
 			best, bestScore, bestFree, bestVerdict = s, score, free, v
 		}
 	}
-	if best == nil {
-		return "", false
+	if best != nil {
+		if miss := p.optionAt(best.paceClass, r, now).miss; miss > maxMiss && p.saferExists(r, miss, now) {
+			return nil, 0
+		}
 	}
-	r.Run.FreeAtPeak = int(bestFree)
-	return best.ID, true
+	return best, bestFree
 }
 
 // eligible reports whether an engine may be asked, apart from its free memory.
-func (p *Pool) eligible(s *server, r Request, now time.Time) bool {
+func (p *Pool) eligible(s *server, r *Request, now time.Time) bool {
 	if !s.listed || s.Slots > 0 && s.ownLoad.Runs+s.peerLoad.Runs >= s.Slots {
 		return false
 	}
@@ -65,9 +87,8 @@
 }
 
 // freeAtPeak is the memory of an engine, in tokens, that remains free at the forecast peak with the
-// requested run placed there.
-func (p *Pool) freeAtPeak(s *server, requested *Forecast, now time.Time) float64 {
-	p.refresh(s, now)
+// requested run placed there. The forecast of the engine's runs has to be fresh.
+func (p *Pool) freeAtPeak(s *server, requested *Forecast) float64 {
 	return float64(s.Capacity) - peak(p.cfg.Margin, &s.total, requested)
 }
 
@@ -87,8 +108,9 @@
 	if !ok {
 		return false
 	}
+	p.refresh(s, now)
 	var empty Forecast
-	return p.freeAtPeak(s, &empty, now) < -saturationTolerance*float64(s.Capacity)
+	return p.freeAtPeak(s, &empty) < -saturationTolerance*float64(s.Capacity)
 }
 
 const (
--- a/policy/kvmemory/run.go
+++ b/policy/kvmemory/run.go
@@ -25,6 +25,13 @@
 	// sampled is the number of tokens generated at the latest sample, which was taken at sampledAt.
 	sampled   int64
 	sampledAt time.Time
+	// paced is the number of tokens generated at the latest observation of the engine's pace, which
+	// was taken at pacedAt; pacedAt is zero until the engine has generated a token of the run.
+	paced   int64
+	pacedAt time.Time
+	// slowTokens and slowTime are an observation that waits for the next one to confirm it.
+	slowTokens int
+	slowTime   time.Duration
 }
 
 // Generated records the total number of tokens that the run has generated. It may be called by any
--- a/policy/kvmemory/simulation_load_test.go
+++ b/policy/kvmemory/simulation_load_test.go
@@ -52,6 +52,22 @@
 	// burst multiplies the load in seconds 6 to 11, 17 to 21 and 27 to 31.
 	burst float64
 	seed  uint64
+	// meanTokens and maxTokens describe the lengths of runs; simMeanTokens and simMaxTokens if zero.
+	meanTokens float64
+	maxTokens  int
+	// speeds are the speeds of the engines relative to simStepTime; nil if all generate
+	// simTokensPerSecond.
+	speeds []float64
+	// slowdown is the factor by which an engine is slower at a time; nil if none ever is.
+	slowdown func(engine int, at time.Time) float64
+}
+
+// lengths returns the mean and the maximum number of generated tokens.
+func (d *deployment) lengths() (mean float64, maximum int) {
+	if d.maxTokens == 0 {
+		return simMeanTokens, simMaxTokens
+	}
+	return d.meanTokens, d.maxTokens
 }
 
 // lognormal draws from a lognormal distribution with the given mean, standard deviation of the
@@ -101,7 +117,9 @@
 	firstEvent time.Time
 	generated  float64
 	preempted  bool
-	result     requestResult
+	// longestEvent is the longest time that an event took.
+	longestEvent time.Duration
+	result       requestResult
 }
 
 type requestResult int
@@ -111,6 +129,8 @@
 	resultInTime
 	resultLate
 	resultRejected
+	// resultDeadline is that of a run that has not ended at its deadline.
+	resultDeadline
 )
 
 func inBurst(at time.Time) bool {
@@ -121,6 +141,7 @@
 // requests draws all requests of a simulation, ordered by arrival.
 func (d *deployment) requests(rng *rand.Rand) []*simRequest {
 	var out []*simRequest
+	mean, maximum := d.lengths()
 	for at := start; at.Before(start.Add(simDuration)); at = at.Add(simTick) {
 		for k := range d.kinds {
 			rate := d.kinds[k].perSecond * simTick.Seconds()
@@ -129,8 +150,8 @@
 			}
 			for ; rng.Float64() < rate; rate-- {
 				r := &simRequest{kind: &d.kinds[k], number: len(out), prompt: int(d.kinds[k].prompt(rng)), router: rng.IntN(d.routers), firstArrival: at}
-				r.total = max(int(lognormal(rng, simMeanTokens, simLengthSigma, simMaxTokens)), simEventTokens)
-				r.hint = min(max(int(float64(r.total)*math.Exp(simHintSigma*rng.NormFloat64())), 1), simMaxTokens)
+				r.total = max(int(lognormal(rng, mean, simLengthSigma, float64(maximum))), simEventTokens)
+				r.hint = min(max(int(float64(r.total)*math.Exp(simHintSigma*rng.NormFloat64())), 1), maximum)
 				out = append(out, r)
 			}
 		}
--- a/policy/kvmemory/simulation_test.go
+++ b/policy/kvmemory/simulation_test.go
@@ -45,6 +45,12 @@
 	placements map[string]int
 	// refusals counts refused reservations, preempted the runs that were preempted.
 	refusals, preempted int
+	// perToken is the current time per token of each engine, if they differ in speed; held the sum
+	// of the memory in use over all ticks.
+	perToken map[string]float64
+	held     float64
+	// beginLength returns the length estimate of a request; that of the router's learner if nil.
+	beginLength func(r *simRequest) *outputlength.Run
 }
 
 func newSimulation(d deployment, cfg kvmemory.Config) *simulation {
@@ -74,6 +80,7 @@
 
 func (s *simulation) simulate() *simulation {
 	for now := start; now.Before(start.Add(simDuration + simClientTimeout)); now = now.Add(simTick) {
+		s.updateSpeeds(now)
 		s.running = slices.DeleteFunc(s.running, func(r *simRequest) bool { return s.advance(r, now) })
 		s.preempt(now)
 		s.deliverReports(now)
@@ -98,11 +105,7 @@
 		Need: r.prompt + r.hint, Arrived: now, Late: late,
 		GiveUpAt: s.policy.GiveUpAt(now, simObjective, remaining, r.prompt, late),
 	}
-	learners := s.lengths[r.router]
-	if learners[r.kind.name] == nil {
-		learners[r.kind.name] = outputlength.New()
-	}
-	r.run = &kvmemory.Run{Need: r.waiter.Need, Prompt: r.prompt, Length: learners[r.kind.name].Begin(r.hint, simMaxTokens)}
+	r.run = &kvmemory.Run{Need: r.waiter.Need, Prompt: r.prompt, Length: s.beginRun(r)}
 	if s.rejectsEarly(r, now) {
 		s.rejectedAtOnce++
 		r.waiter.GiveUpAt = now
@@ -111,6 +114,19 @@
 	s.queues[r.router].Add(r.waiter)
 }
 
+// beginRun returns the length estimate of a request.
+func (s *simulation) beginRun(r *simRequest) *outputlength.Run {
+	if s.beginLength != nil {
+		return s.beginLength(r)
+	}
+	learners := s.lengths[r.router]
+	if learners[r.kind.name] == nil {
+		learners[r.kind.name] = outputlength.New()
+	}
+	_, maximum := s.deployment.lengths()
+	return learners[r.kind.name].Begin(r.hint, maximum)
+}
+
 // rejectsEarly reports whether a request is rejected without waiting.
 func (s *simulation) rejectsEarly(r *simRequest, now time.Time) bool {
 	queue := s.queues[r.router]
@@ -128,7 +144,10 @@
 		var id string
 		w := s.queues[i].Next(func(w *waitqueue.Waiter) bool {
 			var ok bool
-			id, ok = p.Pick(kvmemory.Request{Run: s.queued[w].run, Late: w.Late}, now)
+			r := s.queued[w]
+			id, ok = p.Pick(kvmemory.Request{
+				Run: r.run, Late: w.Late, Deadline: r.firstArrival.Add(simClientTimeout), Delay: simStartDelay, GiveUpAt: w.GiveUpAt,
+			}, now)
 			return ok
 		}, simOvertakeLimit, now)
 		if w == nil {
@@ -174,6 +193,7 @@
 		s.used[r.engine] -= float64(r.prompt + simEventTokens)
 		s.pools[r.router].Release(r.engine, r.run, now)
 		s.scheduleReport(r, now)
+		s.updateSpeeds(now)
 		s.running = slices.DeleteFunc(s.running, func(o *simRequest) bool { return o == r })
 		s.queued[r.waiter] = r
 		s.queues[r.router].Add(r.waiter)
@@ -185,7 +205,14 @@
 	if now.Before(r.firstEvent) {
 		return false
 	}
-	step := min(simTokensPerSecond*simTick.Seconds(), float64(r.total)-r.generated)
+	if s.speeds != nil && now.Sub(r.firstArrival) >= simClientTimeout {
+		s.used[r.engine] -= float64(r.prompt+simEventTokens) + r.generated
+		s.pools[r.router].Release(r.engine, r.run, now)
+		s.scheduleReport(r, now)
+		r.result = resultDeadline
+		return true
+	}
+	step := min(s.rate(r)*simTick.Seconds(), float64(r.total)-r.generated)
 	r.generated += step
 	s.used[r.engine] += step
 	r.run.Generated(int(r.generated))
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -45,12 +45,15 @@
 	Quarantine
 	// Suspicion avoids engines at which other gateways observed failing requests.
 	Suspicion
+	// Pace learns the speed of each engine, and places runs by it.
+	Pace
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
+	"pace",
 }
 
 // String returns the name of m as used in settings.
