forward, gateway, cmd: show the learned speed of engines

Cause: an operator could not see which engines are slow, nor that one had become slow.

A gateway without runs at an engine takes the estimate from its peers' reports, once a second.

--- a/cmd/hibiscusspur/servers.go
+++ b/cmd/hibiscusspur/servers.go
@@ -31,17 +31,29 @@
 func writeServers(out io.Writer, s gateway.Servers) error {
 	_, _ = fmt.Fprintf(out, "%s: %d servers\n", s.VM, len(s.Servers))
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "SERVER\tSERVICE\tSTAGE\tZONE\tASKED\tDECIDES\tAUTHOR\tEFFECT\tSINCE\tLEFT")
+	_, _ = fmt.Fprintln(w, "SERVER\tSERVICE\tSTAGE\tZONE\tASKED\tTOKEN\tDECIDES\tAUTHOR\tEFFECT\tSINCE\tLEFT")
 	for _, server := range s.Servers {
 		asked := map[bool]string{true: "no", false: "yes"}[server.Excluded]
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t\t\t\t\n", server.ID, server.Service, server.Stage, server.Zone, asked, server.Decides)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t\t\t\t\n", server.ID, server.Service, server.Stage, server.Zone, asked, tokenText(server), server.Decides)
 		for _, c := range server.Conditions {
-			_, _ = fmt.Fprintf(w, "\t\t\t\t\t%s\t%s\t%s\t%s\t%s\n", c.Reason, c.Author, effectText(c), durationText(c.AgeMs), durationText(c.LeftMs))
+			_, _ = fmt.Fprintf(w, "\t\t\t\t\t\t%s\t%s\t%s\t%s\t%s\n", c.Reason, c.Author, effectText(c), durationText(c.AgeMs), durationText(c.LeftMs))
 		}
 	}
 	return w.Flush()
 }
 
+// tokenText is the time per generated token of an engine, or a dash if it is not known.
+func tokenText(s gateway.ServerState) string {
+	if s.TokenUs <= 0 {
+		return "-"
+	}
+	text := fmt.Sprintf("%.1fms", float64(s.TokenUs)/1000)
+	if s.Slow {
+		text += " (slow)"
+	}
+	return text
+}
+
 // effectText is the effect of a condition and its size.
 func effectText(c gateway.ServerCondition) string {
 	switch c.Effect {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -74,6 +74,7 @@
 	ServerLeaveAnnounced = Event{740, log.InfoLevel, "server says in an answer that it leaves"}
 	ListReadingDropped   = Event{741, log.WarnLevel, "reading of the list of servers dropped as older than the one in force"}
 	StoreRestored        = Event{742, log.WarnLevel, "platform's store was restored from a copy"}
+	EnginePaceChanged    = Event{748, log.WarnLevel, "engine generates several times slower than usual, or as usual again"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -94,5 +95,6 @@
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
+		EnginePaceChanged,
 	}
 }
--- a/forward/choose_bench_test.go
+++ b/forward/choose_bench_test.go
@@ -21,6 +21,7 @@
 func (v *benchView) Servers(string) []registry.Server { return v.servers }
 func (v *benchView) Leaving(string) bool              { return false }
 func (v *benchView) Routers() int                     { return 1 }
+func (v *benchView) Others() int                      { return 0 }
 
 // benchForwarder returns a forwarder with n servers, which have all answered a request, and a job for them. One in ten
 // servers has failed a request, one is in a cooldown and one has declared a limit.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -258,6 +258,7 @@
 		s.view.others.Store(int64(live - 1))
 		s.view.routers.Store(int64(max(live, len(s.settings.Seeds))))
 		s.fwd.SetPeerLoads(s.peerLoads.refresh(s.peers.ExchangeInterval(), time.Now()))
+		s.fwd.RecordPaces()
 		addrs, ids := s.view.knownServers()
 		s.pool.Sweep(func(addr string) bool { return addrs[addr] })
 		s.guard.Expire()
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -26,6 +26,10 @@
 	Stage   string `json:"stage"`
 	Zone    string `json:"zone"`
 	Addr    string `json:"addr"`
+	// TokenUs is the time per generated token that is expected there, in microseconds; absent if unknown. Slow is
+	// set while it is several times longer than usual.
+	TokenUs int64 `json:"token_us,omitempty"`
+	Slow    bool  `json:"slow,omitempty"`
 	// Decides is the reason of the condition that decides, "none" if there is no condition. Excluded is set while
 	// the server is not asked.
 	Decides  string `json:"decides"`
@@ -69,7 +73,10 @@
 	now := time.Now()
 	for _, server := range list {
 		if service == "" || server.Service == service {
-			out.Servers = append(out.Servers, serverState(server, append(listed[server.ID], s.fwd.Conditions(server)...), now))
+			state := serverState(server, append(listed[server.ID], s.fwd.Conditions(server)...), now)
+			perToken, slow := s.fwd.Pace(server)
+			state.TokenUs, state.Slow = perToken.Microseconds(), slow
+			out.Servers = append(out.Servers, state)
 		}
 	}
 	return out
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -60,5 +60,10 @@
 		{CooldownsRequested, Counter},
 		{ListReadingsDropped, Counter},
 		{StoreEra, Gauge},
+		{EnginePacesKnown, Gauge},
+		{EnginePaceFastest, Gauge},
+		{EnginePaceSlowest, Gauge},
+		{EnginePaceSpread, Gauge},
+		{EnginesSlow, Gauge},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -57,6 +57,15 @@
 	FetchesFailed    = "fetches_failed"
 	// ListReadingsDropped counts readings of the server list that were older than the list in force.
 	ListReadingsDropped = "list_readings_dropped"
+	// EnginePacesKnown is the number of decode engines whose time per generated token is known.
+	EnginePacesKnown = "engine_paces_known"
+	// EnginePaceFastest and EnginePaceSlowest are times per generated token in microseconds, of the service whose
+	// engines differ most; EnginePaceSpread is their ratio in hundredths.
+	EnginePaceFastest = "engine_pace_fastest"
+	EnginePaceSlowest = "engine_pace_slowest"
+	EnginePaceSpread  = "engine_pace_spread"
+	// EnginesSlow is the number of engines that generate several times slower than usual.
+	EnginesSlow = "engines_slow"
 	// StoreEra is the era of the platform's store from which the server list in force was read.
 	StoreEra = "store_era"
 )
--- a/policy/enginepace/enginepace.go
+++ b/policy/enginepace/enginepace.go
@@ -176,6 +176,9 @@
 	return e.usual
 }
 
+// UpdatedAt is the time of the latest update.
+func (e *Estimate) UpdatedAt() time.Time { return e.updated }
+
 // Slows reports whether an observation of one run would, if it is typical, call an engine slow that is
 // not yet.
 func (e *Estimate) Slows(tokens int, elapsed time.Duration) bool {
--- a/policy/enginepace/fleet.go
+++ b/policy/enginepace/fleet.go
@@ -30,8 +30,16 @@
 	minKnown = 3
 )
 
+// Spread is the ratio of the slowest to the fastest engine; zero if none is known.
+func (f Fleet) Spread() float64 {
+	if f.Fastest <= 0 {
+		return 0
+	}
+	return f.Slowest / f.Fastest
+}
+
 // Unequal reports whether the engines differ in speed by more than their load explains. One engine
 // in twenty at either end is left out.
 func (f Fleet) Unequal() bool {
-	return f.Known >= minKnown && f.Slowest >= unequalRatio*f.Fastest
+	return f.Known >= minKnown && f.Spread() >= unequalRatio
 }
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -354,6 +354,7 @@
 		s.recordRunEnd(now)
 	}
 	s.peerLoad = l
+	p.updatePeerPace(s, now)
 	s.updateTotal()
 }
 
--- a/policy/kvmemory/pace.go
+++ b/policy/kvmemory/pace.go
@@ -62,6 +62,7 @@
 // option is what a run would be at an engine of one class of pace.
 type option struct {
 	choice   uint64
+	class    uint8
 	forecast Forecast
 	// need is the peak of the forecast, bias the term of the score for the engine's speed, miss the
 	// probability of reaching the deadline.
@@ -90,11 +91,20 @@
 	if !ok {
 		return 0, false
 	}
-	return seconds(s.pace.PerToken()), s.pace.Slow()
+	return seconds(s.pace.PerToken()), s.slow
 }
 
-// FleetPace returns the summary of the engines' usual pace.
-func (p *Pool) FleetPace() enginepace.Fleet { return p.pace.summary }
+// FleetPace returns the summary of the usual pace of the engines that get work, and the number of
+// those that are several times slower.
+func (p *Pool) FleetPace(now time.Time) (fleet enginepace.Fleet, slow int) {
+	p.updateFleet(now)
+	for _, s := range p.sorted {
+		if s.listed && s.slow {
+			slow++
+		}
+	}
+	return p.pace.summary, slow
+}
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -150,6 +160,17 @@
 	s.paceClass = classOf(p.perToken(s))
 }
 
+// peerPaceInterval is the interval at which the pace of an engine is updated by reports of peers
+// alone. Where this router places runs, it is updated with each forecast.
+const peerPaceInterval = time.Second
+
+// updatePeerPace updates the pace of an engine for which this router makes no forecasts.
+func (p *Pool) updatePeerPace(s *server, now time.Time) {
+	if s.peerLoad.Pace.Tokens > 0 && now.Sub(s.pace.UpdatedAt()) >= peerPaceInterval {
+		p.updatePace(s, now)
+	}
+}
+
 // updateFleet recomputes the summary of all engines once it has expired.
 func (p *Pool) updateFleet(now time.Time) {
 	f := &p.pace
@@ -212,7 +233,7 @@
 	if o.choice == p.pace.choice {
 		return o
 	}
-	*o = option{choice: p.pace.choice}
+	*o = option{choice: p.pace.choice, class: class}
 	rate := p.rate.tokensPerSecond()
 	if class > 0 {
 		rate = 1 / paceOf(class)
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -47,12 +47,15 @@
 	p.updateFleet(now)
 	p.pace.choice++
 	maxMiss := p.maxMiss(r, now)
+	o := p.optionAt(0, r, now)
 	for _, s := range p.sorted {
 		if !p.eligible(s, r, now) || slices.Contains(r.Exclude, s.ID) {
 			continue
 		}
 		p.refresh(s, now)
-		o := p.optionAt(s.paceClass, r, now)
+		if s.paceClass != o.class {
+			o = p.optionAt(s.paceClass, r, now)
+		}
 		free := p.freeAtPeak(s, &o.forecast)
 		if free < p.spare(s, r.Late, o.need) || p.deferred(s, r.Late, now) {
 			continue
--- a/policy/kvmemory/pick_bench_test.go
+++ b/policy/kvmemory/pick_bench_test.go
@@ -35,3 +35,29 @@
 		}
 	}
 }
+
+// BenchmarkPickBySpeed measures the same choice among engines of many speeds, each of which needs a forecast.
+func BenchmarkPickBySpeed(b *testing.B) {
+	p := kvmemory.New(kvmemory.DefaultConfig(), "g")
+	list := make([]kvmemory.Server, 350)
+	for i := range list {
+		list[i] = kvmemory.Server{ID: fmt.Sprintf("i-%03d", i), Zone: "z1", Capacity: 100_000, Slots: 48}
+	}
+	p.Sync(list)
+	now := start
+	for range 10 {
+		for i, s := range list {
+			others := constantLoad(50_000)
+			others.Runs, others.Pace = 10, pacedLoad(time.Duration(4000+25*i)*time.Microsecond).Pace
+			p.SetPeerLoad(s.ID, others, now)
+		}
+		now = now.Add(time.Second)
+	}
+	r := request(lengthRun(1000), now)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := p.Pick(r, now); !ok {
+			b.Fatal("no engine has enough free memory")
+		}
+	}
+}
