--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -80,6 +80,7 @@
 	MoveFailed           = Event{746, log.WarnLevel, "run was not moved"}
 	EngineExcluded       = Event{751, log.WarnLevel, "engine excluded: every request fails there"}
 	EngineReadmitted     = Event{752, log.InfoLevel, "excluded engine used again"}
+	EnginePaceChanged    = Event{748, log.WarnLevel, "engine generates several times slower than usual, or as usual again"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -101,5 +102,6 @@
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 		RunContinued, ContinuationFailed, RunMoved, MoveFailed, EngineExcluded, EngineReadmitted,
+		EnginePaceChanged,
 	}
 }
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -69,5 +69,10 @@
 		{ContinuationFailedPrefix, Counter},
 		{MovedPrefix, Counter},
 		{MovesRefused, Counter},
+		{EnginePacesKnown, Gauge},
+		{EnginePaceFastest, Gauge},
+		{EnginePaceSlowest, Gauge},
+		{EnginePaceSpread, Gauge},
+		{EnginesSlow, Gauge},
 	}
 }
--- a/policy/kvmemory/forecast.go
+++ b/policy/kvmemory/forecast.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 )
 
 // NumHorizons is the number of horizons for which memory is forecast.
@@ -149,6 +151,8 @@
 	Forecast     Forecast
 	// Held is the memory that exported prompts take at a prefill engine until they are fetched, besides Tokens.
 	Held int
+	// Pace is what the runs generated lately.
+	Pace enginepace.Evidence
 }
 
 // Add adds sign times o.
@@ -157,4 +161,5 @@
 	l.Runs += sign * o.Runs
 	l.Held += sign * o.Held
 	l.Forecast.Add(&o.Forecast, float64(sign))
+	l.Pace.Add(o.Pace, sign)
 }
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -53,6 +53,8 @@
 	Backups
 	// Moves moves running streams off engines that leave or are too slow.
 	Moves
+	// Pace learns the speed of each engine, and places runs by it.
+	Pace
 	count
 )
 
@@ -61,6 +63,7 @@
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
 	"exclusion", "prompt-reuse",
 	"backups", "moves",
+	"pace",
 }
 
 // String returns the name of m as used in settings.
