--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -63,6 +63,8 @@
 		a.next = a.on(runcopy.Abandoned)
 		return a.keepFailure(head, res), true
 	}
+	f.suspicions.succeeded(a.lease.server.ID)
+	f.service(j.service).engines.succeeded(a.lease.server.ID)
 	f.Metrics.Counter(metrics.Continuations).Inc(1)
 	event.RunContinued.Log(f.Log).Str("request", j.meta.ID).Str("copy", string(c.kind)).Str("from", old.server.ID).
 		Str("to", a.lease.server.ID).Str("after", a.r.lastEvent).Int("generated", j.generated).Msg("")
--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -158,6 +158,38 @@
 	}
 }
 
+// A key that was revoked while its stream ran gets no continuation.
+func TestNoContinuationForRevokedKey(t *testing.T) {
+	w := newCopyEnv(t, unlimited)
+	w.withTenants(t, route.Tenant{Name: "a", Keys: tenant("a", ownKey).Keys})
+	for _, id := range []string{"d1", "d2"} {
+		w.servers[id].Behave(site.CutStream)
+	}
+	w.log.Watch(func(c site.Call) {
+		if c.Kind == site.Decode {
+			w.withTenants(t, tenant("a", otherKey))
+		}
+	})
+	got := w.post(t, "/draft/1", append(longRun, site.Credentials, scheme+ownKey)...)
+	assert.Assert(t, got.cut)
+	assert.Equal(t, len(w.decodes("/draft/1")), 1)
+}
+
+// An engine that has restarted under its name has lost the run, though its connection is open.
+func TestContinuesAfterRestart(t *testing.T) {
+	w := newCopyEnv(t, unlimited)
+	first := w.preferred(t)
+	first.Behave(site.NeverAnswer)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/1", longRun...) }()
+	w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Decode && c.Path == "/draft/1" })
+	for w.log.Copies() == 0 || w.fwd.EndIncarnation(first.ID) == 0 {
+		assert.NilError(t, t.Context().Err())
+	}
+	assert.Equal(t, (<-done).body, whole)
+	assert.Equal(t, len(w.decodes("/draft/1")), 2)
+}
+
 // A run that ended because of its deadline or its client is not continued: nobody waits for it.
 func TestNoContinuationWithoutClient(t *testing.T) {
 	w := newCopyEnv(t, unlimited)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -175,21 +175,19 @@
 // its first event: before it, an engine may be silent for long, and the copy would have expired when that is noticed.
 func (a *streamAttempt) watchStall(res *upstream.Response) *stallTimer {
 	j := a.r.j
-	s := &stallTimer{}
+	resumable := j.route.Resumable && j.sends < j.route.Attempts
+	if a.backup == nil && !resumable {
+		return nil
+	}
+	s := &stallTimer{limit: func() time.Duration { return stallLimit }}
 	s.timer = time.AfterFunc(stallLimit, func() {
 		s.fired.Store(true)
 		_ = res.Body.Close()
 	})
-	switch {
-	case a.backup != nil:
+	if a.backup != nil {
+		s.timer.Stop()
 		ttl := j.table.Services[j.service].Engine.ExportTTL
 		s.limit = func() time.Duration { return runcopy.SilenceLimit(ttl, j.maxEventGap) }
-		s.timer.Stop()
-	case j.route.Resumable && j.sends < j.route.Attempts:
-		s.limit = func() time.Duration { return stallLimit }
-	default:
-		s.timer.Stop()
-		return nil
 	}
 	return s
 }
--- a/standin/site/log.go
+++ b/standin/site/log.go
@@ -20,8 +20,8 @@
 	// Backup is the address of the engine that backs the run up. Continued is set if a run continued from a copy.
 	Backup    string
 	Continued bool
-	// Returned is set if it continued at the engine that had stopped it for a move.
-	Returned bool
+	// Moved is set if it continued from the copy of a move, Returned if at the engine that had stopped it.
+	Moved, Returned bool
 	// Last is set if a move stops the run.
 	Last   bool
 	Header http.Header
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -300,6 +300,7 @@
 	if !c.Refused && isCopy(c.KVFrom) {
 		c.Continued = s.log.copies.take(c.KVFrom, s.name())
 		c.Refused = !c.Continued
+		c.Moved = strings.Contains(c.KVFrom, "/"+movePrefix)
 		c.Returned = strings.HasPrefix(c.KVFrom, s.name()+"/"+movePrefix)
 	}
 	s.log.add(&s.log.calls, c)
@@ -325,6 +326,7 @@
 		s.backUp(c, 0)
 		panic(http.ErrAbortHandler)
 	case b == NeverAnswer:
+		s.backUp(c, 0)
 		<-r.Context().Done()
 		s.log.add(&s.log.abandoned, c)
 		return
