exclusion: timeouts and stopping engines are no evidence

Cause: an overloaded engine exceeds timeouts of several gateways in a row although it works, and taking it out of use would move its load to the others. A stopping engine was counted by the gateways that heard of it.

Change: a failed attempt that was given up for lack of an answer still makes an engine a last resort, and no longer counts for its exclusion. peer.Failure has the new field inconclusive. TestStoppingEnginesAreNotAskedAgain compares the same failures by their new type.

Measured: TestEvidence, seven kinds of failures.

--- a/forward/conditions_test.go
+++ b/forward/conditions_test.go
@@ -51,7 +51,7 @@
 			}
 		}, []eligibility.Reason{eligibility.Overload}},
 		{"another gateway's report", registry.Prefill, func(f *Forwarder, _ *job, s registry.Server) {
-			f.ReceiveFailure("edge-2", s.ID)
+			f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
 		}, []eligibility.Reason{eligibility.Suspected}},
 		{"exports", registry.Prefill, func(f *Forwarder, j *job, s registry.Server) {
 			f.avoidPrefillEngine(j, s)
--- a/forward/exclusions_test.go
+++ b/forward/exclusions_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"io"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,10 +37,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, j, s := exclusionEnv()
 		verdict := func() eligibility.Verdict { return f.engineVerdicts(true)(s.ID, time.Now()) }
-		f.ReceiveFailure("edge-2", s.ID)
+		f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
 		assert.Assert(t, !verdict().Excluded)
 		f.engineFailed(s, outcome.EngineError, nil)
-		assert.DeepEqual(t, f.TakeFailures(), []string{s.ID})
+		assert.DeepEqual(t, f.TakeFailures(), []EngineFailure{{ID: s.ID}})
 		v := verdict()
 		assert.Equal(t, v.Reason, eligibility.Unhealthy)
 		assert.Assert(t, v.Excluded)
@@ -67,8 +69,8 @@
 func TestOtherGatewaysEndAnExclusion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, _, s := exclusionEnv()
-		f.ReceiveFailure("edge-2", s.ID)
-		f.ReceiveFailure("edge-3", s.ID)
+		f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
+		f.ReceiveFailure("edge-3", EngineFailure{ID: s.ID})
 		verdict := f.engineVerdicts(true)(s.ID, time.Now())
 		time.Sleep(verdict.Wait(time.Now()))
 		f.ReceiveTrial(s.ID)
@@ -78,18 +80,23 @@
 	})
 }
 
-// TestWhatDoesNotExclude: neither what blames the request, nor failures with the mechanism switched off, nor an engine
-// that is no longer listed.
-func TestWhatDoesNotExclude(t *testing.T) {
+// TestEvidence: errors of the engine exclude it; what blames the request, timeouts, failures with the mechanism switched
+// off and failures of an engine that is no longer listed don't.
+func TestEvidence(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		off  []string
 		err  error
 		id   string
+		want bool
 	}{
-		{"invalid requests", nil, statusError(422), ""},
-		{"switched off", []string{"exclusion"}, statusError(500), ""},
-		{"unlisted", nil, statusError(500), "another"},
+		{"errors", nil, statusError(500), "", true},
+		{"resets", nil, syscall.ECONNRESET, "", true},
+		{"invalid requests", nil, statusError(422), "", false},
+		{"switched off", []string{"exclusion"}, statusError(500), "", false},
+		{"timeouts", nil, context.DeadlineExceeded, "", false},
+		{"streams that stand still", nil, errStalled, "", false},
+		{"unlisted", nil, statusError(500), "another", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -101,7 +108,7 @@
 					f.engineFailed(s, outcome.EngineError, c.err)
 					time.Sleep(time.Second)
 				}
-				assert.Assert(t, !f.engineVerdicts(true)(s.ID, time.Now()).Excluded)
+				assert.Equal(t, f.exclusions.excluded.Load() > 0, c.want)
 			})
 		})
 	}
@@ -115,8 +122,8 @@
 			func() { f.forgetExclusions(func(string) bool { return false }) },
 			func() { time.Sleep(time.Minute); f.forgetExclusions(func(string) bool { return true }) },
 		} {
-			f.ReceiveFailure("edge-2", s.ID)
-			f.ReceiveFailure("edge-3", s.ID)
+			f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
+			f.ReceiveFailure("edge-3", EngineFailure{ID: s.ID})
 			assert.Equal(t, f.exclusions.excluded.Load(), int64(1))
 			end()
 			assert.Equal(t, f.exclusions.excluded.Load(), int64(0))
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -114,7 +114,7 @@
 	return f
 }
 
-// PlacementChanged is signalled when TakeChangedPlacements or TakeFailures has something to return.
+// PlacementChanged is signalled when TakeChangedPlacements, TakeFailures or TakeRecovered has something to return.
 func (f *Forwarder) PlacementChanged() <-chan struct{} { return f.placementChanged }
 
 func (f *Forwarder) notifyPlacementChanged() {
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
@@ -37,5 +38,5 @@
 		}
 	}
 	assert.Check(t, asked <= 2, "asked %d times in %d requests", asked, requests)
-	assert.DeepEqual(t, w.fwd.TakeFailures(), []string{"d1"})
+	assert.DeepEqual(t, w.fwd.TakeFailures(), []forward.EngineFailure{{ID: "d1", Inconclusive: true}})
 }
--- a/forward/suspicions.go
+++ b/forward/suspicions.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,15 @@
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
+// EngineFailure is a failed request at an engine.
+type EngineFailure struct {
+	// ID is that of the engine's incarnation.
+	ID string
+	// Inconclusive is set if the engine did not answer in time, as an overloaded one, or is stopping. Others avoid it
+	// for a while, but it does not exclude the engine.
+	Inconclusive bool
+}
+
 // suspicions are the engines at which requests of any gateway failed recently. It adds clocks and locking to
 // policy/suspicion and is safe for concurrent use.
 type suspicions struct {
@@ -21,8 +31,8 @@
 
 	mu      sync.Mutex
 	tracker *suspicion.Tracker
-	// updates are engines whose failures are to be reported to the other gateways.
-	updates []string
+	// updates are failures that are to be reported to the other gateways.
+	updates []EngineFailure
 }
 
 func newSuspicions(router string) *suspicions { return &suspicions{tracker: suspicion.New(router)} }
@@ -52,11 +62,11 @@
 	s.tracker.Clear(id)
 }
 
-// report adds an engine to those whose failures are reported to the other gateways.
-func (s *suspicions) report(id string) {
+// report adds a failure to those that are reported to the other gateways.
+func (s *suspicions) report(e EngineFailure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.updates = append(s.updates, id)
+	s.updates = append(s.updates, e)
 }
 
 func (s *suspicions) succeeded(id string) {
@@ -75,7 +85,7 @@
 	return s.tracker.Condition(id, now)
 }
 
-func (s *suspicions) takeUpdates() []string {
+func (s *suspicions) takeUpdates() []EngineFailure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.updates
@@ -89,16 +99,23 @@
 	if s.Stage == registry.Whole || reason != outcome.EngineLost && reason != outcome.EngineError || errors.Is(err, errRequestInvalid) {
 		return
 	}
-	announce := f.exclusionFailed(s)
+	late := timedOut(err)
+	announce := !late && f.exclusionFailed(s)
 	if f.suspected(s) || announce {
-		f.reportFailure(s)
+		f.reportFailure(EngineFailure{ID: s.ID, Inconclusive: late})
 	}
 }
 
+// timedOut reports whether an attempt was given up because its engine sent nothing in time.
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, errStalled) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // suspect makes this and the other gateways prefer other engines for a while.
 func (f *Forwarder) suspect(s registry.Server) {
 	if f.suspected(s) {
-		f.reportFailure(s)
+		f.reportFailure(EngineFailure{ID: s.ID, Inconclusive: true})
 	}
 }
 
@@ -107,8 +124,8 @@
 	return !f.Off.Has(mechanism.Suspicion) && f.suspicions.failed(s.ID)
 }
 
-func (f *Forwarder) reportFailure(s registry.Server) {
-	f.suspicions.report(s.ID)
+func (f *Forwarder) reportFailure(e EngineFailure) {
+	f.suspicions.report(e)
 	f.notifyPlacementChanged()
 }
 
@@ -118,14 +135,16 @@
 	f.exclusionSucceeded(s.ID, sent)
 }
 
-// TakeFailures returns the engines at which requests failed here since the last call. PlacementChanged is signalled
+// TakeFailures returns the failures to report since the last call. PlacementChanged is signalled
 // when there are any.
-func (f *Forwarder) TakeFailures() []string { return f.suspicions.takeUpdates() }
+func (f *Forwarder) TakeFailures() []EngineFailure { return f.suspicions.takeUpdates() }
 
 // ReceiveFailure takes another gateway's report that a request has failed at an engine.
-func (f *Forwarder) ReceiveFailure(gateway, id string) {
+func (f *Forwarder) ReceiveFailure(gateway string, e EngineFailure) {
 	if !f.Off.Has(mechanism.Suspicion) {
-		f.suspicions.reported(gateway, id)
+		f.suspicions.reported(gateway, e.ID)
+	}
+	if !e.Inconclusive {
+		f.exclusionReported(gateway, e.ID)
 	}
-	f.exclusionReported(gateway, id)
 }
--- a/forward/suspicions_test.go
+++ b/forward/suspicions_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
@@ -15,7 +16,7 @@
 // budget of others.
 func TestEnginesThatFailElsewhereAreAvoided(t *testing.T) {
 	w := newEngineEnv(t)
-	w.fwd.ReceiveFailure("g2", "d1")
+	w.fwd.ReceiveFailure("g2", forward.EngineFailure{ID: "d1"})
 	for range 3 {
 		assert.Equal(t, w.post(t, "/draft/1").status, 200)
 	}
@@ -30,7 +31,7 @@
 func TestPrefillEnginesThatFailElsewhereAreAvoided(t *testing.T) {
 	w := newEngineEnv(t)
 	w.add(t, "pre2", "llm", registry.Prefill)
-	w.fwd.ReceiveFailure("g2", "pre")
+	w.fwd.ReceiveFailure("g2", forward.EngineFailure{ID: "pre"})
 	for range 3 {
 		assert.Equal(t, w.post(t, "/draft/1").status, 200)
 	}
@@ -45,10 +46,10 @@
 	for _, c := range []struct {
 		name     string
 		set      func(w *testEnv)
-		reported []string
+		reported []forward.EngineFailure
 	}{
-		{"lost", func(w *testEnv) { w.servers["pre"].Behave(site.Reset) }, []string{"pre"}},
-		{"failed", func(w *testEnv) { w.servers["pre"].Behave(site.Fail) }, []string{"pre"}},
+		{"lost", func(w *testEnv) { w.servers["pre"].Behave(site.Reset) }, []forward.EngineFailure{{ID: "pre"}}},
+		{"failed", func(w *testEnv) { w.servers["pre"].Behave(site.Fail) }, []forward.EngineFailure{{ID: "pre"}}},
 		{"full", func(w *testEnv) { w.servers["d1"].SetFull(true); w.servers["d2"].SetFull(true) }, nil},
 		{"well", func(*testEnv) {}, nil},
 	} {
@@ -68,8 +69,8 @@
 	w := newEngineEnv(t)
 	assert.Equal(t, w.post(t, "/draft/1").status, 200)
 	before := len(w.log.Calls())
-	w.fwd.ReceiveFailure("g2", "d1")
-	w.fwd.ReceiveFailure("g3", "d1")
+	w.fwd.ReceiveFailure("g2", forward.EngineFailure{ID: "d1"})
+	w.fwd.ReceiveFailure("g3", forward.EngineFailure{ID: "d1"})
 	w.servers["d2"].SetFull(true)
 	assert.Equal(t, w.post(t, "/draft/2").status, 503)
 	for _, c := range w.log.Calls()[before:] {
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -66,11 +66,11 @@
 	return float64(s.GetMost())
 }
 
-func encodeFailures(ids []string) []*peer.Failure {
-	out := make([]*peer.Failure, 0, len(ids))
-	for _, id := range ids {
-		incarnation := registry.ParseID(id)
-		out = append(out, &peer.Failure{Server: incarnation.Instance, Start: incarnation.Tag()})
+func encodeFailures(failures []forward.EngineFailure) []*peer.Failure {
+	out := make([]*peer.Failure, 0, len(failures))
+	for _, e := range failures {
+		incarnation := registry.ParseID(e.ID)
+		out = append(out, &peer.Failure{Server: incarnation.Instance, Start: incarnation.Tag(), Inconclusive: e.Inconclusive})
 	}
 	return out
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -105,7 +106,8 @@
 	s.quotas.receive(p.GetAddr(), p.GetIncarnation(), false, p.GetUsages())
 	s.fwd.ServerLimits().Receive(p.GetAddr(), p.GetIncarnation(), false, decodeServerLimits(p.GetServerLimits(), time.Now()))
 	for _, failed := range p.GetFailures() {
-		s.fwd.ReceiveFailure(p.GetAddr(), s.view.incarnationID(failed.GetServer(), failed.GetStart()))
+		id := s.view.incarnationID(failed.GetServer(), failed.GetStart())
+		s.fwd.ReceiveFailure(p.GetAddr(), forward.EngineFailure{ID: id, Inconclusive: failed.GetInconclusive()})
 	}
 	for _, e := range p.GetRecovered() {
 		s.fwd.ReceiveRecovered(p.GetAddr(), s.view.incarnationID(e.GetServer(), e.GetStart()))
