policy/quotaorder: a quota is spent by priority while demand exceeds it

Cause: the bucket of policy/limit is first come, first served. A customer with a quota of 240,472 tokens a second was sent 3 to 7 times that: 57 of 276 streams and 122 of 771 plain calls were admitted in the first second, whatever their priority.

Change: while the demand exceeds the quota, a request is admitted when the level of the replicated bucket is above the threshold of its class (priority and tier of cost, at most 8). Each class keeps a small share, divided by the demand by class of all gateways. The order begins with the first request that the bucket rejects, which that gateway tells the others, and ends when the bucket is half full; customers with one priority are served as before. The bucket stays the limit.

--- a/policy/limit/report.go
+++ b/policy/limit/report.go
@@ -20,7 +20,10 @@
 		if changes {
 			a.reported, a.reportedAt = a.charged-a.returned, now
 		}
-		usages = append(usages, ReportedUsage{Customer: name, Charged: a.charged, Returned: a.returned, Demand: a.reportedDemand, Remaining: a.remaining})
+		usages = append(usages, ReportedUsage{
+			Customer: name, Charged: a.charged, Returned: a.returned, Demand: a.reportedDemand, Remaining: a.remaining, Classes: s.demandByClass(a, now),
+			Ordered: a.order != nil && a.order.ActiveAt(s.level(a, now)),
+		})
 	}
 	return usages, s.isInformed(now)
 }
@@ -53,6 +56,7 @@
 		if a := s.accounts[r.Customer]; a != nil {
 			a.release(source, now)
 			a.receive(source, r, recentlyStarted, now)
+			s.observeDemand(a, source, r, now)
 			if learn && !a.learned {
 				a.remaining, a.learned = min(a.remaining, r.Remaining), true
 			}
@@ -135,6 +139,9 @@
 	m.unresponsive, m.hasReservation = true, true
 	for _, a := range s.accounts {
 		a.reserve(source, len(s.members)+1, now)
+		if a.order != nil {
+			a.order.RemovePeer(source)
+		}
 	}
 }
 
--- a/policy/limit/shared.go
+++ b/policy/limit/shared.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/quotaorder"
 )
 
 // SharedQuotas enforces customers' quotas across all processes with a replicated token bucket (global token bucket).
@@ -37,6 +38,9 @@
 	updatePending bool
 	// withoutHeartbeats is set if a quota is not reported merely because it is nearly exhausted.
 	withoutHeartbeats bool
+	// ordered is set if quotas are spent in the order of classes; see OrderQuotas for orderPhase.
+	ordered    bool
+	orderPhase float64
 }
 
 // account is the quota of one customer.
@@ -62,6 +66,8 @@
 	// expectedRetries is the cost of the rejected requests that are still expected to be retried.
 	expectedRetries float64
 	members         map[string]*usage
+	// order is the order of the customer's requests; nil until AdmitOrdered has decided on one.
+	order *quotaorder.Order
 }
 
 // usage is one member's reported use of one customer's quota.
@@ -93,6 +99,10 @@
 	Charged, Returned float64
 	// Demand is in units per second, Remaining the remaining tokens of the quota for all processes.
 	Demand, Remaining float64
+	// Classes is the demand by class; nil if the quota is not nearly exhausted, and from earlier releases.
+	Classes *ReportedDemand
+	// Ordered is set while the process spends the quota in the order of classes.
+	Ordered bool
 }
 
 const (
@@ -318,21 +328,34 @@
 	Remaining, ReservedShare float64
 	// Charged is the cost of the requests admitted here that have run, Demand the demand here in units per second.
 	Charged, Demand float64
+	// Classes are those with any demand. Ordered is set while the quota is spent in their order.
+	Classes []ClassState
+	Ordered bool
 }
 
 // States returns the state of each customer that has a quota.
 func (s *SharedQuotas) States(now time.Time) map[string]State {
 	out := make(map[string]State, len(s.accounts))
-	for name, a := range s.accounts {
-		a.refill(now)
-		out[name] = State{
-			Rate: a.rate, Burst: a.burst, Remaining: a.remaining, ReservedShare: 1 - a.usableShare(),
-			Charged: a.charged - a.returned, Demand: a.offered.rate(now),
-		}
+	for name := range s.accounts {
+		out[name] = s.StateOf(name, now)
 	}
 	return out
 }
 
+// StateOf returns the state of one customer; zero if it has no quota.
+func (s *SharedQuotas) StateOf(customer string, now time.Time) State {
+	a := s.accounts[customer]
+	if a == nil {
+		return State{}
+	}
+	a.refill(now)
+	classes, ordered := a.classStates(now)
+	return State{
+		Rate: a.rate, Burst: a.burst, Remaining: a.remaining, ReservedShare: 1 - a.usableShare(),
+		Charged: a.charged - a.returned, Demand: a.offered.rate(now), Classes: classes, Ordered: ordered,
+	}
+}
+
 // UnresponsiveMembers returns the number of unresponsive members.
 func (s *SharedQuotas) UnresponsiveMembers() int {
 	unresponsive := 0
--- a/policy/limit/shared_sim_test.go
+++ b/policy/limit/shared_sim_test.go
@@ -95,6 +95,8 @@
 	checkers  map[string]*simChecker
 	datagrams int
 	trace     func(time.Duration, time.Time)
+	// sendTick sends the requests of one tick in place of sendRequests unless it is nil.
+	sendTick func(*simCustomer, time.Duration, time.Time)
 }
 
 // simChecker checks the users' rule for one customer. actual is the bucket less the cost that all gateways together have
@@ -248,7 +250,7 @@
 // configuredStrategy returns a new strategy that has the quotas from the configuration.
 func (s *sim) configuredStrategy(gateways int, at time.Time) simStrategy {
 	strategy := s.newStrategy(gateways, at)
-	if shared, ok := strategy.(sharedStrategy); ok {
+	if shared, ok := strategy.(sharedQuotas); ok {
 		for _, c := range s.customers {
 			shared.Configure(c.name, simTerms(c, 0), at)
 		}
@@ -281,12 +283,18 @@
 	}
 }
 
+// sharedQuotas is what strategies with a replicated bucket have.
+type sharedQuotas interface {
+	Configure(customer string, t Terms, now time.Time)
+	MarkUnresponsive(source string, now time.Time)
+}
+
 // simExchangeFailure is delivered in place of a message that does not arrive.
 type simExchangeFailure struct{}
 
 func (s *sim) receiveFailure(from, to int, at time.Time) {
 	g, other := s.gateways[to], s.gateways[from]
-	if shared, ok := g.strategy.(sharedStrategy); ok && s.running(to) && (g.partitioned || other.partitioned || other.frozen) {
+	if shared, ok := g.strategy.(sharedQuotas); ok && s.running(to) && (g.partitioned || other.partitioned || other.frozen) {
 		shared.MarkUnresponsive(fmt.Sprint(from), at)
 	}
 }
@@ -312,6 +320,10 @@
 
 // sendRequests has the clients of a customer send their requests of one tick.
 func (s *sim) sendRequests(c *simCustomer, now time.Duration, at time.Time) {
+	if s.sendTick != nil {
+		s.sendTick(c, now, at)
+		return
+	}
 	demand := s.checkers[c.name].limits[0].rate * c.load
 	for _, e := range s.events {
 		if e.demandFactor > 0 && e.active(now) && c == s.customers[0] {
