gateway, forward: quotas are spent by priority across gateways

Change: forward passes the priority of the route, and whether the client retries, to the quota; the retry is detected before the charge for customers with a quota, for all others where it was. peer.Usage has demand_by_class and ordered, which earlier releases ignore; they are counted with their total. Metrics quota_rejected.p0 to p3, event 747 (one in ten seconds for each customer), classes in /access and `hibiscusspur access`, mechanism quota-order.

--- a/cmd/hibiscusspur/access.go
+++ b/cmd/hibiscusspur/access.go
@@ -38,6 +38,7 @@
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.1f\n",
 			c.Name, c.Keys, c.Unit, c.Rate, c.Burst, c.Left, c.Share, c.Used, c.DemandPerS)
 	}
+	writeQuotaClasses(w, a.Customers)
 	_, _ = fmt.Fprintln(w, "\nREASON\tREFUSED")
 	for _, r := range forward.AccessReasons {
 		_, _ = fmt.Fprintf(w, "%s\t%d\n", r, a.Refused[r])
@@ -48,3 +49,13 @@
 	}
 	return w.Flush()
 }
+
+// writeQuotaClasses shows what each class of customers' requests asks for, and how much of it is admitted.
+func writeQuotaClasses(w io.Writer, customers []gateway.CustomerAccess) {
+	_, _ = fmt.Fprintln(w, "\nCUSTOMER\tCLASS\tDEMAND/S\tADMITTED HERE\tBY PRIORITY")
+	for _, c := range customers {
+		for _, class := range c.Classes {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%.0f\t%.2f\t%t\n", c.Name, class.Name, class.DemandPerS, class.Admitted, c.Ordered)
+		}
+	}
+}
--- a/forward/access.go
+++ b/forward/access.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
 
@@ -164,9 +165,12 @@
 	if j.tenant == nil || j.tenant.Quota.Rate <= 0 {
 		return 0, true
 	}
+	if !f.Off.Has(mechanism.QuotaOrder) {
+		f.detectRetry(j)
+	}
 	tokens := j.meta.PromptTokens + j.meta.MaxTokens
 	cost := j.tenant.Quota.Cost(tokens, j.meta.Sized)
-	wait, ok := f.Quota.Take(j.tenant.Name, j.tenant.Quota, cost)
+	wait, ok := f.Quota.Take(j.tenant.Name, j.tenant.Quota, QuotaRequest{Cost: cost, Priority: j.route.Priority, Retried: j.retried})
 	if ok {
 		j.charged = cost
 	}
@@ -181,10 +185,20 @@
 	j.charged = 0
 }
 
+// QuotaRequest is a request to be charged to a quota.
+type QuotaRequest struct {
+	// Cost is in the unit of the quota.
+	Cost float64
+	// Priority is that of the route; that of the customer is the same for all its requests. Zero is the highest.
+	Priority int
+	// Retried is set if the client retries after a rejection.
+	Retried bool
+}
+
 // Quota enforces the quotas of customers over all processes together. It must be safe for concurrent use.
 type Quota interface {
 	// Take charges a request to a customer, or returns the time until the quota admits it.
-	Take(customer string, q route.Quota, cost float64) (wait time.Duration, ok bool)
+	Take(customer string, q route.Quota, r QuotaRequest) (wait time.Duration, ok bool)
 	// Return refunds the charge of a request that has not run.
 	Return(customer string, cost float64)
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -30,7 +30,9 @@
 	deadline time.Time
 	// retried is set if this is a client's retry after a rejection.
 	retried bool
-	caller  httpserver.Caller
+	// retryDetected is set once retried is known.
+	retryDetected bool
+	caller        httpserver.Caller
 
 	// sends counts the sends that reached, or may have reached, a server.
 	sends int
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -266,14 +266,11 @@
 }
 
 func (f *Forwarder) countRequest(j *job) {
+	f.detectRetry(j)
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.budget.AddRequest(f.Retry, j.arrived)
-	j.retried = s.isRetry(j)
-	if j.retried {
-		f.Metrics.Counter(metrics.ClientRetries).Inc(1)
-	}
 	if j.isStream() {
 		s.promptRate.Add(float64(j.meta.PromptTokens), j.arrived)
 		s.memoryRate.Add(float64(j.memoryNeed()), j.arrived)
@@ -281,6 +278,22 @@
 	}
 }
 
+// detectRetry sets j.retried, once. The requests of customers with a quota are observed before they are charged, all
+// others once they are not rejected any more.
+func (f *Forwarder) detectRetry(j *job) {
+	if j.retryDetected {
+		return
+	}
+	j.retryDetected = true
+	s := f.service(j.service)
+	f.mu.Lock()
+	j.retried = s.isRetry(j)
+	f.mu.Unlock()
+	if j.retried {
+		f.Metrics.Counter(metrics.ClientRetries).Inc(1)
+	}
+}
+
 // isRetry reports whether a request is a client's retry after a rejection.
 func (s *service) isRetry(j *job) bool {
 	r, ok := s.retryDetectors[j.route.Name]
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -47,6 +47,18 @@
 	// Used is the cost admitted here since the start, DemandPerS the demand at this gateway.
 	Used       float64 `json:"used_here"`
 	DemandPerS float64 `json:"demand_here_per_s"`
+	// Ordered is set while the demand exceeds the quota and it is spent in the order of Classes, the first one first.
+	Ordered bool          `json:"ordered"`
+	Classes []ClassAccess `json:"classes,omitempty"`
+}
+
+// ClassAccess is one class of a customer's requests.
+type ClassAccess struct {
+	// Name is the priority of the routes, p0 being the most urgent, and the tier of cost.
+	Name string `json:"name"`
+	// DemandPerS is that of all gateways; Admitted is the part of the recent demand here that was admitted.
+	DemandPerS float64 `json:"demand_per_s"`
+	Admitted   float64 `json:"admitted_here"`
 }
 
 func (s *Service) access() Access {
@@ -68,9 +80,13 @@
 }
 
 func customerAccess(name string, keys int, unit string, q limit.State) CustomerAccess {
+	var classes []ClassAccess
+	for _, c := range q.Classes {
+		classes = append(classes, ClassAccess{Name: c.Class.String(), DemandPerS: c.Demand, Admitted: c.AdmittedShare})
+	}
 	return CustomerAccess{
 		Name: name, Keys: keys, Unit: unit, Rate: q.Rate, Burst: q.Burst, Left: q.Remaining, Share: 1 - q.ReservedShare,
-		Used: q.Charged, DemandPerS: q.Demand,
+		Used: q.Charged, DemandPerS: q.Demand, Ordered: q.Ordered, Classes: classes,
 	}
 }
 
--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/apikey"
+	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/policy/freshness"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
@@ -24,7 +25,7 @@
 		assert.NilError(t, err)
 		s := cl.gateways[0]
 		s.installTable(&route.Table{Version: 9, Tenants: tenants}, nil, fromStore)
-		_, ok := s.quotas.Take("a", route.Quota{Rate: 1000, Burst: 2000}, 500)
+		_, ok := s.quotas.Take("a", route.Quota{Rate: 1000, Burst: 2000}, forward.QuotaRequest{Cost: 500})
 		assert.Assert(t, ok)
 
 		w := httptest.NewRecorder()
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -84,6 +84,7 @@
 	for _, usage := range usages {
 		out.Customers = append(out.Customers, &peer.Usage{
 			Customer: usage.Customer, Charged: usage.Charged, Returned: usage.Returned, Demand: usage.Demand, Left: usage.Remaining,
+			DemandByClass: encodeClasses(usage.Classes), Ordered: usage.Ordered,
 		})
 	}
 	return out
@@ -94,11 +95,39 @@
 	for _, usage := range u.GetCustomers() {
 		usages = append(usages, limit.ReportedUsage{
 			Customer: usage.GetCustomer(), Charged: usage.GetCharged(), Returned: usage.GetReturned(), Demand: usage.GetDemand(), Remaining: usage.GetLeft(),
+			Classes: decodeClasses(usage.GetDemandByClass()), Ordered: usage.GetOrdered(),
 		})
 	}
 	return usages
 }
 
+// encodeClasses encodes the demand by class up to the last one that has any.
+func encodeClasses(d *limit.ReportedDemand) []float32 {
+	if d == nil {
+		return nil
+	}
+	var out []float32
+	for c, demand := range d {
+		if demand > 0 {
+			out = append(out, make([]float32, c-len(out))...)
+			out = append(out, float32(demand))
+		}
+	}
+	return out
+}
+
+// decodeClasses returns nil if a gateway reports no classes. Classes of later releases are ignored.
+func decodeClasses(demand []float32) *limit.ReportedDemand {
+	if len(demand) == 0 {
+		return nil
+	}
+	d := &limit.ReportedDemand{}
+	for c := range min(len(d), len(demand)) {
+		d[c] = float64(demand[c])
+	}
+	return d
+}
+
 // encodeServerLimits returns nil if there is nothing to report.
 func encodeServerLimits(updates forward.ServerLimitUpdates, now time.Time) *peer.ServerLimits {
 	if len(updates.Limits)+len(updates.Used) == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,7 +163,7 @@
 		view: newView(), watcher: httpserver.NewWatcher(), proofs: newProofs(settings.Freshness, d.Clock),
 	}
 	s.view.proofs = s.proofs
-	s.quotas = newQuotas(d.Log, time.Now())
+	s.quotas = newQuotas(d.Log, d.Metrics, settings.Off, time.Now())
 	s.peers = peer.New(settings.ControlAddr, settings.Datagrams, settings.Seeds, s)
 	s.metrics.GaugeFunc(metrics.UpstreamDials, d.Pool.Dialed)
 	s.metrics.Gauge(metrics.MechanismsOff).Update(int64(settings.Off.Len()))
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
 
@@ -29,13 +33,22 @@
 	// of gateways that do not report.
 	lastLogged   map[string]time.Time
 	unresponsive int
+	// orders logs and counts what the order of classes rejects.
+	orders quotaOrders
 }
 
 // usedUpLogInterval is the interval between two log lines that say that a customer's quota is used up.
 const usedUpLogInterval = 10 * time.Second
 
-func newQuotas(l *log.Logger, now time.Time) *quotas {
-	return &quotas{log: l, changed: make(chan struct{}, 1), shared: limit.NewSharedQuotas(now), lastLogged: map[string]time.Time{}}
+func newQuotas(l *log.Logger, m *metrics.Set, off mechanism.Set, now time.Time) *quotas {
+	q := &quotas{
+		log: l, changed: make(chan struct{}, 1), shared: limit.NewSharedQuotas(now), lastLogged: map[string]time.Time{},
+		orders: quotaOrders{log: l, metrics: m, lastLogged: map[string]time.Time{}},
+	}
+	if !off.Has(mechanism.QuotaOrder) {
+		q.shared.OrderQuotas(rand.Float64())
+	}
+	return q
 }
 
 // quotaTerms returns the terms of a customer's quota for a request of some cost.
@@ -58,16 +71,18 @@
 	}
 	q.shared.Retain(func(customer string) bool { return names[customer] })
 	maps.DeleteFunc(q.lastLogged, func(customer string, _ time.Time) bool { return !names[customer] })
+	q.orders.retain(names)
 }
 
 // Take implements forward.Quota.
-func (q *quotas) Take(customer string, quota route.Quota, cost float64) (time.Duration, bool) {
+func (q *quotas) Take(customer string, quota route.Quota, r forward.QuotaRequest) (time.Duration, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	d := q.shared.Admit(customer, quotaTerms(quota, cost), now, nil)
+	d := q.shared.AdmitOrdered(customer, quotaTerms(quota, r.Cost), r.Priority, r.Retried, now)
 	if !d.Admitted {
 		q.logUsedUp(customer, now)
+		q.orders.rejected(customer, r, q.shared, now)
 	}
 	q.announceIfDue()
 	return d.RetryAfter, d.Admitted
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -54,6 +54,7 @@
 		{Holds, Counter},
 		{ConfigProofAge, Gauge},
 		{QuotaReservedPeers, Gauge},
+		{QuotaRejectedPrefix, Counter},
 		{ServersLimited, Gauge},
 		{SendsWithheld, Counter},
 		{WithheldPrefix, Counter},
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -25,6 +25,8 @@
 	AttemptFailedPrefix = "attempt_failed."
 	// WithheldPrefix is followed by the reason for which a request was not sent to its chosen server.
 	WithheldPrefix = "withheld."
+	// QuotaRejectedPrefix is followed by the priority of the route of a request that its customer's quota rejected.
+	QuotaRejectedPrefix = "quota_rejected."
 	// EntryUnreadablePrefix is followed by the reason for which the registry entry of a server can't be used.
 	EntryUnreadablePrefix = "entries_unreadable."
 	// RequestTimePrefix is followed by the kind of the route.
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -45,12 +45,15 @@
 	Quarantine
 	// Suspicion avoids engines at which other gateways observed failing requests.
 	Suspicion
+	// QuotaOrder spends quotas by the priority and cost of requests while the demand exceeds them.
+	QuotaOrder
 	count
 )
 
 var names = [count]string{
 	"forecast", "turns", "late-spare", "zone-bonus", "reader-lines", "self-read", "stage-orders",
 	"datagrams", "outliers", "hedges", "overload", "late-wait", "hopeless", "quarantine", "doubts",
+	"quota-order",
 }
 
 // String returns the name of m as used in settings.
