--- a/policy/limit/shared_sim_test.go
+++ b/policy/limit/shared_sim_test.go
@@ -283,12 +283,6 @@
 	}
 }
 
-// sharedQuotas is what strategies with a replicated bucket have.
-type sharedQuotas interface {
-	Configure(customer string, t Terms, now time.Time)
-	MarkUnresponsive(source string, now time.Time)
-}
-
 // simExchangeFailure is delivered in place of a message that does not arrive.
 type simExchangeFailure struct{}
 
--- a/policy/limit/shared_strategies_test.go
+++ b/policy/limit/shared_strategies_test.go
@@ -15,6 +15,12 @@
 	checkMembers(now time.Time)
 }
 
+// sharedQuotas is what strategies with a replicated bucket have.
+type sharedQuotas interface {
+	Configure(customer string, t Terms, now time.Time)
+	MarkUnresponsive(source string, now time.Time)
+}
+
 // sharedStrategy is the strategy in use.
 type sharedStrategy struct{ *SharedQuotas }
 
