--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -78,9 +78,10 @@
 	ContinuationFailed   = Event{744, log.WarnLevel, "run did not continue from a copy"}
 	RunMoved             = Event{745, log.InfoLevel, "run moved to another engine"}
 	MoveFailed           = Event{746, log.WarnLevel, "run was not moved"}
+	QuotaOrdered         = Event{747, log.InfoLevel, "quota of a customer spent by priority"}
+	EnginePaceChanged    = Event{748, log.WarnLevel, "engine generates several times slower than usual, or as usual again"}
 	EngineExcluded       = Event{751, log.WarnLevel, "engine excluded: every request fails there"}
 	EngineReadmitted     = Event{752, log.InfoLevel, "excluded engine used again"}
-	EnginePaceChanged    = Event{748, log.WarnLevel, "engine generates several times slower than usual, or as usual again"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -101,7 +102,6 @@
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
-		RunContinued, ContinuationFailed, RunMoved, MoveFailed, EngineExcluded, EngineReadmitted,
-		EnginePaceChanged,
+		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted,
 	}
 }
--- a/forward/access_test.go
+++ b/forward/access_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/apikey"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
+	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/peer"
@@ -25,11 +26,14 @@
 	left            float64
 	taken, returned []float64
 	customers       []string
+	requests        []forward.QuotaRequest
 }
 
-func (q *fakeQuota) Take(customer string, _ route.Quota, cost float64) (time.Duration, bool) {
+func (q *fakeQuota) Take(customer string, _ route.Quota, r forward.QuotaRequest) (time.Duration, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.requests = append(q.requests, r)
+	cost := r.Cost
 	if cost > q.left {
 		return 1500 * time.Millisecond, false
 	}
--- a/forward/backup.go
+++ b/forward/backup.go
@@ -50,7 +50,9 @@
 	spec := j.table.Services[j.service].Engine
 	e := f.service(j.service).engines
 	exclude := append(slices.Clone(r.tried), source.ID)
-	id, ok := e.placeCopy(kvmemory.Request{Run: r.run, Late: late, Zone: source.Zone, Exclude: exclude, Verdicts: e.verdicts}, spec.KVTokens, spec.Slots)
+	id, ok := e.placeCopy(kvmemory.Request{
+		Run: r.run, Late: late, Zone: source.Zone, Exclude: exclude, Verdicts: e.verdicts, Deadline: j.deadline, Delay: moveDelay,
+	}, spec.KVTokens, spec.Slots)
 	if !ok {
 		return nil
 	}
--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
 // runState adds a lock to the state of a run, which the goroutines of the stream and of its move share.
@@ -94,7 +97,7 @@
 		case runcopy.ContinueAtCopy:
 			c = continuation{kind: copyOfMove, to: a.move.to, source: a.move.source()}
 		case runcopy.ContinueAtSource:
-			c = continuation{kind: copyOfMove, source: a.move.source(), returns: true}
+			c = continuation{kind: copyOfMove, source: a.move.source(), returns: a.mayReturn(time.Now())}
 		case runcopy.ContinueAtBackup:
 			c = continuation{kind: copyOfBackup, to: a.backup, source: a.r.f.Codec.CopySource(a.backup.server, a.r.j.meta.ID)}
 			a.backup = nil
@@ -107,6 +110,15 @@
 	}
 }
 
+// returnWindow is how long after an engine has announced that it leaves a run that it stopped may return to it. It must
+// get no new requests some seconds after the announcement, of which this process may have learned late.
+const returnWindow = time.Second
+
+// mayReturn reports whether a run may return to the engine that stopped it.
+func (a *streamAttempt) mayReturn(now time.Time) bool {
+	return a.leavingSince.IsZero() || now.Sub(a.leavingSince) < returnWindow
+}
+
 // moveCheckInterval is the interval at which a running stream is checked for reasons to move. An engine that leaves
 // serves for seconds.
 const moveCheckInterval = 100 * time.Millisecond
@@ -150,6 +162,31 @@
 	return m.Due()
 }
 
-// moveForecast is the expected end of the run here and at the best other engine; the zero value while engines have no
-// known speed.
-func (a *streamAttempt) moveForecast(time.Time) runcopy.Forecast { return runcopy.Forecast{} }
+// moveForecast is the expected end of the run here and at the best other engine; the zero value if all engines count as
+// equally fast, or the run will probably end in time.
+func (a *streamAttempt) moveForecast(now time.Time) runcopy.Forecast {
+	r := a.r
+	alternative, ok := r.f.service(r.j.service).engines.alternative(a.lease.server, r, now)
+	if !ok {
+		return runcopy.Forecast{}
+	}
+	return runcopy.Forecast{
+		Generated: r.j.generated, EndsHere: alternative.Here, EndsThere: alternative.There, Left: r.j.left(now),
+	}
+}
+
+// moveDelay is how long a stream is expected to pause while its run moves: two calls to the source and the transfer of
+// what is new.
+const moveDelay = 200 * time.Millisecond
+
+// alternative compares the engine of a run with the best other one, unless the run will probably end in time there.
+func (e *engines) alternative(source registry.Server, r *stream, now time.Time) (kvmemory.Alternative, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.off.Has(mechanism.Pace) || e.memory.EndsInTime(source.ID, r.run, r.j.deadline, now) >= runcopy.LateBelow {
+		return kvmemory.Alternative{}, false
+	}
+	return e.memory.PickFor(source.ID, kvmemory.Request{
+		Run: r.run, Deadline: r.j.deadline, Delay: moveDelay, Zone: source.Zone, Exclude: r.tried, Verdicts: e.verdicts,
+	}, now), true
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,8 @@
 	WithheldPrefix = "withheld."
 	// WastedPrefillPrefix is followed by the cause for which prefilled tokens were not used.
 	WastedPrefillPrefix = "wasted_prefill."
+	// QuotaRejectedPrefix is followed by the priority of the route of a request that its customer's quota rejected.
+	QuotaRejectedPrefix = "quota_rejected."
 	// EntryUnreadablePrefix is followed by the reason for which the registry entry of a server can't be used.
 	EntryUnreadablePrefix = "entries_unreadable."
 	// ContinuationFailedPrefix is followed by the reason for which a run did not continue from a copy.
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -55,6 +55,8 @@
 	Moves
 	// Pace learns the speed of each engine, and places runs by it.
 	Pace
+	// QuotaOrder spends quotas by the priority and cost of requests while the demand exceeds them.
+	QuotaOrder
 	count
 )
 
@@ -64,6 +66,7 @@
 	"exclusion", "prompt-reuse",
 	"backups", "moves",
 	"pace",
+	"quota-order",
 }
 
 // String returns the name of m as used in settings.
--- a/policy/runcopy/move.go
+++ b/policy/runcopy/move.go
@@ -44,16 +44,16 @@
 }
 
 const (
-	// lateBelow is the probability of ending in time below which a run moves, lateGain the least increase that pays for
+	// LateBelow is the probability of ending in time below which a run moves, lateGain the least increase that pays for
 	// the copy and for the pause of the stream.
-	lateBelow, lateGain = 0.5, 0.3
+	LateBelow, lateGain = 0.5, 0.3
 	// minLateLeft is the least time until the deadline in which a run still gains by a move, which takes some 0.5 s.
 	minLateLeft = 2 * time.Second
 )
 
 // late reports whether the run moves because it would not end before its deadline.
 func (f Forecast) late() bool {
-	return f.Generated > 0 && f.Left >= minLateLeft && f.EndsHere < lateBelow && f.EndsThere-f.EndsHere >= lateGain
+	return f.Generated > 0 && f.Left >= minLateLeft && f.EndsHere < LateBelow && f.EndsThere-f.EndsHere >= lateGain
 }
 
 // ServesFor is how long an engine is expected to serve of which the router has known for some time that it leaves.
