forward: a stream that stays open after its run was stopped is closed

Cause: a run that was stopped for a move waits for the end of its stream; on a silent connection that would come at the deadline.

Change: its connection is closed 0.3 s after the response to the stop; the destination sends events that had not arrived.

--- a/forward/move.go
+++ b/forward/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// stopTimeout bounds a call that stops a run. The stream pauses meanwhile; clients disconnect after 3.6 s without
 	// an event.
 	stopTimeout = 1500 * time.Millisecond
+	// drainTime is how long the events of a run that was stopped may take to arrive. Then its connection is closed, so
+	// that one that is silent does not keep the run from continuing, which sends events that are missing again.
+	drainTime = 300 * time.Millisecond
 )
 
 // move is one move of a run to another engine. Its goroutine makes the calls to the source; the stream's goroutine
@@ -31,6 +35,8 @@
 	to     *runCopy
 	reason runcopy.Reason
 	since  time.Time
+	// stream is the answer of the source.
+	stream io.Closer
 	cancel context.CancelFunc
 	// done is closed when the last call has ended; next is valid then.
 	done chan struct{}
@@ -70,7 +76,7 @@
 	}
 	r.movesBegun, r.moveBegunAt = r.movesBegun+1, now
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &move{a: a, from: a.lease.server, to: to, reason: why, since: now, cancel: cancel, done: make(chan struct{})}
+	m := &move{a: a, from: a.lease.server, to: to, reason: why, since: now, stream: a.stream, cancel: cancel, done: make(chan struct{})}
 	a.move = m
 	go m.run(ctx)
 }
@@ -104,6 +110,9 @@
 			e = m.call(ctx, true, stopTimeout)
 		default:
 			m.next = do
+			if m.a.state.stopped() {
+				time.AfterFunc(drainTime, func() { _ = m.stream.Close() })
+			}
 			return
 		}
 		step := m.a.state.on(e)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -30,6 +30,7 @@
 // interrupted stream can be resumed elsewhere.
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
+	a.stream = res.Body
 	err := a.copyEvents(head, res)
 	_ = res.Body.Close()
 	a.next = a.streamEnded(ctx, err)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -66,6 +66,8 @@
 	state *runState
 	next  runcopy.Action
 	move  *move
+	// stream is the answer of the engine.
+	stream io.Closer
 	// leavingSince is since when the engine is known to leave; zero if it is not.
 	leavingSince time.Time
 }
--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 type liveRun struct {
 	// stop is closed to stop the run, stopped once its stream has ended.
 	stop, stopped chan struct{}
+	end           sync.Once
 	asked         bool
 	events        int
 }
@@ -60,7 +62,7 @@
 }
 
 func (s *Server) endRun(c Call, x *liveRun) {
-	close(x.stopped)
+	x.end.Do(func() { close(x.stopped) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// A run that was stopped for a move is known until its copy expires.
@@ -69,6 +71,17 @@
 	}
 }
 
+// endStopped ends the stream of a run that was stopped.
+func (s *Server) endStopped(r *http.Request, x *liveRun, b Behaviour) {
+	switch b {
+	case HoldCutStream:
+		panic(http.ErrAbortHandler)
+	case HoldSilentStream:
+		x.end.Do(func() { close(x.stopped) })
+		<-r.Context().Done()
+	}
+}
+
 // generated records one more event of a run and reports whether the run goes on.
 func (s *Server) generated(x *liveRun, event int) bool {
 	s.mu.Lock()
@@ -162,7 +175,7 @@
 	switch {
 	case b == SlowStream:
 		due = time.After(slowInterval)
-	case event > 2 && (b == HoldStream || b == HoldCutStream):
+	case event > 2 && (b == HoldStream || b == HoldCutStream || b == HoldSilentStream):
 	default:
 		return true
 	}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -39,6 +39,8 @@
 	// HoldCutStream closes the connection then.
 	HoldStream
 	HoldCutStream
+	// HoldSilentStream keeps the connection open then, without any data.
+	HoldSilentStream
 	// SlowStream waits for slowInterval before each event.
 	SlowStream
 )
@@ -380,9 +382,7 @@
 			return
 		}
 		if !s.generated(run, i) {
-			if b == HoldCutStream {
-				panic(http.ErrAbortHandler)
-			}
+			s.endStopped(r, run, b)
 			return
 		}
 		s.backUp(c, i)
