forward: the memory of copies does not count as demand

Cause: stage orders compare the memory in use with what the engines hold; copies, counted like runs, would turn prefill engines into decode engines.

Change: the share of copies in the memory that this process placed is taken off the memory in use, for all processes.

--- a/forward/backup.go
+++ b/forward/backup.go
@@ -56,6 +56,7 @@
 	}
 	s, ok := findServer(f.View.Servers(j.service), id)
 	if !ok {
+		e.endCopy(r.run)
 		e.release(id, r.run)
 		return nil
 	}
@@ -73,7 +74,9 @@
 // has ended.
 func (r *stream) dropCopy(c *runCopy) {
 	if c != nil {
-		r.f.service(r.j.service).engines.release(c.server.ID, r.run)
+		e := r.f.service(r.j.service).engines
+		e.endCopy(r.run)
+		e.release(c.server.ID, r.run)
 	}
 }
 
@@ -92,11 +95,33 @@
 	id, ok := e.memory.Pick(r, time.Now())
 	if ok {
 		e.memory.Place(id, r.Run)
+		e.copied += r.Run.Need
 		e.markChanged(id)
 	}
 	return id, ok
 }
 
+// endCopy records that a copy of a run was used or dropped.
+func (e *engines) endCopy(r *kvmemory.Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.copied -= r.Need
+}
+
+// copyShare is the share of copies in the memory that this process placed, in [0, 1]. It stands for that of all
+// processes. Copies are no demand: counted as such they would turn prefill engines into decode engines. The caller holds
+// mu.
+func (e *engines) copyShare() float64 {
+	placed := 0
+	for _, s := range e.memory.OwnLoads(time.Now()) {
+		placed += s.Tokens
+	}
+	if placed == 0 {
+		return 0
+	}
+	return min(float64(e.copied)/float64(placed), 1)
+}
+
 // remaining is the expected time until a run that has generated this many tokens ends.
 func (e *engines) remaining(r *kvmemory.Run, generated int) time.Duration {
 	e.mu.Lock()
--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -158,6 +158,21 @@
 	}
 }
 
+// The memory of copies is no demand, by which engines are ordered to other stages.
+func TestCopiesAreNoDemand(t *testing.T) {
+	w := newCopyEnv(t, unlimited)
+	first := w.preferred(t)
+	first.Behave(site.NeverAnswer)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/1", longRun...) }()
+	run := w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Decode && c.Path == "/draft/1" })
+	assert.Assert(t, run.Backup != "")
+	assert.Equal(t, w.fwd.MemoryInUse("llm"), 4000, "prompt and hint of one run")
+	first.CloseClientConnections()
+	<-done
+	assert.Equal(t, w.fwd.MemoryInUse("llm"), 0)
+}
+
 // A key that was revoked while its stream ran gets no continuation.
 func TestNoContinuationForRevokedKey(t *testing.T) {
 	w := newCopyEnv(t, unlimited)
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -42,6 +42,8 @@
 	// were sent to each prefill engine and are not prefilled yet.
 	changed    map[string]struct{}
 	prefilling map[string]int
+	// copied is the memory that this process placed for copies of runs, in tokens.
+	copied int
 	// notify is called, with mu held, when changed becomes non-empty; it must not block.
 	notify func()
 }
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -248,13 +248,13 @@
 	return out
 }
 
-// MemoryInUse returns the memory that all processes placed on the engines of a service, in tokens.
+// MemoryInUse returns the memory that all processes placed on the engines of a service for runs, in tokens.
 func (f *Forwarder) MemoryInUse(service string) int {
 	e := f.service(service).engines
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, used := e.memory.Capacity()
-	return used
+	return int(float64(used) * (1 - e.copyShare()))
 }
 
 // SetPeerLoads takes the load of some engines as reported by peers. Queued requests are checked again, since memory
