proofs: a soak run of copy faults alone that demands continuations

Change: TestSoak adds a run of ten copy faults without requests that crash servers, and fails unless a run has continued from a copy.

--- a/proofs/soak_copies_test.go
+++ b/proofs/soak_copies_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hibiscusspur/hibiscusspur/invariant"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
@@ -20,6 +22,13 @@
 	}
 }
 
+// checkContinued checks that runs have continued from copies: otherwise the faults show nothing.
+func (w *gatewayObserver) checkContinued() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Check(w.c.t, w.outcomes["backup used"]+w.outcomes["moved"]+w.outcomes["returned"] > 0, "no run continued from a copy")
+}
+
 // crashMidStream crashes the engine that was called last while it generates streams, and replaces it.
 func (x *soaker) crashMidStream() (string, func()) {
 	s := x.lastCalled(registry.Decode)
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -67,13 +67,19 @@
 	for i := range max(seeds, 1) {
 		t.Run(fmt.Sprint("seed ", seed+i), func(t *testing.T) { soak(t, seed+i, n, allKinds) })
 	}
+	t.Run("copies of runs", func(t *testing.T) { soak(t, seed, copyFaults, copiesOnly) })
 	for _, r := range soakRegressions {
 		t.Run(fmt.Sprint("seed ", r.seed, ": ", r.cause), func(t *testing.T) { soak(t, r.seed, r.faults, r.kinds) })
 	}
 }
 
-// allKinds selects all fault kinds.
-const allKinds = -1
+const (
+	// allKinds selects all fault kinds, copiesOnly those after which streams continue from copies, without requests that
+	// crash servers: of all kinds, few draws are of these.
+	allKinds, copiesOnly = -1, -2
+	// copyFaults is the number of faults of a run with copiesOnly.
+	copyFaults = 10
+)
 
 func soak(t *testing.T, seed uint64, n, kinds int) {
 	c := newGatewayCluster(t, soakGateways)
@@ -85,10 +91,13 @@
 		clients.Go(func() { w.client(i, seed, stop) })
 	}
 	drawn := x.everyKind()
-	if kinds != allKinds {
-		drawn = drawn[:kinds]
-	} else {
+	switch kinds {
+	case allKinds:
 		w.crashing.begin(seed)
+	case copiesOnly:
+		drawn = x.copyKinds()
+	default:
+		drawn = drawn[:kinds]
 	}
 	x.run(n, drawn)
 	c.store.SetFault(site.NoFault)
@@ -97,6 +106,9 @@
 	w.checkQuota()
 	w.checkAnnouncements()
 	w.crashing.check()
+	if kinds == copiesOnly {
+		w.checkContinued()
+	}
 	w.awaitRecovery(recoveryBound)
 	close(stop)
 	clients.Wait()
