--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -99,6 +99,9 @@
 			c = continuation{kind: copyOfBackup, to: a.backup, source: a.r.f.Codec.CopySource(a.backup.server, a.r.j.meta.ID)}
 			a.backup = nil
 		default:
+			if o.Kind != outcome.Completed && ctx.Err() != nil {
+				return a.r.j.unanswered(reasonOf(ctx))
+			}
 			return o
 		}
 		if next, ran := a.continueAt(ctx, c); ran {
