--- a/forward/relay.go
+++ b/forward/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,12 +31,17 @@
 // interrupted stream can be resumed elsewhere.
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
-	err := a.copyEvents(head, res)
+	a.stream = res.Body
+	tail, err := a.copyEvents(head, res)
 	_ = res.Body.Close()
 	a.next = a.streamEnded(ctx, err)
 	stopped := a.state.stopped()
 	f.observeOutcome(j, s, err == nil || stopped)
 	if a.next == runcopy.Complete {
+		if len(tail) > 0 {
+			// A client that does not take the rest has left; the run is complete all the same.
+			_ = a.r.deliver(head, tail, true)
+		}
 		if !j.started {
 			// A client that resumes may have received all events already.
 			f.head(j, head, 0)
@@ -66,7 +72,10 @@
 // errClient means that the client accepts no more events.
 var errClient = errors.New("client disconnected")
 
-func (a *streamAttempt) copyEvents(head AnswerHead, res *upstream.Response) error {
+// copyEvents delivers the events of an engine until its stream ends. It returns what followed the last whole event of a
+// stream that ended without an error: a run that was stopped for a move may end in the middle of an event, which the
+// next engine sends again.
+func (a *streamAttempt) copyEvents(head AnswerHead, res *upstream.Response) (tail []byte, err error) {
 	r := a.r
 	stall := a.watchStall(res)
 	defer stall.end()
@@ -75,22 +84,38 @@
 		event, err := readEvent(br)
 		if err != nil && err != io.EOF {
 			if stall.stalled() {
-				return errStalled
+				return nil, errStalled
 			}
-			return err
+			return nil, err
 		}
 		stall.reset()
 		r.j.lastActivity = time.Now()
-		if len(event) > 0 {
-			if werr := r.deliver(head, event, !wholeEventBuffered(br)); werr != nil {
-				return werr
-			}
-			a.considerMove(r.j.lastActivity)
-		}
 		if err == io.EOF {
-			return nil
+			return event, nil
+		}
+		if r.delivered(event) {
+			continue
 		}
+		if werr := r.deliver(head, event, !wholeEventBuffered(br)); werr != nil {
+			return nil, werr
+		}
+		a.considerMove(r.j.lastActivity)
+	}
+}
+
+// delivered reports whether the client has received an event already. An engine that continues a run of which all events
+// were delivered may send the last one again.
+func (r *stream) delivered(event []byte) bool {
+	id, ok := eventID(event)
+	if !ok || r.lastEvent == "" {
+		return false
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	latest, latestErr := strconv.ParseInt(r.lastEvent, 10, 64)
+	if err != nil || latestErr != nil {
+		return id == r.lastEvent
 	}
+	return number <= latest
 }
 
 // deliver writes one event to the client. The head of the first engine's answer goes before the first event.
--- a/policy/runcopy/state.go
+++ b/policy/runcopy/state.go
@@ -99,11 +99,11 @@
 	// handle is set while the handle of a move is neither used nor freed, copied while the destination has a copy under
 	// it, and stopped once the source has stopped the run and keeps its memory under it.
 	handle, copied, stopped bool
-	// stopCalls counts the calls that stop the run, unknown is set once none of them got a response that says whether
-	// the run was stopped.
-	stopCalls int
-	unknown   bool
-	ended     streamEnd
+	// stopCalls counts the calls that stop the run, unanswered is set once the response to one of them was lost, and
+	// unknown once none will say whether the run was stopped.
+	stopCalls           int
+	unanswered, unknown bool
+	ended               streamEnd
 	// target is where the run is being continued, continuations how often it was.
 	target        Action
 	continuations int
@@ -155,7 +155,7 @@
 	switch e {
 	case Copied:
 		r.state, r.handle, r.copied = Stopping, true, true
-		r.stopCalls, r.unknown, r.ended = 1, false, streamOpen
+		r.stopCalls, r.unanswered, r.unknown, r.ended = 1, false, false, streamOpen
 		return Step{Do: StopRun}
 	case StreamWhole:
 		return r.end(Complete)
@@ -182,16 +182,21 @@
 		r.stopped, r.copied, r.handle = true, e == Copied, true
 		return r.afterEnd()
 	case NoRun, NotSent:
-		if r.stopCalls == 1 {
+		if !r.unanswered {
 			return r.notStopped()
 		}
 		r.unknown = true
 		return r.afterEnd()
 	default:
+		// An engine that answers that another call is in progress has not stopped the run for this one.
+		r.unanswered = r.unanswered || e == NoResponse
 		if r.stopCalls < maxStopCalls {
 			r.stopCalls++
 			return Step{Do: AskAgain}
 		}
+		if !r.unanswered {
+			return r.notStopped()
+		}
 		r.unknown = true
 		return r.afterEnd()
 	}
