--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -45,6 +45,7 @@
 		{"ends like a whole stream", site.HoldStream, nil, []bool{false, true}, false},
 		{"ends broken", site.HoldCutStream, nil, []bool{false, true}, false},
 		{"stays open", site.HoldSilentStream, nil, []bool{false, true}, false},
+		{"ends in the middle of an event", site.HoldPartialStream, nil, []bool{false, true}, false},
 		{"refused once stopped", site.HoldStream, []site.MoveBehaviour{site.MoveRun, site.MoveRefused}, []bool{false, true}, true},
 		{"answer lost once stopped", site.HoldStream, []site.MoveBehaviour{site.MoveRun, site.MoveLost}, []bool{false, true, true}, false},
 	} {
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -182,3 +182,16 @@
 	assert.Assert(t, a.header.Get(site.Stamp) != "", "%v", a.header)
 	assert.Equal(t, a.header.Get("Content-Type"), "text/event-stream")
 }
+
+// TestRepeatedEventIsDropped guards against an event that the client gets twice: a run was complete at its engine when the
+// router continued it elsewhere, and that engine sent the last event again.
+func TestRepeatedEventIsDropped(t *testing.T) {
+	w := newEngineEnv(t)
+	assert.Equal(t, w.post(t, "/resume/0").status, 200)
+	first := w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Decode })
+	w.setDecodeBehaviour(site.RepeatEvent)
+	w.servers[first.Server].Behave(site.Answer, site.CutStream)
+	got := w.post(t, "/resume/1")
+	assert.Equal(t, got.body, whole)
+	assert.Assert(t, !got.cut)
+}
--- a/policy/runcopy/runcopy_test.go
+++ b/policy/runcopy/runcopy_test.go
@@ -66,3 +66,26 @@
 	assert.Equal(t, runcopy.ServesFor(0), 2*time.Second)
 	assert.Equal(t, runcopy.ServesFor(5*time.Second), time.Duration(0))
 }
+
+// TestBusyEngineHasNotStoppedRun guards against a complete stream that is continued at the copy: the engine answered that
+// another call was in progress, the run ended by itself, and the next call found no run.
+func TestBusyEngineHasNotStoppedRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		events []runcopy.Event
+		last   runcopy.Action
+	}{
+		{"run ends before the second call", []runcopy.Event{runcopy.MoveDue, runcopy.Copied, runcopy.InProgress, runcopy.StreamWhole, runcopy.NoRun}, runcopy.Complete},
+		{"busy twice", []runcopy.Event{runcopy.MoveDue, runcopy.Copied, runcopy.InProgress, runcopy.StreamWhole, runcopy.InProgress}, runcopy.Complete},
+		{"first response lost", []runcopy.Event{runcopy.MoveDue, runcopy.Copied, runcopy.NoResponse, runcopy.StreamWhole, runcopy.NoRun}, runcopy.ContinueAtCopy},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var r runcopy.Run
+			var step runcopy.Step
+			for _, e := range c.events {
+				step = r.On(e)
+			}
+			assert.Equal(t, step.Do, c.last)
+		})
+	}
+}
--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -71,9 +72,11 @@
 	}
 }
 
-// endStopped ends the stream of a run that was stopped.
-func (s *Server) endStopped(r *http.Request, x *liveRun, b Behaviour) {
+// endStopped ends the stream of a run that was stopped before an event.
+func (s *Server) endStopped(w http.ResponseWriter, r *http.Request, x *liveRun, b Behaviour, event int) {
 	switch b {
+	case HoldPartialStream:
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: par", event)
 	case HoldCutStream:
 		panic(http.ErrAbortHandler)
 	case HoldSilentStream:
@@ -175,7 +178,7 @@
 	switch {
 	case b == SlowStream:
 		due = time.After(slowInterval)
-	case event > 2 && (b == HoldStream || b == HoldCutStream || b == HoldSilentStream):
+	case event > 2 && b >= HoldStream && b <= HoldPartialStream:
 	default:
 		return true
 	}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -41,6 +41,10 @@
 	HoldCutStream
 	// HoldSilentStream keeps the connection open then, without any data.
 	HoldSilentStream
+	// HoldPartialStream sends a part of the next event then, and ends like a whole stream.
+	HoldPartialStream
+	// RepeatEvent sends the last event that the request says was delivered once more, and then the others.
+	RepeatEvent
 	// SlowStream waits for slowInterval before each event.
 	SlowStream
 )
@@ -363,6 +367,9 @@
 	if _, err := fmt.Sscan(c.LastEvent, &firstEvent); err == nil {
 		firstEvent++
 	}
+	if b == RepeatEvent {
+		firstEvent = max(firstEvent-1, 1)
+	}
 	s.backUp(c, firstEvent-1)
 	run := s.beginRun(c)
 	defer s.endRun(c, run)
@@ -382,7 +389,7 @@
 			return
 		}
 		if !s.generated(run, i) {
-			s.endStopped(r, run, b)
+			s.endStopped(w, r, run, b, i)
 			return
 		}
 		s.backUp(c, i)
