waitqueue, customershare: order waiting requests by what customers hold

Cause: waiting requests of the same priority were served in the order of arrival, so a customer that sent 7.5 times its usual got most of the memory that became free.

Change: Queue orders requests of the same urgency by the memory that the customer holds relative to its weight; Ahead, on which early rejection depends, follows the same order. Next takes O(log c) for each request visited, for c customers. policy/customershare computes max-min fair shares of the memory held at all gateways; a request of a customer over its share yields to those that wait at other gateways for customers within theirs: kvmemory places it after them, with one request's memory to spare. Without customers the order is unchanged (TestWithoutCustomers compares 5,000 random steps with the earlier queue).

--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -13,6 +13,9 @@
 	Run *Run
 	// Late is set when the request can no longer meet its latency objective.
 	Late bool
+	// Yields is set when the request leaves memory to those that wait at other routers: it takes memory that
+	// has become free after them, and keeps YieldSpare free.
+	Yields bool
 	// Zone is the router's zone.
 	Zone string
 	// Exclude are engines that must not get the request.
@@ -36,7 +39,7 @@
 			continue
 		}
 		free := p.freeAtPeak(s, &requested, now)
-		if free < p.spare(s, r.Late, need) || p.deferred(s, r.Late, now) {
+		if free < p.spare(s, r, need) || p.deferred(s, r.Late || r.Yields, now) {
 			continue
 		}
 		score := p.score(s, free, r.Zone)
@@ -124,12 +127,16 @@
 // spare is the memory that has to remain free, in tokens, beside a request that needs that much on an
 // empty engine. A late request that an empty engine can hold, but not beside LateSpare, leaves free
 // what remains of an empty engine.
-func (p *Pool) spare(s *server, late bool, need float64) float64 {
-	if !late {
-		return 0
+func (p *Pool) spare(s *server, r Request, need float64) float64 {
+	share := 0.0
+	if r.Late {
+		share = p.cfg.LateSpare
+	}
+	if r.Yields {
+		share = max(share, p.cfg.YieldSpare)
 	}
 	capacity := float64(s.Capacity)
-	return max(min(p.cfg.LateSpare*capacity, capacity-need), 0)
+	return max(min(share*capacity, capacity-need), 0)
 }
 
 func (p *Pool) score(s *server, free float64, zone string) float64 {
--- a/policy/kvmemory/simulation_load_test.go
+++ b/policy/kvmemory/simulation_load_test.go
@@ -102,6 +102,10 @@
 	generated  float64
 	preempted  bool
 	result     requestResult
+	// customer and priority are set in replays of customers that compete for memory; rejections counts how often the
+	// request was rejected.
+	customer             string
+	priority, rejections int
 }
 
 type requestResult int
--- a/policy/kvmemory/simulation_test.go
+++ b/policy/kvmemory/simulation_test.go
@@ -20,7 +20,7 @@
 	deployment
 	rng     *rand.Rand
 	pools   []*kvmemory.Pool
-	queues  []*waitqueue.Queue
+	queues  []requestQueue
 	lengths []map[string]*outputlength.Learner
 	policy  waitqueue.Policy
 	// expectedFree is the memory that a router expects to become free for it during a run, in
@@ -32,8 +32,10 @@
 	// times at which routers check the engines of runs that they have just placed.
 	leaveSaturated bool
 	// reports is nil if routers know the exact load of the others, after a delay.
-	reports    *periodicReports
-	rechecks   map[time.Time][]*simRequest
+	reports  *periodicReports
+	rechecks map[time.Time][]*simRequest
+	// customers is nil if requests have no customers.
+	customers  *customers
 	all        []*simRequest
 	queued     map[*waitqueue.Waiter]*simRequest
 	running    []*simRequest
@@ -62,7 +64,7 @@
 		p := kvmemory.New(cfg, fmt.Sprintf("edge-%d", i))
 		p.Sync(list)
 		p.SetRouters(d.routers)
-		s.pools, s.queues = append(s.pools, p), append(s.queues, &waitqueue.Queue{})
+		s.pools, s.queues = append(s.pools, p), append(s.queues, requestQueue(&waitqueue.Queue{}))
 		s.lengths = append(s.lengths, map[string]*outputlength.Learner{})
 	}
 	s.all = d.requests(s.rng)
@@ -87,6 +89,7 @@
 			}
 		}
 		s.rejectExpired(now)
+		s.customers.publish(now)
 	}
 	return s
 }
@@ -95,7 +98,7 @@
 func (s *simulation) enqueue(r *simRequest, now time.Time) {
 	late, remaining := now != r.firstArrival, simClientTimeout-now.Sub(r.firstArrival)
 	r.waiter = &waitqueue.Waiter{
-		Need: r.prompt + r.hint, Arrived: now, Late: late,
+		Need: r.prompt + r.hint, Arrived: now, Late: late, Customer: r.customer, Priority: r.priority,
 		GiveUpAt: s.policy.GiveUpAt(now, simObjective, remaining, r.prompt, late),
 	}
 	learners := s.lengths[r.router]
@@ -109,6 +112,7 @@
 	}
 	s.queued[r.waiter] = r
 	s.queues[r.router].Add(r.waiter)
+	s.customers.wait(r, 1)
 }
 
 // rejectsEarly reports whether a request is rejected without waiting.
@@ -128,7 +132,7 @@
 		var id string
 		w := s.queues[i].Next(func(w *waitqueue.Waiter) bool {
 			var ok bool
-			id, ok = p.Pick(kvmemory.Request{Run: s.queued[w].run, Late: w.Late}, now)
+			id, ok = p.Pick(kvmemory.Request{Run: s.queued[w].run, Late: w.Late, Yields: s.customers.yields(i, w)}, now)
 			return ok
 		}, simOvertakeLimit, now)
 		if w == nil {
@@ -143,6 +147,8 @@
 			s.queues[i].Add(w)
 			continue
 		}
+		s.customers.wait(r, -1)
+		s.customers.hold(r, 1)
 		delete(s.queued, w)
 		s.begin(r, id, now)
 	}
@@ -177,6 +183,8 @@
 		s.running = slices.DeleteFunc(s.running, func(o *simRequest) bool { return o == r })
 		s.queued[r.waiter] = r
 		s.queues[r.router].Add(r.waiter)
+		s.customers.hold(r, -1)
+		s.customers.wait(r, 1)
 	}
 }
 
@@ -195,6 +203,7 @@
 	r.run.Finish()
 	s.used[r.engine] -= float64(r.prompt+simEventTokens) + r.generated
 	s.pools[r.router].Release(r.engine, r.run, now)
+	s.customers.hold(r, -1)
 	s.scheduleReport(r, now)
 	r.result = resultLate
 	if !r.waiter.Late && !r.preempted {
@@ -267,6 +276,8 @@
 	for _, r := range expired {
 		s.queues[r.router].Remove(r.waiter)
 		delete(s.queued, r.waiter)
+		s.customers.wait(r, -1)
+		r.rejections++
 		if r.waiter.Late {
 			r.result = resultRejected
 			continue
