--- a/policy/kvmemory/stagger_test.go
+++ b/policy/kvmemory/stagger_test.go
@@ -130,3 +130,28 @@
 	}
 	return false
 }
+
+// TestYieldingRequestsPlaceLast guards against requests that yield and still take freed memory before other routers do,
+// and against ones that keep memory free, as late requests do.
+func TestYieldingRequestsPlaceLast(t *testing.T) {
+	const full, freed = 41_000, 30_000
+	firstPlaced := func(r kvmemory.Request) int {
+		pool := lastRouterPool(100)
+		pool.SetRouters(100)
+		for i, tokens := range []int{full, freed} {
+			l := constantLoad(tokens)
+			l.Runs = 8 - i
+			pool.SetPeerLoad("a", l, ms(2000*i))
+		}
+		for i := range 1000 {
+			if _, ok := pool.Pick(r, ms(2000+i)); ok {
+				return i
+			}
+		}
+		return -1
+	}
+	usual, yields := firstPlaced(kvmemory.Request{Run: run(9000)}), firstPlaced(kvmemory.Request{Run: run(9000), Yields: true})
+	t.Logf("placed after %d ms, after %d ms if it yields", usual, yields)
+	assert.Assert(t, usual >= 0 && yields >= usual+50)
+	assert.Equal(t, firstPlaced(kvmemory.Request{Run: run(9000), Late: true}), -1, "no memory remains beside it")
+}
