--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -82,6 +82,7 @@
 	EnginePaceChanged    = Event{748, log.WarnLevel, "engine generates several times slower than usual, or as usual again"}
 	EngineExcluded       = Event{751, log.WarnLevel, "engine excluded: every request fails there"}
 	EngineReadmitted     = Event{752, log.InfoLevel, "excluded engine used again"}
+	CustomerShort        = Event{753, log.InfoLevel, "customer is short of engine memory"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -102,6 +103,6 @@
 		PeerTraffic, StateFetched, FetchFailed, ServerRestarted, ServerTerminated,
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
-		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted,
+		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted, CustomerShort,
 	}
 }
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -75,5 +75,9 @@
 		{EnginePaceSlowest, Gauge},
 		{EnginePaceSpread, Gauge},
 		{EnginesSlow, Gauge},
+		{MemoryWaitsPrefix, Counter},
+		{MemoryRejectionsPrefix, Counter},
+		{ShareReorders, Counter},
+		{ShareYields, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -79,4 +79,8 @@
 	Continuations = "continuations"
 	// MovesRefused counts moves that the destination refused.
 	MovesRefused = "moves_refused"
+	// ShareReorders counts requests that were placed before an earlier one of the same priority since their customer
+	// held less, ShareYields those that left memory to requests of other gateways.
+	ShareReorders = "share_reorders"
+	ShareYields   = "share_yields"
 )
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -19,6 +19,9 @@
 	GiveUpAt time.Time
 	// Late is set when the request can no longer meet its latency objective.
 	Late bool
+	// Yields is set when the request leaves memory that has become free to requests of other routers, as a late one
+	// does, but without keeping memory free for them.
+	Yields bool
 	// Zone is the router's zone.
 	Zone string
 	// Exclude are engines that must not get the request.
@@ -57,7 +60,7 @@
 			o = p.optionAt(s.paceClass, r, now)
 		}
 		free := p.freeAtPeak(s, &o.forecast)
-		if free < p.spare(s, r.Late, o.need) || p.deferred(s, r.Late, now) {
+		if free < p.spare(s, r.Late, o.need) || p.deferred(s, r.Late || r.Yields, now) {
 			continue
 		}
 		score := p.score(s, free, r.Zone) + o.bias
@@ -133,14 +136,14 @@
 
 // deferred reports whether this router still leaves memory that has become free to other routers.
 // All routers learn of free memory at the same time, and every router with queued requests would
-// place one before the others' placements are reported. Late requests are delayed until after the
-// staggered delays of all routers. The two delays together take at most two thirds of the mean
-// interval between two ends, so that every router can also place runs on engines with many short
-// runs.
-func (p *Pool) deferred(s *server, late bool, now time.Time) bool {
+// place one before the others' placements are reported. Late requests, and those that yield, are
+// delayed until after the staggered delays of all routers. The two delays together take at most two
+// thirds of the mean interval between two ends, so that every router can also place runs on engines
+// with many short runs.
+func (p *Pool) deferred(s *server, last bool, now time.Time) bool {
 	longest := min(time.Duration(p.routers-1)*p.cfg.Stagger, p.cfg.MaxStagger, s.endInterval/3)
 	delay := time.Duration((1 - s.affinity) * float64(longest))
-	if late {
+	if last {
 		delay += longest
 	}
 	return now.Sub(s.freedAt) < delay
--- a/policy/kvmemory/simulation_test.go
+++ b/policy/kvmemory/simulation_test.go
@@ -20,7 +20,7 @@
 	deployment
 	rng     *rand.Rand
 	pools   []*kvmemory.Pool
-	queues  []*waitqueue.Queue
+	queues  []requestQueue
 	lengths []map[string]*outputlength.Learner
 	policy  waitqueue.Policy
 	// expectedFree is the memory that a router expects to become free for it during a run, in
@@ -32,8 +32,10 @@
 	// times at which routers check the engines of runs that they have just placed.
 	leaveSaturated bool
 	// reports is nil if routers know the exact load of the others, after a delay.
-	reports    *periodicReports
-	rechecks   map[time.Time][]*simRequest
+	reports  *periodicReports
+	rechecks map[time.Time][]*simRequest
+	// customers is nil if requests have no customers.
+	customers  *customers
 	all        []*simRequest
 	queued     map[*waitqueue.Waiter]*simRequest
 	running    []*simRequest
@@ -68,7 +70,7 @@
 		p := kvmemory.New(cfg, fmt.Sprintf("edge-%d", i))
 		p.Sync(list)
 		p.SetRouters(d.routers)
-		s.pools, s.queues = append(s.pools, p), append(s.queues, &waitqueue.Queue{})
+		s.pools, s.queues = append(s.pools, p), append(s.queues, requestQueue(&waitqueue.Queue{}))
 		s.lengths = append(s.lengths, map[string]*outputlength.Learner{})
 	}
 	s.all = d.requests(s.rng)
@@ -94,6 +96,7 @@
 			}
 		}
 		s.rejectExpired(now)
+		s.customers.publish(now)
 	}
 	return s
 }
@@ -102,7 +105,7 @@
 func (s *simulation) enqueue(r *simRequest, now time.Time) {
 	late, remaining := now != r.firstArrival, simClientTimeout-now.Sub(r.firstArrival)
 	r.waiter = &waitqueue.Waiter{
-		Need: r.prompt + r.hint, Arrived: now, Late: late,
+		Need: r.prompt + r.hint, Arrived: now, Late: late, Customer: r.customer, Priority: r.priority,
 		GiveUpAt: s.policy.GiveUpAt(now, simObjective, remaining, r.prompt, late),
 	}
 	r.run = &kvmemory.Run{Need: r.waiter.Need, Prompt: r.prompt, Length: s.beginRun(r)}
@@ -112,6 +115,7 @@
 	}
 	s.queued[r.waiter] = r
 	s.queues[r.router].Add(r.waiter)
+	s.customers.wait(r, 1)
 }
 
 // beginRun returns the length estimate of a request.
@@ -146,7 +150,7 @@
 			var ok bool
 			r := s.queued[w]
 			id, ok = p.Pick(kvmemory.Request{
-				Run: r.run, Late: w.Late, Deadline: r.firstArrival.Add(simClientTimeout), Delay: simStartDelay, GiveUpAt: w.GiveUpAt,
+				Run: r.run, Late: w.Late, Yields: s.customers.yields(i, w), Deadline: r.firstArrival.Add(simClientTimeout), Delay: simStartDelay, GiveUpAt: w.GiveUpAt,
 			}, now)
 			return ok
 		}, simOvertakeLimit, now)
@@ -162,6 +166,8 @@
 			s.queues[i].Add(w)
 			continue
 		}
+		s.customers.wait(r, -1)
+		s.customers.hold(r, 1)
 		delete(s.queued, w)
 		s.begin(r, id, now)
 	}
@@ -197,6 +203,8 @@
 		s.running = slices.DeleteFunc(s.running, func(o *simRequest) bool { return o == r })
 		s.queued[r.waiter] = r
 		s.queues[r.router].Add(r.waiter)
+		s.customers.hold(r, -1)
+		s.customers.wait(r, 1)
 	}
 }
 
@@ -222,6 +230,7 @@
 	r.run.Finish()
 	s.used[r.engine] -= float64(r.prompt+simEventTokens) + r.generated
 	s.pools[r.router].Release(r.engine, r.run, now)
+	s.customers.hold(r, -1)
 	s.scheduleReport(r, now)
 	r.result = resultLate
 	if !r.waiter.Late && !r.preempted {
@@ -294,17 +303,28 @@
 	for _, r := range expired {
 		s.queues[r.router].Remove(r.waiter)
 		delete(s.queued, r.waiter)
+		s.customers.wait(r, -1)
+		r.rejections++
 		if r.waiter.Late {
 			r.result = resultRejected
 			continue
 		}
-		delay := s.policy.RetryAfter(simClientTimeout-now.Sub(r.firstArrival), s.rng.Float64())
+		delay := s.retryAfter(r, simClientTimeout-now.Sub(r.firstArrival))
 		r.router = s.rng.IntN(s.routers)
 		at := start.Add(now.Add(delay).Sub(start).Round(simTick))
 		s.arrivals[at] = append(s.arrivals[at], r)
 	}
 }
 
+// retryAfter draws the delay until the retry of a rejected request.
+func (s *simulation) retryAfter(r *simRequest, left time.Duration) time.Duration {
+	u := s.rng.Float64()
+	if s.customers == nil || !s.customers.yielding {
+		return s.policy.RetryAfter(left, u)
+	}
+	return s.policy.RetryAfterShortage(0, s.customers.pools[r.router].OverShare(r.customer), left, u)
+}
+
 // imbalance is the number of placements on the busiest engine relative to their mean.
 func (s *simulation) imbalance() float64 {
 	highest, sum := 0, 0
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -57,6 +57,8 @@
 	Pace
 	// QuotaOrder spends quotas by the priority and cost of requests while the demand exceeds them.
 	QuotaOrder
+	// CustomerShares orders requests that wait for memory by what their customers hold.
+	CustomerShares
 	count
 )
 
@@ -67,6 +69,7 @@
 	"backups", "moves",
 	"pace",
 	"quota-order",
+	"customer-shares",
 }
 
 // String returns the name of m as used in settings.
