--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,8 +46,13 @@
 }
 
 func start(t *testing.T, store *site.Store, vm string, seeds ...string) *process {
+	return startWithDatagrams(t, store, vm, 0, seeds...)
+}
+
+// startWithDatagrams starts a gateway that sends datagrams to the others on a UDP port, none if that is zero.
+func startWithDatagrams(t *testing.T, store *site.Store, vm string, port int, seeds ...string) *process {
 	settings := gateway.Settings{
-		VM: vm, Zone: "z1", ClientAddr: freeAddr(t), ReadyAddr: freeAddr(t), ControlAddr: freeAddr(t), MetricsAddr: freeAddr(t),
+		VM: vm, Zone: "z1", Datagrams: port, ClientAddr: freeAddr(t), ReadyAddr: freeAddr(t), ControlAddr: freeAddr(t), MetricsAddr: freeAddr(t),
 		Seeds: seeds, Drain: 10 * time.Second, Notice: 50 * time.Millisecond,
 		Retry: retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 	}
