--- a/gateway/customermemory_test.go
+++ b/gateway/customermemory_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -111,3 +113,26 @@
 	m.Held = make([]uint32, 1000)
 	assert.Equal(t, len(decodeCustomerMemory(m)), customershare.MaxFigures)
 }
+
+// TestCustomerMemoryReachesOrder guards against figures that are received but not used, or that a service lacks whose
+// first request comes later.
+func TestCustomerMemoryReachesOrder(t *testing.T) {
+	deps := testDeps()
+	deps.Log = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	s := New(Settings{VM: "g"}, deps)
+	s.installTable(tableWithCustomers(t, "a"), nil, fromStore)
+	s.Receive(memoryReport("b", 1, 1, customershare.Figure{Key: heldByA, Tokens: 100}))
+	assert.Equal(t, s.fwd.CustomerHolding("a").Held, 0, "no request of that service yet")
+	s.fwd.MemoryInUse("llm")
+	s.fwd.SetPeerLoads(s.peerLoads.refresh(0, time.Now()))
+	s.updateCustomerMemory()
+	assert.Equal(t, s.fwd.CustomerHolding("a").Held, 100)
+	s.ReceivePlacement(memoryPlacement(1, 2, customershare.Figure{Key: waitsForA, Tokens: 30}))
+	got := s.access().Customers[0]
+	assert.Equal(t, got.Memory, 100)
+	assert.Equal(t, got.MemoryWaiting, 30)
+	assert.Equal(t, got.MemoryShare, 100)
+	s.peerLoads.refresh(0, time.Now().Add(minPeerLoadTTL))
+	s.updateCustomerMemory()
+	assert.Equal(t, s.fwd.CustomerHolding("a").Held, 0, "b is silent")
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -336,6 +336,20 @@
 	assert.Equal(t, p.GetSuspects().GetHolds()[0].GetLeftMs(), uint64(5))
 }
 
+// TestCustomerMemoryHasNumber guards against figures of customers' memory that an earlier datagram or report replaces.
+func TestCustomerMemoryHasNumber(t *testing.T) {
+	port := freePort(t)
+	got := make(chan *Placement, 2)
+	in := newDatagrams(port)
+	assert.NilError(t, in.listen(t.Context(), "127.0.0.1:1", func(p *Placement) { got <- p }))
+	for number := range uint64(2) {
+		in.send([]string{"127.0.0.1:9"}, &Placement{Addr: "x", CustomerMemory: &CustomerMemory{Holders: []uint32{7}, Held: []uint32{0}}})
+		p := <-got
+		assert.Equal(t, p.GetNumber(), number+1)
+		assert.Equal(t, len(p.GetCustomerMemory().GetHeld()), 1, "a figure of zero is sent")
+	}
+}
+
 // TestProofAgeCountsFromTheRequest: proofs are accepted only from responses, and their age counts from when
 // the request was sent. An unsolicited report may have been in transit for any time.
 func TestProofAgeCountsFromTheRequest(t *testing.T) {
--- a/policy/customershare/customershare_test.go
+++ b/policy/customershare/customershare_test.go
@@ -1,6 +1,7 @@
 package customershare_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -81,3 +82,22 @@
 	assert.DeepEqual(t, customershare.Weights(map[string]float64{"a": 0, "b": 0}), map[string]float64{"a": 1, "b": 1})
 	assert.DeepEqual(t, customershare.Weights(map[string]float64{"a": 30, "b": 10, "c": 0}), map[string]float64{"a": 1.5, "b": 0.5, "c": 1})
 }
+
+// BenchmarkYields measures the decision after each change of what customers hold.
+func BenchmarkYields(b *testing.B) {
+	for _, n := range []int{16, 340} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, held, waits := customershare.New(), map[string]int{}, waiting{}
+			for i := range n {
+				held[fmt.Sprint(i)] = 6000 * i
+				waits[customershare.Waiting{Customer: fmt.Sprint(i), Priority: i % 3}] = 6000
+			}
+			p.SetPeers(held, waits)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p.Add("1", 1-i%2*2)
+				p.Yields("1", 1)
+			}
+		})
+	}
+}
