customershare: a customer that holds exactly its share is not over it

Cause: share times weight is rounded, so a customer alone with a weight such as 2.957 counted as over its share (in metrics and Retry-After; it yielded to none). A token of tolerance, and an order of demands that doesn't depend on map iteration.

--- a/policy/customershare/customershare.go
+++ b/policy/customershare/customershare.go
@@ -138,10 +138,13 @@
 	return held, waiting
 }
 
+// rounding, in tokens, keeps a customer that holds exactly its share from being over it.
+const rounding = 1
+
 // OverShare reports whether a customer holds more than its share.
 func (p *Pool) OverShare(customer string) bool {
 	held, _ := p.Holding(customer)
-	return held > p.Share(customer)
+	return held > p.Share(customer)+rounding
 }
 
 // Yields reports whether a request leaves free memory to requests that wait at other gateways.
@@ -157,7 +160,7 @@
 	p.current, p.urgent = true, math.MaxInt
 	p.level = fairLevel(p.demands())
 	for w, tokens := range p.peersWaiting {
-		if held, weight := p.Holding(w.Customer); tokens > 0 && held <= p.level*weight {
+		if held, weight := p.Holding(w.Customer); tokens > 0 && held <= p.level*weight+rounding {
 			p.urgent = min(p.urgent, w.Priority)
 		}
 	}
@@ -192,7 +195,9 @@
 		}
 	}
 	p.scratch = out
-	slices.SortFunc(out, func(a, b demand) int { return cmp.Compare(a.wanted*b.weight, b.wanted*a.weight) })
+	slices.SortFunc(out, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(a.wanted*b.weight, b.wanted*a.weight), cmp.Compare(a.weight, b.weight), cmp.Compare(a.held, b.held))
+	})
 	return out
 }
 
--- a/policy/customershare/customershare_test.go
+++ b/policy/customershare/customershare_test.go
@@ -78,6 +78,17 @@
 	assert.Equal(t, len(held), 0)
 }
 
+// TestCustomerAloneIsNotOverShare guards against rounding of weights that have no exact representation.
+func TestCustomerAloneIsNotOverShare(t *testing.T) {
+	for i := range 100 {
+		p := customershare.New()
+		p.SetWeights(map[string]float64{"a": 0.1 + float64(i)/7})
+		p.Add("a", 100_003+i)
+		p.SetPeers(nil, waiting{{"a", 0}: 50})
+		assert.Assert(t, !p.OverShare("a"), "%d", i)
+	}
+}
+
 func TestWeights(t *testing.T) {
 	assert.DeepEqual(t, customershare.Weights(map[string]float64{"a": 0, "b": 0}), map[string]float64{"a": 1, "b": 1})
 	assert.DeepEqual(t, customershare.Weights(map[string]float64{"a": 30, "b": 10, "c": 0}), map[string]float64{"a": 1.5, "b": 0.5, "c": 1})
