--- a/policy/customershare/customershare.go
+++ b/policy/customershare/customershare.go
@@ -40,10 +40,15 @@
 	level   float64
 	// urgent is the most urgent priority of the requests that wait at other gateways for customers within their share.
 	urgent int
+	// scratch and index, of customers in it, are scratch space of demands.
+	scratch []demand
+	index   map[string]int
 }
 
 // New returns a pool of which nothing is held and in which all customers have the same weight.
-func New() *Pool { return &Pool{own: map[string]int{}, ownWaiting: map[Waiting]int{}} }
+func New() *Pool {
+	return &Pool{own: map[string]int{}, ownWaiting: map[Waiting]int{}, index: map[string]int{}}
+}
 
 // Weights returns the weights of customers relative to their mean: in proportion to their quotas, and the mean for
 // those without one (zero).
@@ -133,10 +138,13 @@
 	return held, waiting
 }
 
+// rounding, in tokens, keeps a customer that holds exactly its share from being over it.
+const rounding = 1
+
 // OverShare reports whether a customer holds more than its share.
 func (p *Pool) OverShare(customer string) bool {
 	held, _ := p.Holding(customer)
-	return held > p.Share(customer)
+	return held > p.Share(customer)+rounding
 }
 
 // Yields reports whether a request leaves free memory to requests that wait at other gateways.
@@ -152,7 +160,7 @@
 	p.current, p.urgent = true, math.MaxInt
 	p.level = fairLevel(p.demands())
 	for w, tokens := range p.peersWaiting {
-		if held, weight := p.Holding(w.Customer); tokens > 0 && held <= p.level*weight {
+		if held, weight := p.Holding(w.Customer); tokens > 0 && held <= p.level*weight+rounding {
 			p.urgent = min(p.urgent, w.Priority)
 		}
 	}
@@ -162,15 +170,19 @@
 type demand struct{ held, wanted, weight float64 }
 
 // demands returns the demand of every customer that holds memory or waits for some, the smallest relative to its weight
-// first.
+// first. The result is valid until the next call.
 func (p *Pool) demands() []demand {
-	byCustomer := map[string]demand{}
+	clear(p.index)
+	out := p.scratch[:0]
 	record := func(customer string, held, waiting int) {
-		d := byCustomer[customer]
-		d.weight = p.weight(customer)
-		d.held += float64(held)
-		d.wanted += float64(held + waiting)
-		byCustomer[customer] = d
+		i, ok := p.index[customer]
+		if !ok {
+			i = len(out)
+			p.index[customer] = i
+			out = append(out, demand{weight: p.weight(customer)})
+		}
+		out[i].held += float64(held)
+		out[i].wanted += float64(held + waiting)
 	}
 	for _, held := range []map[string]int{p.own, p.peers} {
 		for customer, tokens := range held {
@@ -182,11 +194,10 @@
 			record(w.Customer, 0, tokens)
 		}
 	}
-	out := make([]demand, 0, len(byCustomer))
-	for _, d := range byCustomer {
-		out = append(out, d)
-	}
-	slices.SortFunc(out, func(a, b demand) int { return cmp.Compare(a.wanted*b.weight, b.wanted*a.weight) })
+	p.scratch = out
+	slices.SortFunc(out, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(a.wanted*b.weight, b.wanted*a.weight), cmp.Compare(a.weight, b.weight), cmp.Compare(a.held, b.held))
+	})
 	return out
 }
 
