stages: fast engines decode, slow ones prefill

Cause: engines of one service differ in time per token by up to 2.7. Which engine changed its stage was decided by zone alone, so that slow engines kept decoding long answers, while fast ones prefilled.

Change: of the engines that can be moved, the fastest goes to decode and the slowest to prefill; those within 15 percent count as equal and are chosen by zone as before. In calm load a fast prefill engine and a slow decode engine change places, if the slow one takes 1.5 times as long. Without known speeds nothing changes.

--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -7,6 +7,11 @@
 // engines and moves a few engines at a time, with hysteresis: a dead band in which nothing is
 // moved, and a minimum interval after each tick with a move.
 //
+// Engines of one service may differ in speed by a factor of two or three. A prompt is short work
+// that tolerates a slow engine; a long answer on a slow engine holds its memory for longer and may
+// miss its deadline. So the fastest engines are moved to decode and the slowest to prefill, and
+// while nothing else is moved, a fast prefill engine and a slow decode engine change places.
+//
 // The caller of a Planner passes in the time. A Planner is not safe for concurrent use.
 package stages
 
@@ -45,6 +50,13 @@
 	// When they were moved one by one, the sixteen engines that a burst needed had moved only when
 	// the burst was over.
 	EnginesPerTickMove int
+	// SameSpeedRatio is the ratio of the times per token of two engines up to which they count as
+	// equally fast, and MinExchangeRatio that from which a slow decode engine and a fast prefill
+	// engine change places: both serve nothing for the time of a move.
+	SameSpeedRatio, MinExchangeRatio float64
+	// ExchangeMaxUtilization is the utilization of both kinds of engines up to which two engines
+	// change places.
+	ExchangeMaxUtilization float64
 }
 
 // DefaultConfig returns the default settings; docs/MEASUREMENTS.md has the measurements behind
@@ -62,6 +74,9 @@
 		SaturatedUtilization:     0.9,
 		EnginesPerConcurrentMove: 6,
 		EnginesPerTickMove:       24,
+		SameSpeedRatio:           1.15,
+		MinExchangeRatio:         1.5,
+		ExchangeMaxUtilization:   0.6,
 	}
 }
 
@@ -75,12 +90,17 @@
 	MemoryDemand, EngineMemory float64
 	// MemoryShort is set when requests recently waited for memory or were rejected.
 	MemoryShort bool
+	// TimePerToken is the time that an engine takes per token, relative to the others of the
+	// service, by ID. Engines whose speed is unknown are missing.
+	TimePerToken map[string]float64
 }
 
 // Move is a change of one engine's stage.
 type Move struct {
 	Server registry.Server
 	To     registry.Stage
+	// exchangedWith is the engine that takes the place of Server in an exchange.
+	exchangedWith string
 }
 
 // Planner decides on the stage changes of one service and remembers the latest ones.
@@ -90,6 +110,9 @@
 	lastTo   registry.Stage
 	// movedInTick is the number of moves in the last tick with a move.
 	movedInTick int
+	// exchanged is the engine that is moved to prefill to complete an exchange; empty if none is
+	// in progress.
+	exchanged string
 }
 
 // New returns a planner.
@@ -106,12 +129,15 @@
 		return Move{}, false
 	}
 	to, ok := p.stageNeeded(l, prefill, decode)
+	if !ok {
+		return p.nextExchange(servers, switching, l, now)
+	}
 	saturated := to == registry.Prefill && l.PromptRate/l.EnginePrefillRate >= p.cfg.SaturatedUtilization*float64(prefill) ||
 		to == registry.Decode && l.MemoryShort
-	if !ok || !p.intervalOver(to, saturated, max(1, (prefill+decode)/p.cfg.EnginesPerTickMove), now) {
+	if !p.intervalOver(to, saturated, max(1, (prefill+decode)/p.cfg.EnginesPerTickMove), now) {
 		return Move{}, false
 	}
-	s, ok := candidate(servers, switching, to)
+	s, ok := p.candidate(servers, switching, to, l.TimePerToken)
 	if !ok {
 		return Move{}, false
 	}
@@ -125,6 +151,12 @@
 	}
 	p.lastMove, p.lastTo = now, m.To
 	p.movedInTick++
+	if m.Server.ID == p.exchanged {
+		p.exchanged = ""
+	}
+	if m.exchangedWith != "" {
+		p.exchanged = m.exchangedWith
+	}
 }
 
 // stageNeeded returns the stage that needs one more engine, if any.
@@ -181,24 +213,55 @@
 	return prefill, decode, changing
 }
 
-// candidate returns an engine to move, from the zone with the most movable engines, so that the
-// split stays even across zones.
-func candidate(servers []registry.Server, switching map[string]registry.Stage, to registry.Stage) (registry.Server, bool) {
+// candidate returns an engine to move: the fastest to decode, the slowest to prefill. Of equally
+// fast ones it is from the zone with the most movable engines, so that the split stays even across
+// zones.
+func (p *Planner) candidate(servers []registry.Server, switching map[string]registry.Stage, to registry.Stage, times map[string]float64) (registry.Server, bool) {
 	zones := map[string]int{}
-	movable := func(s registry.Server) bool {
-		_, busy := switching[s.ID]
-		return !busy && s.Stage != to && s.Stage != registry.Whole
-	}
 	for _, s := range servers {
-		if movable(s) {
+		if movable(s, switching, to) {
 			zones[s.Zone]++
 		}
 	}
 	var best registry.Server
 	for _, s := range servers {
-		if movable(s) && (best.ID == "" || zones[s.Zone] > zones[best.Zone]) {
+		if !movable(s, switching, to) {
+			continue
+		}
+		speed := p.compareSpeed(times, s.ID, best.ID, to)
+		if best.ID == "" || speed > 0 || speed == 0 && zones[s.Zone] > zones[best.Zone] {
 			best = s
 		}
 	}
 	return best, best.ID != ""
 }
+
+// movable reports whether an engine can be moved to a stage.
+func movable(s registry.Server, switching map[string]registry.Stage, to registry.Stage) bool {
+	_, busy := switching[s.ID]
+	return !busy && s.Stage != to && s.Stage != registry.Whole
+}
+
+// compareSpeed returns a positive number if engine a suits a stage better than b by its speed, a
+// negative one if b does, and zero if they are about equally fast. Unknown engines count as average.
+func (p *Planner) compareSpeed(times map[string]float64, a, b string, to registry.Stage) int {
+	ratio := timeOf(times, a) / timeOf(times, b)
+	if to == registry.Decode {
+		ratio = 1 / ratio
+	}
+	switch {
+	case ratio > p.cfg.SameSpeedRatio:
+		return 1
+	case ratio < 1/p.cfg.SameSpeedRatio:
+		return -1
+	default:
+		return 0
+	}
+}
+
+func timeOf(times map[string]float64, id string) float64 {
+	if t := times[id]; t > 0 {
+		return t
+	}
+	return 1
+}
