gateway, stages: stage changes go by learned speed

Cause: the planner of stages did not know the speed of engines. Prefill engines differ by 2.6 on the first deployment with hard load (16, 27 and 41 us a prompt token) like decode engines.

Nothing changes where they differ by less than 1.7. Each engine is exchanged once.

--- a/gateway/peerload.go
+++ b/gateway/peerload.go
@@ -213,3 +213,30 @@
 	}
 	return arriving, demand, engineRates
 }
+
+// prefillTimes returns the mean of the times per prompt token that all other gateways and this one, with own, learned of
+// the engines of a service, in seconds by ID.
+func (p *peerLoads) prefillTimes(service string, own map[string]float64) map[string]float64 {
+	sums, counts := maps.Clone(own), map[string]float64{}
+	for id := range own {
+		counts[id] = 1
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, report := range p.reports {
+		for _, r := range report.prefill {
+			if r.GetService() != service {
+				continue
+			}
+			for _, t := range r.GetPrefillTimes() {
+				id := p.incarnationID(t.GetServer(), t.GetStart())
+				sums[id] += float64(t.GetNanosPerToken()) / 1e9
+				counts[id]++
+			}
+		}
+	}
+	for id, n := range counts {
+		sums[id] /= n
+	}
+	return sums
+}
--- a/policy/stages/exchange.go
+++ b/policy/stages/exchange.go
@@ -40,11 +40,11 @@
 }
 
 // extreme returns the engine of known speed that suits a stage best among those that can be moved
-// to it.
+// to it and were not exchanged before.
 func (p *Planner) extreme(servers []registry.Server, switching map[string]registry.Stage, to registry.Stage, times map[string]float64) (registry.Server, bool) {
 	known := make([]registry.Server, 0, len(servers))
 	for _, s := range servers {
-		if times[s.ID] > 0 {
+		if _, settled := p.settled[s.ID]; times[s.ID] > 0 && !settled {
 			known = append(known, s)
 		}
 	}
--- a/policy/stages/exchange_test.go
+++ b/policy/stages/exchange_test.go
@@ -109,3 +109,12 @@
 		})
 	}
 }
+
+// TestRelativeTimes: engines of both stages are compared by the fastest of their kind, and equal ones not at all.
+func TestRelativeTimes(t *testing.T) {
+	prefill := map[string]float64{"p1": 16, "p2": 40}
+	decode := map[string]float64{"d1": 4000, "d2": 6000}
+	assert.DeepEqual(t, stages.RelativeTimes(prefill, decode, 1.7), map[string]float64{"p1": 1, "p2": 2.5, "d1": 1, "d2": 1.5})
+	assert.Equal(t, len(stages.RelativeTimes(nil, decode, 1.7)), 0)
+	assert.Equal(t, len(stages.RelativeTimes(nil, nil, 1.7)), 0)
+}
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -113,10 +113,13 @@
 	// exchanged is the engine that is moved to prefill to complete an exchange; empty if none is
 	// in progress.
 	exchanged string
+	// settled are the engines that were exchanged: each only once, as the engines of the two stages are compared with the
+	// fastest of their own, which may have moved away.
+	settled map[string]struct{}
 }
 
 // New returns a planner.
-func New(cfg Config) *Planner { return &Planner{cfg: cfg} }
+func New(cfg Config) *Planner { return &Planner{cfg: cfg, settled: map[string]struct{}{}} }
 
 // Next returns the next move, if one is needed. Switching holds the engines that are changing
 // their stage, with their new stage. Calls with the same time belong to one tick.
@@ -156,6 +159,7 @@
 	}
 	if m.exchangedWith != "" {
 		p.exchanged = m.exchangedWith
+		p.settled[m.Server.ID], p.settled[m.exchangedWith] = struct{}{}, struct{}{}
 	}
 }
 
