--- a/forward/customers_test.go
+++ b/forward/customers_test.go
@@ -81,7 +81,7 @@
 	for name, want := range map[string]int64{
 		metrics.ShareYields: 2, metrics.MemoryWaitsPrefix + string(metrics.MemoryOverShare): 2,
 		metrics.MemoryRejectionsPrefix + string(metrics.MemoryWaited+metrics.OverShareSuffix): 2,
-		metrics.MemoryWaitsPrefix + string(metrics.MemoryShort): 1, metrics.MemoryRejectionsPrefix + string(metrics.MemoryWaited): 1,
+		metrics.MemoryWaitsPrefix + string(metrics.MemoryShort):                               1, metrics.MemoryRejectionsPrefix + string(metrics.MemoryWaited): 1,
 	} {
 		assert.Equal(t, w.met.Counter(name).Count(), want, name)
 	}
