forward, runcopy: a run without a copy is not continued

No copy was there yet, and an engine that lost answers at that time ran it once more.

Change: a run of a route that is not repeatable continues from its backup only after two events.

Tests: the row 'reset before the first event' of TestContinuesFromBackup stated the fault as wanted; in its place TestNoContinuationBeforeCopy demands one run and a visible failure. TestContinuesAfterRestart, whose run has no event either, uses a repeatable route with its attempts used up.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -31,7 +31,7 @@
 // interrupted stream can be resumed elsewhere.
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
-	a.stream = res.Body
+	a.stream, a.events = res.Body, 0
 	tail, err := a.copyEvents(head, res)
 	_ = res.Body.Close()
 	a.next = a.streamEnded(ctx, err)
@@ -93,6 +93,7 @@
 		if err == io.EOF {
 			return event, nil
 		}
+		a.events++
 		if r.delivered(event) {
 			continue
 		}
--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -64,6 +64,9 @@
 	case errors.Is(err, errClient) || !a.r.mayContinue(ctx, a.r.f.reasonFor(ctx, err)):
 		e = runcopy.Abandoned
 	}
+	if !a.r.j.route.Repeatable() && a.events < runcopy.MinBackedUpEvents {
+		a.state.setBackup(false)
+	}
 	next := a.on(e)
 	if a.move == nil {
 		return next
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -70,6 +70,8 @@
 	stream io.Closer
 	// leavingSince is since when the engine is known to leave; zero if it is not.
 	leavingSince time.Time
+	// events counts the events that came from the engine.
+	events int
 }
 
 // Ended implements lifecycle.Request. An engine that grants no memory costs no retry, since nothing of the request was
