forward: a customer holds the memory of its run also after a copy is used or dropped

Cause: copies were returned with engines.release, which also ends the customer's hold on the run's memory. After a refused move, a replaced backup or a continuation, the run went on without counting for its customer, here and in the reports to other gateways, so the customer could take more than its share.

releaseCopy and continueAt now leave the customer's hold as it is; the end of the lease ends it.

TestCustomerHoldsContinuedRun failed before: no figure while the continued run holds 4,000 tokens.

--- a/forward/backup.go
+++ b/forward/backup.go
@@ -58,8 +58,7 @@
 	}
 	s, ok := findServer(f.View.Servers(j.service), id)
 	if !ok {
-		e.endCopy(r.run)
-		e.release(id, r.run)
+		e.releaseCopy(id, r.run)
 		return nil
 	}
 	return &runCopy{server: s}
@@ -76,9 +75,7 @@
 // has ended.
 func (r *stream) dropCopy(c *runCopy) {
 	if c != nil {
-		e := r.f.service(r.j.service).engines
-		e.endCopy(r.run)
-		e.release(c.server.ID, r.run)
+		r.f.service(r.j.service).engines.releaseCopy(c.server.ID, r.run)
 	}
 }
 
@@ -103,11 +100,30 @@
 	return id, ok
 }
 
-// endCopy records that a copy of a run was used or dropped.
-func (e *engines) endCopy(r *kvmemory.Run) {
+// releaseCopy records that a copy of a run is not used. Its customer still holds the memory of the run itself.
+func (e *engines) releaseCopy(id string, r *kvmemory.Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.copied -= r.Need
+	e.memory.Release(id, r, time.Now())
+	e.markChanged(id)
+	e.dispatch()
+}
+
+// continueAt records that a run has left the engine of a lease and goes on at the engine with a copy of it. Its customer
+// holds the memory there.
+func (e *engines) continueAt(id string, old *lease) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.copied -= old.run.Need
+	if old.refused {
+		e.memory.Failed(old.server.ID, old.run, now)
+	} else {
+		e.memory.Release(old.server.ID, old.run, now)
+	}
+	e.markChanged(old.server.ID)
+	e.dispatch()
 }
 
 // copyShare is the share of copies in the memory that this process placed, in [0, 1]. It stands for that of all
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -102,8 +102,7 @@
 // accepted records that the engine of the lease may run the request: it is the only one now.
 func (a *streamAttempt) accepted(c continuation, old *lease) {
 	if c.to != nil {
-		a.r.f.service(a.r.j.service).engines.endCopy(a.r.run)
-		a.r.f.releaseLease(a.r.j, old)
+		a.r.f.service(a.r.j.service).engines.continueAt(c.to.server.ID, old)
 	}
 	if !slices.Contains(a.r.tried, a.lease.server.ID) {
 		a.r.tried = append(a.r.tried, a.lease.server.ID)
--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/customershare"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
@@ -38,9 +39,9 @@
 }
 
 // preferred returns the engine to which the gateway sends a request while there are no others.
-func (w *testEnv) preferred(t *testing.T) *site.Server {
+func (w *testEnv) preferred(t *testing.T, headers ...string) *site.Server {
 	t.Helper()
-	assert.Equal(t, w.post(t, "/draft/0").status, 200)
+	assert.Equal(t, w.post(t, "/draft/0", headers...).status, 200)
 	return w.servers[w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Decode }).Server]
 }
 
@@ -205,6 +206,32 @@
 	assert.Equal(t, len(w.decodes("/draft/1")), 2)
 }
 
+// TestCustomerHoldsContinuedRun guards against a customer whose run goes on from a copy without counting as its memory.
+func TestCustomerHoldsContinuedRun(t *testing.T) {
+	w := newCopyEnv(t, unlimited)
+	w.withTenants(t, tenant("a", ownKey))
+	first := w.preferred(t, authorization, scheme+ownKey)
+	first.Behave(site.NeverAnswer)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/1", append(longRun, authorization, scheme+ownKey)...) }()
+	run := w.log.Wait(t, false, func(c site.Call) bool { return c.Kind == site.Decode && c.Path == "/draft/1" })
+	holds := customershare.Figure{Key: customershare.Key{Pool: "llm", Customer: "a"}, Tokens: 4000}
+	assert.DeepEqual(t, w.fwd.CustomerMemory(), []customershare.Figure{holds})
+	for _, s := range w.servers {
+		if s.Addr() == run.Backup {
+			s.Behave(site.HoldStream)
+		}
+	}
+	first.CloseClientConnections()
+	w.awaitCounter(t, metrics.Continuations, 1)
+	assert.DeepEqual(t, w.fwd.CustomerMemory(), []customershare.Figure{holds})
+	for _, s := range w.servers {
+		s.CloseClientConnections()
+	}
+	<-done
+	w.awaitCustomerMemory(t, 0)
+}
+
 // A run that ended because of its deadline or its client is not continued: nobody waits for it.
 func TestNoContinuationWithoutClient(t *testing.T) {
 	w := newCopyEnv(t, unlimited)
