kvmemory: a copy of a run does not teach the pace of the engine that holds it

Cause: the pool counts a run at its engine and at those with copies of it, and each of them observed the tokens that the run generates; the first one by ID took all of the evidence. A slow engine with a backup of a run on a fast one looked fast, also to other gateways, and the placement of a copy discarded the observation in progress.

A run now names the engine that executes it; only that one observes it. PlaceCopy and Continue tell copies from runs.

--- a/forward/backup.go
+++ b/forward/backup.go
@@ -93,7 +93,7 @@
 	e.sync(e.list(), capacity, slots)
 	id, ok := e.memory.Pick(r, time.Now())
 	if ok {
-		e.memory.Place(id, r.Run)
+		e.memory.PlaceCopy(id, r.Run)
 		e.copied += r.Run.Need
 		e.markChanged(id)
 	}
@@ -122,6 +122,7 @@
 	} else {
 		e.memory.Release(old.server.ID, old.run, now)
 	}
+	e.memory.Continue(id, old.run)
 	e.markChanged(old.server.ID)
 	e.dispatch()
 }
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -211,8 +211,14 @@
 
 // Place records that a run is placed, or about to be placed, on an engine.
 func (p *Pool) Place(id string, r *Run) {
+	p.Continue(id, r)
+	p.PlaceCopy(id, r)
+}
+
+// PlaceCopy records that an engine holds, or will hold, a copy of a run that another engine executes, until Release is
+// called. What the run generates shows nothing about the pace of the engine with the copy.
+func (p *Pool) PlaceCopy(id string, r *Run) {
 	if s, ok := p.servers[id]; ok {
-		r.resetPace()
 		s.runs = append(s.runs, r)
 		s.ownLoad.Runs++
 		s.ownLoad.Tokens += r.Need
@@ -220,6 +226,12 @@
 	}
 }
 
+// Continue records that the engine with a copy of a run now executes it.
+func (p *Pool) Continue(id string, r *Run) {
+	r.engine = id
+	r.resetPace()
+}
+
 func (s *server) removeRun(r *Run) {
 	i := slices.Index(s.runs, r)
 	if i < 0 {
--- a/policy/kvmemory/pace.go
+++ b/policy/kvmemory/pace.go
@@ -111,6 +111,9 @@
 // observe records the progress of one of the router's runs on its engine. A slow period counts only
 // if the next one is slow too: a run that is preempted pauses once, a slow engine remains slow.
 func (s *server) observe(r *Run, now time.Time) {
+	if r.engine != s.ID {
+		return
+	}
 	tokens := r.generated.Load()
 	if tokens < r.paced {
 		r.resetPace()
--- a/policy/kvmemory/run.go
+++ b/policy/kvmemory/run.go
@@ -20,6 +20,8 @@
 	// FreeAtPeak is the memory of the chosen engine, in tokens, that was forecast to remain free at
 	// the peak when the run was placed.
 	FreeAtPeak int
+	// engine is the ID of the engine that executes the run; others may hold copies of it.
+	engine string
 	// generated is the total number of tokens generated.
 	generated atomic.Int64
 	// sampled is the number of tokens generated at the latest sample, which was taken at sampledAt.
