forward: excluded engines get no copies of runs

Cause: an engine that is excluded is open again once a trial request is due, and then not even suspected. Copies were placed with the same verdicts, although a copy begins no trial: every gateway could choose the engine for backups and as the destination of moves until its exclusion expired. Such an engine has all of its memory free, and a run that was stopped for a move would be lost there.

Copies have a verdict of their own, copyVerdict. The condition that engines in this state show is shared with Conditions.

TestExcludedEngineGetsNoCopies failed before.

--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// copyVerdict is the verdict on an engine for a copy of a run; it implements eligibility.Verdicts. A copy is no trial
+// request: an excluded engine gets none until the exclusion has ended.
+func (f *Forwarder) copyVerdict(id string, now time.Time) eligibility.Verdict {
+	v := f.engineVerdicts(false)(id, now)
+	if c, ok := f.exclusions.trialDue(id, false, now); ok {
+		v.Add(c, now)
+	}
+	return v
+}
+
 // retryLeft reports whether a stream may be sent to another engine after a failure.
 func (j *job) retryLeft() bool { return j.route.Repeatable() && j.sends+1 < j.route.Attempts }
 
@@ -89,9 +99,7 @@
 		return out
 	}
 	f.engineConditions(c.ID, true, now, add)
-	if excluded, _, trial := f.exclusions.condition(c.ID, true, now); trial {
-		// The exclusion holds, for all requests but one, until that has succeeded.
-		excluded.Until = time.Time{}
+	if excluded, ok := f.exclusions.trialDue(c.ID, true, now); ok {
 		add(excluded)
 	}
 	if c.Stage == registry.Prefill {
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -28,7 +28,7 @@
 	// list returns the servers that may get new work; synced is the list that memory was last updated with.
 	list   func() []registry.Server
 	synced engineList
-	// verdicts are those on the engines; they must not take mu.
+	// verdicts are those on the engines for copies of runs; they must not take mu.
 	verdicts eligibility.Verdicts
 	queue    waitqueue.Queue
 	// entries are the requests in queue.
@@ -59,7 +59,7 @@
 	quarantined func() bool
 	// reserve takes one request from the rate limit that an engine has declared.
 	reserve func(id string) bool
-	// verdicts are those on the engines for this request; nil for those of the service.
+	// verdicts are those on the engines for this request; nil for those for copies.
 	verdicts eligibility.Verdicts
 	// engine receives the ID of the engine to use, or the empty string if the request need not wait any more.
 	engine chan string
--- a/forward/exclusions.go
+++ b/forward/exclusions.go
@@ -51,6 +51,14 @@
 	return c, holds, !holds && x.tracker.Excluded(id, now)
 }
 
+// trialDue returns the condition of an excluded engine that may be sent a trial request, and whether the engine is one.
+// The exclusion holds, for all requests but one, until that has succeeded.
+func (x *exclusions) trialDue(id string, repeatable bool, now time.Time) (eligibility.Condition, bool) {
+	c, _, trial := x.condition(id, repeatable, now)
+	c.Until = time.Time{}
+	return c, trial
+}
+
 func (x *exclusions) take() (recovered, trials []string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/forward/exclusions_test.go
+++ b/forward/exclusions_test.go
@@ -65,6 +65,24 @@
 	})
 }
 
+// TestExcludedEngineGetsNoCopies guards against a copy of a run at an engine that fails everything and is due for a trial
+// request: it has all of its memory free, and the run would be lost there.
+func TestExcludedEngineGetsNoCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, s := exclusionEnv()
+		f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
+		f.ReceiveFailure("edge-3", EngineFailure{ID: s.ID})
+		v := f.engineVerdicts(false)(s.ID, time.Now())
+		assert.Assert(t, v.Excluded)
+		time.Sleep(v.Wait(time.Now()))
+		assert.Assert(t, !f.engineVerdicts(false)(s.ID, time.Now()).Excluded, "a trial is due")
+		e := f.service("s").engines
+		assert.Assert(t, e.verdicts.Of(s.ID, time.Now()).Excluded)
+		f.engineSucceeded(s, time.Now())
+		assert.Assert(t, !e.verdicts.Of(s.ID, time.Now()).Excluded)
+	})
+}
+
 // TestOtherGatewaysEndAnExclusion: what another gateway reports of trials and successes counts as if seen here.
 func TestOtherGatewaysEndAnExclusion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -181,7 +181,7 @@
 	if !ok {
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), retryDetectors: map[string]*waitqueue.RetryDetector{},
-			prefillPool: prefillpool.New(prefillConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, f.Metrics, func() []registry.Server { return f.View.Servers(name) }, f.engineVerdicts(false), f.notifyPlacementChanged),
+			prefillPool: prefillpool.New(prefillConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, f.Metrics, func() []registry.Server { return f.View.Servers(name) }, f.copyVerdict, f.notifyPlacementChanged),
 		}
 		f.services[name] = s
 	}
