prefillpool: the mean time of hand-overs is forgotten after 5 s

Cause: prompts whose prefill and hand-over exceed the time to the deadline are not sent, and only runs that fetch a KV cache are observed. Once the mean exceeded the deadlines of a service, nothing was sent that could lower it: all prompts went to the decode engines until the gateway was restarted.

The mean now counts for 5 s after the latest observation and then starts anew.

TestHandOverIsForgotten failed before.

--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -106,7 +106,7 @@
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.prefillPool.ObserveHandOver(took)
+	s.prefillPool.ObserveHandOver(took, time.Now())
 }
 
 // runPrefill sends the prompt to one prefill engine.
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -80,8 +80,7 @@
 	rate     stages.PrefillRate
 	outliers *outlier.Tracker
 	engines  map[string]*engine
-	// handOver is the mean time from the sending of a run to its beginning; zero until it is known.
-	handOver time.Duration
+	handOver handOver
 }
 
 // engine is the state of one prefill engine.
@@ -158,7 +157,7 @@
 		}
 		tokens := q.Tokens - e.cached(s.ID, q)
 		expected := p.expected(e, tokens, now)
-		if p.tooLate(q, expected) {
+		if p.tooLate(q, expected, now) {
 			continue
 		}
 		cost := expected + p.penalty(s, q.Zone, now) + time.Duration(float64(p.cfg.Preference)*(1-e.preference))
--- a/policy/prefillpool/timeleft_test.go
+++ b/policy/prefillpool/timeleft_test.go
@@ -12,7 +12,7 @@
 // TestPromptsWithoutTimeAreNotSent guards against prompts that are prefilled although the first event would come after
 // the deadline, or although the memory for the run is given away before.
 func TestPromptsWithoutTimeAreNotSent(t *testing.T) {
-	handOver := func(p *prefillpool.Pool) { p.ObserveHandOver(200 * time.Millisecond) }
+	handOver := func(p *prefillpool.Pool) { p.ObserveHandOver(200*time.Millisecond, start) }
 	for _, c := range []struct {
 		name              string
 		setUp             func(p *prefillpool.Pool)
@@ -46,3 +46,18 @@
 		assert.Equal(t, p.DecodePrefillTooLate(prefillpool.Request{Tokens: 5000, Left: left}), want, "%v", left)
 	}
 }
+
+// TestHandOverIsForgotten guards against a pool that sends no prompts any more: while a slow hand-over is expected, no
+// run that fetches a KV cache begins, so that nothing would show that hand-overs are fast again.
+func TestHandOverIsForgotten(t *testing.T) {
+	p := prefillpool.New(prefillpool.DefaultConfig(), "edge-1")
+	p.ObserveHandOver(10*time.Second, start)
+	q := prefillpool.Request{Tokens: 5000, Zone: "z1", SlotLoad: 1, Left: 5 * time.Second}
+	for _, after := range []time.Duration{time.Second, 4900 * time.Millisecond, 5 * time.Second} {
+		_, ok := p.Pick(servers, q, start.Add(after))
+		assert.Equal(t, ok, after >= 5*time.Second, "%v", after)
+	}
+	p.ObserveHandOver(200*time.Millisecond, start.Add(5*time.Second))
+	_, ok := p.Pick(servers, q, start.Add(6*time.Second))
+	assert.Assert(t, ok, "the mean starts anew")
+}
