forward: a run does not return to an engine that has been leaving for seconds

Cause: that an engine leaves was noticed only when a new move was considered, so not while one was in progress. If the engine announced it during a move for another reason and the destination then refused the run, leavingSince was zero and the run was sent to the leaving engine, up to some five seconds after the announcement.

The announcement is now noticed at every check, also during a move; one that is first seen when the run would return counts from the latest check.

--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -117,9 +117,14 @@
 // get no new requests some seconds after the announcement, of which this process may have learned late.
 const returnWindow = time.Second
 
-// mayReturn reports whether a run may return to the engine that stopped it.
+// mayReturn reports whether a run may return to the engine that stopped it. An engine that is only now seen to leave may
+// have announced that since the latest check.
 func (a *streamAttempt) mayReturn(now time.Time) bool {
-	return a.leavingSince.IsZero() || now.Sub(a.leavingSince) < returnWindow
+	since := a.leavingSince
+	if since.IsZero() && a.r.f.View.Leaving(a.lease.server.ID) {
+		since = a.r.moveCheckedAt
+	}
+	return since.IsZero() || now.Sub(since) < returnWindow
 }
 
 // moveCheckInterval is the interval at which a running stream is checked for reasons to move. An engine that leaves
@@ -129,10 +134,16 @@
 // considerMove begins to move the run if there is a reason. It is called with each event of the stream.
 func (a *streamAttempt) considerMove(now time.Time) {
 	r := a.r
-	if !r.movable || now.Sub(r.moveCheckedAt) < moveCheckInterval || a.moving() {
+	if !r.movable || now.Sub(r.moveCheckedAt) < moveCheckInterval {
 		return
 	}
 	r.moveCheckedAt = now
+	if a.leavingSince.IsZero() && r.f.View.Leaving(a.lease.server.ID) {
+		a.leavingSince = now
+	}
+	if a.moving() {
+		return
+	}
 	if why, due := r.f.moveReason(a, now); due {
 		a.beginMove(why, now)
 	}
@@ -155,9 +166,6 @@
 	r, s := a.r, a.lease.server
 	m := runcopy.Move{Begun: r.movesBegun, Since: now.Sub(r.moveBegunAt), Forecast: a.moveForecast(now)}
 	if f.View.Leaving(s.ID) {
-		if a.leavingSince.IsZero() {
-			a.leavingSince = now
-		}
 		m.Leaving = true
 		serves := runcopy.ServesFor(now.Sub(a.leavingSince))
 		m.EndsBefore = f.service(r.j.service).engines.endsWithin(r.run, r.j.generated, serves)
