forward: a continuation at the copy of a move takes a retry if the stop did not

Cause: a move takes a retry before it stops the run, so continuations at its copy took none. If the budget allowed no retry and the stream broke between the copy and that answer, the run still went on at the copy, beyond the budget.

The move records whether it took a retry; without one the continuation takes it.

TestContinuationWithoutStopTakesRetry failed before: it went on to send the request.

--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -71,11 +71,16 @@
 	return a.relay(ctx, head, res), true
 }
 
-// openContinuation sends the request to the engine of the lease and reads the head of the answer. A continuation after a
-// loss takes a retry from the budget; a move has taken one before it stopped the run, also for its return to the source.
+// needsRetry reports whether the continuation takes a retry from the budget, as one after a loss does. A move has taken one
+// before it stopped the run, also for its return to the source.
+func (a *streamAttempt) needsRetry() bool {
+	return a.next == runcopy.ContinueAtBackup || a.next == runcopy.ContinueAtCopy && !a.move.retryTaken
+}
+
+// openContinuation sends the request to the engine of the lease and reads the head of the answer.
 func (a *streamAttempt) openContinuation(runCtx, ctx context.Context, o Send) (AnswerHead, *upstream.Response, outcome.Reason, error) {
 	f, j := a.r.f, a.r.j
-	if a.next == runcopy.ContinueAtBackup && !f.takeRetry(j) {
+	if a.needsRetry() && !f.takeRetry(j) {
 		return AnswerHead{}, nil, outcome.RetryBudgetSpent, errors.Join(upstream.ErrNotSent, errRetryBudget)
 	}
 	kept := a.backup
--- a/forward/move.go
+++ b/forward/move.go
@@ -38,9 +38,11 @@
 	// stream is the answer of the source.
 	stream io.Closer
 	cancel context.CancelFunc
-	// done is closed when the last call has ended; next is valid then.
-	done chan struct{}
-	next runcopy.Action
+	// done is closed when the last call has ended; next and retryTaken are valid then. retryTaken is set if a retry was
+	// taken from the budget to stop the run.
+	done       chan struct{}
+	next       runcopy.Action
+	retryTaken bool
 
 	// dropped is set once the memory that the pool counts for the copy was returned, or became that of the run. It belongs
 	// to the stream's goroutine.
@@ -104,6 +106,7 @@
 			e = m.call(ctx, false, copyTimeout)
 		case runcopy.StopRun:
 			if e = runcopy.NotSent; f.takeRetry(m.a.r.j) {
+				m.retryTaken = true
 				e = m.call(ctx, true, stopTimeout)
 			}
 		case runcopy.AskAgain:
