forward: a run whose stop is not answered does not wait for a silent stream

Cause: after both calls that stop a run had no response, the stream stayed open until its end. Behind a partition, or at an engine that stopped the run and keeps the connection, nothing arrives any more, and a stream that may not be resumed has no limit on silence: the client waited until its deadline although the destination had a copy.

An event within drainTime shows that the run goes on; without one the connection is closed, and the run is treated as lost. Such a stream did not count as complete before either. Closing it at once was ruled out: a run that was never stopped still delivers events.

TestMovesOffLeavingEngine 'both answers lost once stopped, stays open' failed before, after 30 s.

--- a/forward/move.go
+++ b/forward/move.go
@@ -23,7 +23,8 @@
 	// an event.
 	stopTimeout = 1500 * time.Millisecond
 	// drainTime is how long the events of a run that was stopped may take to arrive. Then its connection is closed, so
-	// that one that is silent does not keep the run from continuing, which sends events that are missing again.
+	// that one that is silent does not keep the run from continuing, which sends events that are missing again. It is
+	// several times the usual interval between events.
 	drainTime = 300 * time.Millisecond
 )
 
@@ -113,9 +114,7 @@
 			e = m.call(ctx, true, stopTimeout)
 		default:
 			m.next = do
-			if m.a.state.stopped() {
-				time.AfterFunc(drainTime, func() { _ = m.stream.Close() })
-			}
+			m.endStream()
 			return
 		}
 		step := m.a.state.on(e)
@@ -126,6 +125,22 @@
 	}
 }
 
+// endStream closes the stream of a run that was stopped once its events have had time to arrive. If no response says
+// whether the run was stopped, an event in that time shows that it goes on. Otherwise the stream is closed too: behind a
+// partition it would stay open until the deadline, and the copy would expire.
+func (m *move) endStream() {
+	stopped := m.a.state.stopped()
+	if !stopped && !m.a.state.mayBeStopped() {
+		return
+	}
+	received := m.a.received.Load()
+	time.AfterFunc(drainTime, func() {
+		if stopped || m.a.received.Load() == received {
+			_ = m.stream.Close()
+		}
+	})
+}
+
 // call asks the source to copy the run, or the rest of it after stopping it, and returns what came of it.
 func (m *move) call(ctx context.Context, last bool, timeout time.Duration) runcopy.Event {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -47,6 +47,7 @@
 		{"stays open", site.HoldSilentStream, nil, []bool{false, true}, false},
 		{"ends in the middle of an event", site.HoldPartialStream, nil, []bool{false, true}, false},
 		{"refused once stopped", site.HoldStream, []site.MoveBehaviour{site.MoveRun, site.MoveRefused}, []bool{false, true}, true},
+		{"both answers lost once stopped, stays open", site.HoldSilentStream, []site.MoveBehaviour{site.MoveRun, site.MoveLost, site.MoveLost}, []bool{false, true, true}, false},
 		{"answer lost once stopped", site.HoldStream, []site.MoveBehaviour{site.MoveRun, site.MoveLost}, []bool{false, true, true}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -89,6 +89,7 @@
 			return nil, err
 		}
 		stall.reset()
+		a.received.Add(1)
 		r.j.lastActivity = time.Now()
 		if err == io.EOF {
 			return event, nil
--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -45,6 +45,13 @@
 	return s.run.Stopped()
 }
 
+// mayBeStopped reports whether the engine was asked to stop the run and has not said whether it did.
+func (s *runState) mayBeStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.run.State() == runcopy.Stopping && !s.run.Stopped()
+}
+
 // on applies an event to the state of the attempt's run and returns what to do next.
 func (a *streamAttempt) on(e runcopy.Event) runcopy.Action {
 	step := a.state.on(e)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
@@ -68,6 +69,8 @@
 	move  *move
 	// stream is the answer of the engine.
 	stream io.Closer
+	// received counts the events that arrived from engines.
+	received atomic.Int64
 	// leavingSince is since when the engine is known to leave; zero if it is not.
 	leavingSince time.Time
 }
