--- a/policy/exclusion/exclusion.go
+++ b/policy/exclusion/exclusion.go
@@ -18,7 +18,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -29,10 +28,6 @@
 const (
 	// minReporters is the number of routers of which requests must have failed at an engine.
 	minReporters = 2
-	// minEvidence is the number of failures that are needed at any failure rate.
-	minEvidence = 2.0
-	// falseAlarmRate is the highest probability that as many requests in a row fail at an engine that works.
-	falseAlarmRate = 1e-3
 	// maxShare is the largest share of a group of engines that is excluded at once.
 	maxShare = 1.0 / 3
 	// failureTTL is how long failures in a row count.
@@ -338,36 +333,3 @@
 		return len(r.reported) == 0
 	})
 }
-
-// outcomes are the exponentially decayed numbers of requests of this router, from which the failure rate of engines that
-// work is estimated: a failure counts once a later request has succeeded at the same engine.
-type outcomes struct {
-	ok, failed float64
-	at         time.Time
-}
-
-const (
-	// outcomesHalfLife is the age at which an outcome counts half: a router that sends one request a second knows its
-	// failure rate from about ninety.
-	outcomesHalfLife = time.Minute
-	// priorRate is the assumed failure rate, priorWeight its weight in requests.
-	priorRate, priorWeight = 0.02, 20.0
-)
-
-func (o *outcomes) decay(now time.Time) {
-	f := math.Exp2(-now.Sub(o.at).Seconds() / outcomesHalfLife.Seconds())
-	o.ok, o.failed, o.at = o.ok*f, o.failed*f, now
-}
-
-func (o *outcomes) add(ok, failed float64, now time.Time) {
-	o.decay(now)
-	o.ok += ok
-	o.failed += failed
-}
-
-// requiredFailures is how many failures in a row exclude an engine.
-func (o *outcomes) requiredFailures(now time.Time) float64 {
-	o.decay(now)
-	rate := (o.failed + priorRate*priorWeight) / (o.ok + o.failed + priorWeight)
-	return max(math.Log(falseAlarmRate)/math.Log(rate), minEvidence)
-}
