--- a/forward/exclusions_test.go
+++ b/forward/exclusions_test.go
@@ -30,6 +30,19 @@
 	return f, j, f.View.Servers("s")[0]
 }
 
+// untilTrial returns a forwarder and an engine that failures of other gateways have excluded, once it is due for a trial
+// request that may or may not be repeated.
+func untilTrial(t *testing.T, repeatable bool) (*Forwarder, registry.Server) {
+	t.Helper()
+	f, _, s := exclusionEnv()
+	f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
+	f.ReceiveFailure("edge-3", EngineFailure{ID: s.ID})
+	v := f.engineVerdicts(repeatable)(s.ID, time.Now())
+	assert.Assert(t, v.Excluded)
+	time.Sleep(v.Wait(time.Now()))
+	return f, s
+}
+
 // TestExclusionOfOneEngine follows an engine that fails everything: it is excluded when two gateways have failed there,
 // one trial request at a time is sent there although failures are known, which the other gateways are told, and a success
 // makes it an engine like the others.
@@ -69,12 +82,7 @@
 // request: it has all of its memory free, and the run would be lost there.
 func TestExcludedEngineGetsNoCopies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, _, s := exclusionEnv()
-		f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
-		f.ReceiveFailure("edge-3", EngineFailure{ID: s.ID})
-		v := f.engineVerdicts(false)(s.ID, time.Now())
-		assert.Assert(t, v.Excluded)
-		time.Sleep(v.Wait(time.Now()))
+		f, s := untilTrial(t, false)
 		assert.Assert(t, !f.engineVerdicts(false)(s.ID, time.Now()).Excluded, "a trial is due")
 		e := f.service("s").engines
 		assert.Assert(t, e.verdicts.Of(s.ID, time.Now()).Excluded)
@@ -86,11 +94,7 @@
 // TestOtherGatewaysEndAnExclusion: what another gateway reports of trials and successes counts as if seen here.
 func TestOtherGatewaysEndAnExclusion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, _, s := exclusionEnv()
-		f.ReceiveFailure("edge-2", EngineFailure{ID: s.ID})
-		f.ReceiveFailure("edge-3", EngineFailure{ID: s.ID})
-		verdict := f.engineVerdicts(true)(s.ID, time.Now())
-		time.Sleep(verdict.Wait(time.Now()))
+		f, s := untilTrial(t, true)
 		f.ReceiveTrial(s.ID)
 		assert.Assert(t, f.engineVerdicts(true)(s.ID, time.Now()).Excluded)
 		f.ReceiveRecovered("edge-2", s.ID)
