docs in code: marks of prefills, intervals of moves, fields of continuations and of the stand-in's runs

Comments that did not say what a value is, a field without any, and one of the stand-in that was wrong: a run that was stopped for a move is not removed when its copy expires. No change of behaviour.

--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -30,7 +30,8 @@
 	// to is the engine; nil if the engine of the lease itself has stopped the run and takes it back.
 	to *runCopy
 	// source names the copy.
-	source  string
+	source string
+	// returns is set if the engine has stopped the run and may take it back although it is leaving.
 	returns bool
 }
 
--- a/policy/prefillpool/prefilled.go
+++ b/policy/prefillpool/prefilled.go
@@ -4,7 +4,7 @@
 type Prefilled struct {
 	// ID is that of the engine's incarnation.
 	ID string
-	// Mark was returned by Begin.
+	// Mark was returned by Begin: the number of tokens that the engine had been sent by then.
 	Mark int64
 }
 
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -240,8 +240,8 @@
 	return e.slowdown
 }
 
-// Begin records that that many tokens are to be prefilled by an engine. It returns what the Prefilled
-// of the prompt will need.
+// Begin records that an engine was sent a prompt of which it has to prefill a number of tokens. It
+// returns the Mark for its Prefilled entry.
 func (p *Pool) Begin(id string, tokens int) (mark int64) {
 	e := p.engine(id)
 	e.own += tokens
@@ -249,9 +249,9 @@
 	return e.arrived
 }
 
-// End records the outcome and the duration of the prefill of a prompt of that many tokens, for which
-// Begin was called with those of the Choice. A prefill that found part of the prompt in the cache
-// shows nothing about the engine's rate.
+// End records the outcome and the duration of a prefill for which Begin was called with c.Tokens; tokens
+// is the length of the whole prompt. A prefill that found part of the prompt in the cache shows nothing
+// about the engine's rate.
 func (p *Pool) End(c Choice, tokens int, ok bool, took time.Duration, now time.Time) {
 	p.Cancel(c.Server.ID, c.Tokens)
 	e := p.engine(c.Server.ID)
--- a/policy/runcopy/move.go
+++ b/policy/runcopy/move.go
@@ -23,8 +23,8 @@
 	// leavingConfidence is the least probability of ending in time with which a run stays at an engine that leaves. A
 	// move costs a copy over the link, a lost run costs its whole prefill or the answer.
 	leavingConfidence = 0.9
-	// MaxMoves bounds how often a move of one request is begun, MoveInterval is the shortest time between two of them:
-	// several ends of runs on other engines, which free memory every 150 to 400 ms when they are full.
+	// MaxMoves bounds how often a move of one request is begun, MoveInterval is the shortest time between two of them: in
+	// it runs end on several other engines, since one ends every 150 to 400 ms on an engine that is full.
 	MaxMoves     = 4
 	MoveInterval = 300 * time.Millisecond
 	// MaxConcurrentMoves bounds the moves of one router at a time. Copies queue on the links: one of 3,000 tokens of
--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -32,8 +32,10 @@
 	// stop is closed to stop the run, stopped once its stream has ended.
 	stop, stopped chan struct{}
 	end           sync.Once
-	asked         bool
-	events        int
+	// asked is set once a move has asked for it to stop.
+	asked bool
+	// events is the number of events generated.
+	events int
 }
 
 // BehaveMoves sets the behaviours of the next calls that move runs, one each; later calls move them.
@@ -66,7 +68,7 @@
 	x.end.Do(func() { close(x.stopped) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A run that was stopped for a move is known until its copy expires.
+	// A run that was stopped for a move remains known, so that a repeated call finds it.
 	if s.runs[c.ID] == x && !x.asked {
 		delete(s.runs, c.ID)
 	}
