--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -179,9 +179,11 @@
 	defer f.mu.Unlock()
 	s, ok := f.services[name]
 	if !ok {
+		list := func() []registry.Server { return f.View.Servers(name) }
 		s = &service{
 			outliers: outlier.New(), outstanding: map[string]int{}, limits: overload.New(), retryDetectors: map[string]*waitqueue.RetryDetector{},
-			prefillPool: prefillpool.New(prefillConfig(f.Off), f.VM), engines: newEngines(f.VM, f.Zone, f.Off, f.Metrics, func() []registry.Server { return f.View.Servers(name) }, f.copyVerdict, f.notifyPlacementChanged),
+			prefillPool: prefillpool.New(prefillConfig(f.Off), f.VM),
+			engines:     newEngines(f.VM, f.Zone, f.Off, f.Metrics, list, f.copyVerdict, f.notifyPlacementChanged),
 		}
 		f.services[name] = s
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -39,8 +39,8 @@
 	// stream is the answer of the source.
 	stream io.Closer
 	cancel context.CancelFunc
-	// done is closed when the last call has ended; next and retryTaken are valid then. retryTaken is set if a retry was
-	// taken from the budget to stop the run.
+	// done is closed when the last call has ended; next, what to do then, and retryTaken, which is set if a retry was taken
+	// from the budget to stop the run, are valid from then on.
 	done       chan struct{}
 	next       runcopy.Action
 	retryTaken bool
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -38,17 +38,7 @@
 	stopped := a.state.stopped()
 	f.observeOutcome(j, s, err == nil || stopped)
 	if a.next == runcopy.Complete {
-		if len(tail) > 0 {
-			// A client that does not take the rest has left; the run is complete all the same.
-			_ = a.r.deliver(head, tail, true)
-		}
-		if !j.started {
-			// A client that resumes may have received all events already.
-			f.head(j, head, 0)
-		}
-		f.recordSuccess(j)
-		f.observeHold(j, a.lease)
-		f.service(j.service).engines.finished(a.lease.run)
+		a.complete(head, tail)
 		return outcome.Outcome{Kind: outcome.Completed}
 	}
 	if stopped {
@@ -65,6 +55,22 @@
 	return j.unanswered(reason)
 }
 
+// complete delivers the rest of a complete stream and records its success.
+func (a *streamAttempt) complete(head AnswerHead, tail []byte) {
+	f, j := a.r.f, a.r.j
+	if len(tail) > 0 {
+		// A client that does not take the rest has left; the run is complete all the same.
+		_ = a.r.deliver(head, tail, true)
+	}
+	if !j.started {
+		// A client that resumes may have received all events already.
+		f.head(j, head, 0)
+	}
+	f.recordSuccess(j)
+	f.observeHold(j, a.lease)
+	f.service(j.service).engines.finished(a.lease.run)
+}
+
 // errStopped means that a stream that ended like a complete one may have been stopped for a move, so that it does not
 // count as complete.
 var errStopped = errors.New("the run was or may have been stopped for a move")
