--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -45,6 +45,13 @@
 	return s.run.Stopped()
 }
 
+// mayBeStopped reports whether the engine was asked to stop the run and has not said whether it did.
+func (s *runState) mayBeStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.run.State() == runcopy.Stopping && !s.run.Stopped()
+}
+
 // on applies an event to the state of the attempt's run and returns what to do next.
 func (a *streamAttempt) on(e runcopy.Event) runcopy.Action {
 	step := a.state.on(e)
@@ -120,9 +127,14 @@
 // get no new requests some seconds after the announcement, of which this process may have learned late.
 const returnWindow = time.Second
 
-// mayReturn reports whether a run may return to the engine that stopped it.
+// mayReturn reports whether a run may return to the engine that stopped it. An engine that is only now seen to leave may
+// have announced that since the latest check.
 func (a *streamAttempt) mayReturn(now time.Time) bool {
-	return a.leavingSince.IsZero() || now.Sub(a.leavingSince) < returnWindow
+	since := a.leavingSince
+	if since.IsZero() && a.r.f.View.Leaving(a.lease.server.ID) {
+		since = a.r.moveCheckedAt
+	}
+	return since.IsZero() || now.Sub(since) < returnWindow
 }
 
 // moveCheckInterval is the interval at which a running stream is checked for reasons to move. An engine that leaves
@@ -132,10 +144,16 @@
 // considerMove begins to move the run if there is a reason. It is called with each event of the stream.
 func (a *streamAttempt) considerMove(now time.Time) {
 	r := a.r
-	if !r.movable || now.Sub(r.moveCheckedAt) < moveCheckInterval || a.moving() {
+	if !r.movable || now.Sub(r.moveCheckedAt) < moveCheckInterval {
 		return
 	}
 	r.moveCheckedAt = now
+	if a.leavingSince.IsZero() && r.f.View.Leaving(a.lease.server.ID) {
+		a.leavingSince = now
+	}
+	if a.moving() {
+		return
+	}
 	if why, due := r.f.moveReason(a, now); due {
 		a.beginMove(why, now)
 	}
@@ -158,9 +176,6 @@
 	r, s := a.r, a.lease.server
 	m := runcopy.Move{Begun: r.movesBegun, Since: now.Sub(r.moveBegunAt), Forecast: a.moveForecast(now)}
 	if f.View.Leaving(s.ID) {
-		if a.leavingSince.IsZero() {
-			a.leavingSince = now
-		}
 		m.Leaving = true
 		serves := runcopy.ServesFor(now.Sub(a.leavingSince))
 		m.EndsBefore = f.service(r.j.service).engines.endsWithin(r.run, r.j.generated, serves)
