quotaorder: end the order of a quota where no request arrives

An order ended only when a request of the customer was decided. A gateway to which another one had reported the order, and whose requests then ceased, kept it for any time. Once ordinary use by other gateways brought the bucket below half, its next requests were rejected below the thresholds of their classes, and its report started the order elsewhere, although the demand was within the quota. The order now also ends when a report of another gateway shows the bucket half full.

TestOrderEndsWithoutRequests fails before the change. The quota itself was never exceeded: the bucket decides as before.

--- a/policy/limit/order.go
+++ b/policy/limit/order.go
@@ -74,6 +74,7 @@
 		return
 	}
 	order := s.orderOf(a)
+	order.EndAt(s.level(a, now))
 	if !a.nearlyExhausted() {
 		order.ForgetPeers()
 		return
--- a/policy/limit/order_test.go
+++ b/policy/limit/order_test.go
@@ -232,6 +232,31 @@
 	assert.Assert(t, !math.IsNaN(b.accounts[customer].order.Demand(later.Add(seconds))[0]))
 }
 
+// TestOrderEndsWithoutRequests guards against an order that outlives its surge at a gateway that gets no requests
+// meanwhile: it would reject the next ordinary requests below half of the bucket, and start the order elsewhere.
+func TestOrderEndsWithoutRequests(t *testing.T) {
+	a, b := informedQuotas().OrderQuotas(0), informedQuotas().OrderQuotas(0)
+	for range 6 {
+		a.AdmitOrdered(customer, quota, 0, false, start)
+		a.AdmitOrdered(customer, quota, 2, false, start)
+	}
+	report := func(now time.Time) {
+		usages, informed := a.Report(true, now)
+		b.Receive("a", 1, informed, false, usages, now)
+	}
+	report(start)
+	report(start)
+	assert.Assert(t, b.Ordered(customer))
+	later := start.Add(20 * seconds)
+	assert.Assert(t, a.AdmitOrdered(customer, quota, 2, false, later).Admitted)
+	report(later)
+	assert.Assert(t, !b.Ordered(customer))
+	b.accounts[customer].remaining = 0.02 * quota.Burst
+	assert.Assert(t, b.AdmitOrdered(customer, quota, 2, false, later).Admitted)
+	usages, _ := b.Report(true, later)
+	assert.Assert(t, !usages[0].Ordered)
+}
+
 // BenchmarkQuotaOrders compares the ways to spend a quota, with the same arrivals; it logs the figures of each.
 func BenchmarkQuotaOrders(b *testing.B) {
 	for _, l := range []orderLoad{sixSeconds, tenSeconds} {
--- a/policy/quotaorder/order.go
+++ b/policy/quotaorder/order.go
@@ -92,6 +92,11 @@
 	}
 }
 
+// EndAt ends the order if it does not apply at a level. It is called whenever the level is known, not only for requests:
+// a gateway without requests would otherwise miss that the bucket was half full in the meantime, and order ordinary use
+// that comes later.
+func (o *Order) EndAt(l Level) { o.active = o.ActiveAt(l) }
+
 // Decide decides on a request, and counts it.
 func (o *Order) Decide(r Request, l Level, now time.Time) Verdict {
 	o.offered.add(r.Class, r.Cost, now)
@@ -104,10 +109,8 @@
 }
 
 func (o *Order) verdict(r Request, l Level, now time.Time) Verdict {
-	switch {
-	case o.active && !o.ActiveAt(l):
-		o.active = false
-	case !o.active && l.Remaining <= 0 && o.askingPriorities(l, now) > 1:
+	o.EndAt(l)
+	if !o.active && l.Remaining <= 0 && o.askingPriorities(l, now) > 1 {
 		o.start()
 	}
 	switch {
