stages: forget exchanged engines that are no longer listed

A planner remembered the ID of every engine that it had exchanged. An engine that restarts has another ID, so the set grew with each restart. TestExchangedEnginesAreForgotten fails before the change. While an engine is listed it is still exchanged only once.

--- a/policy/stages/exchange.go
+++ b/policy/stages/exchange.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -10,6 +11,10 @@
 // places, if the load allows it. The fast engine moves first, so that decode memory does not
 // become scarce meanwhile.
 func (p *Planner) nextExchange(servers []registry.Server, switching map[string]registry.Stage, l Load, now time.Time) (Move, bool) {
+	maps.DeleteFunc(p.settled, func(id string, _ struct{}) bool {
+		_, listed := find(servers, id)
+		return !listed
+	})
 	if !p.allowsExchange(servers, switching, l) || now.Sub(p.lastMove) < p.cfg.MoveInterval {
 		return Move{}, false
 	}
--- a/policy/stages/exchange_test.go
+++ b/policy/stages/exchange_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// TestExchangedEnginesAreForgotten guards against a planner that remembers every engine it has ever exchanged: each
+// restart of an engine gives it another ID.
+func TestExchangedEnginesAreForgotten(t *testing.T) {
+	servers := cluster(6, 12)
+	l := load(2.4, 5)
+	l.TimePerToken = unevenTimes(servers)
+	p := stages.New(stages.DefaultConfig())
+	exchangeAll(p, servers, l, 5*time.Minute)
+	assert.Equal(t, p.NumExchanged(), 8)
+	replaced := cluster(6, 12)
+	for i := range replaced {
+		replaced[i].ID += "-restarted"
+	}
+	p.Next(replaced, nil, l, start.Add(6*time.Minute))
+	assert.Equal(t, p.NumExchanged(), 0)
+}
+
 // TestRelativeTimes: engines of both stages are compared by the fastest of their kind, and equal ones not at all.
 func TestRelativeTimes(t *testing.T) {
 	prefill := map[string]float64{"p1": 16, "p2": 40}
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -114,7 +114,7 @@
 	// in progress.
 	exchanged string
 	// settled are the engines that were exchanged: each only once, as the engines of the two stages are compared with the
-	// fastest of their own, which may have moved away.
+	// fastest of their own, which may have moved away. Engines that are no longer listed are removed.
 	settled map[string]struct{}
 }
 
