forward: tell the other gateways when a customer's request gives up waiting

The end of a wait for engine memory was sent only with the next change of placement. A gateway whose only waiting request gave up, or was quarantined, left the figure with the others until its next full report, which is 10 s later at 400 gateways; requests of customers over their shares yielded to it until then. TestEndOfWaitIsReported fails before the change.

--- a/forward/customers_test.go
+++ b/forward/customers_test.go
@@ -58,6 +58,29 @@
 	assert.DeepEqual(t, w.fwd.TakeChangedCustomerMemory(), []customershare.Figure{{Key: waits}})
 }
 
+// TestEndOfWaitIsReported guards against requests of other gateways that yield to one that has given up, until the next
+// full report: at 400 gateways that is 10 s later.
+func TestEndOfWaitIsReported(t *testing.T) {
+	w := newEngineEnv(t)
+	w.withTenants(t, tenant("a", ownKey))
+	assert.Equal(t, w.post(t, "/draft/1", authorization, scheme+ownKey).status, 200)
+	w.awaitCustomerMemory(t, 0)
+	w.fill(10_000)
+	done := make(chan answer, 1)
+	go func() { done <- w.post(t, "/draft/1", authorization, scheme+ownKey) }()
+	w.awaitCustomerMemory(t, 1)
+	<-w.fwd.PlacementChanged()
+	assert.Equal(t, len(w.fwd.TakeChangedCustomerMemory()), 1)
+	assert.Equal(t, (<-done).status, 503)
+	select {
+	case <-w.fwd.PlacementChanged():
+	default:
+		t.Fatal("the end of the wait is not announced")
+	}
+	waits := customershare.Key{Pool: "llm", Customer: "a", Waiting: true}
+	assert.DeepEqual(t, w.fwd.TakeChangedCustomerMemory(), []customershare.Figure{{Key: waits}})
+}
+
 // TestCustomerOverShareYields guards against a customer over its share that doesn't yield to requests that wait at other
 // gateways, that retries before customers within theirs, or that isn't named in the log.
 func TestCustomerOverShareYields(t *testing.T) {
