docs: name what the comments of the stages and customer shares left open

Comments only: what find and timeOf return, what TakeChangedCustomerMemory takes a part of, and that waiting requests are reported from a change by half on, where the comment said when they double or halve.

--- a/forward/customers.go
+++ b/forward/customers.go
@@ -227,7 +227,7 @@
 // CustomerMemory returns what the requests of this process hold and wait for, by customer; nil if there are none.
 func (f *Forwarder) CustomerMemory() []customershare.Figure { return f.customerFigures().Largest() }
 
-// TakeChangedCustomerMemory returns the part of it that has changed by enough since the last call.
+// TakeChangedCustomerMemory returns the part of CustomerMemory that has changed by enough since the last call.
 func (f *Forwarder) TakeChangedCustomerMemory() []customershare.Figure {
 	figures := f.customerFigures()
 	f.mu.Lock()
--- a/policy/customershare/figures.go
+++ b/policy/customershare/figures.go
@@ -76,8 +76,8 @@
 type Reporter struct{ reported Figures }
 
 // minChange is the smallest reported change, as a fraction of what was last reported: the share of a customer is known
-// within an eighth then. Waiting requests are reported when they begin and cease to wait, and when they double or halve,
-// since a request yields to any that waits.
+// within an eighth then. Waiting requests are reported when they begin and cease to wait, and when they change by half:
+// their amount matters less, since a request yields to any that waits.
 const (
 	minChange        = 8
 	minWaitingChange = 2
--- a/policy/stages/exchange.go
+++ b/policy/stages/exchange.go
@@ -56,6 +56,7 @@
 	return p.candidate(known, switching, to, times)
 }
 
+// find returns the server with an ID, if it is listed.
 func find(servers []registry.Server, id string) (registry.Server, bool) {
 	for _, s := range servers {
 		if s.ID == id {
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -263,6 +263,7 @@
 	}
 }
 
+// timeOf returns the relative time per token of an engine, and that of an average one if it is unknown.
 func timeOf(times map[string]float64, id string) float64 {
 	if t := times[id]; t > 0 {
 		return t
