--- a/gateway/peerload.go
+++ b/gateway/peerload.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"iter"
 	"maps"
 	"sync"
 	"time"
@@ -194,21 +195,29 @@
 	return age
 }
 
+// readings iterates over what all other gateways report of a service. The caller holds mu.
+func (p *peerLoads) readings(service string) iter.Seq[*peer.Reading] {
+	return func(yield func(*peer.Reading) bool) {
+		for _, report := range p.reports {
+			for _, r := range report.prefill {
+				if r.GetService() == service && !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // prefillUse returns the prompt arrival rate at all other gateways and the engines' prefill rates as they report
 // them, in tokens per second, and the memory that their requests demand, in tokens.
 func (p *peerLoads) prefillUse(service string) (arriving, demand float64, engineRates []float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, report := range p.reports {
-		for _, r := range report.prefill {
-			if r.GetService() != service {
-				continue
-			}
-			arriving += r.GetTokensPerS()
-			demand += r.GetWantedTokens()
-			if rate := r.GetEngineTokensPerS(); rate > 0 {
-				engineRates = append(engineRates, rate)
-			}
+	for r := range p.readings(service) {
+		arriving += r.GetTokensPerS()
+		demand += r.GetWantedTokens()
+		if rate := r.GetEngineTokensPerS(); rate > 0 {
+			engineRates = append(engineRates, rate)
 		}
 	}
 	return arriving, demand, engineRates
@@ -227,19 +236,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, report := range p.reports {
-		for _, r := range report.prefill {
-			if r.GetService() != service {
+	for r := range p.readings(service) {
+		for _, t := range r.GetPrefillTimes() {
+			if t.GetNanosPerToken() == 0 || t.GetNanosPerToken() > maxPrefillNanos {
 				continue
 			}
-			for _, t := range r.GetPrefillTimes() {
-				if t.GetNanosPerToken() == 0 || t.GetNanosPerToken() > maxPrefillNanos {
-					continue
-				}
-				id := p.incarnationID(t.GetServer(), t.GetStart())
-				sums[id] += float64(t.GetNanosPerToken()) / 1e9
-				counts[id]++
-			}
+			id := p.incarnationID(t.GetServer(), t.GetStart())
+			sums[id] += float64(t.GetNanosPerToken()) / 1e9
+			counts[id]++
 		}
 	}
 	for id, n := range counts {
