--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -114,7 +114,7 @@
 	// in progress.
 	exchanged string
 	// settled are the engines that were exchanged: each only once, as the engines of the two stages are compared with the
-	// fastest of their own, which may have moved away.
+	// fastest of their own, which may have moved away. Engines that are no longer listed are removed.
 	settled map[string]struct{}
 }
 
@@ -263,6 +263,7 @@
 	}
 }
 
+// timeOf returns the relative time per token of an engine, and that of an average one if it is unknown.
 func timeOf(times map[string]float64, id string) float64 {
 	if t := times[id]; t > 0 {
 		return t
