stages: moves by speed are taken out again

The fastest prefill engines were moved to decode first, exchanges came mostly after the load, and each engine serves nothing for six seconds and more.

--- a/forward/pace.go
+++ b/forward/pace.go
@@ -10,7 +10,6 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
-	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
@@ -64,28 +63,3 @@
 	defer e.mu.Unlock()
 	return e.memory.Pace(c.ID)
 }
-
-// PrefillTimes returns the learned times per prompt token of a service's prefill engines, in seconds by ID.
-func (f *Forwarder) PrefillTimes(service string) map[string]float64 {
-	s := f.service(service)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.Off.Has(mechanism.Pace) {
-		return map[string]float64{}
-	}
-	return s.prefillPool.TimesPerToken()
-}
-
-// DecodeTimes returns the learned times per generated token of a service's decode engines, in seconds by ID.
-func (f *Forwarder) DecodeTimes(service string) map[string]float64 {
-	out := map[string]float64{}
-	if f.Off.Has(mechanism.Pace) {
-		return out
-	}
-	for _, s := range f.View.Servers(service) {
-		if perToken, _ := f.Pace(s); perToken > 0 {
-			out[s.ID] = perToken.Seconds()
-		}
-	}
-	return out
-}
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -236,20 +236,3 @@
 	}
 	return out
 }
-
-// maxEngineTimes bounds the engines of which a report gives the time per token: a gateway of a large deployment uses a
-// part of the engines, and a report stays below 2 kB for them.
-const maxEngineTimes = 64
-
-// encodeEngineTimes encodes times per token, in seconds by the ID of the engine.
-func encodeEngineTimes(times map[string]float64) []*peer.EngineTime {
-	out := make([]*peer.EngineTime, 0, min(len(times), maxEngineTimes))
-	for id, t := range times {
-		if len(out) == maxEngineTimes {
-			break
-		}
-		incarnation := registry.ParseID(id)
-		out = append(out, &peer.EngineTime{Server: incarnation.Instance, Start: incarnation.Tag(), NanosPerToken: uint32(1e9 * t)})
-	}
-	return out
-}
--- a/gateway/peerload.go
+++ b/gateway/peerload.go
@@ -222,32 +222,3 @@
 	}
 	return arriving, demand, engineRates
 }
-
-// maxPrefillNanos is the time per prompt token above which a report is dropped, as is a time of zero: a prompt of 1,000
-// tokens would take 100 s, which no gateway can have observed, but a faulty one may report.
-const maxPrefillNanos = 100_000_000
-
-// prefillTimes returns the mean of the times per prompt token that all other gateways and this one, with own, learned of
-// the engines of a service, in seconds by ID.
-func (p *peerLoads) prefillTimes(service string, own map[string]float64) map[string]float64 {
-	sums, counts := maps.Clone(own), map[string]float64{}
-	for id := range own {
-		counts[id] = 1
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for r := range p.readings(service) {
-		for _, t := range r.GetPrefillTimes() {
-			if t.GetNanosPerToken() == 0 || t.GetNanosPerToken() > maxPrefillNanos {
-				continue
-			}
-			id := p.incarnationID(t.GetServer(), t.GetStart())
-			sums[id] += float64(t.GetNanosPerToken()) / 1e9
-			counts[id]++
-		}
-	}
-	for id, n := range counts {
-		sums[id] /= n
-	}
-	return sums
-}
--- a/gateway/peerload_test.go
+++ b/gateway/peerload_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -112,15 +111,6 @@
 	assert.Equal(t, p.receiveReport(&peer.Report{Addr: "g2"}, now)["pre"].Held, 0)
 }
 
-// TestFaultyPrefillTimes guards against a gateway that reports times that can't be: divided by a zero, the relative
-// times of all other engines would be infinite, and engines of equal speed would be exchanged.
-func TestFaultyPrefillTimes(t *testing.T) {
-	p := newPeerLoads(newView().incarnationID)
-	times := []*peer.EngineTime{{Server: "i-1"}, {Server: "i-2"}, {Server: "i-3", NanosPerToken: math.MaxUint32}}
-	p.receiveReport(&peer.Report{Addr: "b", Incarnation: 1, Readings: []*peer.Reading{{Service: "llm", PrefillTimes: times}}}, start)
-	assert.DeepEqual(t, p.prefillTimes("llm", map[string]float64{"i-1": 20e-6}), map[string]float64{"i-1": 20e-6})
-}
-
 // TestPaceOfPeers: gateways add up the pace of an engine that each observed. Gateways that report
 // none, or one that can't be, must not change it.
 func TestPaceOfPeers(t *testing.T) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -62,7 +62,6 @@
 	for service, use := range s.fwd.ServiceLoads() {
 		r.Readings = append(r.Readings, &peer.Reading{
 			Service: service, TokensPerS: use.PromptRate, EngineTokensPerS: use.EnginePrefillRate, WantedTokens: use.MemoryDemand,
-			PrefillTimes: encodeEngineTimes(s.fwd.PrefillTimes(service)),
 		})
 	}
 	for id, sw := range s.view.switches() {
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -30,9 +30,6 @@
 	// planWarmup is how long a process has to be up before it plans: its local state of load and of other gateways
 	// takes some seconds to become accurate.
 	planWarmup = 3 * time.Second
-	// minSpeedRatio is the ratio of times per token from which the speed of engines counts in their stage; runs are
-	// placed by speed from about the same ratio on.
-	minSpeedRatio = 1.7
 )
 
 // errOtherIncarnation means that an engine has restarted since its order was planned: its count of orders belongs to
@@ -107,8 +104,6 @@
 	load.MemoryDemand = max(load.MemoryDemand+demand, float64(s.fwd.MemoryInUse(service.Name)))
 	load.EnginePrefillRate = median(append(rates, load.EnginePrefillRate))
 	load.EngineMemory = float64(service.Engine.KVTokens)
-	prefill := s.peerLoads.prefillTimes(service.Name, s.fwd.PrefillTimes(service.Name))
-	load.TimePerToken = stages.RelativeTimes(prefill, s.fwd.DecodeTimes(service.Name), minSpeedRatio)
 	return load
 }
 
--- a/policy/prefillpool/prefillpool.go
+++ b/policy/prefillpool/prefillpool.go
@@ -99,8 +99,6 @@
 	// slowdown is the moving average of actual to expected prefill times.
 	slowdown   float64
 	observedAt time.Time
-	// perToken is the learned time per prompt token, in seconds; zero if unknown.
-	perToken float64
 }
 
 // New returns an empty pool for the router with the name seed.
@@ -137,8 +135,6 @@
 	Expected, Timeout time.Duration
 	// Tokens is the part of the prompt that is expected to be prefilled; the rest is cached.
 	Tokens int
-	// idle is set if no other prompt was known to be prefilled there.
-	idle bool
 }
 
 // Pick returns the engine with the shortest expected delay. It returns false when the decode
@@ -169,7 +165,7 @@
 		}
 		v := q.Verdicts.Of(s.ID, now)
 		if !v.Excluded && (none || v.Precedes(&bestVerdict, better)) {
-			best, lowest, bestVerdict = Choice{Server: s, Expected: expected, Tokens: tokens, idle: e.own+e.peers == 0}, cost, v
+			best, lowest, bestVerdict = Choice{Server: s, Expected: expected, Tokens: tokens}, cost, v
 		}
 	}
 	if best.Server.ID == "" || lowest > p.decodePrefillCost(q) {
@@ -261,9 +257,6 @@
 	}
 	if ok {
 		p.rate.Observe(tokens, took)
-		if c.idle {
-			e.observeSpeed(tokens, took)
-		}
 	}
 	ratio := min(took.Seconds()/max(c.Expected.Seconds(), time.Millisecond.Seconds()), maxSlowdown)
 	e.slowdown = (1-slowdownWeight)*e.currentSlowdown(now) + slowdownWeight*ratio
--- a/policy/prefillpool/prefillpool_test.go
+++ b/policy/prefillpool/prefillpool_test.go
@@ -211,21 +211,3 @@
 		assert.Assert(t, tokens <= memory, "%s got %d tokens", id, tokens)
 	}
 }
-
-// TestTimesPerToken: the time per token of an engine is learned from prompts that had it for themselves, and prompts of
-// other routers that are not known here change it little.
-func TestTimesPerToken(t *testing.T) {
-	list := []registry.Server{{ID: "p1", Stage: registry.Prefill}}
-	p := prefillpool.New(prefillpool.DefaultConfig(), "r")
-	assert.Equal(t, len(p.TimesPerToken()), 0)
-	prefill := func(took time.Duration) {
-		c, ok := p.Pick(list, prefillpool.Request{Tokens: 1000}, start)
-		assert.Assert(t, ok)
-		p.Begin(c.Server.ID, c.Tokens)
-		p.End(c, 1000, true, took, start)
-	}
-	prefill(40 * time.Millisecond)
-	prefill(90 * time.Millisecond)
-	got := p.TimesPerToken()["p1"]
-	assert.Assert(t, got >= 40e-6 && got < 46e-6, "%v", got)
-}
--- a/policy/stages/stages.go
+++ b/policy/stages/stages.go
@@ -7,11 +7,6 @@
 // engines and moves a few engines at a time, with hysteresis: a dead band in which nothing is
 // moved, and a minimum interval after each tick with a move.
 //
-// Engines of one service may differ in speed by a factor of two or three. A prompt is short work
-// that tolerates a slow engine; a long answer on a slow engine holds its memory for longer and may
-// miss its deadline. So the fastest engines are moved to decode and the slowest to prefill, and
-// while nothing else is moved, a fast prefill engine and a slow decode engine change places.
-//
 // The caller of a Planner passes in the time. A Planner is not safe for concurrent use.
 package stages
 
@@ -50,13 +45,6 @@
 	// When they were moved one by one, the sixteen engines that a burst needed had moved only when
 	// the burst was over.
 	EnginesPerTickMove int
-	// SameSpeedRatio is the ratio of the times per token of two engines up to which they count as
-	// equally fast, and MinExchangeRatio that from which a slow decode engine and a fast prefill
-	// engine change places: both serve nothing for the time of a move.
-	SameSpeedRatio, MinExchangeRatio float64
-	// ExchangeMaxUtilization is the utilization of both kinds of engines up to which two engines
-	// change places.
-	ExchangeMaxUtilization float64
 }
 
 // DefaultConfig returns the default settings; docs/MEASUREMENTS.md has the measurements behind
@@ -74,9 +62,6 @@
 		SaturatedUtilization:     0.9,
 		EnginesPerConcurrentMove: 6,
 		EnginesPerTickMove:       24,
-		SameSpeedRatio:           1.15,
-		MinExchangeRatio:         1.5,
-		ExchangeMaxUtilization:   0.6,
 	}
 }
 
@@ -90,17 +75,12 @@
 	MemoryDemand, EngineMemory float64
 	// MemoryShort is set when requests recently waited for memory or were rejected.
 	MemoryShort bool
-	// TimePerToken is the time that an engine takes per token, relative to the others of the
-	// service, by ID. Engines whose speed is unknown are missing.
-	TimePerToken map[string]float64
 }
 
 // Move is a change of one engine's stage.
 type Move struct {
 	Server registry.Server
 	To     registry.Stage
-	// exchangedWith is the engine that takes the place of Server in an exchange.
-	exchangedWith string
 }
 
 // Planner decides on the stage changes of one service and remembers the latest ones.
@@ -110,16 +90,10 @@
 	lastTo   registry.Stage
 	// movedInTick is the number of moves in the last tick with a move.
 	movedInTick int
-	// exchanged is the engine that is moved to prefill to complete an exchange; empty if none is
-	// in progress.
-	exchanged string
-	// settled are the engines that were exchanged: each only once, as the engines of the two stages are compared with the
-	// fastest of their own, which may have moved away. Engines that are no longer listed are removed.
-	settled map[string]struct{}
 }
 
 // New returns a planner.
-func New(cfg Config) *Planner { return &Planner{cfg: cfg, settled: map[string]struct{}{}} }
+func New(cfg Config) *Planner { return &Planner{cfg: cfg} }
 
 // Next returns the next move, if one is needed. Switching holds the engines that are changing
 // their stage, with their new stage. Calls with the same time belong to one tick.
@@ -132,15 +106,12 @@
 		return Move{}, false
 	}
 	to, ok := p.stageNeeded(l, prefill, decode)
-	if !ok {
-		return p.nextExchange(servers, switching, l, now)
-	}
 	saturated := to == registry.Prefill && l.PromptRate/l.EnginePrefillRate >= p.cfg.SaturatedUtilization*float64(prefill) ||
 		to == registry.Decode && l.MemoryShort
-	if !p.intervalOver(to, saturated, max(1, (prefill+decode)/p.cfg.EnginesPerTickMove), now) {
+	if !ok || !p.intervalOver(to, saturated, max(1, (prefill+decode)/p.cfg.EnginesPerTickMove), now) {
 		return Move{}, false
 	}
-	s, ok := p.candidate(servers, switching, to, l.TimePerToken)
+	s, ok := candidate(servers, switching, to)
 	if !ok {
 		return Move{}, false
 	}
@@ -154,13 +125,6 @@
 	}
 	p.lastMove, p.lastTo = now, m.To
 	p.movedInTick++
-	if m.Server.ID == p.exchanged {
-		p.exchanged = ""
-	}
-	if m.exchangedWith != "" {
-		p.exchanged = m.exchangedWith
-		p.settled[m.Server.ID], p.settled[m.exchangedWith] = struct{}{}, struct{}{}
-	}
 }
 
 // stageNeeded returns the stage that needs one more engine, if any.
@@ -217,56 +181,24 @@
 	return prefill, decode, changing
 }
 
-// candidate returns an engine to move: the fastest to decode, the slowest to prefill. Of equally
-// fast ones it is from the zone with the most movable engines, so that the split stays even across
-// zones.
-func (p *Planner) candidate(servers []registry.Server, switching map[string]registry.Stage, to registry.Stage, times map[string]float64) (registry.Server, bool) {
+// candidate returns an engine to move, from the zone with the most movable engines, so that the
+// split stays even across zones.
+func candidate(servers []registry.Server, switching map[string]registry.Stage, to registry.Stage) (registry.Server, bool) {
 	zones := map[string]int{}
+	movable := func(s registry.Server) bool {
+		_, busy := switching[s.ID]
+		return !busy && s.Stage != to && s.Stage != registry.Whole
+	}
 	for _, s := range servers {
-		if movable(s, switching, to) {
+		if movable(s) {
 			zones[s.Zone]++
 		}
 	}
 	var best registry.Server
 	for _, s := range servers {
-		if !movable(s, switching, to) {
-			continue
-		}
-		speed := p.compareSpeed(times, s.ID, best.ID, to)
-		if best.ID == "" || speed > 0 || speed == 0 && zones[s.Zone] > zones[best.Zone] {
+		if movable(s) && (best.ID == "" || zones[s.Zone] > zones[best.Zone]) {
 			best = s
 		}
 	}
 	return best, best.ID != ""
 }
-
-// movable reports whether an engine can be moved to a stage.
-func movable(s registry.Server, switching map[string]registry.Stage, to registry.Stage) bool {
-	_, busy := switching[s.ID]
-	return !busy && s.Stage != to && s.Stage != registry.Whole
-}
-
-// compareSpeed returns a positive number if engine a suits a stage better than b by its speed, a
-// negative one if b does, and zero if they are about equally fast. Unknown engines count as average.
-func (p *Planner) compareSpeed(times map[string]float64, a, b string, to registry.Stage) int {
-	ratio := timeOf(times, a) / timeOf(times, b)
-	if to == registry.Decode {
-		ratio = 1 / ratio
-	}
-	switch {
-	case ratio > p.cfg.SameSpeedRatio:
-		return 1
-	case ratio < 1/p.cfg.SameSpeedRatio:
-		return -1
-	default:
-		return 0
-	}
-}
-
-// timeOf returns the relative time per token of an engine, and that of an average one if it is unknown.
-func timeOf(times map[string]float64, id string) float64 {
-	if t := times[id]; t > 0 {
-		return t
-	}
-	return 1
-}
