standin: a held stream is not stopped before its last event

That is allowed; the stand-in left it to chance which of the two happens.

Change: the stand-in generates both events before it takes note of the call that stops the run. The assertions are as they were.

--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -87,11 +87,18 @@
 	}
 }
 
-// generated records one more event of a run and reports whether the run goes on.
-func (s *Server) generated(x *liveRun, event int) bool {
+// heldEvents is the number of events after which a stream is held.
+const heldEvents = 2
+
+// holds reports whether a stream is held.
+func (b Behaviour) holds() bool { return b >= HoldStream && b <= HoldPartialStream }
+
+// generated records one more event of a run and reports whether the run goes on. A held stream is not stopped before its
+// last event, so that tests know it.
+func (s *Server) generated(x *liveRun, b Behaviour, event int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.asked {
+	if x.asked && !(b.holds() && event <= heldEvents) {
 		return false
 	}
 	x.events = event
@@ -180,7 +187,7 @@
 	switch {
 	case b == SlowStream:
 		due = time.After(slowInterval)
-	case event > 2 && b >= HoldStream && b <= HoldPartialStream:
+	case event > heldEvents && b.holds():
 	default:
 		return true
 	}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -388,7 +388,7 @@
 			s.log.add(&s.log.abandoned, c)
 			return
 		}
-		if !s.generated(run, i) {
+		if !s.generated(run, b, i) {
 			s.endStopped(w, r, run, b, i)
 			return
 		}
