forward: a silent engine is waited for, also with a backup

There was no copy, and the route allows no other run.

Change: only a stream that may run elsewhere is left for silence, after 1.5 s as before backups.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -196,38 +196,31 @@
 // disconnect after 3.6 s without an event; usual intervals are far below 0.3 s.
 const stallLimit = 1500 * time.Millisecond
 
-// stallTimer closes an answer whose engine sends nothing for some time, if the stream can continue elsewhere.
+// stallTimer closes an answer whose engine sends nothing for stallLimit, if the stream may run elsewhere.
 type stallTimer struct {
 	timer *time.Timer
-	// limit returns the interval without events after which the answer is closed.
-	limit func() time.Duration
 	fired atomic.Bool
 }
 
-// watchStall returns a timer for an answer; nil if a silent engine is waited for. A stream with a backup is watched from
-// its first event: before it, an engine may be silent for long, and the copy would have expired when that is noticed.
+// watchStall returns a timer for an answer; nil if a silent engine is waited for. A stream that may not run elsewhere is
+// not left for silence, though it has a backup: events may be further apart than the time for which a copy outlives its
+// engine, and without a copy the stream would be lost.
 func (a *streamAttempt) watchStall(res *upstream.Response) *stallTimer {
 	j := a.r.j
-	resumable := j.route.Resumable && j.sends < j.route.Attempts
-	if a.backup == nil && !resumable {
+	if !j.route.Resumable || j.sends >= j.route.Attempts {
 		return nil
 	}
-	s := &stallTimer{limit: func() time.Duration { return stallLimit }}
+	s := &stallTimer{}
 	s.timer = time.AfterFunc(stallLimit, func() {
 		s.fired.Store(true)
 		_ = res.Body.Close()
 	})
-	if a.backup != nil {
-		s.timer.Stop()
-		ttl := j.table.Services[j.service].Engine.ExportTTL
-		s.limit = func() time.Duration { return runcopy.SilenceLimit(ttl, j.maxEventGap) }
-	}
 	return s
 }
 
 func (s *stallTimer) reset() {
 	if s != nil {
-		s.timer.Reset(s.limit())
+		s.timer.Reset(stallLimit)
 	}
 }
 
--- a/policy/runcopy/runcopy.go
+++ b/policy/runcopy/runcopy.go
@@ -48,23 +48,3 @@
 	}
 	return b.Remaining >= minBackupTime
 }
-
-const (
-	// silenceShare is the share of the time to live of a copy after which a silent engine counts as lost. The latest
-	// part of a backup may be a fifth of a second older than the latest event, and the request still has to reach the
-	// copy before it expires.
-	silenceShare = 0.6
-	// gapFactor is the factor by which the silence has to exceed the longest interval between two events of the
-	// stream, so that an engine that is slow, or preempts the run, does not count as lost.
-	gapFactor = 2
-	// maxSilence is the longest interval without events after which a stream leaves its engine. Clients disconnect
-	// after 3.6 s without an event; usual intervals are far below 0.3 s.
-	maxSilence = 1500 * time.Millisecond
-)
-
-// SilenceLimit returns the interval without events after which a stream that has a backup continues from it, for
-// copies with this time to live and the longest interval between two events of the stream so far.
-func SilenceLimit(copyTTL, longestGap time.Duration) time.Duration {
-	limit := max(time.Duration(silenceShare*float64(copyTTL)), gapFactor*longestGap)
-	return min(limit, maxSilence)
-}
