--- a/policy/kvmemory/pace.go
+++ b/policy/kvmemory/pace.go
@@ -274,6 +274,12 @@
 	return p.cfg.Pace.MaxMiss
 }
 
+// waitsForSpeed reports whether a run waits although the best engine has enough free memory.
+func (p *Pool) waitsForSpeed(best *server, r *Request, now time.Time) bool {
+	miss := p.optionAt(best.paceClass, r, now).miss
+	return miss > p.maxMiss(r, now) && p.saferExists(r, miss, now)
+}
+
 // saferExists reports whether a run that may reach its deadline at the best engine with free memory
 // would do so half as often, or less, at one that has none at the moment. Engines that fail or are
 // excluded don't count, so that a run doesn't wait for them in vain.
@@ -333,7 +339,9 @@
 }
 
 // PickFor returns the best engine other than id for a run that is at id now and would continue at
-// the other after r.Delay. It changes nothing in the run or the pool that a later choice depends on.
+// the other after r.Delay. Unlike Pick it does not wait for a faster engine to have free memory. The
+// probabilities assume that engines keep their pace; callers allow for a growing load with a margin
+// of their own. It changes nothing in the run or the pool that a later choice depends on.
 func (p *Pool) PickFor(id string, r Request, now time.Time) Alternative {
 	out := Alternative{Here: p.EndsInTime(id, r.Run, r.Deadline, now)}
 	r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], id)
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -29,10 +29,10 @@
 }
 
 // Pick returns the engine to ask for a reservation, or false if none is estimated to have enough
-// free memory.
+// free memory, or if the run would probably end in time only at engines that have none at the moment.
 func (p *Pool) Pick(r Request, now time.Time) (string, bool) {
 	best, free := p.pick(&r, now)
-	if best == nil {
+	if best == nil || p.waitsForSpeed(best, &r, now) {
 		return "", false
 	}
 	r.Run.FreeAtPeak = int(free)
@@ -40,7 +40,7 @@
 }
 
 // pick returns the best engine and its memory, in tokens, that remains free at the peak; nil if none
-// has enough, or if the run would probably end in time only at engines that have none at the moment.
+// has enough.
 func (p *Pool) pick(r *Request, now time.Time) (best *server, bestFree float64) {
 	var bestScore float64
 	var bestVerdict eligibility.Verdict
@@ -73,11 +73,6 @@
 			best, bestScore, bestFree, bestVerdict = s, score, free, v
 		}
 	}
-	if best != nil {
-		if miss := p.optionAt(best.paceClass, r, now).miss; miss > maxMiss && p.saferExists(r, miss, now) {
-			return nil, 0
-		}
-	}
 	return best, bestFree
 }
 
