--- a/forward/pace_test.go
+++ b/forward/pace_test.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
+	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
@@ -66,3 +67,38 @@
 		})
 	}
 }
+
+// TestPaceOfRunsIsShared: the events of a run that this process carries must show in what it reports of the engine, and
+// a process that takes the reports must know the engine's speed.
+func TestPaceOfRunsIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, j, _ := conditionsEnv(registry.Decode)
+		there, _, _ := conditionsEnv(registry.Decode)
+		list := here.View.Servers(j.service)
+		for _, f := range []*Forwarder{here, there} {
+			f.service(j.service).engines.sync(list, 40_000, 48)
+		}
+		e := here.service(j.service).engines
+		run, _ := e.newRun("r", &Meta{PromptTokens: 5000, LengthHint: 800, MaxTokens: 1000}, 5800)
+		w := &waitqueue.Waiter{Need: 5800, Arrived: time.Now(), GiveUpAt: time.Now().Add(time.Second)}
+		entry := queueEntry{run: run, deadline: time.Now().Add(14 * time.Second), quarantined: func() bool { return false }, reserve: func(string) bool { return true }}
+		id, ok := e.await(t.Context(), w, entry, 40_000, 48)
+		assert.Assert(t, ok)
+		time.Sleep(300 * time.Millisecond)
+		for event := range 100 {
+			run.Generated(7 * (event + 1))
+			if event%5 == 0 {
+				for _, share := range here.Placements() {
+					there.SetPeerLoads(map[string]kvmemory.Load{share.ID: share.Load})
+				}
+			}
+			time.Sleep(56 * time.Millisecond)
+		}
+		for _, f := range []*Forwarder{here, there} {
+			perToken, slow := f.Pace(list[0])
+			assert.Assert(t, !slow && perToken > 7500*time.Microsecond && perToken < 8500*time.Microsecond, "%s", perToken)
+		}
+		e.release(id, run)
+		assert.Equal(t, here.TakeChangedPlacements()[0].Pace, enginepace.Evidence{}, "an engine without runs has no share")
+	})
+}
