enginepace: no more than four runs count at a time for the usual pace

Cause: with forty runs at an engine, the usual pace followed a slowdown of the engine within half a second, so that the engine was not recognised as slow, or recovered at once.

Change: the weight of an update is that of four runs at most. A test with forty runs failed before.

--- a/policy/enginepace/enginepace.go
+++ b/policy/enginepace/enginepace.go
@@ -83,9 +83,12 @@
 }
 
 const (
-	// maxWeight bounds the weight of the usual pace, in run-seconds. An engine with five runs
-	// replaces it in four seconds, one with a single run in twenty.
+	// maxWeight bounds the weight of the usual pace, in run-seconds, and maxRuns the number of runs
+	// that count at a time: an engine with four runs or more replaces it in five seconds, one with a
+	// single run in twenty. Without maxRuns, the usual pace of an engine with forty runs would follow
+	// a slowdown within half a second.
 	maxWeight = 20
+	maxRuns   = 4
 	// minWeight is the weight from which the usual pace is known: that of two events of the slowest
 	// engines seen, or of some twenty of the fastest.
 	minWeight = 0.5
@@ -133,7 +136,7 @@
 // learn updates the estimate with evidence of which the newest part covers the period since.
 func (e *Estimate) learn(sum Evidence, since time.Duration) {
 	e.current = sum.PerToken()
-	weight := sum.runSeconds() * float64(since) / float64(windowTime)
+	weight := min(sum.runSeconds()/windowTime.Seconds(), maxRuns) * since.Seconds()
 	if e.Known() {
 		ratio := e.current / e.usual
 		switch {
--- a/policy/enginepace/enginepace_test.go
+++ b/policy/enginepace/enginepace_test.go
@@ -36,7 +36,7 @@
 	for _, c := range []struct {
 		name string
 		runs int
-	}{{"one run", 1}, {"five runs", 5}} {
+	}{{"one run", 1}, {"five runs", 5}, {"forty runs", 40}} {
 		t.Run(c.name, func(t *testing.T) {
 			var e enginepace.Estimate
 			assert.Equal(t, e.PerToken(), 0.0)
