--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -30,7 +30,8 @@
 	// to is the engine; nil if the engine of the lease itself has stopped the run and takes it back.
 	to *runCopy
 	// source names the copy.
-	source  string
+	source string
+	// returns is set if the engine has stopped the run and may take it back although it is leaving.
 	returns bool
 }
 
@@ -71,11 +72,16 @@
 	return a.relay(ctx, head, res), true
 }
 
-// openContinuation sends the request to the engine of the lease and reads the head of the answer. A continuation after a
-// loss takes a retry from the budget; a move has taken one before it stopped the run, also for its return to the source.
+// needsRetry reports whether the continuation takes a retry from the budget, as one after a loss does. A move has taken one
+// before it stopped the run, also for its return to the source.
+func (a *streamAttempt) needsRetry() bool {
+	return a.next == runcopy.ContinueAtBackup || a.next == runcopy.ContinueAtCopy && !a.move.retryTaken
+}
+
+// openContinuation sends the request to the engine of the lease and reads the head of the answer.
 func (a *streamAttempt) openContinuation(runCtx, ctx context.Context, o Send) (AnswerHead, *upstream.Response, outcome.Reason, error) {
 	f, j := a.r.f, a.r.j
-	if a.next == runcopy.ContinueAtBackup && !f.takeRetry(j) {
+	if a.needsRetry() && !f.takeRetry(j) {
 		return AnswerHead{}, nil, outcome.RetryBudgetSpent, errors.Join(upstream.ErrNotSent, errRetryBudget)
 	}
 	kept := a.backup
@@ -102,8 +108,7 @@
 // accepted records that the engine of the lease may run the request: it is the only one now.
 func (a *streamAttempt) accepted(c continuation, old *lease) {
 	if c.to != nil {
-		a.r.f.service(a.r.j.service).engines.endCopy(a.r.run)
-		a.r.f.releaseLease(a.r.j, old)
+		a.r.f.service(a.r.j.service).engines.continueAt(c.to.server.ID, old)
 	}
 	if !slices.Contains(a.r.tried, a.lease.server.ID) {
 		a.r.tried = append(a.r.tried, a.lease.server.ID)
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"context"
 	"maps"
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
@@ -27,11 +27,12 @@
 	// list returns the servers that may get new work; synced is the list that memory was last updated with.
 	list   func() []registry.Server
 	synced engineList
-	// verdicts are those on the engines; they must not take mu.
+	// verdicts are those on the engines for copies of runs; they must not take mu.
 	verdicts eligibility.Verdicts
 	queue    waitqueue.Queue
 	// entries are the requests in queue.
-	entries map[*waitqueue.Waiter]queueEntry
+	entries   map[*waitqueue.Waiter]queueEntry
+	customers *customers
 	// lengths predicts the output length of runs, by route.
 	lengths map[string]*outputlength.Learner
 	// checkScheduled is set while a timer is pending that will check the queue again.
@@ -44,34 +45,15 @@
 	prefilling map[string]kvmemory.Load
 	// copied is the memory that this process placed for copies of runs, in tokens.
 	copied int
-	// notify is called, with mu held, when changed becomes non-empty; it must not block.
+	// notify is called, with mu held, when changed becomes non-empty or customers begin or cease to wait; it must not
+	// block.
 	notify func()
 }
 
-// queueEntry is a request in the wait queue.
-type queueEntry struct {
-	run *kvmemory.Run
-	// deadline is that of the request.
-	deadline time.Time
-	// quarantined reports whether the request may not be sent to any server.
-	quarantined func() bool
-	// reserve takes one request from the rate limit that an engine has declared.
-	reserve func(id string) bool
-	// verdicts are those on the engines for this request; nil for those of the service.
-	verdicts eligibility.Verdicts
-	// engine receives the ID of the engine to use, or the empty string if the request need not wait any more.
-	engine chan string
-}
-
-func (q queueEntry) verdictsOr(other eligibility.Verdicts) eligibility.Verdicts {
-	if q.verdicts == nil {
-		return other
-	}
-	return q.verdicts
-}
-
-func newEngines(seed, zone string, off mechanism.Set, list func() []registry.Server, verdicts eligibility.Verdicts, notify func()) *engines {
+func newEngines(seed, zone string, off mechanism.Set, m *metrics.Set, list func() []registry.Server, verdicts eligibility.Verdicts, notify func()) *engines {
+	c := newCustomers(off, m)
 	return &engines{
+		customers: c, queue: waitqueue.Queue{Shares: c.shares},
 		list: list, verdicts: verdicts,
 		changed: map[string]struct{}{}, prefilling: map[string]kvmemory.Load{}, notify: notify,
 		zone:    zone,
@@ -162,49 +144,6 @@
 	return e.policy.ShouldReject(e.queue.Ahead(w), rate, w.GiveUpAt.Sub(now))
 }
 
-// await waits until the request is dispatched to an engine. The engine's memory is then taken for the run, until
-// refused, failed or release is called.
-func (e *engines) await(ctx context.Context, w *waitqueue.Waiter, entry queueEntry, capacity, slots int) (string, bool) {
-	e.mu.Lock()
-	e.sync(e.list(), capacity, slots)
-	engine := make(chan string, 1)
-	entry.engine = engine
-	e.entries[w] = entry
-	e.queue.Add(w)
-	e.dispatch()
-	if e.queue.Len() > 0 {
-		e.shortageAt = time.Now()
-	}
-	e.mu.Unlock()
-
-	timeout := time.NewTimer(time.Until(w.GiveUpAt))
-	defer timeout.Stop()
-	select {
-	case id := <-engine:
-		return id, id != ""
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.queue.Remove(w) {
-		delete(e.entries, w)
-		return "", false
-	}
-	id := <-engine
-	return id, id != ""
-}
-
-// dropQuarantined ends the wait of requests that have been quarantined in the meantime. The caller holds mu.
-func (e *engines) dropQuarantined() {
-	for w, entry := range e.entries {
-		if entry.quarantined() && e.queue.Remove(w) {
-			delete(e.entries, w)
-			entry.engine <- ""
-		}
-	}
-}
-
 // dispatch assigns queued requests to engines that are expected to have enough free memory. The caller holds mu.
 func (e *engines) dispatch() {
 	now := time.Now()
@@ -214,7 +153,7 @@
 			var ok bool
 			entry := e.entries[w]
 			id, ok = e.memory.Pick(kvmemory.Request{
-				Run: entry.run, Late: w.Late, Zone: e.zone, Exclude: w.Exclude, Verdicts: entry.verdictsOr(e.verdicts),
+				Run: entry.run, Late: w.Late, Yields: e.customers.yields(w), Zone: e.zone, Exclude: w.Exclude, Verdicts: entry.verdictsOr(e.verdicts),
 				Deadline: entry.deadline, Delay: startDelay, GiveUpAt: w.GiveUpAt,
 			}, now)
 			return ok && entry.reserve(id)
@@ -224,10 +163,12 @@
 		}
 		entry := e.entries[w]
 		e.memory.Place(id, entry.run)
+		e.customers.place(w, entry.run)
 		e.markChanged(id)
 		entry.engine <- id
 		delete(e.entries, w)
 	}
+	e.customers.countReordered(e.queue.Reordered())
 	e.scheduleCheck()
 }
 
@@ -252,6 +193,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.memory.Refused(id, r, time.Now())
+	e.customers.release(r)
 	e.markChanged(id)
 }
 
@@ -306,6 +248,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.memory.Failed(id, r, time.Now())
+	e.customers.release(r)
 	e.markChanged(id)
 }
 
@@ -337,6 +280,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.memory.Release(id, r, time.Now())
+	e.customers.release(r)
 	e.markChanged(id)
 	e.dispatch()
 }
--- a/forward/move.go
+++ b/forward/move.go
@@ -23,7 +23,8 @@
 	// an event.
 	stopTimeout = 1500 * time.Millisecond
 	// drainTime is how long the events of a run that was stopped may take to arrive. Then its connection is closed, so
-	// that one that is silent does not keep the run from continuing, which sends events that are missing again.
+	// that one that is silent does not keep the run from continuing, which sends events that are missing again. It is
+	// several times the usual interval between events.
 	drainTime = 300 * time.Millisecond
 )
 
@@ -38,9 +39,11 @@
 	// stream is the answer of the source.
 	stream io.Closer
 	cancel context.CancelFunc
-	// done is closed when the last call has ended; next is valid then.
-	done chan struct{}
-	next runcopy.Action
+	// done is closed when the last call has ended; next, what to do then, and retryTaken, which is set if a retry was taken
+	// from the budget to stop the run, are valid from then on.
+	done       chan struct{}
+	next       runcopy.Action
+	retryTaken bool
 
 	// dropped is set once the memory that the pool counts for the copy was returned, or became that of the run. It belongs
 	// to the stream's goroutine.
@@ -104,15 +107,14 @@
 			e = m.call(ctx, false, copyTimeout)
 		case runcopy.StopRun:
 			if e = runcopy.NotSent; f.takeRetry(m.a.r.j) {
+				m.retryTaken = true
 				e = m.call(ctx, true, stopTimeout)
 			}
 		case runcopy.AskAgain:
 			e = m.call(ctx, true, stopTimeout)
 		default:
 			m.next = do
-			if m.a.state.stopped() {
-				time.AfterFunc(drainTime, func() { _ = m.stream.Close() })
-			}
+			m.endStream()
 			return
 		}
 		step := m.a.state.on(e)
@@ -123,6 +125,22 @@
 	}
 }
 
+// endStream closes the stream of a run that was stopped once its events have had time to arrive. If no response says
+// whether the run was stopped, an event in that time shows that it goes on. Otherwise the stream is closed too: behind a
+// partition it would stay open until the deadline, and the copy would expire.
+func (m *move) endStream() {
+	stopped := m.a.state.stopped()
+	if !stopped && !m.a.state.mayBeStopped() {
+		return
+	}
+	received := m.a.received.Load()
+	time.AfterFunc(drainTime, func() {
+		if stopped || m.a.received.Load() == received {
+			_ = m.stream.Close()
+		}
+	})
+}
+
 // call asks the source to copy the run, or the rest of it after stopping it, and returns what came of it.
 func (m *move) call(ctx context.Context, last bool, timeout time.Duration) runcopy.Event {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -31,24 +31,14 @@
 // interrupted stream can be resumed elsewhere.
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
-	a.stream = res.Body
+	a.stream, a.events = res.Body, 0
 	tail, err := a.copyEvents(head, res)
 	_ = res.Body.Close()
 	a.next = a.streamEnded(ctx, err)
 	stopped := a.state.stopped()
 	f.observeOutcome(j, s, err == nil || stopped)
 	if a.next == runcopy.Complete {
-		if len(tail) > 0 {
-			// A client that does not take the rest has left; the run is complete all the same.
-			_ = a.r.deliver(head, tail, true)
-		}
-		if !j.started {
-			// A client that resumes may have received all events already.
-			f.head(j, head, 0)
-		}
-		f.recordSuccess(j)
-		f.observeHold(j, a.lease)
-		f.service(j.service).engines.finished(a.lease.run)
+		a.complete(head, tail)
 		return outcome.Outcome{Kind: outcome.Completed}
 	}
 	if stopped {
@@ -65,6 +55,22 @@
 	return j.unanswered(reason)
 }
 
+// complete delivers the rest of a complete stream and records its success.
+func (a *streamAttempt) complete(head AnswerHead, tail []byte) {
+	f, j := a.r.f, a.r.j
+	if len(tail) > 0 {
+		// A client that does not take the rest has left; the run is complete all the same.
+		_ = a.r.deliver(head, tail, true)
+	}
+	if !j.started {
+		// A client that resumes may have received all events already.
+		f.head(j, head, 0)
+	}
+	f.recordSuccess(j)
+	f.observeHold(j, a.lease)
+	f.service(j.service).engines.finished(a.lease.run)
+}
+
 // errStopped means that a stream that ended like a complete one may have been stopped for a move, so that it does not
 // count as complete.
 var errStopped = errors.New("the run was or may have been stopped for a move")
@@ -89,10 +95,12 @@
 			return nil, err
 		}
 		stall.reset()
+		a.received.Add(1)
 		r.j.lastActivity = time.Now()
 		if err == io.EOF {
 			return event, nil
 		}
+		a.events++
 		if r.delivered(event) {
 			continue
 		}
@@ -188,38 +196,31 @@
 // disconnect after 3.6 s without an event; usual intervals are far below 0.3 s.
 const stallLimit = 1500 * time.Millisecond
 
-// stallTimer closes an answer whose engine sends nothing for some time, if the stream can continue elsewhere.
+// stallTimer closes an answer whose engine sends nothing for stallLimit, if the stream may run elsewhere.
 type stallTimer struct {
 	timer *time.Timer
-	// limit returns the interval without events after which the answer is closed.
-	limit func() time.Duration
 	fired atomic.Bool
 }
 
-// watchStall returns a timer for an answer; nil if a silent engine is waited for. A stream with a backup is watched from
-// its first event: before it, an engine may be silent for long, and the copy would have expired when that is noticed.
+// watchStall returns a timer for an answer; nil if a silent engine is waited for. A stream that may not run elsewhere is
+// not left for silence, though it has a backup: events may be further apart than the time for which a copy outlives its
+// engine, and without a copy the stream would be lost.
 func (a *streamAttempt) watchStall(res *upstream.Response) *stallTimer {
 	j := a.r.j
-	resumable := j.route.Resumable && j.sends < j.route.Attempts
-	if a.backup == nil && !resumable {
+	if !j.route.Resumable || j.sends >= j.route.Attempts {
 		return nil
 	}
-	s := &stallTimer{limit: func() time.Duration { return stallLimit }}
+	s := &stallTimer{}
 	s.timer = time.AfterFunc(stallLimit, func() {
 		s.fired.Store(true)
 		_ = res.Body.Close()
 	})
-	if a.backup != nil {
-		s.timer.Stop()
-		ttl := j.table.Services[j.service].Engine.ExportTTL
-		s.limit = func() time.Duration { return runcopy.SilenceLimit(ttl, j.maxEventGap) }
-	}
 	return s
 }
 
 func (s *stallTimer) reset() {
 	if s != nil {
-		s.timer.Reset(s.limit())
+		s.timer.Reset(stallLimit)
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/outcome"
@@ -68,8 +69,12 @@
 	move  *move
 	// stream is the answer of the engine.
 	stream io.Closer
+	// received counts the events that arrived from engines.
+	received atomic.Int64
 	// leavingSince is since when the engine is known to leave; zero if it is not.
 	leavingSince time.Time
+	// events counts the events that came from the engine.
+	events int
 }
 
 // Ended implements lifecycle.Request. An engine that grants no memory costs no retry, since nothing of the request was
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -19,6 +19,9 @@
 	GiveUpAt time.Time
 	// Late is set when the request can no longer meet its latency objective.
 	Late bool
+	// Yields is set when the request leaves memory that has become free to requests of other routers, as a late one
+	// does, but without keeping memory free for them.
+	Yields bool
 	// Zone is the router's zone.
 	Zone string
 	// Exclude are engines that must not get the request.
@@ -29,10 +32,10 @@
 }
 
 // Pick returns the engine to ask for a reservation, or false if none is estimated to have enough
-// free memory.
+// free memory, or if the run would probably end in time only at engines that have none at the moment.
 func (p *Pool) Pick(r Request, now time.Time) (string, bool) {
 	best, free := p.pick(&r, now)
-	if best == nil {
+	if best == nil || p.waitsForSpeed(best, &r, now) {
 		return "", false
 	}
 	r.Run.FreeAtPeak = int(free)
@@ -40,7 +43,7 @@
 }
 
 // pick returns the best engine and its memory, in tokens, that remains free at the peak; nil if none
-// has enough, or if the run would probably end in time only at engines that have none at the moment.
+// has enough.
 func (p *Pool) pick(r *Request, now time.Time) (best *server, bestFree float64) {
 	var bestScore float64
 	var bestVerdict eligibility.Verdict
@@ -57,7 +60,7 @@
 			o = p.optionAt(s.paceClass, r, now)
 		}
 		free := p.freeAtPeak(s, &o.forecast)
-		if free < p.spare(s, r.Late, o.need) || p.deferred(s, r.Late, now) {
+		if free < p.spare(s, r.Late, o.need) || p.deferred(s, r.Late || r.Yields, now) {
 			continue
 		}
 		score := p.score(s, free, r.Zone) + o.bias
@@ -73,11 +76,6 @@
 			best, bestScore, bestFree, bestVerdict = s, score, free, v
 		}
 	}
-	if best != nil {
-		if miss := p.optionAt(best.paceClass, r, now).miss; miss > maxMiss && p.saferExists(r, miss, now) {
-			return nil, 0
-		}
-	}
 	return best, bestFree
 }
 
@@ -133,14 +131,14 @@
 
 // deferred reports whether this router still leaves memory that has become free to other routers.
 // All routers learn of free memory at the same time, and every router with queued requests would
-// place one before the others' placements are reported. Late requests are delayed until after the
-// staggered delays of all routers. The two delays together take at most two thirds of the mean
-// interval between two ends, so that every router can also place runs on engines with many short
-// runs.
-func (p *Pool) deferred(s *server, late bool, now time.Time) bool {
+// place one before the others' placements are reported. Late requests, and those that yield, are
+// delayed until after the staggered delays of all routers. The two delays together take at most two
+// thirds of the mean interval between two ends, so that every router can also place runs on engines
+// with many short runs.
+func (p *Pool) deferred(s *server, last bool, now time.Time) bool {
 	longest := min(time.Duration(p.routers-1)*p.cfg.Stagger, p.cfg.MaxStagger, s.endInterval/3)
 	delay := time.Duration((1 - s.affinity) * float64(longest))
-	if late {
+	if last {
 		delay += longest
 	}
 	return now.Sub(s.freedAt) < delay
--- a/policy/kvmemory/simulation_load_test.go
+++ b/policy/kvmemory/simulation_load_test.go
@@ -120,6 +120,10 @@
 	// longestEvent is the longest time that an event took.
 	longestEvent time.Duration
 	result       requestResult
+	// customer and priority are set in replays of customers that compete for memory; rejections counts how often the
+	// request was rejected.
+	customer             string
+	priority, rejections int
 }
 
 type requestResult int
--- a/policy/runcopy/runcopy.go
+++ b/policy/runcopy/runcopy.go
@@ -23,6 +23,11 @@
 // second; a run that ends within two of them has no useful copy when its engine is lost.
 const minBackupTime = 500 * time.Millisecond
 
+// MinBackedUpEvents is the number of events from an engine after which its backup counts. Engines send the first part of
+// a copy some tenths of a second after the start of a run. A run without a copy that is continued would be a second run
+// wherever the engine asked does not check for the copy first.
+const MinBackedUpEvents = 2
+
 // Backup describes a run that is about to be sent to an engine.
 type Backup struct {
 	// Resumable is set if the route allows another run, AttemptsLeft is the number of attempts after this one.
@@ -43,23 +48,3 @@
 	}
 	return b.Remaining >= minBackupTime
 }
-
-const (
-	// silenceShare is the share of the time to live of a copy after which a silent engine counts as lost. The latest
-	// part of a backup may be a fifth of a second older than the latest event, and the request still has to reach the
-	// copy before it expires.
-	silenceShare = 0.6
-	// gapFactor is the factor by which the silence has to exceed the longest interval between two events of the
-	// stream, so that an engine that is slow, or preempts the run, does not count as lost.
-	gapFactor = 2
-	// maxSilence is the longest interval without events after which a stream leaves its engine. Clients disconnect
-	// after 3.6 s without an event; usual intervals are far below 0.3 s.
-	maxSilence = 1500 * time.Millisecond
-)
-
-// SilenceLimit returns the interval without events after which a stream that has a backup continues from it, for
-// copies with this time to live and the longest interval between two events of the stream so far.
-func SilenceLimit(copyTTL, longestGap time.Duration) time.Duration {
-	limit := max(time.Duration(silenceShare*float64(copyTTL)), gapFactor*longestGap)
-	return min(limit, maxSilence)
-}
