forward: show streams that end inside an event, and answers that end with their connection

Change: upstream.Response has the framing of its body; event 754, counters streams_truncated. What clients get is unchanged.

--- a/forward/call.go
+++ b/forward/call.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
@@ -219,6 +220,9 @@
 		return nil, err
 	}
 	j.lastActivity = time.Now()
+	if res.Framing == upstream.FramedByConnection {
+		f.Metrics.Counter(metrics.ConnectionFramed).Inc(1)
+	}
 	head := f.Codec.ParseAnswer(res.Status, res.Header)
 	if !o.PrefillOnly && head.NotRun {
 		j.ran = ranBefore
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
@@ -36,6 +37,9 @@
 	_ = res.Body.Close()
 	a.next = a.streamEnded(ctx, err)
 	stopped := a.state.stopped()
+	if len(tail) > 0 && !stopped {
+		a.recordTruncated(res.Framing, len(tail))
+	}
 	f.observeOutcome(j, s, err == nil || stopped)
 	if a.next == runcopy.Complete {
 		a.complete(head, tail)
@@ -71,6 +75,14 @@
 	f.service(j.service).engines.finished(a.lease.run)
 }
 
+// recordTruncated records that the engine's stream ended inside an event; bytes is how much of the event arrived.
+func (a *streamAttempt) recordTruncated(framing upstream.Framing, bytes int) {
+	f, j := a.r.f, a.r.j
+	f.Metrics.Counter(metrics.StreamsTruncatedPrefix + string(framing)).Inc(1)
+	event.StreamTruncated.Log(f.Log).Str("request", j.meta.ID).Str("server", a.lease.server.ID).Str("framing", string(framing)).
+		Int("bytes", bytes).Str("after", a.r.lastEvent).Int("generated", j.generated).Msg("")
+}
+
 // errStopped means that a stream that ended like a complete one may have been stopped for a move, so that it does not
 // count as complete.
 var errStopped = errors.New("the run was or may have been stopped for a move")
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -79,5 +79,7 @@
 		{MemoryRejectionsPrefix, Counter},
 		{ShareReorders, Counter},
 		{ShareYields, Counter},
+		{ConnectionFramed, Counter},
+		{StreamsTruncatedPrefix, Counter},
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -37,6 +37,8 @@
 	MovedPrefix = "moves."
 	// RequestTimePrefix is followed by the kind of the route.
 	RequestTimePrefix = "request_time."
+	// StreamsTruncatedPrefix is followed by the framing of an engine's answer that ended inside an event.
+	StreamsTruncatedPrefix = "streams_truncated."
 	// MemoryWaitsPrefix and MemoryRejectionsPrefix are followed by a MemoryReason.
 	MemoryWaitsPrefix      = "memory_waits."
 	MemoryRejectionsPrefix = "memory_rejections."
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -83,4 +83,6 @@
 	// held less, ShareYields those that left memory to requests of other gateways.
 	ShareReorders = "share_reorders"
 	ShareYields   = "share_yields"
+	// ConnectionFramed counts answers of servers that had neither a length nor chunks and end with their connection.
+	ConnectionFramed = "answers_connection_framed"
 )
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,12 +33,24 @@
 	Matches func(http.Header) bool
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// Framings of bodies. FramedByConnection has neither a length nor chunks: the body ends with its connection, so that a
+// server that breaks it off in an orderly way can't be told from one that has finished.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection"
+)
+
 // Response is a response whose head was read. Body must be read to its end or closed.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is that of the body, or -1 if it is not known in advance.
-	Length int64
+	Length  int64
+	Framing Framing
 	// Close is set if the server closes the connection after the response.
 	Close bool
 	// SentAt is when sending the request began.
@@ -152,12 +164,24 @@
 	x.conn.recordKeepAlive(res.Header, now)
 	x.keepAlive = !res.Close
 	return &Response{
-		Status: res.StatusCode,
-		Header: res.Header,
-		Length: res.ContentLength,
-		Close:  res.Close,
-		SentAt: x.sentAt,
-		Body:   &body{Reader: res.Body, x: x},
+		Status:  res.StatusCode,
+		Header:  res.Header,
+		Length:  res.ContentLength,
+		Framing: framingOf(res),
+		Close:   res.Close,
+		SentAt:  x.sentAt,
+		Body:    &body{Reader: res.Body, x: x},
+	}
+}
+
+func framingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return FramedByChunks
+	case res.ContentLength >= 0:
+		return FramedByLength
+	default:
+		return FramedByConnection
 	}
 }
 
