forward: tests of streams that end inside an event (known red)

Cause: the first matter can be caused at will: an engine's stream that ends in an orderly way inside an event, in chunks or with its connection, reaches the client as complete. A plain service's events do too.

--- /dev/null
+++ b/standin/site/framing.go
@@ -0,0 +1,112 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// FrameByConnection makes answers to requests carry neither a length nor chunks, so that they end with their
+// connection. An aborted answer resets the connection.
+func (s *Server) FrameByConnection() { s.connectionFramed.Store(true) }
+
+// withFraming frames answers to requests as the server was told to.
+func (s *Server) withFraming(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.connectionFramed.Load() {
+			h(w, r)
+			return
+		}
+		c := &connWriter{ResponseWriter: w}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		c.onDisconnect = cancel
+		defer func() {
+			p := recover()
+			c.end(p != nil)
+			if p != nil {
+				panic(p)
+			}
+		}()
+		h(c, r.WithContext(ctx))
+	}
+}
+
+// lastPart is the part of an event that ends the stream; empty if the event is sent whole.
+func (b Behaviour) lastPart(event int) string {
+	switch {
+	case b == EndInFirstEvent:
+		return fmt.Sprintf("id: %d\ndata: par", event)
+	case event < 3:
+		return ""
+	}
+	switch b {
+	case EndInEventID:
+		return "id"
+	case EndInEventData:
+		return fmt.Sprintf("id: %d\ndata: par", event)
+	case EndBeforeBlankLine:
+		return fmt.Sprintf("id: %d\ndata: token %d\n", event, event)
+	default:
+		return ""
+	}
+}
+
+// truncatedEvents are events of a plain service that end inside the second one.
+const truncatedEvents = "data: one\n\ndata: tw"
+
+// connWriter writes an answer that ends with its connection.
+type connWriter struct {
+	http.ResponseWriter
+	conn net.Conn
+	// onDisconnect is called once the client has closed the connection.
+	onDisconnect func()
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c *connWriter) WriteHeader(status int) {
+	if c.conn != nil {
+		return
+	}
+	conn, _, err := c.ResponseWriter.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.conn = conn
+	go func() {
+		var b [1]byte
+		_, _ = conn.Read(b[:])
+		c.onDisconnect()
+	}()
+	head := http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: c.Header(), ContentLength: -1, Body: io.NopCloser(strings.NewReader("")),
+	}
+	// A client that has disconnected shows in onDisconnect.
+	_ = head.Write(conn)
+}
+
+// Write implements http.ResponseWriter.
+func (c *connWriter) Write(p []byte) (int, error) {
+	c.WriteHeader(http.StatusOK)
+	return c.conn.Write(p)
+}
+
+// Flush implements http.Flusher; nothing is buffered.
+func (c *connWriter) Flush() { c.WriteHeader(http.StatusOK) }
+
+// end closes the connection after the answer. One that was aborted is reset.
+func (c *connWriter) end(aborted bool) {
+	if !aborted {
+		c.WriteHeader(http.StatusOK)
+	}
+	if c.conn == nil {
+		return
+	}
+	if tcp, ok := c.conn.(*net.TCPConn); ok && aborted {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.conn.Close()
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -47,6 +47,15 @@
 	RepeatEvent
 	// SlowStream waits for slowInterval before each event.
 	SlowStream
+	// EndInEventID, EndInEventData and EndBeforeBlankLine end the stream in an orderly way inside its third event: in
+	// the line with its ID, in its data, and before the empty line that ends it. EndInFirstEvent ends it inside the
+	// first one.
+	EndInEventID
+	EndInEventData
+	EndBeforeBlankLine
+	EndInFirstEvent
+	// TruncatedEvents answers for a plain service with events and ends in an orderly way inside the second one.
+	TruncatedEvents
 )
 
 // slowInterval makes a slow stream last three seconds, longer than a fault.
@@ -65,7 +74,8 @@
 	ID  string
 	log *Log
 
-	active, born atomic.Int64
+	active, born     atomic.Int64
+	connectionFramed atomic.Bool
 	// advertised is the address by which requests name the engine; nil if it is its own.
 	advertised atomic.Pointer[string]
 
@@ -107,7 +117,7 @@
 	mux.HandleFunc("POST /api/kv-move", s.move)
 	mux.HandleFunc("POST /api/order", s.order)
 	mux.HandleFunc("GET /api/report", s.report)
-	mux.HandleFunc("/", s.request)
+	mux.HandleFunc("/", s.withFraming(s.request))
 	s.Server = httptest.NewServer(s.withHeaders(mux))
 	t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -353,9 +363,14 @@
 		reply(w, http.StatusOK, map[string]any{"kv_handle": exportPrefix + c.ID, "tokens": 100, "version": 1})
 	case c.Kind == Decode:
 		s.stream(w, r, c, b)
+	case b == TruncatedEvents:
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, truncatedEvents)
 	case b == CutBody:
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
 	default:
 		_, _ = io.WriteString(w, "answer of "+s.ID+" to "+c.Path)
 	}
@@ -379,6 +394,10 @@
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if part := b.lastPart(i); part != "" {
+			_, _ = io.WriteString(w, part)
+			return
+		}
 		if i > 2 && b == StallStream {
 			<-r.Context().Done()
 			s.log.add(&s.log.abandoned, c)
