forward: a stream that ends inside an event has been broken off

Cause: an answer with neither a length nor chunks ends with its connection, and an engine that breaks it off closes the connection in order. copyEvents took the end of input for the end of the answer, delivered the part of an event that was left, and the gateway ended its own answer as complete. Class: end of input taken for end of message. Change: reading events is a package, eventstream; a stream that ends inside an event is ErrTruncated, which is handled like a cut connection: continued from a backup, resumed, or broken off at the client. Parts of events are never delivered. The same for a stream without an event that ends with its connection, and for events of a plain service that do. A run that may have been stopped for a move is decided as before. Why this works: nothing that ends an answer is read without asking whether the last event was whole.

--- a/forward/call.go
+++ b/forward/call.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/eventstream"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
@@ -172,6 +173,9 @@
 	if len(body) > maxAnswer {
 		return nil, errTooLarge
 	}
+	if res.Framing == upstream.FramedByConnection && eventstream.IsType(res.Header.Get("Content-Type")) && eventstream.Truncated(body) {
+		return nil, eventstream.ErrTruncated
+	}
 	if head.Status < http.StatusMultipleChoices && (!head.Stamped || head.Encoded) {
 		return nil, errNoStamp
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,18 +12,15 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/eventstream"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
-const (
-	// eventBuffer holds a few events of the usual 100 bytes.
-	eventBuffer = 4 << 10
-	// maxEvent bounds one event.
-	maxEvent = 1 << 20
-)
+// eventBuffer is the size of a read buffer, which holds a few events of the usual 100 bytes.
+const eventBuffer = 4 << 10
 
 // errStalled ends an attempt whose engine sends no more events.
 var errStalled = errors.New("engine went silent")
@@ -33,23 +30,25 @@
 func (a *streamAttempt) relay(ctx context.Context, head AnswerHead, res *upstream.Response) outcome.Outcome {
 	f, j, s := a.r.f, a.r.j, a.lease.server
 	a.stream, a.events = res.Body, 0
-	tail, err := a.copyEvents(head, res)
+	rest, err := a.copyEvents(head, res)
 	_ = res.Body.Close()
+	mayBeStopped := a.state.mayBeStopped()
 	a.next = a.streamEnded(ctx, err)
 	stopped := a.state.stopped()
-	if len(tail) > 0 && !stopped {
-		a.recordTruncated(res.Framing, len(tail))
-	}
 	f.observeOutcome(j, s, err == nil || stopped)
 	if a.next == runcopy.Complete {
-		a.complete(head, tail)
+		a.complete(head, rest)
 		return outcome.Outcome{Kind: outcome.Completed}
 	}
 	if stopped {
 		return j.unanswered(outcome.EngineLost)
 	}
-	if err == nil {
+	truncated := errors.Is(err, eventstream.ErrTruncated)
+	switch {
+	case err == nil || truncated && mayBeStopped:
 		err = errStopped
+	case truncated:
+		a.recordTruncated(res.Framing, len(rest))
 	}
 	reason := f.reasonFor(ctx, err)
 	if errors.Is(err, errClient) {
@@ -59,12 +58,12 @@
 	return j.unanswered(reason)
 }
 
-// complete delivers the rest of a complete stream and records its success.
-func (a *streamAttempt) complete(head AnswerHead, tail []byte) {
+// complete delivers the blank lines that may follow the last event of a complete stream, and records its success.
+func (a *streamAttempt) complete(head AnswerHead, rest []byte) {
 	f, j := a.r.f, a.r.j
-	if len(tail) > 0 {
+	if len(rest) > 0 {
 		// A client that does not take the rest has left; the run is complete all the same.
-		_ = a.r.deliver(head, tail, true)
+		_ = a.r.deliver(head, rest, true)
 	}
 	if !j.started {
 		// A client that resumes may have received all events already.
@@ -90,43 +89,54 @@
 // errClient means that the client accepts no more events.
 var errClient = errors.New("client disconnected")
 
-// copyEvents delivers the events of an engine until its stream ends. It returns what followed the last whole event of a
-// stream that ended without an error: a run that was stopped for a move may end in the middle of an event, which the
-// next engine sends again.
-func (a *streamAttempt) copyEvents(head AnswerHead, res *upstream.Response) (tail []byte, err error) {
+// copyEvents delivers the events of an engine until its stream ends. It returns what followed the last whole event.
+// Without an error that is no part of an event.
+func (a *streamAttempt) copyEvents(head AnswerHead, res *upstream.Response) (rest []byte, err error) {
 	r := a.r
 	stall := a.watchStall(res)
 	defer stall.end()
 	br := bufio.NewReaderSize(res.Body, eventBuffer)
 	for {
-		event, err := readEvent(br)
+		event, err := eventstream.Read(br)
+		if err != nil && stall.stalled() {
+			return nil, errStalled
+		}
 		if err != nil && err != io.EOF {
-			if stall.stalled() {
-				return nil, errStalled
-			}
-			return nil, err
+			return event, err
 		}
 		stall.reset()
 		a.received.Add(1)
 		r.j.lastActivity = time.Now()
 		if err == io.EOF {
-			return event, nil
+			return event, a.checkEnd(res.Framing)
 		}
 		a.events++
 		if r.delivered(event) {
 			continue
 		}
-		if werr := r.deliver(head, event, !wholeEventBuffered(br)); werr != nil {
+		if werr := r.deliver(head, event, !eventstream.Buffered(br)); werr != nil {
 			return nil, werr
 		}
 		a.considerMove(r.j.lastActivity)
 	}
 }
 
+// errNoEvents means that a stream ended with its connection before its first event, so that nothing shows that it is
+// complete.
+var errNoEvents = fmt.Errorf("%w: no event arrived", eventstream.ErrTruncated)
+
+// checkEnd returns an error if a stream that did not end inside an event can't be taken for complete.
+func (a *streamAttempt) checkEnd(framing upstream.Framing) error {
+	if a.events == 0 && framing == upstream.FramedByConnection {
+		return errNoEvents
+	}
+	return nil
+}
+
 // delivered reports whether the client has received an event already. An engine that continues a run of which all events
 // were delivered may send the last one again.
 func (r *stream) delivered(event []byte) bool {
-	id, ok := eventID(event)
+	id, ok := eventstream.ID(event)
 	if !ok || r.lastEvent == "" {
 		return false
 	}
@@ -146,7 +156,7 @@
 		j.firstEvent = time.Since(j.arrived)
 		r.f.Metrics.Timer(metrics.FirstEventTime).Update(j.firstEvent)
 	}
-	if id, ok := eventID(event); ok {
+	if id, ok := eventstream.ID(event); ok {
 		r.lastEvent = id
 		r.recordEvent(time.Now())
 	}
@@ -170,40 +180,6 @@
 	r.lastEventAt = now
 }
 
-// readEvent reads up to the empty line that ends an event. At the end of the stream it returns the rest with io.EOF.
-func readEvent(br *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := br.ReadBytes('\n')
-		event = append(event, line...)
-		if err != nil {
-			return event, err
-		}
-		if len(event) > maxEvent {
-			return nil, errTooLarge
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
-		}
-	}
-}
-
-// wholeEventBuffered reports whether the next event can be read without waiting.
-func wholeEventBuffered(br *bufio.Reader) bool {
-	next, err := br.Peek(br.Buffered())
-	return err == nil && (bytes.Contains(next, []byte("\n\n")) || bytes.Contains(next, []byte("\n\r\n")))
-}
-
-// eventID returns the id of an event.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(v)), true
-		}
-	}
-	return "", false
-}
-
 // stallLimit is the interval without events after which a resumable stream is moved to another engine. Clients
 // disconnect after 3.6 s without an event; usual intervals are far below 0.3 s.
 const stallLimit = 1500 * time.Millisecond
