--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -24,10 +24,13 @@
 	ErrTooLarge = errors.New("event too large")
 )
 
-// IsType reports whether a Content-Type is that of a stream of events.
-func IsType(value string) bool {
-	t, _, err := mime.ParseMediaType(value)
-	return err == nil && t == contentType
+// CheckBody returns ErrTruncated if a body with that Content-Type is a stream of events and ends inside one.
+func CheckBody(typeHeader string, body []byte) error {
+	t, _, err := mime.ParseMediaType(typeHeader)
+	if err == nil && t == contentType && Truncated(body) {
+		return ErrTruncated
+	}
+	return nil
 }
 
 // Read reads up to the empty line that ends an event. At the end of the stream it returns the rest: with io.EOF if that
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -44,8 +44,10 @@
 	}
 }
 
-func TestIsType(t *testing.T) {
-	assert.Assert(t, eventstream.IsType("text/event-stream; charset=utf-8"))
-	assert.Assert(t, !eventstream.IsType("text/plain"))
-	assert.Assert(t, !eventstream.IsType(""))
+func TestCheckBody(t *testing.T) {
+	body := []byte("data: a")
+	assert.Equal(t, eventstream.CheckBody("text/event-stream; charset=utf-8", body), eventstream.ErrTruncated)
+	assert.NilError(t, eventstream.CheckBody("text/event-stream", []byte("data: a\n\n")))
+	assert.NilError(t, eventstream.CheckBody("text/plain", body))
+	assert.NilError(t, eventstream.CheckBody("", body))
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -173,8 +173,10 @@
 	if len(body) > maxAnswer {
 		return nil, errTooLarge
 	}
-	if res.Framing == upstream.FramedByConnection && eventstream.IsType(res.Header.Get("Content-Type")) && eventstream.Truncated(body) {
-		return nil, eventstream.ErrTruncated
+	if res.Framing == upstream.FramedByConnection {
+		if err := eventstream.CheckBody(res.Header.Get("Content-Type"), body); err != nil {
+			return nil, err
+		}
 	}
 	if head.Status < http.StatusMultipleChoices && (!head.Stamped || head.Encoded) {
 		return nil, errNoStamp
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"strings"
 
+	"github.com/hibiscusspur/hibiscusspur/eventstream"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -55,6 +57,11 @@
 	if int64(len(body)) > c.limit {
 		return nil, errReplyTooLarge
 	}
+	if upstream.FramingOf(res) == upstream.FramedByConnection {
+		if err := eventstream.CheckBody(res.Header.Get("Content-Type"), body); err != nil {
+			return nil, err
+		}
+	}
 	reply := &wire.Reply{Ref: m.GetRef(), Status: uint32(res.StatusCode), Body: body}
 	for name, values := range res.Header {
 		for _, v := range values {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -167,14 +167,15 @@
 		Status:  res.StatusCode,
 		Header:  res.Header,
 		Length:  res.ContentLength,
-		Framing: framingOf(res),
+		Framing: FramingOf(res),
 		Close:   res.Close,
 		SentAt:  x.sentAt,
 		Body:    &body{Reader: res.Body, x: x},
 	}
 }
 
-func framingOf(res *http.Response) Framing {
+// FramingOf returns the framing of a response whose head was read by net/http.
+func FramingOf(res *http.Response) Framing {
 	switch {
 	case len(res.TransferEncoding) > 0:
 		return FramedByChunks
