--- a/cmd/hibiscusspur/servers.go
+++ b/cmd/hibiscusspur/servers.go
@@ -31,12 +31,12 @@
 func writeServers(out io.Writer, s gateway.Servers) error {
 	_, _ = fmt.Fprintf(out, "%s: %d servers\n", s.VM, len(s.Servers))
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "SERVER\tSERVICE\tSTAGE\tZONE\tASKED\tTOKEN\tDECIDES\tAUTHOR\tEFFECT\tSINCE\tLEFT")
+	_, _ = fmt.Fprintln(w, "SERVER\tSERVICE\tVERSION\tSTAGE\tZONE\tASKED\tTOKEN\tDECIDES\tAUTHOR\tEFFECT\tSINCE\tLEFT")
 	for _, server := range s.Servers {
 		asked := map[bool]string{true: "no", false: "yes"}[server.Excluded]
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t\t\t\t\n", server.ID, server.Service, server.Stage, server.Zone, asked, tokenText(server), server.Decides)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t\t\t\t\n", server.ID, server.Service, versionText(server), server.Stage, server.Zone, asked, tokenText(server), server.Decides)
 		for _, c := range server.Conditions {
-			_, _ = fmt.Fprintf(w, "\t\t\t\t\t\t%s\t%s\t%s\t%s\t%s\n", c.Reason, c.Author, effectText(c), durationText(c.AgeMs), durationText(c.LeftMs))
+			_, _ = fmt.Fprintf(w, "\t\t\t\t\t\t\t%s\t%s\t%s\t%s\t%s\n", c.Reason, c.Author, effectText(c), durationText(c.AgeMs), durationText(c.LeftMs))
 		}
 	}
 	return w.Flush()
@@ -54,6 +54,14 @@
 	return text
 }
 
+// versionText is the software version of a server, or a dash if it is not known.
+func versionText(s gateway.ServerState) string {
+	if s.Version == "" {
+		return "-"
+	}
+	return s.Version
+}
+
 // effectText is the effect of a condition and its size.
 func effectText(c gateway.ServerCondition) string {
 	switch c.Effect {
--- a/cmd/hibiscusspur/servers_test.go
+++ b/cmd/hibiscusspur/servers_test.go
@@ -17,7 +17,7 @@
 // TestServers checks that the command shows each server of the service and the condition that decides.
 func TestServers(t *testing.T) {
 	want := gateway.Servers{VM: "edge-1", Servers: []gateway.ServerState{
-		{ID: "i-1", Service: "s", Stage: "whole", Zone: "z1", Addr: "10.0.0.1:80", Decides: "none", Conditions: []gateway.ServerCondition{}},
+		{ID: "i-1", Service: "s", Version: "v1.2", Stage: "whole", Zone: "z1", Addr: "10.0.0.1:80", Decides: "none", Conditions: []gateway.ServerCondition{}},
 		{ID: "i-3", Service: "s", Stage: "decode", Zone: "z1", Addr: "10.0.0.3:80", Decides: "none", Conditions: []gateway.ServerCondition{}, TokenUs: 7480},
 		{ID: "i-4", Service: "s", Stage: "decode", Zone: "z1", Addr: "10.0.0.4:80", Decides: "none", Conditions: []gateway.ServerCondition{}, TokenUs: 31_000, Slow: true},
 		{ID: "i-2", Service: "s", Stage: "whole", Zone: "z2", Addr: "10.0.0.2:80", Decides: "cooldown", Excluded: true, Conditions: []gateway.ServerCondition{
@@ -45,11 +45,11 @@
 	}
 	assert.DeepEqual(t, rows, []string{
 		"edge-1: 4 servers",
-		"SERVER SERVICE STAGE ZONE ASKED TOKEN DECIDES AUTHOR EFFECT SINCE LEFT",
-		"i-1 s whole z1 yes - none",
-		"i-3 s decode z1 yes 7.5ms none",
-		"i-4 s decode z1 yes 31.0ms (slow) none",
-		"i-2 s whole z2 no - cooldown",
+		"SERVER SERVICE VERSION STAGE ZONE ASKED TOKEN DECIDES AUTHOR EFFECT SINCE LEFT",
+		"i-1 s v1.2 whole z1 yes - none",
+		"i-3 s - decode z1 yes 7.5ms none",
+		"i-4 s - decode z1 yes 31.0ms (slow) none",
+		"i-2 s - whole z2 no - cooldown",
 		"cooldown server excluded 1s 2s",
 		"overload router reduced to 0.25 - -",
 		"failing router costs 7.50 - -",
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -84,6 +84,7 @@
 	EngineReadmitted     = Event{752, log.InfoLevel, "excluded engine used again"}
 	CustomerShort        = Event{753, log.InfoLevel, "customer is short of engine memory"}
 	StreamTruncated      = Event{754, log.WarnLevel, "stream of an engine ended inside an event"}
+	StreamVersionChanged = Event{755, log.ErrorLevel, "stream holds events of two software versions"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -105,6 +106,6 @@
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted, CustomerShort,
-		StreamTruncated,
+		StreamTruncated, StreamVersionChanged,
 	}
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -48,6 +48,8 @@
 	// the number of tokens from earlier servers.
 	generated, expected, freeMemory, generatedBefore int
 	maxEventGap                                      time.Duration
+	// software lists the versions of the engines whose events were sent to the client.
+	software []string
 	// tenant is the customer that holds the request's key; nil if there is none.
 	tenant *route.Tenant
 	// shortage is set if the request was rejected for lack of memory and has a customer.
@@ -181,6 +183,12 @@
 			Dur("read", j.prefillTime).Dur("first", j.firstEvent).Dur("patience", j.meta.ClientTimeout).Bool("late", j.retried).
 			Int("generated", j.generated).Int("expected", j.expected).Int("room", j.freeMemory).Dur("pause", j.maxEventGap)
 	}
+	if len(j.software) > 0 {
+		e = e.Strs("software", j.software)
+	}
+	if j.meta.LastEventID != "" {
+		e = e.Str("resumes", j.meta.Resumes).Str("resumed_after", j.meta.LastEventID)
+	}
 	e = f.recordWaste(j, e, reason)
 	e.Int("sends", j.sends).Dur("waited", j.waited).Dur("took", now.Sub(j.arrived)).
 		Dur("left", j.left(now)).Int64("version", j.version()).Msg("")
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -215,6 +215,9 @@
 	if j.isStream() {
 		f.streams.Add(1)
 		defer f.streams.Add(-1)
+		if j.meta.LastEventID != "" {
+			f.Metrics.Counter(metrics.StreamsResumed).Inc(1)
+		}
 		r := &stream{baseRequest: baseRequest{f: f, j: j}, lastEvent: j.meta.LastEventID}
 		r.finish(lifecycle.Run(ctx, r))
 		f.freeExport(j, r.takeSpareExport())
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -117,10 +117,25 @@
 		if werr := r.deliver(head, event, !eventstream.Buffered(br)); werr != nil {
 			return nil, werr
 		}
+		a.recordVersion()
 		a.considerMove(r.j.lastActivity)
 	}
 }
 
+// recordVersion records that the client was sent an event of the engine's software version.
+func (a *streamAttempt) recordVersion() {
+	f, j, s := a.r.f, a.r.j, a.lease.server
+	if n := len(j.software); n > 0 && j.software[n-1] == s.Version {
+		return
+	}
+	j.software = append(j.software, s.Version)
+	if n := len(j.software); n > 1 {
+		f.Metrics.Counter(metrics.StreamVersionChanges).Inc(1)
+		event.StreamVersionChanged.Log(f.Log).Str("request", j.meta.ID).Str("resumes", j.meta.Resumes).
+			Str("from", j.software[n-2]).Str("to", s.Version).Str("server", s.ID).Str("after", a.r.lastEvent).Msg("")
+	}
+}
+
 // errNoEvents means that a stream ended with its connection before its first event, so that nothing shows that it is
 // complete.
 var errNoEvents = fmt.Errorf("%w: no event arrived", eventstream.ErrTruncated)
--- a/forward/types.go
+++ b/forward/types.go
@@ -56,6 +56,9 @@
 	LengthHint int
 	// LastEventID is the last event that the client received of an interrupted stream.
 	LastEventID string
+	// Resumes is the ID of the client's attempt that brought the first event of the stream that this one resumes; empty
+	// if the client resumes none, or does not say.
+	Resumes string
 	// Caller is the caller's identity by the request's credentials; empty if it has none.
 	Caller string
 	// Key is the hash of the API key, if HasKey is set.
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -190,7 +190,7 @@
 	for _, v := range list {
 		out = append(out, &peer.Server{
 			Id: v.Instance(), Born: v.Born, Service: v.Service, Addr: v.Addr, Zone: v.Zone,
-			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving, Unusable: v.Unusable,
+			Slots: uint32(v.Slots), Stage: uint32(v.Stage), Leaving: v.Leaving, Unusable: v.Unusable, Version: v.Version,
 		})
 	}
 	return out
@@ -229,7 +229,7 @@
 		s := registry.Server{
 			ID: registry.Incarnation{Instance: v.GetId(), Born: v.GetBorn()}.ID(), Born: v.GetBorn(),
 			Service: v.GetService(), Addr: v.GetAddr(), Zone: v.GetZone(),
-			Slots: int(v.GetSlots()), Stage: registry.Stage(v.GetStage()), Leaving: v.GetLeaving(),
+			Slots: int(v.GetSlots()), Stage: registry.Stage(v.GetStage()), Leaving: v.GetLeaving(), Version: v.GetVersion(),
 		}
 		s.Unusable = v.GetUnusable() || !s.Valid() || s.Instance() != v.GetId()
 		out = append(out, s)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -26,6 +26,8 @@
 	Stage   string `json:"stage"`
 	Zone    string `json:"zone"`
 	Addr    string `json:"addr"`
+	// Version is that of the server's software; absent if unknown.
+	Version string `json:"version,omitempty"`
 	// TokenUs is the time per generated token that is expected there, in microseconds; absent if unknown. Slow is
 	// set while it is several times longer than usual.
 	TokenUs int64 `json:"token_us,omitempty"`
@@ -85,7 +87,7 @@
 func serverState(s registry.Server, conditions []eligibility.Condition, now time.Time) ServerState {
 	v := eligibility.Decide(conditions, now)
 	out := ServerState{
-		ID: s.ID, Service: s.Service, Stage: s.Stage.String(), Zone: s.Zone, Addr: s.Addr,
+		ID: s.ID, Service: s.Service, Stage: s.Stage.String(), Zone: s.Zone, Addr: s.Addr, Version: s.Version,
 		Decides: v.Reason.String(), Excluded: v.Excluded, Conditions: []ServerCondition{},
 	}
 	slices.SortStableFunc(conditions, func(a, b eligibility.Condition) int { return int(a.Reason) - int(b.Reason) })
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -81,5 +81,7 @@
 		{ShareYields, Counter},
 		{ConnectionFramed, Counter},
 		{StreamsTruncatedPrefix, Counter},
+		{StreamsResumed, Counter},
+		{StreamVersionChanges, Counter},
 	}
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -85,4 +85,8 @@
 	ShareYields   = "share_yields"
 	// ConnectionFramed counts answers of servers that had neither a length nor chunks and end with their connection.
 	ConnectionFramed = "answers_connection_framed"
+	// StreamsResumed counts requests of clients that resume a stream, StreamVersionChanges answers whose events came from
+	// engines of two software versions.
+	StreamsResumed       = "streams_resumed"
+	StreamVersionChanges = "stream_version_changes"
 )
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -59,6 +59,8 @@
 	Addr, Zone string
 	Slots      int
 	Stage      Stage
+	// Version is the version of the server's software; empty if it is not known.
+	Version string
 	// Leaving is set once the server has announced that it shuts down.
 	Leaving bool
 	// Unusable is set while the server's entry is invalid. The server gets no new requests; running
