--- a/standin/site/names.go
+++ b/standin/site/names.go
@@ -18,6 +18,7 @@
 	instance      = "Hibiscusspur-Expect-Instance"
 	stage         = "Hibiscusspur-Stage"
 	lastEventID   = "Last-Event-Id"
+	Resumes       = "Resumes"
 	limitHeader   = "Server-Limit"
 	leavingHeader = "Server-Leaving"
 	retryAfter    = "Retry-After"
