forward: a stream goes on only at the software version that began it, within one answer

Cause: engines for second attempts, backups and moves were chosen by memory, zone and verdicts; nothing in the router knew versions. Class: a property of the state that an attempt leaves behind is not part of the choice of the next one. Change: kvmemory.Request has the version that an engine must have; copies of runs take that of their source, and a stream that of the engine whose event the client got first. All choices go through this one condition. A stream without an engine of its version left ends at once (version_gone). In the wait queue a request that is bound to a version keeps, once it has waited for long, the engines of that version alone, and delays no one elsewhere. Why this works: a run gets to an engine only through Pick, PickFor or a copy placed by Pick, or stays where it is. Where all engines have one version the condition never differs.

--- a/forward/backup.go
+++ b/forward/backup.go
@@ -52,6 +52,7 @@
 	exclude := append(slices.Clone(r.tried), source.ID)
 	id, ok := e.placeCopy(kvmemory.Request{
 		Run: r.run, Late: late, Zone: source.Zone, Exclude: exclude, Verdicts: e.verdicts, Deadline: j.deadline, Delay: moveDelay,
+		Version: source.Version,
 	}, spec.KVTokens, spec.Slots)
 	if !ok {
 		return nil
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -96,7 +96,7 @@
 	list := make([]kvmemory.Server, 0, len(servers))
 	for _, s := range servers {
 		if s.Stage == registry.Decode {
-			list = append(list, kvmemory.Server{ID: s.ID, Zone: s.Zone, Capacity: capacity, Slots: slots})
+			list = append(list, kvmemory.Server{ID: s.ID, Zone: s.Zone, Capacity: capacity, Slots: slots, Version: s.Version})
 		}
 	}
 	e.memory.Sync(list)
@@ -154,6 +154,7 @@
 			entry := e.entries[w]
 			id, ok = e.memory.Pick(kvmemory.Request{
 				Run: entry.run, Late: w.Late, Yields: e.customers.yields(w), Zone: e.zone, Exclude: w.Exclude, Verdicts: entry.verdictsOr(e.verdicts),
+				Version: w.Version, Withheld: e.queue.Withheld(),
 				Deadline: entry.deadline, Delay: startDelay, GiveUpAt: w.GiveUpAt,
 			}, now)
 			return ok && entry.reserve(id)
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -48,7 +48,10 @@
 			return nil, r.noServerLeft(outcome.NoDecodeSlot), false
 		}
 	}
-	r.waiter.Exclude = r.tried
+	r.waiter.Exclude, r.waiter.Version = r.tried, r.version
+	if r.versionGone() {
+		return nil, j.unanswered(outcome.VersionGone), false
+	}
 	if why, unavailable := r.allUnavailable(); unavailable {
 		return nil, r.noServerLeft(why), false
 	}
@@ -89,7 +92,7 @@
 	now := time.Now()
 	left := r.waiter.GiveUpAt.Sub(now)
 	for _, s := range r.f.View.Servers(r.j.service) {
-		if s.Stage != registry.Decode || slices.Contains(r.tried, s.ID) {
+		if !r.mayRunAt(s) {
 			continue
 		}
 		v := r.f.declaredVerdict(s.ID, now)
@@ -101,6 +104,16 @@
 	return why, unavailable
 }
 
+// mayRunAt reports whether a server is a decode engine that was not tried, and of the version that the stream is bound to.
+func (r *stream) mayRunAt(s registry.Server) bool {
+	return s.Stage == registry.Decode && !slices.Contains(r.tried, s.ID) && (r.version == "" || s.Version == r.version)
+}
+
+// versionGone reports whether the stream was begun at a version of which no engine is left to try.
+func (r *stream) versionGone() bool {
+	return r.version != "" && !slices.ContainsFunc(r.f.View.Servers(r.j.service), r.mayRunAt)
+}
+
 // quarantined reports whether the request may not be sent to any server.
 func (r *stream) quarantined() bool {
 	_, held := r.f.quarantined(r.j)
--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -209,5 +209,6 @@
 	}
 	return e.memory.PickFor(source.ID, kvmemory.Request{
 		Run: r.run, Deadline: r.j.deadline, Delay: moveDelay, Zone: source.Zone, Exclude: r.tried, Verdicts: e.verdicts,
+		Version: source.Version,
 	}, now), true
 }
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -49,6 +49,7 @@
 	ConfigUnproved     Reason = "config_unproved"
 	ServerLimited      Reason = "server_limited"
 	ServerCooldown     Reason = "server_resting"
+	VersionGone        Reason = "version_gone"
 )
 
 // All lists every reason, for the registration of metrics and for the test that
@@ -60,7 +61,7 @@
 		LinkBusy, PrefillBacklog, TargetUnreachable, ShareExceeded, StaleRevision, Leaving, Draining,
 		ReservationLapsed, LeaseLapsed, Fenced, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
-		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited, ServerCooldown,
+		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited, ServerCooldown, VersionGone,
 	}
 }
 
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -74,6 +74,8 @@
 	ID, Zone string
 	// Capacity is its memory in tokens, Slots the number of requests that it runs concurrently.
 	Capacity, Slots int
+	// Version is the version of its software; empty if it is not known.
+	Version string
 }
 
 // Pool is one router's local estimate of the load of the decode engines of one service.
--- a/policy/kvmemory/kvmemory_test.go
+++ b/policy/kvmemory/kvmemory_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// TestOtherVersions: a request that needs a version gets no engine of another one, not even as a last resort.
+func TestOtherVersions(t *testing.T) {
+	list := servers(4)
+	for i, version := range []string{"v1", "v1", "v2", ""} {
+		list[i].Version = version
+	}
+	p := kvmemory.New(kvmemory.DefaultConfig(), "g")
+	p.Sync(list)
+	p.SetPeerLoad("a", constantLoad(10_000), start)
+	id, ok := p.Pick(kvmemory.Request{Run: run(6000), Version: "v1", Zone: "z3"}, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, "b")
+	p.SetPeerLoad("a", constantLoad(49_000), start)
+	p.SetPeerLoad("b", constantLoad(49_000), start)
+	_, ok = p.Pick(kvmemory.Request{Run: run(6000), Version: "v1", Zone: "z3"}, start)
+	assert.Assert(t, !ok, "no memory at its version")
+	id, ok = p.Pick(kvmemory.Request{Run: run(6000), Withheld: []string{"v1", "v2"}, Zone: "z3"}, start)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, "d")
+}
+
 func TestExcluded(t *testing.T) {
 	p := pool("g", 2)
 	id, ok := p.Pick(kvmemory.Request{Run: run(6000), Exclude: []string{"a"}}, start)
--- a/policy/kvmemory/pick.go
+++ b/policy/kvmemory/pick.go
@@ -26,6 +26,10 @@
 	Zone string
 	// Exclude are engines that must not get the request.
 	Exclude []string
+	// Version is the software version that the engine must have; empty for any. Withheld are versions whose engines must
+	// not get the request.
+	Version  string
+	Withheld []string
 	// Verdicts are those on the engines. A last resort is chosen only if no other engine is estimated
 	// to have enough free memory.
 	Verdicts eligibility.Verdicts
@@ -84,6 +88,9 @@
 	if !s.listed || s.Slots > 0 && s.ownLoad.Runs+s.peerLoad.Runs >= s.Slots {
 		return false
 	}
+	if r.Version != "" && s.Version != r.Version || slices.Contains(r.Withheld, s.Version) {
+		return false
+	}
 	return r.Run.Need < s.refusedNeed || !now.Before(s.blockedUntil)
 }
 
--- a/policy/waitqueue/waitqueue.go
+++ b/policy/waitqueue/waitqueue.go
@@ -33,6 +33,8 @@
 	Exclude []string
 	// Priority is that of its route; zero is the most urgent.
 	Priority int
+	// Version is the software version that the engine must have; empty for any.
+	Version string
 	// Customer is the customer that the request belongs to; empty if the order ignores customers.
 	Customer string
 }
@@ -57,6 +59,8 @@
 	reordered int
 	// heads is scratch space of walk.
 	heads headHeap
+	// withheld are the versions that Next keeps for requests that were passed over.
+	withheld []string
 }
 
 // class holds the requests of the same lateness and priority, by customer.
@@ -133,17 +137,24 @@
 }
 
 // Next removes and returns the first request that fits, or returns nil. To keep a large
-// request from starving, smaller ones may bypass it only until it has waited for maxBypass.
+// request from starving, smaller ones may bypass it only until it has waited for maxBypass. From
+// then on one that needs an engine of a certain version keeps only those for itself; see Withheld.
 func (q *Queue) Next(fits func(*Waiter) bool, maxBypass time.Duration, now time.Time) *Waiter {
 	var found *Waiter
 	blocked := false
+	q.withheld = q.withheld[:0]
 	for _, c := range q.classes {
 		q.walk(c, func(w *Waiter) bool {
 			if fits(w) {
 				found = w
 				return false
 			}
-			blocked = !w.Late && now.Sub(w.Arrived) >= maxBypass
+			waited := !w.Late && now.Sub(w.Arrived) >= maxBypass
+			if waited && w.Version != "" {
+				q.withheld = append(q.withheld, w.Version)
+				return true
+			}
+			blocked = waited
 			return !blocked
 		})
 		if found != nil || blocked {
@@ -160,6 +171,10 @@
 	return found
 }
 
+// Withheld returns the versions whose engines the request that Next passes to fits must not get, since one before it that
+// needs them has waited for too long. It is valid until fits returns.
+func (q *Queue) Withheld() []string { return q.withheld }
+
 // Ahead returns the memory, in tokens, needed by the requests that are served before w, in the order that holds if no
 // run ends meanwhile.
 func (q *Queue) Ahead(w *Waiter) int {
--- a/policy/waitqueue/waitqueue_test.go
+++ b/policy/waitqueue/waitqueue_test.go
@@ -47,6 +47,23 @@
 	assert.Equal(t, q.Next(fitsUpTo(10_000), 300*time.Millisecond, ms(400)), large)
 }
 
+// TestBoundRequestWithholdsItsVersion: a request that needs engines of one version delays those behind it at these engines
+// only, once it has waited for long.
+func TestBoundRequestWithholdsItsVersion(t *testing.T) {
+	var q waitqueue.Queue
+	bound := &waitqueue.Waiter{Need: 10_000, Arrived: ms(0), Version: "v1"}
+	boundLater := &waitqueue.Waiter{Need: 3000, Arrived: ms(10), Version: "v1"}
+	free := &waitqueue.Waiter{Need: 3000, Arrived: ms(20)}
+	for _, w := range []*waitqueue.Waiter{bound, boundLater, free} {
+		q.Add(w)
+	}
+	// Only v1 has memory for a small request, and v2 none.
+	fits := func(w *waitqueue.Waiter) bool { return w.Need <= 3000 && !slices.Contains(q.Withheld(), "v1") }
+	assert.Assert(t, q.Next(fits, 300*time.Millisecond, ms(301)) == nil, "the engines of v1 are kept for the first")
+	assert.Equal(t, q.Next(fits, 300*time.Millisecond, ms(299)), boundLater)
+	assert.Equal(t, q.Next(func(w *waitqueue.Waiter) bool { return w.Version == "" }, 300*time.Millisecond, ms(301)), free, "v2 has memory")
+}
+
 func TestRemove(t *testing.T) {
 	var q waitqueue.Queue
 	w := &waitqueue.Waiter{Need: 7}
