gateway, streamversions: a stream that a client takes up goes on at the version that began it

Cause: a gateway knew nothing of streams that others had begun, nor which version may have begun one. Class: a property of a stream lives in the memory of one process, and the stream outlives that process. Change: each gateway keeps the version of the streams that it began on routes that allow resumption. While a service has engines of more than one version it tells up to eight others all of them, more others two of them each, chosen by rendezvous hashing; when a second version appears it tells those in progress. What nobody knows goes on only if one version alone can have begun it, by what the gateways have seen listed in the last 30 s, and is turned away as not run otherwise (version_unknown). Why this works: the version that a take-up is bound to comes from a record made with the first event, or from a proof that there is only one; nothing is guessed. Where all engines of a service have one version nothing is told.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -97,6 +97,9 @@
 	f.finish(j, refusalStatus(reason), outcome.NotRun, reason)
 	e := event.RequestRejected.Log(f.Log).Str("request", j.meta.ID).Str("route", j.routeName()).
 		Str("reason", string(reason)).Str("customer", j.customer()).Dur("waited", j.waited).Dur("retry_after", after).Int64("version", j.version())
+	if j.meta.LastEventID != "" {
+		e = e.Str("resumes", j.meta.Resumes).Str("resumed_after", j.meta.LastEventID)
+	}
 	if reason == outcome.Quarantined {
 		e = e.Str("content", j.digest().String())
 	}
--- a/forward/env_test.go
+++ b/forward/env_test.go
@@ -19,9 +19,11 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
+	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -142,6 +144,7 @@
 	met     *metrics.Set
 	guard   *holdback.Guard
 	quota   *fakeQuota
+	streams *streamversions.Directory
 	logged  *logBuffer
 }
 
@@ -172,6 +175,12 @@
 // unlimited is a retry budget that is never exhausted.
 var unlimited = retrybudget.Limits{Ratio: 1, Window: time.Hour, Slack: 1e9}
 
+// noRouters is the network of a process that is alone.
+type noRouters struct{}
+
+func (noRouters) Others() []string                        { return nil }
+func (noRouters) Ask([]string, string, streamversion.Key) {}
+
 func newTestEnv(t *testing.T) *testEnv { return newTestEnvWith(t, unlimited) }
 
 func newTestEnvWith(t *testing.T, limits retrybudget.Limits) *testEnv {
@@ -196,6 +205,7 @@
 	}
 	table.Build()
 	w.view = &view{table: table, lookups: map[string]int{}, markedLeaving: map[string]bool{}}
+	w.streams = streamversions.New(noRouters{}, w.met)
 	l := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.logged}}
 	w.guard = holdback.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
@@ -207,7 +217,7 @@
 		watcher.Run(ctx, time.Millisecond)
 	}()
 	w.fwd = forward.New(forward.Config{
-		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, longTimeout), View: w.view, Pool: pool, Watcher: watcher, Guard: w.guard, Quota: w.quota,
+		Codec: platform.Codec{}, Engines: platform.NewEngines(pool, longTimeout), View: w.view, Pool: pool, Watcher: watcher, Guard: w.guard, Quota: w.quota, Streams: w.streams,
 		Log: l, Metrics: w.met,
 		VM: "g1", Zone: "z1", Retry: limits,
 	})
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -40,6 +40,7 @@
 	Watcher *httpserver.Watcher
 	Guard   Quarantine
 	Quota   Quota
+	Streams StreamVersions
 	Log     *log.Logger
 	Metrics *metrics.Set
 	// VM and Zone identify this process.
@@ -215,12 +216,7 @@
 	if j.isStream() {
 		f.streams.Add(1)
 		defer f.streams.Add(-1)
-		if j.meta.LastEventID != "" {
-			f.Metrics.Counter(metrics.StreamsResumed).Inc(1)
-		}
-		r := &stream{baseRequest: baseRequest{f: f, j: j}, lastEvent: j.meta.LastEventID}
-		r.finish(lifecycle.Run(ctx, r))
-		f.freeExport(j, r.takeSpareExport())
+		f.serveStream(ctx, j)
 		return
 	}
 	c := &call{baseRequest{f: f, j: j}}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -125,8 +125,8 @@
 // recordVersion records that the client was sent an event of the engine's software version.
 func (a *streamAttempt) recordVersion() {
 	f, j, s := a.r.f, a.r.j, a.lease.server
-	if a.r.version == "" {
-		a.r.version = s.Version
+	if len(j.software) == 0 {
+		a.r.begun(s.Version)
 	}
 	if n := len(j.software); n > 0 && j.software[n-1] == s.Version {
 		return
--- a/forward/types.go
+++ b/forward/types.go
@@ -165,6 +165,25 @@
 	RequestSucceeded(d fingerprint.Digest)
 }
 
+// StreamRef names a stream that a client may resume.
+type StreamRef struct {
+	Service, Customer string
+	// ID is that of the client's request that brought its first event.
+	ID string
+}
+
+// StreamVersions knows at which software version streams were begun, here or at another router, for clients that resume
+// them. It must be safe for concurrent use.
+type StreamVersions interface {
+	// Begun records that the client was sent an event of a stream by an engine of a version. The client may resume the
+	// stream until the given time.
+	Begun(s StreamRef, version string, until time.Time)
+	// Version returns the version at which a stream may go on; empty for any, if engines report none. It asks other
+	// routers if need be, until ctx ends. ok is false if no router knows the stream and engines of several versions may
+	// have begun it.
+	Version(ctx context.Context, s StreamRef) (version string, ok bool)
+}
+
 // View is the process's local state of configuration and servers. It must be safe for concurrent use.
 type View interface {
 	// Table is the configuration in force; nil while there is none.
--- a/forward/versions_test.go
+++ b/forward/versions_test.go
@@ -16,15 +16,16 @@
 )
 
 // setVersions sets the software versions of servers, by ID.
-func (v *view) setVersions(versions map[string]string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.servers = slices.Clone(v.servers)
-	for i, s := range v.servers {
+func (w *testEnv) setVersions(versions map[string]string) {
+	w.view.mu.Lock()
+	defer w.view.mu.Unlock()
+	w.view.servers = slices.Clone(w.view.servers)
+	for i, s := range w.view.servers {
 		if version, ok := versions[s.ID]; ok {
-			v.servers[i].Version = version
+			w.view.servers[i].Version = version
 		}
 	}
+	w.streams.Observe(w.view.servers)
 }
 
 // versionOf returns the software version of the server at an address.
@@ -50,7 +51,7 @@
 		versions[id] = newVersion
 	}
 	versions[old] = oldVersion
-	w.view.setVersions(versions)
+	w.setVersions(versions)
 }
 
 // TestSecondAttemptChangesVersion guards against a stream that loses its engine and goes on at one of another software
@@ -65,7 +66,7 @@
 	assert.Check(t, strings.HasPrefix(whole, got.body))
 
 	w.add(t, "d3", "llm", registry.Decode)
-	w.view.setVersions(map[string]string{"d3": oldVersion})
+	w.setVersions(map[string]string{"d3": oldVersion})
 	first.Behave(site.Answer, site.CutStream)
 	got = w.post(t, "/resume/2")
 	assert.Check(t, !got.cut && got.body == whole, "%q", got.body)
@@ -129,11 +130,11 @@
 func TestTakenUpStreamChangesVersion(t *testing.T) {
 	w := newTestEnv(t)
 	w.add(t, "d1", "llm", registry.Decode)
-	w.view.setVersions(map[string]string{"d1": oldVersion})
+	w.setVersions(map[string]string{"d1": oldVersion})
 	w.servers["d1"].Behave(site.Answer, site.StallStream)
 	w.beginStream(t, "first")
 	w.add(t, "d2", "llm", registry.Decode)
-	w.view.setVersions(map[string]string{"d2": newVersion})
+	w.setVersions(map[string]string{"d2": newVersion})
 	for i := range 4 {
 		path := fmt.Sprint("/resume/", i)
 		got := w.post(t, path, resumed("first")...)
@@ -156,13 +157,15 @@
 // of two software versions may have begun it, and against one that is refused although only one can have.
 func TestUnknownStreamIsTakenUp(t *testing.T) {
 	w := newEngineEnv(t)
-	w.view.setVersions(map[string]string{"pre": oldVersion, "d1": oldVersion, "d2": oldVersion})
-	got := w.post(t, "/resume/0", resumed("unknown")...)
+	w.setVersions(map[string]string{"pre": oldVersion, "d1": oldVersion, "d2": oldVersion})
+	got := w.post(t, "/resume/0", resumed("unknown-0")...)
 	assert.Equal(t, got.body, rest, "one version")
-	w.view.setVersions(map[string]string{"d2": newVersion})
-	got = w.post(t, "/resume/1", resumed("unknown")...)
+	w.setVersions(map[string]string{"d2": newVersion})
+	got = w.post(t, "/resume/1", resumed("unknown-1")...)
 	assert.Check(t, got.status == 503, "two versions: %d %q", got.status, got.body)
 	got = w.post(t, "/resume/2", "Last-Event-Id", "2")
 	assert.Check(t, got.status == 503, "does not name the stream: %d %q", got.status, got.body)
+	got = w.post(t, "/resume/3", resumed("unknown-0")...)
+	assert.Check(t, got.body == rest && w.versionOf(t, w.decodes("/resume/3")[0].Server) == oldVersion, "known since it went on: %d %q", got.status, got.body)
 	assert.Check(t, len(w.decodes("/resume/1"))+len(w.decodes("/resume/2")) == 0, "runs of unknown streams")
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -172,6 +172,7 @@
 func (s *Service) serversChanged(version store.Position, from string) {
 	s.announceUpdate(from)
 	list, _ := s.view.list()
+	s.streams.Observe(list)
 	event.ServersChanged.Log(s.log).Int64("version", version.Version()).Int64("era", version.Era()).Int("servers", len(list)).Str("from", from).Msg("")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -129,6 +130,8 @@
 	proofs *proofs
 	// quotas enforce customers' quotas across all gateways.
 	quotas *quotas
+	// streams knows the software versions of streams that clients may resume.
+	streams *streamversions.Directory
 	// guard quarantines requests that crash servers; holds is the table that persists the quarantine.
 	guard *holdback.Guard
 	holds holdback.Table
@@ -182,8 +185,9 @@
 	s.peerLoads = newPeerLoads(s.view.incarnationID)
 	s.view.onReplaced = s.incarnationsReplaced
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, settings.Off.Has(mechanism.Quarantine)), d.Holds
+	s.streams = streamversions.New(streamNetwork{s}, d.Metrics)
 	s.fwd = forward.New(forward.Config{
-		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas,
+		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas, Streams: s.streams,
 		Log: d.Log, Metrics: d.Metrics, VM: settings.VM, Zone: settings.Zone, Retry: settings.Retry, Off: settings.Off,
 	})
 	return s
@@ -209,6 +213,7 @@
 	s.startQuarantine(ctx)
 	if !s.settings.Off.Has(mechanism.Datagrams) {
 		s.work.Go(func() { s.announceChanges(ctx) })
+		s.work.Go(func() { s.announceStreams(ctx) })
 	}
 	return s.listen()
 }
@@ -271,6 +276,8 @@
 		addrs, ids := s.view.knownServers()
 		s.pool.Sweep(func(addr string) bool { return addrs[addr] })
 		s.guard.Expire()
+		s.observeVersions()
+		s.streams.Expire()
 		s.fwd.Forget(func(id string) bool { return ids[id] })
 		if n := s.batch.TakeDropped(); n > 0 {
 			event.LinesDropped.Log(s.log).Int64("lines", n).Msg("")
--- /dev/null
+++ b/gateway/streamversions.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
+	"github.com/hibiscusspur/hibiscusspur/peer"
+	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
+	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
+	"github.com/hibiscusspur/hibiscusspur/streamversions"
+)
+
+const (
+	// maxStreamsPerDatagram bounds the streams in one datagram: some 12 bytes each.
+	maxStreamsPerDatagram = 400
+	// maxStreamQueries bounds the queries that one datagram may contain.
+	maxStreamQueries = 64
+	// maxStreamLeft bounds how long a reported stream is kept.
+	maxStreamLeft = 10 * time.Minute
+	// maxVersionBytes bounds the version of a server, as the store bounds its names.
+	maxVersionBytes = 200
+)
+
+// streamNetwork is the streamversions.Network of a gateway.
+type streamNetwork struct{ s *Service }
+
+// Others implements streamversions.Network.
+func (n streamNetwork) Others() []string {
+	if n.s.settings.Datagrams == 0 || n.s.settings.Off.Has(mechanism.Datagrams) {
+		return nil
+	}
+	return n.s.peers.Reachable()
+}
+
+// Ask implements streamversions.Network.
+func (n streamNetwork) Ask(to []string, service string, stream streamversion.Key) {
+	n.s.peers.Send(to, &peer.Placement{StreamQueries: []*peer.StreamQuery{{Stream: uint64(stream), Service: service}}})
+}
+
+// announceStreams tells other gateways the versions of streams that clients may resume, until ctx ends.
+func (s *Service) announceStreams(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.streams.Updates():
+		}
+		sleep.For(ctx, datagramBatchInterval)
+		byGateway := map[string][]streamversions.Update{}
+		others := streamNetwork{s}.Others()
+		for _, u := range s.streams.TakeUpdates() {
+			for _, addr := range streamversion.Told(u.Stream, others) {
+				byGateway[addr] = append(byGateway[addr], u)
+			}
+		}
+		for addr, updates := range byGateway {
+			s.sendStreams(addr, updates)
+		}
+	}
+}
+
+// sendStreams sends the versions of streams to one gateway, in several datagrams if they are too many for one.
+func (s *Service) sendStreams(to string, updates []streamversions.Update) {
+	now := time.Now()
+	for len(updates) > 0 {
+		n := min(len(updates), maxStreamsPerDatagram)
+		s.peers.Send([]string{to}, &peer.Placement{StreamVersions: encodeStreams(updates[:n], now)})
+		updates = updates[n:]
+	}
+}
+
+// receiveStreams handles what a datagram says of streams, and answers its queries.
+func (s *Service) receiveStreams(p *peer.Placement) {
+	s.streams.Receive(decodeStreams(p.GetStreamVersions(), time.Now()))
+	for _, u := range p.GetUnknownStreams() {
+		s.streams.ReceiveUnknown(p.GetAddr(), streamversions.Unknown{Stream: streamversion.Key(u.GetStream()), Seen: validVersions(u.GetSeen())})
+	}
+	queries := p.GetStreamQueries()
+	if len(queries) == 0 || p.GetAddr() == "" {
+		return
+	}
+	var known []streamversions.Update
+	answer := &peer.Placement{}
+	for _, q := range queries[:min(len(queries), maxStreamQueries)] {
+		u, unknown, ok := s.streams.Answer(q.GetService(), streamversion.Key(q.GetStream()))
+		if ok {
+			known = append(known, u)
+			continue
+		}
+		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{Stream: uint64(unknown.Stream), Seen: unknown.Seen})
+	}
+	answer.StreamVersions = encodeStreams(known, time.Now())
+	s.peers.Send([]string{p.GetAddr()}, answer)
+}
+
+// encodeStreams returns nil if there is nothing to report.
+func encodeStreams(updates []streamversions.Update, now time.Time) *peer.StreamVersions {
+	if len(updates) == 0 {
+		return nil
+	}
+	out := &peer.StreamVersions{}
+	index := map[string]uint32{}
+	for _, u := range updates {
+		i, ok := index[u.Version]
+		if !ok {
+			i = uint32(len(out.Versions))
+			index[u.Version] = i
+			out.Versions = append(out.Versions, u.Version)
+		}
+		out.Streams, out.Version = append(out.Streams, uint64(u.Stream)), append(out.Version, i)
+		out.LeftMs = append(out.LeftMs, uint32(min(max(u.Until.Sub(now), 0), maxStreamLeft).Milliseconds()))
+	}
+	return out
+}
+
+// decodeStreams drops what no gateway sends, which a faulty process may report.
+func decodeStreams(m *peer.StreamVersions, now time.Time) []streamversions.Update {
+	n := min(len(m.GetStreams()), len(m.GetVersion()), len(m.GetLeftMs()), maxStreamsPerDatagram)
+	out := make([]streamversions.Update, 0, n)
+	for i := range n {
+		version := int(m.GetVersion()[i])
+		if version >= len(m.GetVersions()) || !validVersion(m.GetVersions()[version]) {
+			continue
+		}
+		left := min(time.Duration(m.GetLeftMs()[i])*time.Millisecond, maxStreamLeft)
+		out = append(out, streamversions.Update{
+			Stream: streamversion.Key(m.GetStreams()[i]),
+			Record: streamversion.Record{Version: m.GetVersions()[version], Until: now.Add(left)},
+		})
+	}
+	return out
+}
+
+func validVersion(v string) bool { return v != "" && len(v) <= maxVersionBytes }
+
+func validVersions(versions []string) []string {
+	var out []string
+	for _, v := range versions {
+		if validVersion(v) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// observeVersions has the directory of streams take the list of servers in force.
+func (s *Service) observeVersions() {
+	list, _ := s.view.list()
+	s.streams.Observe(list)
+}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -83,5 +83,7 @@
 		{StreamsTruncatedPrefix, Counter},
 		{StreamsResumed, Counter},
 		{StreamVersionChanges, Counter},
+		{StreamLookupsPrefix, Counter},
+		{StreamRecordsDropped, Counter},
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -39,6 +39,8 @@
 	RequestTimePrefix = "request_time."
 	// StreamsTruncatedPrefix is followed by the framing of an engine's answer that ended inside an event.
 	StreamsTruncatedPrefix = "streams_truncated."
+	// StreamLookupsPrefix is followed by how the version of a resumed stream was found.
+	StreamLookupsPrefix = "stream_lookups."
 	// MemoryWaitsPrefix and MemoryRejectionsPrefix are followed by a MemoryReason.
 	MemoryWaitsPrefix      = "memory_waits."
 	MemoryRejectionsPrefix = "memory_rejections."
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -89,4 +89,6 @@
 	// engines of two software versions.
 	StreamsResumed       = "streams_resumed"
 	StreamVersionChanges = "stream_version_changes"
+	// StreamRecordsDropped counts streams whose version was not kept for lack of room.
+	StreamRecordsDropped = "stream_records_dropped"
 )
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -50,6 +50,7 @@
 	ServerLimited      Reason = "server_limited"
 	ServerCooldown     Reason = "server_resting"
 	VersionGone        Reason = "version_gone"
+	VersionUnknown     Reason = "version_unknown"
 )
 
 // All lists every reason, for the registration of metrics and for the test that
@@ -61,7 +62,7 @@
 		LinkBusy, PrefillBacklog, TargetUnreachable, ShareExceeded, StaleRevision, Leaving, Draining,
 		ReservationLapsed, LeaseLapsed, Fenced, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
-		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited, ServerCooldown, VersionGone,
+		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited, ServerCooldown, VersionGone, VersionUnknown,
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -132,11 +132,20 @@
 
 // Broadcast sends p in datagrams to all reachable peers. It fills in the sender.
 func (s *Service) Broadcast(p *Placement) {
-	s.mu.Lock()
-	reachable := s.members.Reachable(time.Now())
-	s.mu.Unlock()
+	s.Send(s.Reachable(), p)
+}
+
+// Send sends p in datagrams to some peers. It fills in the sender.
+func (s *Service) Send(to []string, p *Placement) {
 	p.Addr, p.Incarnation = s.self, s.incarnation
-	s.datagrams.send(reachable, p)
+	s.datagrams.send(to, p)
+}
+
+// Reachable returns the addresses of the other gateways that communicate.
+func (s *Service) Reachable() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Reachable(time.Now())
 }
 
 // Announce triggers an exchange with every peer at once. It is for updates that only this gateway has, since
--- /dev/null
+++ b/policy/streamversion/streamversion.go
@@ -0,0 +1,192 @@
+// Package streamversion decides at which software version a stream may go on that a client takes up again.
+//
+// Load pattern: for tens of seconds, during a rollout, engines of two or three versions serve side by side, and what two
+// versions write does not fit together. Routers are killed, restarted and cut off meanwhile, and the clients of their
+// streams take these up at other routers within a second. So the version of each stream that may be resumed is known
+// to more than the router that began it, and a stream goes on at that version or, if nobody knows it, only if one
+// version alone can have begun it.
+//
+// The package is deterministic and takes times from its caller. Its types are not safe for concurrent use.
+package streamversion
+
+import (
+	"cmp"
+	"hash/fnv"
+	"io"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Key identifies a stream among those that clients may take up. Two streams have the same key with a probability of
+// 2^-64.
+type Key uint64
+
+// KeyOf returns the key of the stream of a service that a customer's request began; id is the ID of that request.
+func KeyOf(service, customer, id string) Key {
+	h := fnv.New64a()
+	for _, part := range []string{service, customer, id} {
+		// A hash returns no error.
+		_, _ = io.WriteString(h, part)
+		_, _ = h.Write([]byte{0})
+	}
+	return Key(h.Sum64())
+}
+
+// Record is the version at which a stream was begun, kept until its client can't take it up any more.
+type Record struct {
+	Version string
+	Until   time.Time
+}
+
+// maxRecords bounds the records of one router, which take 5 MB. One of the size to design for has 1,300.
+const maxRecords = 1 << 16
+
+// Records are the streams of which a router knows the version. The zero value is not usable; see NewRecords.
+type Records struct {
+	byKey map[Key]Record
+}
+
+// NewRecords returns no records.
+func NewRecords() *Records { return &Records{byKey: map[Key]Record{}} }
+
+// Put records the version of a stream. A known version stays; the record is kept until the later of the two times. It
+// returns false if there is no room.
+func (r *Records) Put(k Key, rec Record, now time.Time) bool {
+	old, ok := r.byKey[k]
+	if ok && now.Before(old.Until) {
+		rec = Record{Version: old.Version, Until: later(old.Until, rec.Until)}
+	} else if !ok && len(r.byKey) >= maxRecords {
+		return false
+	}
+	r.byKey[k] = rec
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Get returns the record of a stream.
+func (r *Records) Get(k Key, now time.Time) (Record, bool) {
+	rec, ok := r.byKey[k]
+	return rec, ok && now.Before(rec.Until)
+}
+
+// Expire drops the records that are no longer needed.
+func (r *Records) Expire(now time.Time) {
+	maps.DeleteFunc(r.byKey, func(_ Key, rec Record) bool { return !now.Before(rec.Until) })
+}
+
+// Len returns the number of records.
+func (r *Records) Len() int { return len(r.byKey) }
+
+// Window is how long a version that is no longer listed may still be that of a stream which a client takes up: engines
+// serve for some seconds after they have left the list, and clients come back within the time that they have left.
+const Window = 30 * time.Second
+
+// Seen are the versions of the engines of each service that a router has lately seen listed.
+type Seen struct {
+	// since is when the router began to see lists.
+	since    time.Time
+	services map[string]map[string]time.Time
+}
+
+// NewSeen returns the versions of a router that has seen no list.
+func NewSeen() *Seen { return &Seen{services: map[string]map[string]time.Time{}} }
+
+// Observe records that an engine of a service is listed with a version now. An unknown version is ignored.
+func (s *Seen) Observe(service, version string, now time.Time) {
+	if s.since.IsZero() {
+		s.since = now
+	}
+	if version == "" {
+		return
+	}
+	versions, ok := s.services[service]
+	if !ok {
+		versions = map[string]time.Time{}
+		s.services[service] = versions
+	}
+	versions[version] = now
+}
+
+// Expire drops the versions that were not listed within the window.
+func (s *Seen) Expire(now time.Time) {
+	for service, versions := range s.services {
+		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > Window })
+		if len(versions) == 0 {
+			delete(s.services, service)
+		}
+	}
+}
+
+// Versions returns the versions that may have begun a stream of a service, in order.
+func (s *Seen) Versions(service string) []string {
+	return slices.Sorted(maps.Keys(s.services[service]))
+}
+
+// Several reports whether engines of more than one version of a service may have begun streams.
+func (s *Seen) Several(service string) bool { return len(s.services[service]) > 1 }
+
+// Complete reports whether the router has seen lists for the whole window, so that it has missed no version.
+func (s *Seen) Complete(now time.Time) bool {
+	return !s.since.IsZero() && now.Sub(s.since) >= Window
+}
+
+// Decide returns the version at which a stream goes on of which no router that was asked knows the beginning, given the
+// versions that may have begun it: the only one; empty if engines report none. ok is false if it may not go on.
+func Decide(possible []string) (version string, ok bool) {
+	switch len(possible) {
+	case 0:
+		return "", true
+	case 1:
+		return possible[0], true
+	default:
+		return "", false
+	}
+}
+
+const (
+	// allKnow is the number of other routers up to which each is told of each stream.
+	allKnow = 8
+	// owners is the number of routers that are told of a stream where there are more, and maxAsked that of routers that are
+	// asked: two more, in case the routers that were told are gone.
+	owners   = 2
+	maxAsked = owners + 2
+)
+
+// Told returns which of the other routers are told of a stream.
+func Told(k Key, others []string) []string { return choose(k, others, owners) }
+
+// Asked returns which of the other routers are asked for a stream.
+func Asked(k Key, others []string) []string { return choose(k, others, maxAsked) }
+
+// choose returns the routers with the highest weights for a key, by rendezvous hashing: if one leaves, the next takes
+// its place, and all routers choose the same ones.
+func choose(k Key, others []string, n int) []string {
+	if len(others) <= allKnow {
+		return others
+	}
+	weights := make(map[string]uint64, len(others))
+	for _, addr := range others {
+		weights[addr] = weight(k, addr)
+	}
+	sorted := slices.SortedFunc(slices.Values(others), func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return sorted[:n]
+}
+
+func weight(k Key, addr string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, addr)
+	x := h.Sum64() ^ uint64(k)
+	// The finalizer of SplitMix64: FNV alone orders similar addresses alike for all keys.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
