gateway: read the list of servers when gateways of an earlier release tell it

Cause: in a rolling restart of ours the gateways of the earlier release tell the list without versions; a newer one would forget versions that it knew, or take engines of two versions for alike. Change: a version once known stays until another one is reported; a gateway that was told of engines without versions reads the list from the store itself, once per change. No mixed fleet was run yet.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -106,9 +106,9 @@
 func (s *Service) isStoreReader() bool { return s.peers.Rank() < storeReaders }
 
 // shouldReadServers reports whether this process is to read the server list from the store: store readers always do,
-// other gateways when no reading has been reported for a while.
+// other gateways when no reading has been reported for a while, and when the list that they were told lacks versions.
 func (s *Service) shouldReadServers() bool {
-	if s.isStoreReader() {
+	if s.isStoreReader() || s.view.lacksVersions() {
 		return true
 	}
 	now := time.Now()
--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -31,6 +32,9 @@
 	}
 	v.recordChange(version, before, after)
 	v.listed, v.listDigest = true, 0
+	if !unchanged {
+		v.changedAt = now
+	}
 	clear(v.usable)
 	return !unchanged, nil
 }
@@ -129,6 +133,16 @@
 	v.lastRead, v.lastConfirmed = now, now
 }
 
+// lacksVersions reports whether the list came from gateways that don't report the software versions of engines, and this
+// process has not read it from the store since.
+func (v *view) lacksVersions() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lastRead.Before(v.changedAt) && slices.ContainsFunc(v.registry.List(), func(s registry.Server) bool {
+		return s.Stage != registry.Whole && s.Version == "" && !s.Unusable
+	})
+}
+
 func equal(a, b []registry.Server) bool {
 	if len(a) != len(b) {
 		return false
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -42,6 +42,8 @@
 	// listDigest is a digest of the list; zero until it is needed.
 	listDigest              uint64
 	lastRead, lastConfirmed time.Time
+	// changedAt is when the list last changed here.
+	changedAt time.Time
 	// proofs tracks how recently the table was proved to be the newest.
 	proofs *proofs
 	// onReplaced is called with incarnations of servers that a later one has replaced, without mu held.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -221,6 +221,10 @@
 		s = e.Server
 		s.Unusable, s.Leaving = true, s.Leaving || leaving
 	}
+	if s.Version == "" {
+		// From a process that does not report versions.
+		s.Version = e.Version
+	}
 	s.Leaving = s.Leaving || e.Leaving
 	if s.Leaving {
 		r.leaving[s.ID] = struct{}{}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -138,3 +138,16 @@
 	r.Apply(2, []registry.Server{server("a")}, at(1))
 	assert.Equal(t, usable(r), "", "a later snapshot does not make it usable again")
 }
+
+// TestKnownVersionStays: a list from a process that does not report versions erases none, and a later version replaces an
+// earlier one of a server that started again under its name.
+func TestKnownVersionStays(t *testing.T) {
+	r := registry.New()
+	for i, c := range []struct{ listed, want string }{{"", ""}, {"v1", "v1"}, {"", "v1"}, {"v2", "v2"}} {
+		s := server("a")
+		s.Version = c.listed
+		r.Apply(store.Position(i+1), []registry.Server{s}, at(float64(i)))
+		got, _ := r.Get("a")
+		assert.Equal(t, got.Version, c.want, "%d", i)
+	}
+}
