streamversions: a gateway that starts alone knows which versions served before

Cause: when all gateways start anew within seconds after the last engine of a version has left, the list shows one version, and a stream that nobody knows went on at it though the other one may have begun it. Change: while a service has several versions, the gateways that read the store for all keep their names in a row of the table versions. A gateway that has seen lists for less than 30 s and finds no other one that has seen them for longer reads the row once; if it can't, the stream is turned away. Nothing is written for a service that never had several versions; a gateway reads the row only for a stream that nobody knows in its first 30 s. Measured: TestTakenUpAfterVersionLeftToo fails without the row (200 at the new version) and passes with it; TestTakenUpWithOneVersion passes; tests of gateway and forward pass.

--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/freshness"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
+	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -80,8 +81,8 @@
 		Engines: engines,
 		Orders:  engines,
 		Lease:   fencing.New(store.Table(ordersTable), ordersKey, set.VM, nil),
-		Holds:   store.Table(holdback.TableName),
-		Pool:    pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
+		Holds:   store.Table(holdback.TableName), Versions: store.Table(streamversions.TableName),
+		Pool: pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/forward/env_test.go
+++ b/forward/env_test.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
 	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
@@ -205,7 +206,7 @@
 	}
 	table.Build()
 	w.view = &view{table: table, lookups: map[string]int{}, markedLeaving: map[string]bool{}}
-	w.streams = streamversions.New(noRouters{}, w.met)
+	w.streams = streamversions.New(noRouters{}, streamversions.NewHistory(memory.New(memory.Options{}).Table()), w.met)
 	l := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.logged}}
 	w.guard = holdback.New(l, w.met, false)
 	pool := upstream.New(upstream.Options{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,8 @@
 	Lease  *fencing.Lease
 	// Holds persists which requests are quarantined.
 	Holds holdback.Table
+	// Versions persists which software versions of each service were seen; see streamversions.History.
+	Versions store.Table
 	// Clock continues while the VM is suspended; nil stands for that of package clock.
 	Clock   func() time.Duration
 	Pool    *upstream.Pool
@@ -185,7 +187,7 @@
 	s.peerLoads = newPeerLoads(s.view.incarnationID)
 	s.view.onReplaced = s.incarnationsReplaced
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, settings.Off.Has(mechanism.Quarantine)), d.Holds
-	s.streams = streamversions.New(streamNetwork{s}, d.Metrics)
+	s.streams = streamversions.New(streamNetwork{s}, streamversions.NewHistory(d.Versions), d.Metrics)
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas, Streams: s.streams,
 		Log: d.Log, Metrics: d.Metrics, VM: settings.VM, Zone: settings.Zone, Retry: settings.Retry, Off: settings.Off,
@@ -211,6 +213,7 @@
 	s.work.Go(func() { s.exchangeReports(ctx) })
 	s.work.Go(func() { s.planStages(ctx) })
 	s.startQuarantine(ctx)
+	s.work.Go(func() { s.keepVersions(ctx) })
 	if !s.settings.Off.Has(mechanism.Datagrams) {
 		s.work.Go(func() { s.announceChanges(ctx) })
 		s.work.Go(func() { s.announceStreams(ctx) })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscusspur/hibiscusspur/platform"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
+	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -64,8 +65,8 @@
 	p.s = gateway.New(settings, gateway.Deps{
 		Store: client, Codec: platform.Codec{}, Engines: engines, Orders: engines,
 		Lease: fencing.New(client.Table("hibiscusspur"), "orders", vm, nil),
-		Holds: client.Table(holdback.TableName),
-		Pool:  pool, Log: l, Batch: event.NewBatch(io.Discard), Metrics: metrics.NewSet(),
+		Holds: client.Table(holdback.TableName), Versions: client.Table(streamversions.TableName),
+		Pool: pool, Log: l, Batch: event.NewBatch(io.Discard), Metrics: metrics.NewSet(),
 	})
 	k := kernel.New()
 	k.Register(p.s)
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -74,7 +74,9 @@
 func (s *Service) receiveStreams(p *peer.Placement) {
 	s.streams.Receive(decodeStreams(p.GetStreamVersions(), time.Now()))
 	for _, u := range p.GetUnknownStreams() {
-		s.streams.ReceiveUnknown(p.GetAddr(), streamversions.Unknown{Stream: streamversion.Key(u.GetStream()), Seen: validVersions(u.GetSeen())})
+		s.streams.ReceiveUnknown(p.GetAddr(), streamversions.Unknown{
+			Stream: streamversion.Key(u.GetStream()), Seen: validVersions(u.GetSeen()), Complete: u.GetComplete(),
+		})
 	}
 	queries := p.GetStreamQueries()
 	if len(queries) == 0 || p.GetAddr() == "" {
@@ -88,7 +90,7 @@
 			known = append(known, u)
 			continue
 		}
-		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{Stream: uint64(unknown.Stream), Seen: unknown.Seen})
+		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{Stream: uint64(unknown.Stream), Seen: unknown.Seen, Complete: unknown.Complete})
 	}
 	answer.StreamVersions = encodeStreams(known, time.Now())
 	s.peers.Send([]string{p.GetAddr()}, answer)
@@ -144,6 +146,13 @@
 	return out
 }
 
+// keepVersions keeps in the store which versions of each service were seen, until ctx ends.
+func (s *Service) keepVersions(ctx context.Context) {
+	dep := &dependency{s: s, what: "versions kept"}
+	wait := func(failures int) { sleep.For(ctx, s.nextStoreRetry(failures)) }
+	s.streams.KeepHistory(ctx, s.isStoreReader, dep.record, wait)
+}
+
 // observeVersions has the directory of streams take the list of servers in force.
 func (s *Service) observeVersions() {
 	list, _ := s.view.list()
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
+	"github.com/hibiscusspur/hibiscusspur/streamversions"
 )
 
 // versionsDatagramPort is the UDP port of the gateways, each of which has a loopback address of its own.
@@ -162,3 +163,32 @@
 	status, engine := v.takeUp(b, "again", "first")
 	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
 }
+
+// TestTakenUpAfterVersionLeftToo guards against the same when the version that began the stream has left the list as well,
+// so that a gateway that has just started sees one version only.
+func TestTakenUpAfterVersionLeftToo(t *testing.T) {
+	v := newVersionsSite(t)
+	v.list(v.new, "v2")
+	a := v.start("g1")
+	v.waitListed(a)
+	v.begin(a, "first")
+	waitUntil(t, "the versions are kept", func() bool { return strings.Contains(string(v.store.Value(streamversions.TableName, "llm")), `"v1","v2"`) })
+	v.store.Put("servers", "old", nil)
+	a.stop()
+	assert.NilError(t, <-a.done)
+	a.done = nil
+	b := v.start("g2")
+	status, engine := v.takeUp(b, "again", "first")
+	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
+	status, engine = v.takeUp(b, "again-2", "first")
+	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
+}
+
+// TestTakenUpWithOneVersion guards against turning away streams that nobody knows where all engines have one version.
+func TestTakenUpWithOneVersion(t *testing.T) {
+	v := newVersionsSite(t)
+	a := v.start("g1")
+	status, engine := v.takeUp(a, "again", "first")
+	assert.Check(t, status == 200 && engine == "old", "%d at %q", status, engine)
+	assert.Check(t, v.store.Value(streamversions.TableName, "llm") == nil, "nothing is kept")
+}
--- a/policy/streamversion/streamversion.go
+++ b/policy/streamversion/streamversion.go
@@ -137,19 +137,39 @@
 	return !s.since.IsZero() && now.Sub(s.since) >= Window
 }
 
-// Decide returns the version at which a stream goes on of which no router that was asked knows the beginning, given the
-// versions that may have begun it: the only one; empty if engines report none. ok is false if it may not go on.
-func Decide(possible []string) (version string, ok bool) {
-	switch len(possible) {
-	case 0:
+// Possible are the versions that may have begun a stream of which no router that was asked knows the beginning.
+type Possible struct {
+	Versions []string
+	// Complete is set if no other version can have begun it.
+	Complete bool
+}
+
+// With returns what is possible by p and by what another router, or the store, knows.
+func (p Possible) With(other Possible) Possible {
+	versions := slices.Concat(p.Versions, other.Versions)
+	slices.Sort(versions)
+	return Possible{Versions: slices.Compact(versions), Complete: p.Complete || other.Complete}
+}
+
+// Only returns the only version that can have begun the stream; empty if engines report none. ok is false if there may be
+// others, so that the stream may not go on.
+func (p Possible) Only() (version string, ok bool) {
+	switch {
+	case len(p.Versions) == 0:
 		return "", true
-	case 1:
-		return possible[0], true
+	case len(p.Versions) == 1 && p.Complete:
+		return p.Versions[0], true
 	default:
 		return "", false
 	}
 }
 
+// Decided reports whether there is only one version, or none are reported, so that no other router need be asked.
+func (p Possible) Decided() bool {
+	_, ok := p.Only()
+	return ok
+}
+
 const (
 	// allKnow is the number of other routers up to which each is told of each stream.
 	allKnow = 8
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -103,6 +103,13 @@
 	s.put(Row{Table: table, Key: key, Value: value, Deleted: value == nil})
 }
 
+// Value returns the value of a row, nil if there is none.
+func (s *Store) Value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey(table, "", key)].Value
+}
+
 // put writes a row in a transaction of its own. The caller holds mu.
 func (s *Store) put(r Row) {
 	s.ver++
--- a/streamversions/lookup.go
+++ b/streamversions/lookup.go
@@ -21,10 +21,10 @@
 	// asked are the routers that have not answered.
 	asked   map[string]struct{}
 	version string
-	// seen are the versions seen by those that don't know the stream.
-	seen  []string
-	done  chan struct{}
-	ended bool
+	// possible are the versions that may have begun the stream, by those that don't know it.
+	possible streamversion.Possible
+	done     chan struct{}
+	ended    bool
 }
 
 func (l *lookup) end() {
@@ -40,25 +40,25 @@
 }
 
 // unknown records that a router does not know the stream.
-func (l *lookup) unknown(from string, seen []string) {
+func (l *lookup) unknown(from string, u Unknown) {
 	if _, ok := l.asked[from]; !ok {
 		return
 	}
 	delete(l.asked, from)
-	l.seen = append(l.seen, seen...)
+	l.possible = l.possible.With(streamversion.Possible{Versions: u.Seen, Complete: u.Complete})
 	if len(l.asked) == 0 {
 		l.end()
 	}
 }
 
-// ask asks other routers for a stream. It returns its version, or else the versions that they have seen.
-func (d *Directory) ask(ctx context.Context, service string, k streamversion.Key) (version string, seen []string) {
+// ask asks other routers for a stream. It returns its version, or else the versions that may have begun it.
+func (d *Directory) ask(ctx context.Context, service string, k streamversion.Key) (string, streamversion.Possible) {
 	l := &lookup{asked: map[string]struct{}{}, done: make(chan struct{})}
 	for _, addr := range streamversion.Asked(k, d.network.Others()) {
 		l.asked[addr] = struct{}{}
 	}
 	if len(l.asked) == 0 {
-		return "", nil
+		return "", streamversion.Possible{}
 	}
 	d.mu.Lock()
 	d.lookups[k] = append(d.lookups[k], l)
@@ -67,7 +67,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forget(k, l)
-	return l.version, l.seen
+	return l.version, l.possible
 }
 
 // await waits until the lookup has ended, and asks those again that have not answered.
@@ -106,6 +106,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range d.lookups[u.Stream] {
-		l.unknown(from, u.Seen)
+		l.unknown(from, u)
 	}
 }
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,18 +32,21 @@
 	streamversion.Record
 }
 
-// Unknown is the answer of a router that does not know a stream: the versions that it has seen listed.
+// Unknown is the answer of a router that does not know a stream: the versions that it has seen listed. Complete is set if
+// it has missed none that can have begun the stream.
 type Unknown struct {
-	Stream streamversion.Key
-	Seen   []string
+	Stream   streamversion.Key
+	Seen     []string
+	Complete bool
 }
 
 // Directory is the local knowledge of one router. It implements forward.StreamVersions and is safe for concurrent use.
 type Directory struct {
 	network Network
+	history *History
 	metrics *metrics.Set
-	// updated is signalled when TakeUpdates has something to return.
-	updated chan struct{}
+	// updated is signalled when TakeUpdates has something to return, historyDue when KeepHistory has something to write.
+	updated, historyDue chan struct{}
 
 	mu      sync.Mutex
 	records *streamversion.Records
@@ -56,17 +58,20 @@
 	// several are the services of which more than one version was seen when the list was last observed.
 	several map[string]bool
 	lookups map[streamversion.Key][]*lookup
+	// stored are the versions of each service in the history, as last read or written here.
+	stored map[string][]string
 }
 
 var _ forward.StreamVersions = (*Directory)(nil)
 
-// New returns an empty directory.
-func New(n Network, m *metrics.Set) *Directory {
+// New returns an empty directory. Without a history, nil, a router that has just started and finds no other one that has
+// seen lists for long turns streams away that nobody knows.
+func New(n Network, h *History, m *metrics.Set) *Directory {
 	return &Directory{
-		network: n, metrics: m, updated: make(chan struct{}, 1),
+		network: n, history: h, metrics: m, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1),
 		records: streamversion.NewRecords(), seen: streamversion.NewSeen(),
 		own: map[streamversion.Key]string{}, pending: map[streamversion.Key]struct{}{}, several: map[string]bool{},
-		lookups: map[streamversion.Key][]*lookup{},
+		lookups: map[streamversion.Key][]*lookup{}, stored: map[string][]string{},
 	}
 }
 
@@ -88,6 +93,7 @@
 			d.tellAll(s.Service, several)
 		}
 	}
+	d.noteHistory()
 }
 
 // tellAll marks the streams of a service to be told, if it has several versions. The caller holds mu.
@@ -150,21 +156,23 @@
 	k, now := keyOf(s), time.Now()
 	d.mu.Lock()
 	rec, known := d.records.Get(k, now)
-	possible, complete := d.seen.Versions(s.Service), d.seen.Complete(now)
+	possible := streamversion.Possible{Versions: d.seen.Versions(s.Service), Complete: d.seen.Complete(now)}
 	d.mu.Unlock()
 	if s.ID != "" && known {
 		return rec.Version, foundHere
 	}
-	if s.ID != "" && (len(possible) > 1 || !complete) {
-		version, seen := d.ask(ctx, s.Service, k)
+	if s.ID != "" && !possible.Decided() {
+		version, others := d.ask(ctx, s.Service, k)
 		if version != "" {
 			return version, foundElsewhere
 		}
-		possible = append(possible, seen...)
-		slices.Sort(possible)
-		possible = slices.Compact(possible)
+		possible = possible.With(others)
+	}
+	if len(possible.Versions) == 1 && !possible.Complete {
+		kept, ok := d.kept(ctx, s.Service)
+		possible = possible.With(streamversion.Possible{Versions: kept, Complete: ok})
 	}
-	version, ok := streamversion.Decide(possible)
+	version, ok := possible.Only()
 	switch {
 	case ok:
 		return version, onlyVersion
@@ -213,11 +221,12 @@
 func (d *Directory) Answer(service string, k streamversion.Key) (u Update, unknown Unknown, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rec, known := d.records.Get(k, time.Now())
+	now := time.Now()
+	rec, known := d.records.Get(k, now)
 	if known {
 		return Update{Stream: k, Record: rec}, Unknown{}, true
 	}
-	return Update{}, Unknown{Stream: k, Seen: d.seen.Versions(service)}, false
+	return Update{}, Unknown{Stream: k, Seen: d.seen.Versions(service), Complete: d.seen.Complete(now)}, false
 }
 
 // Expire drops what is no longer needed.
