proofs: the soak plays engines of several versions, answers that end with their connection, and clients that resume elsewhere

Change: new kinds of faults (an engine of the next version replaces one, answers without a length or chunks, streams that end inside an event), clients that take streams up at any gateway, a run of its own with two versions and slow streams, and a check that no stream holds events of two versions.

--- a/forward/truncated_test.go
+++ b/forward/truncated_test.go
@@ -22,7 +22,7 @@
 	t.Run("connection", func(t *testing.T) {
 		f(t, func(w *testEnv) {
 			for _, s := range w.servers {
-				s.FrameByConnection()
+				s.FrameByConnection(true)
 			}
 		})
 	})
@@ -90,7 +90,7 @@
 func TestTruncatedEventsOfPlainService(t *testing.T) {
 	w := newPlainEnv(t)
 	for _, s := range w.servers {
-		s.FrameByConnection()
+		s.FrameByConnection(true)
 		s.Behave(site.Answer, site.TruncatedEvents)
 	}
 	got := w.post(t, "/once/1")
@@ -108,7 +108,7 @@
 	w := newEngineEnv(t)
 	w.add(t, "p1", "plain", registry.Whole)
 	for _, s := range w.servers {
-		s.FrameByConnection()
+		s.FrameByConnection(true)
 	}
 	got := w.post(t, "/draft/1")
 	assert.Equal(t, got.body, whole)
@@ -123,7 +123,7 @@
 	w := newEngineEnv(t)
 	w.add(t, "p1", "plain", registry.Whole)
 	for _, s := range w.servers {
-		s.FrameByConnection()
+		s.FrameByConnection(true)
 	}
 	w.servers["p1"].Behave(site.CutBody)
 	assert.Equal(t, w.post(t, "/once/1").status, 502)
--- a/proofs/gateway_cluster_test.go
+++ b/proofs/gateway_cluster_test.go
@@ -28,6 +28,8 @@
 	service string
 	stage   registry.Stage
 	relay   *relay
+	// version is that of its software.
+	version string
 	// crashed is set once the server has crashed for good; guarded by the cluster's lock.
 	crashed bool
 }
@@ -56,6 +58,9 @@
 	version int
 	started int
 	servers []*clusterServer
+	// software is the software version of servers that start, and versions that of each server that has started, by ID.
+	software string
+	versions map[string]string
 	// crashes counts the crashed servers whose replacement is in progress.
 	crashes sync.WaitGroup
 }
@@ -63,7 +68,7 @@
 // newGatewayCluster starts the given number of gateways in front of plain servers and engines.
 func newGatewayCluster(t *testing.T, gateways int) *gatewayCluster {
 	t.Helper()
-	c := &gatewayCluster{t: t, dir: t.TempDir(), log: site.NewLog(), store: site.NewStore(t), keys: newTenantKeys()}
+	c := &gatewayCluster{t: t, dir: t.TempDir(), log: site.NewLog(), store: site.NewStore(t), keys: newTenantKeys(), software: "v1", versions: map[string]string{}}
 	for range 3 {
 		c.addServer(plainService, registry.Whole)
 	}
@@ -90,9 +95,10 @@
 func (c *gatewayCluster) addServer(service string, stage registry.Stage) *clusterServer {
 	c.mu.Lock()
 	c.started++
-	id := fmt.Sprintf("i-%s-%d", service, c.started)
+	id, version := fmt.Sprintf("i-%s-%d", service, c.started), c.software
+	c.versions[id] = version
 	c.mu.Unlock()
-	s := &clusterServer{Server: site.NewServer(c.t, id, c.log), service: service, stage: stage}
+	s := &clusterServer{Server: site.NewServer(c.t, id, c.log), service: service, stage: stage, version: version}
 	s.Restart(time.Now().UnixMilli(), false)
 	s.relay = newRelay(c.t, s.Addr())
 	s.SetAddr(s.relay.addr)
@@ -117,7 +123,7 @@
 		return
 	}
 	e := site.Entry{
-		Service: s.service, Addr: s.relay.addr, Zone: "z1", Version: "v1", Slots: 48, State: state, Seq: 1,
+		Service: s.service, Addr: s.relay.addr, Zone: "z1", Version: s.version, Slots: 48, State: state, Seq: 1,
 		Born: s.Born(),
 	}
 	if s.stage != registry.Whole {
--- a/proofs/gateway_observer_test.go
+++ b/proofs/gateway_observer_test.go
@@ -39,6 +39,7 @@
 	newestShown   map[string]int
 	crashing      *crashingRequests
 	announcements announcements
+	takeUps       takeUps
 }
 
 // acceptedManifest is a manifest that the store has accepted.
@@ -66,6 +67,7 @@
 		return
 	}
 	w.checkTenant(call)
+	w.recordVersion(call)
 	if !call.Returned {
 		e.Kind = invariant.WorkAccepted
 		w.rec.Add(e)
@@ -97,6 +99,12 @@
 	// target and body are those of a request that is sent repeatedly under different IDs; empty for all
 	// others.
 	target, body string
+	// resumes is the ID of the request that began the stream which this one resumes behind its first events; empty for
+	// all others.
+	resumes string
+	first   int
+	// received counts the events that the client received; nil if nobody counts.
+	received *int
 }
 
 func (q gatewayRequest) streams() bool      { return q.route == "draft" || q.route == "resume" }
@@ -108,7 +116,7 @@
 		return "answer to " + q.path()
 	}
 	var b strings.Builder
-	for i := range site.Events {
+	for i := q.first; i < site.Events; i++ {
 		b.WriteString(token(i))
 	}
 	return b.String()
@@ -148,7 +156,13 @@
 		if rng.IntN(8) == 0 {
 			q.leaveAfter = time.Duration(rng.IntN(int(100 * time.Millisecond)))
 		}
-		w.sendRecorded(w.c.gateways[rng.IntN(len(w.c.gateways))], q)
+		gateway := func() *clusterGateway { return w.c.gateways[rng.IntN(len(w.c.gateways))] }
+		if q.route == "resume" {
+			q.leaveAfter = max(q.leaveAfter, time.Duration(rng.IntN(2)*rng.IntN(1+int(w.takeUps.leaveWithin))))
+			w.sendUntilWhole(gateway, q)
+			continue
+		}
+		w.sendRecorded(gateway(), q)
 	}
 }
 
@@ -235,6 +249,10 @@
 		h.Set(site.Tokens, fmt.Sprint("1000,", streamTokens))
 		h.Set(site.LengthHint, strconv.Itoa(streamTokens))
 	}
+	if q.resumes != "" {
+		h.Set(site.Resumes, q.resumes)
+		h.Set("Last-Event-Id", strconv.Itoa(q.first))
+	}
 	method := http.MethodPost
 	if q.kind() == "safe" || q.kind() == "v" {
 		method = http.MethodGet
@@ -300,7 +318,10 @@
 		if _, err := fmt.Sscanf(data, "token %d", &position); err != nil {
 			continue // truncated event; the scanner reports the end of the stream
 		}
-		w.rec.Add(invariant.Event{Kind: invariant.Token, Request: q.id, Node: e.Node, Position: position - 1, Text: data})
+		w.rec.Add(invariant.Event{Kind: invariant.Token, Request: q.id, Node: e.Node, Position: position - 1 - q.first, Text: data})
+		if q.received != nil {
+			*q.received++
+		}
 		text.WriteString(data)
 	}
 	return text.String(), lines.Err()
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -68,6 +68,7 @@
 		t.Run(fmt.Sprint("seed ", seed+i), func(t *testing.T) { soak(t, seed+i, n, allKinds) })
 	}
 	t.Run("copies of runs", func(t *testing.T) { soak(t, seed, copyFaults, copiesOnly) })
+	t.Run("software versions", func(t *testing.T) { soak(t, seed, versionFaults, versionsOnly) })
 	for _, r := range soakRegressions {
 		t.Run(fmt.Sprint("seed ", r.seed, ": ", r.cause), func(t *testing.T) { soak(t, r.seed, r.faults, r.kinds) })
 	}
@@ -77,14 +78,19 @@
 	// allKinds selects all fault kinds, copiesOnly those after which streams continue from copies, without requests that
 	// crash servers: of all kinds, few draws are of these.
 	allKinds, copiesOnly = -1, -2
-	// copyFaults is the number of faults of a run with copiesOnly.
-	copyFaults = 10
+	// versionsOnly selects those of rollouts, and of gateways whose streams are taken up elsewhere.
+	versionsOnly = -3
+	// copyFaults is the number of faults of a run with copiesOnly, versionFaults that of one with versionsOnly.
+	copyFaults, versionFaults = 10, 14
 )
 
 func soak(t *testing.T, seed uint64, n, kinds int) {
 	c := newGatewayCluster(t, soakGateways)
 	w := newGatewayObserver(c)
 	x := &soaker{faults: newFaults(seed), c: c, w: w}
+	if kinds == versionsOnly {
+		w.takeUps.leaveWithin = clientTimeout / 2
+	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for i := range soakClients {
@@ -96,6 +102,10 @@
 		w.crashing.begin(seed)
 	case copiesOnly:
 		drawn = x.copyKinds()
+	case versionsOnly:
+		c.beginRollOut()
+		drawn = slices.Concat(x.versionKinds(), x.kinds()[:gatewayKinds], x.versionKinds()[:1])
+		defer w.slowStreams()()
 	default:
 		drawn = drawn[:kinds]
 	}
@@ -108,6 +118,7 @@
 	w.c.keys.probing.Wait()
 	w.checkQuota()
 	w.checkAnnouncements()
+	w.checkTakeUps()
 	w.crashing.check()
 	w.awaitRecovery(recoveryBound)
 	close(stop)
@@ -180,9 +191,12 @@
 // everyKind returns all fault kinds in the order in which they were added: the regression seeds draw from the
 // first ones only.
 func (x *soaker) everyKind() []faultKind {
-	return slices.Concat(x.kinds(), x.keyKinds(), x.announcementKinds(), x.restoreKinds(), x.copyKinds())
+	return slices.Concat(x.kinds(), x.keyKinds(), x.announcementKinds(), x.restoreKinds(), x.copyKinds(), x.versionKinds())
 }
 
+// gatewayKinds is the number of kinds that come first, of gateways that are killed, frozen or shut down.
+const gatewayKinds = 4
+
 func (x *soaker) gateway(i int) *clusterGateway { return x.c.gateways[i%len(x.c.gateways)] }
 
 func (x *soaker) server(i int) *clusterServer {
--- a/standin/site/framing.go
+++ b/standin/site/framing.go
@@ -9,9 +9,9 @@
 	"strings"
 )
 
-// FrameByConnection makes answers to requests carry neither a length nor chunks, so that they end with their
-// connection. An aborted answer resets the connection.
-func (s *Server) FrameByConnection() { s.connectionFramed.Store(true) }
+// FrameByConnection sets whether answers to requests carry neither a length nor chunks, so that they end with their
+// connection. An aborted answer resets the connection then.
+func (s *Server) FrameByConnection(on bool) { s.connectionFramed.Store(on) }
 
 // withFraming frames answers to requests as the server was told to.
 func (s *Server) withFraming(h http.HandlerFunc) http.HandlerFunc {
