--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -103,8 +103,10 @@
 
 // ReceivePlacement implements peer.LocalState.
 func (s *Service) ReceivePlacement(p *peer.Placement) {
+	if s.receiveStreams(p) {
+		return
+	}
 	s.view.receiveLeaving(p.GetLeavingServers())
-	s.receiveStreams(p)
 	s.guard.Receive(p.GetSuspects(), "gateway "+p.GetAddr())
 	s.quotas.receive(p.GetAddr(), p.GetIncarnation(), false, p.GetUsages())
 	s.fwd.ServerLimits().Receive(p.GetAddr(), p.GetIncarnation(), false, decodeServerLimits(p.GetServerLimits(), time.Now()))
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -70,30 +70,40 @@
 	}
 }
 
-// receiveStreams handles what a datagram says of streams, and answers its queries.
-func (s *Service) receiveStreams(p *peer.Placement) {
+// receiveStreams handles what a datagram says of streams, and reports whether it is about streams: those contain nothing
+// else.
+func (s *Service) receiveStreams(p *peer.Placement) bool {
+	if p.GetStreamVersions() == nil && len(p.GetStreamQueries())+len(p.GetUnknownStreams()) == 0 {
+		return false
+	}
 	s.streams.Receive(decodeStreams(p.GetStreamVersions(), time.Now()))
 	for _, u := range p.GetUnknownStreams() {
 		s.streams.ReceiveUnknown(p.GetAddr(), streamversions.Unknown{
 			Stream: streamversion.Key(u.GetStream()), Seen: validVersions(u.GetSeen()), Complete: u.GetComplete(),
 		})
 	}
-	queries := p.GetStreamQueries()
-	if len(queries) == 0 || p.GetAddr() == "" {
-		return
+	if queries := p.GetStreamQueries(); len(queries) > 0 && p.GetAddr() != "" {
+		s.peers.Send([]string{p.GetAddr()}, s.answerQueries(queries[:min(len(queries), maxStreamQueries)]))
 	}
-	var known []streamversions.Update
+	return true
+}
+
+// answerQueries says of each stream at which version it was begun, or that it is not known here.
+func (s *Service) answerQueries(queries []*peer.StreamQuery) *peer.Placement {
 	answer := &peer.Placement{}
-	for _, q := range queries[:min(len(queries), maxStreamQueries)] {
+	var known []streamversions.Update
+	for _, q := range queries {
 		u, unknown, ok := s.streams.Answer(q.GetService(), streamversion.Key(q.GetStream()))
 		if ok {
 			known = append(known, u)
 			continue
 		}
-		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{Stream: uint64(unknown.Stream), Seen: unknown.Seen, Complete: unknown.Complete})
+		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{
+			Stream: uint64(unknown.Stream), Seen: unknown.Seen, Complete: unknown.Complete,
+		})
 	}
 	answer.StreamVersions = encodeStreams(known, time.Now())
-	s.peers.Send([]string{p.GetAddr()}, answer)
+	return answer
 }
 
 // encodeStreams returns nil if there is nothing to report.
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -172,7 +172,9 @@
 	a := v.start("g1")
 	v.waitListed(a)
 	v.begin(a, "first")
-	waitUntil(t, "the versions are kept", func() bool { return strings.Contains(string(v.store.Value(streamversions.TableName, "llm")), `"v1","v2"`) })
+	waitUntil(t, "the versions are kept", func() bool {
+		return strings.Contains(string(v.store.Value(streamversions.TableName, "llm")), `"v1","v2"`)
+	})
 	v.store.Put("servers", "old", nil)
 	a.stop()
 	assert.NilError(t, <-a.done)
--- a/policy/streamversion/streamversion.go
+++ b/policy/streamversion/streamversion.go
@@ -175,7 +175,7 @@
 	allKnow = 8
 	// owners is the number of routers that are told of a stream where there are more, and maxAsked that of routers that are
 	// asked: two more, in case the routers that were told are gone.
-	owners   = 2
+	owners   = 3
 	maxAsked = owners + 2
 )
 
--- a/policy/streamversion/streamversion_test.go
+++ b/policy/streamversion/streamversion_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// TestOwners: few routers are all told; of many the same two are, those that are asked include them, and a router that
+// TestOwners: few routers are all told; of many the same three are, those that are asked include them, and a router that
 // leaves changes only its own streams.
 func TestOwners(t *testing.T) {
 	few := []string{"a", "b", "c"}
@@ -98,9 +98,9 @@
 	for k := range streamversion.Key(streams) {
 		key := streamversion.KeyOf("llm", "", fmt.Sprint(k))
 		told := streamversion.Told(key, many)
-		assert.Equal(t, len(told), 2)
+		assert.Equal(t, len(told), 3)
 		asked := streamversion.Asked(key, many)
-		assert.Equal(t, len(asked), 4)
+		assert.Equal(t, len(asked), 5)
 		for _, addr := range told {
 			counts[addr]++
 			assert.Assert(t, slices.Contains(asked, addr))
@@ -110,7 +110,7 @@
 			assert.DeepEqual(t, streamversion.Told(key, rest), told)
 		}
 	}
-	mean := 2 * streams / len(many)
+	mean := 3 * streams / len(many)
 	for addr, n := range counts {
 		assert.Check(t, n > mean/2 && n < 2*mean, "%s is told of %d streams, %d on average", addr, n, mean)
 	}
