--- a/streamversions/lookup.go
+++ b/streamversions/lookup.go
@@ -21,7 +21,7 @@
 	// asked are the routers that have not answered.
 	asked   map[string]struct{}
 	version string
-	// possible are the versions that may have begun the stream, by those that don't know it.
+	// possible are the versions that may have begun the stream, by what this router and those that don't know it have seen.
 	possible streamversion.Possible
 	done     chan struct{}
 	ended    bool
@@ -39,26 +39,27 @@
 	l.end()
 }
 
-// unknown records that a router does not know the stream.
+// unknown records that a router does not know the stream. The others need not answer once that leaves one version.
 func (l *lookup) unknown(from string, u Unknown) {
 	if _, ok := l.asked[from]; !ok {
 		return
 	}
 	delete(l.asked, from)
 	l.possible = l.possible.With(streamversion.Possible{Versions: u.Seen, Complete: u.Complete})
-	if len(l.asked) == 0 {
+	if len(l.asked) == 0 || l.possible.Decided() {
 		l.end()
 	}
 }
 
-// ask asks other routers for a stream. It returns its version, or else the versions that may have begun it.
-func (d *Directory) ask(ctx context.Context, service string, k streamversion.Key) (string, streamversion.Possible) {
-	l := &lookup{asked: map[string]struct{}{}, done: make(chan struct{})}
+// ask asks other routers for a stream that one of the possible versions has begun. It returns its version, or else those
+// that are possible by what the others have seen.
+func (d *Directory) ask(ctx context.Context, service string, k streamversion.Key, possible streamversion.Possible) (string, streamversion.Possible) {
+	l := &lookup{asked: map[string]struct{}{}, possible: possible, done: make(chan struct{})}
 	for _, addr := range streamversion.Asked(k, d.network.Others()) {
 		l.asked[addr] = struct{}{}
 	}
 	if len(l.asked) == 0 {
-		return "", streamversion.Possible{}
+		return "", possible
 	}
 	d.mu.Lock()
 	d.lookups[k] = append(d.lookups[k], l)
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -162,11 +162,10 @@
 		return rec.Version, foundHere
 	}
 	if s.ID != "" && !possible.Decided() {
-		version, others := d.ask(ctx, s.Service, k)
-		if version != "" {
+		var version string
+		if version, possible = d.ask(ctx, s.Service, k, possible); version != "" {
 			return version, foundElsewhere
 		}
-		possible = possible.With(others)
 	}
 	if len(possible.Versions) == 1 && !possible.Complete {
 		kept, ok := d.kept(ctx, s.Service)
