--- a/cmd/hibiscusspur/backend.go
+++ b/cmd/hibiscusspur/backend.go
@@ -87,14 +87,12 @@
 		Use:   "list",
 		Short: "List all backend servers",
 		Args:  cobra.NoArgs,
-		RunE: d.run(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
-			return d.withTimeout(ctx, func(ctx context.Context) error {
-				views, head, err := o.Backends(ctx)
-				if err != nil {
-					return err
-				}
-				return d.show(cmd, views, func(w io.Writer) { operator.WriteBackends(w, head, views) })
-			})
+		RunE: d.runOnce(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
+			views, head, err := o.Backends(ctx)
+			if err != nil {
+				return err
+			}
+			return d.show(cmd, views, func(w io.Writer) { operator.WriteBackends(w, head, views) })
 		}),
 	}
 }
--- a/cmd/hibiscusspur/contract.go
+++ b/cmd/hibiscusspur/contract.go
@@ -81,14 +81,12 @@
 		Use:   "diff -f DIR|FILE",
 		Short: "Show what apply would change",
 		Args:  cobra.NoArgs,
-		RunE: d.run(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
-			return d.withTimeout(ctx, func(ctx context.Context) error {
-				p, err := a.plan(ctx, o, cmd)
-				if err != nil {
-					return err
-				}
-				return d.show(cmd, p, func(w io.Writer) { showDiff(w, p) })
-			})
+		RunE: d.runOnce(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
+			p, err := a.plan(ctx, o, cmd)
+			if err != nil {
+				return err
+			}
+			return d.show(cmd, p, func(w io.Writer) { showDiff(w, p) })
 		}),
 	}
 	a.add(cmd)
@@ -109,14 +107,12 @@
 		Use:   "get CUSTOMER",
 		Short: "Print a customer's contract",
 		Args:  cobra.ExactArgs(1),
-		RunE: d.run(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, args []string) error {
-			return d.withTimeout(ctx, func(ctx context.Context) error {
-				v, err := o.Contract(ctx, args[0])
-				if err != nil {
-					return err
-				}
-				return d.show(cmd, v, func(w io.Writer) { fmt.Fprintf(w, "# revision %d\n%s", v.Revision, v.Body) })
-			})
+		RunE: d.runOnce(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, args []string) error {
+			v, err := o.Contract(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return d.show(cmd, v, func(w io.Writer) { fmt.Fprintf(w, "# revision %d\n%s", v.Revision, v.Body) })
 		}),
 	}
 }
@@ -126,14 +122,12 @@
 		Use:   "list",
 		Short: "List all contracts",
 		Args:  cobra.NoArgs,
-		RunE: d.run(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
-			return d.withTimeout(ctx, func(ctx context.Context) error {
-				views, head, err := o.Contracts(ctx)
-				if err != nil {
-					return err
-				}
-				return d.show(cmd, views, func(w io.Writer) { operator.WriteContracts(w, head, views) })
-			})
+		RunE: d.runOnce(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
+			views, head, err := o.Contracts(ctx)
+			if err != nil {
+				return err
+			}
+			return d.show(cmd, views, func(w io.Writer) { operator.WriteContracts(w, head, views) })
 		}),
 	}
 }
@@ -182,17 +176,15 @@
 		Use:   "status",
 		Short: "Show the newest revision and which processes have it in force",
 		Args:  cobra.NoArgs,
-		RunE: d.run(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
-			return d.withTimeout(ctx, func(ctx context.Context) error {
-				if change != "" {
-					return showChange(ctx, d, o, cmd, change)
-				}
-				s, err := o.Status(ctx)
-				if err != nil {
-					return err
-				}
-				return d.show(cmd, s, s.WriteText)
-			})
+		RunE: d.runOnce(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, _ []string) error {
+			if change != "" {
+				return showChange(ctx, d, o, cmd, change)
+			}
+			s, err := o.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return d.show(cmd, s, s.WriteText)
 		}),
 	}
 	cmd.Flags().StringVar(&change, "change", "", "tell what became of the change with this reference")
--- a/cmd/hibiscusspur/operator.go
+++ b/cmd/hibiscusspur/operator.go
@@ -60,8 +60,11 @@
 	return d
 }
 
+// operation is what a command does with the operator.
+type operation func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, args []string) error
+
 // run adapts f to cobra: it opens the operator, and writes errors as JSON if that is the output format.
-func (d *driver) run(f func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+func (d *driver) run(f operation) func(*cobra.Command, []string) error {
 	return func(cmd *cobra.Command, args []string) error {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
@@ -73,6 +76,13 @@
 	}
 }
 
+// runOnce is run for a command that makes one read or write operation.
+func (d *driver) runOnce(f operation) func(*cobra.Command, []string) error {
+	return d.run(func(ctx context.Context, o *operator.Operator, cmd *cobra.Command, args []string) error {
+		return d.withTimeout(ctx, func(ctx context.Context) error { return f(ctx, o, cmd, args) })
+	})
+}
+
 func (d *driver) open(f func(*operator.Operator) error) error {
 	if err := checkFormat(d.format); err != nil {
 		return err
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -36,6 +36,19 @@
 	return v
 }
 
+// newRollOut returns a site with engines of two versions and two gateways, at the first of which a stream was begun at the
+// old version by the request "first".
+func newRollOut(t *testing.T) (v *versionsSite, a, b *process) {
+	v = newVersionsSite(t)
+	a = v.start("g1")
+	b = v.start("g2", a.settings.ControlAddr)
+	v.list(v.new, "v2")
+	v.waitListed(a)
+	v.waitListed(b)
+	v.begin(a, "first")
+	return v, a, b
+}
+
 // list lists an engine with its software version.
 func (v *versionsSite) list(s *site.Server, version string) {
 	e := s.Entry("llm", "ready")
@@ -110,13 +123,7 @@
 // another software version, and against one that is refused although it could go on. Each time the preferred engine for
 // new requests is the one of the other version.
 func TestTakenUpElsewhereChangesVersion(t *testing.T) {
-	v := newVersionsSite(t)
-	a := v.start("g1")
-	b := v.start("g2", a.settings.ControlAddr)
-	v.list(v.new, "v2")
-	v.waitListed(a)
-	v.waitListed(b)
-	v.begin(a, "first")
+	v, a, b := newRollOut(t)
 	for i, p := range []*process{a, b, a, b} {
 		status, engine := v.takeUp(p, fmt.Sprint("again-", i), "first")
 		assert.Check(t, status == 200 && engine == "old", "take-up %d: %d at %q", i, status, engine)
@@ -129,13 +136,7 @@
 // TestTakenUpAfterGatewayLeft guards against the same when the gateway that began the stream is gone, at one that knows
 // it and at one that has started since.
 func TestTakenUpAfterGatewayLeft(t *testing.T) {
-	v := newVersionsSite(t)
-	a := v.start("g1")
-	b := v.start("g2", a.settings.ControlAddr)
-	v.list(v.new, "v2")
-	v.waitListed(a)
-	v.waitListed(b)
-	v.begin(a, "first")
+	v, a, b := newRollOut(t)
 	a.stop()
 	assert.NilError(t, <-a.done)
 	a.done = nil
--- a/standin/site/framing.go
+++ b/standin/site/framing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,29 +34,6 @@
 	}
 }
 
-// lastPart is the part of an event that ends the stream; empty if the event is sent whole.
-func (b Behaviour) lastPart(event int) string {
-	switch {
-	case b == EndInFirstEvent:
-		return fmt.Sprintf("id: %d\ndata: par", event)
-	case event < 3:
-		return ""
-	}
-	switch b {
-	case EndInEventID:
-		return "id"
-	case EndInEventData:
-		return fmt.Sprintf("id: %d\ndata: par", event)
-	case EndBeforeBlankLine:
-		return fmt.Sprintf("id: %d\ndata: token %d\n", event, event)
-	default:
-		return ""
-	}
-}
-
-// truncatedEvents are events of a plain service that end inside the second one.
-const truncatedEvents = "data: one\n\ndata: tw"
-
 // connWriter writes an answer that ends with its connection.
 type connWriter struct {
 	http.ResponseWriter
