forward: streams of plain services that clients take up stay at their version too

Change: the version of a stream belongs to requests of both kinds; choose takes it as a condition. The directory observes the services to which a route with resumption leads, and no others. Measured: TestPlainStreamChangesVersion fails without the condition (200 at another version) and passes; tests of forward, gateway, route and streamversions pass.

--- a/forward/baserequest.go
+++ b/forward/baserequest.go
@@ -14,6 +14,9 @@
 	j *job
 	// tried are the servers of earlier attempts.
 	tried []string
+	// version is the software version of the server that began the stream, at which alone it may go on; empty until then,
+	// and if it is not known.
+	version string
 	// last is the outcome of the last attempt.
 	last outcome.Outcome
 	// failure is a server's error answer, passed on if no later attempt does better.
--- a/forward/call.go
+++ b/forward/call.go
@@ -53,7 +53,7 @@
 
 // Place implements lifecycle.Request.
 func (c *call) Place(context.Context) (*callAttempt, outcome.Outcome, bool) {
-	s, why := c.f.choose(c.j, c.tried)
+	s, why := c.f.choose(c.j, c.tried, c.version)
 	if why != "" {
 		return nil, c.noServerLeft(why), false
 	}
@@ -82,6 +82,7 @@
 	got, err := f.callServer(ctx, j, a.server)
 	if err == nil && got.head.Status < http.StatusMultipleChoices {
 		f.recordSuccess(j)
+		a.c.begun(a.server.Version)
 	}
 	if err == nil && got.head.Status < http.StatusInternalServerError {
 		return f.passOn(j, got)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -12,20 +12,24 @@
 )
 
 // choose returns the server for the next attempt, or the reason why there is none: all were tried, or those left have
-// more calls than they can answer in time, or have signalled that they take none now.
-func (f *Forwarder) choose(j *job, tried []string) (registry.Server, outcome.Reason) {
+// more calls than they can answer in time, or have signalled that they take none now. Unless version is empty, the server
+// has that software version.
+func (f *Forwarder) choose(j *job, tried []string, version string) (registry.Server, outcome.Reason) {
 	now := time.Now()
 	servers := f.View.Servers(j.service)
 	s := f.service(j.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	why := outcome.NoBackend
+	if version != "" {
+		why = outcome.VersionGone
+	}
 	var best registry.Server
 	var bestVerdict eligibility.Verdict
 	lowest := 0.0
 	for i := range servers {
 		c := &servers[i]
-		if slices.Contains(tried, c.ID) {
+		if slices.Contains(tried, c.ID) || version != "" && c.Version != version {
 			continue
 		}
 		cost := f.cost(s, c)
--- a/forward/choose_bench_test.go
+++ b/forward/choose_bench_test.go
@@ -50,7 +50,7 @@
 			f, j := benchForwarder(n, registry.Whole)
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, why := f.choose(j, nil); why != "" {
+				if _, why := f.choose(j, nil, ""); why != "" {
 					b.Fatal(why)
 				}
 			}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,7 +16,6 @@
 
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
-	"github.com/hibiscusspur/hibiscusspur/lifecycle"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/customershare"
@@ -219,8 +218,7 @@
 		f.serveStream(ctx, j)
 		return
 	}
-	c := &call{baseRequest{f: f, j: j}}
-	c.finish(lifecycle.Run(ctx, c))
+	f.serveCall(ctx, j)
 }
 
 // isStream reports whether the request needs a prefill and a decode engine.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,9 +24,6 @@
 	baseRequest
 	// lastEvent is the ID of the last event delivered to the client.
 	lastEvent string
-	// version is the software version of the engine that began the stream, at which alone it may go on; empty until then,
-	// and if it is not known.
-	version string
 	// waiter is the request's entry in the wait queue for memory; nil before it is first queued.
 	waiter *waitqueue.Waiter
 	// run is the request's memory forecast for placement; nil while waiter is.
--- a/forward/versions_test.go
+++ b/forward/versions_test.go
@@ -169,3 +169,34 @@
 	assert.Check(t, got.body == rest && w.versionOf(t, w.decodes("/resume/3")[0].Server) == oldVersion, "known since it went on: %d %q", got.status, got.body)
 	assert.Check(t, len(w.decodes("/resume/1"))+len(w.decodes("/resume/2")) == 0, "runs of unknown streams")
 }
+
+// TestPlainStreamChangesVersion guards against a stream of a plain service that a client takes up and that goes on at a
+// server of another software version.
+func TestPlainStreamChangesVersion(t *testing.T) {
+	w := newPlainEnv(t)
+	table := *w.view.Table()
+	table.Routes = slices.Clone(table.Routes)
+	for i := range table.Routes {
+		table.Routes[i].Resumable = table.Routes[i].Name == "safe"
+	}
+	w.view.setTable(&table)
+	w.setVersions(map[string]string{"p1": oldVersion, "p2": newVersion, "p3": newVersion})
+	for _, id := range []string{"p2", "p3"} {
+		w.servers[id].Behave(site.Shed)
+	}
+	got := w.post(t, "/safe/0")
+	assert.Equal(t, got.header.Get(site.Stamp), "p1")
+	for _, id := range []string{"p2", "p3"} {
+		w.servers[id].Behave(site.Answer)
+	}
+	for i := range 6 {
+		got = w.post(t, fmt.Sprint("/safe/again-", i), resumed("id-1")...)
+		assert.Check(t, got.header.Get(site.Stamp) == "p1", "taken up at %q", got.header.Get(site.Stamp))
+	}
+	got = w.post(t, "/safe/unknown", resumed("unknown")...)
+	assert.Check(t, got.status == 503, "unknown: %d", got.status)
+	w.servers["p1"].Behave(site.Shed)
+	got = w.post(t, "/safe/again", resumed("id-1")...)
+	assert.Check(t, got.status == 503, "its server refuses: %d", got.status)
+	assert.Equal(t, w.post(t, "/once/1", resumed("unknown")...).status, 200, "a route without resumption")
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -131,6 +131,7 @@
 	}
 	s.proofs.recordVersion(t.Version)
 	s.quotas.configure(t.Tenants)
+	s.observeVersions()
 	s.announceUpdate(from)
 	s.metrics.Gauge(metrics.ConfigRevision).Update(t.Version)
 	event.TableApplied.Log(s.log).Int64("version", t.Version).Int("routes", len(t.Routes)).Str("from", from).Msg("")
@@ -172,7 +173,7 @@
 func (s *Service) serversChanged(version store.Position, from string) {
 	s.announceUpdate(from)
 	list, _ := s.view.list()
-	s.streams.Observe(list)
+	s.observeVersions()
 	event.ServersChanged.Log(s.log).Int64("version", version.Version()).Int64("era", version.Era()).Int("servers", len(list)).Str("from", from).Msg("")
 }
 
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
+	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/streamversions"
 )
 
@@ -163,8 +165,16 @@
 	s.streams.KeepHistory(ctx, s.isStoreReader, dep.record, wait)
 }
 
-// observeVersions has the directory of streams take the list of servers in force.
+// observeVersions has the directory of streams take the list of servers in force, of services whose streams may be resumed.
 func (s *Service) observeVersions() {
+	table := s.view.Table()
+	if table == nil {
+		return
+	}
+	resumable := table.ResumableServices()
+	if len(resumable) == 0 {
+		return
+	}
 	list, _ := s.view.list()
-	s.streams.Observe(list)
+	s.streams.Observe(slices.DeleteFunc(list, func(v registry.Server) bool { return !resumable[v.Service] }))
 }
--- a/route/route.go
+++ b/route/route.go
@@ -197,6 +197,20 @@
 	return ok
 }
 
+// ResumableServices returns the services to which a route leads whose streams clients may resume.
+func (t *Table) ResumableServices() map[string]bool {
+	out := map[string]bool{}
+	for i := range t.Routes {
+		if !t.Routes[i].Resumable {
+			continue
+		}
+		for _, target := range t.Routes[i].Targets {
+			out[target.Service] = true
+		}
+	}
+	return out
+}
+
 // Match returns the route of host with the longest prefix of path, or nil. It looks up the prefixes of path
 // instead of scanning all routes, which took 9 us per request with 4,250 routes.
 func (t *Table) Match(host, path string) *Route {
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -75,16 +75,14 @@
 	}
 }
 
-// Observe takes the list of servers in force. If a service now has several versions, the others are told of the streams
+// Observe takes the servers in force of the services whose streams may be resumed. If a service now has several versions, the others are told of the streams
 // in progress.
 func (d *Directory) Observe(list []registry.Server) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range list {
-		if s.Stage != registry.Whole {
-			d.seen.Observe(s.Service, s.Version, now)
-		}
+		d.seen.Observe(s.Service, s.Version, now)
 	}
 	d.seen.Expire(now)
 	for _, s := range list {
