forward: a stream that ends while its silence is noticed counts as ended, as before

Found by reading the diff: the reader of events had come to treat the end of a whole stream as a stall if the timer had just fired. Tests of forward pass; the race itself was not caused.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -98,10 +98,10 @@
 	br := bufio.NewReaderSize(res.Body, eventBuffer)
 	for {
 		event, err := eventstream.Read(br)
-		if err != nil && stall.stalled() {
-			return nil, errStalled
-		}
 		if err != nil && err != io.EOF {
+			if stall.stalled() {
+				return nil, errStalled
+			}
 			return event, err
 		}
 		stall.reset()
--- a/forward/types.go
+++ b/forward/types.go
@@ -175,8 +175,8 @@
 // StreamVersions knows at which software version streams were begun, here or at another router, for clients that resume
 // them. It must be safe for concurrent use.
 type StreamVersions interface {
-	// Begun records that the client was sent an event of a stream by an engine of a version. The client may resume the
-	// stream until the given time.
+	// Begun records that the client is sent an event of a stream by a server of a version. The client may resume the stream
+	// until the given time.
 	Begun(s StreamRef, version string, until time.Time)
 	// Version returns the version at which a stream may go on; empty for any, if engines report none. It asks other
 	// routers if need be, until ctx ends. ok is false if no router knows the stream and engines of several versions may
