--- a/streamversions/history.go
+++ b/streamversions/history.go
@@ -124,10 +124,11 @@
 				d.setStored(service, versions)
 			}
 			report(err)
-			if failures++; err == nil {
+			if err == nil {
 				failures = 0
 				continue
 			}
+			failures++
 			backOff(failures)
 		}
 	}
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// Observe takes the servers in force of the services whose streams may be resumed. If a service now has several versions, the others are told of the streams
-// in progress.
+// Observe takes the servers in force of the services whose streams may be resumed. If a service now has several versions,
+// the others are told of the streams in progress.
 func (d *Directory) Observe(list []registry.Server) {
 	now := time.Now()
 	d.mu.Lock()
