gateway: observe versions without a sorted copy of the list

Cause: once a second each gateway sorted the whole list of servers to look at versions. Change: registry.All iterates in no order; lists that can't lack versions are not looked at.

--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -138,9 +137,27 @@
 func (v *view) lacksVersions() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.lastRead.Before(v.changedAt) && slices.ContainsFunc(v.registry.List(), func(s registry.Server) bool {
-		return s.Stage != registry.Whole && s.Version == "" && !s.Unusable
-	})
+	if !v.lastRead.Before(v.changedAt) {
+		return false
+	}
+	for s := range v.registry.All() {
+		if s.Stage != registry.Whole && s.Version == "" && !s.Unusable {
+			return true
+		}
+	}
+	return false
+}
+
+// serversOf returns the servers of some services, in no order.
+func (v *view) serversOf(services map[string]bool) (out []registry.Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for s := range v.registry.All() {
+		if services[s.Service] {
+			out = append(out, s)
+		}
+	}
+	return out
 }
 
 func equal(a, b []registry.Server) bool {
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
-	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/streamversions"
 )
 
@@ -171,10 +169,7 @@
 	if table == nil {
 		return
 	}
-	resumable := table.ResumableServices()
-	if len(resumable) == 0 {
-		return
+	if services := table.ResumableServices(); len(services) > 0 {
+		s.streams.Observe(s.view.serversOf(services))
 	}
-	list, _ := s.view.list()
-	s.streams.Observe(slices.DeleteFunc(list, func(v registry.Server) bool { return !resumable[v.Service] }))
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"net/netip"
 	"slices"
 	"strings"
@@ -329,6 +330,17 @@
 	return e.Server, true
 }
 
+// All iterates over all servers, in no order.
+func (r *Registry) All() iter.Seq[Server] {
+	return func(yield func(Server) bool) {
+		for _, e := range r.servers {
+			if !yield(e.Server) {
+				return
+			}
+		}
+	}
+}
+
 // List returns all servers, ordered by ID.
 func (r *Registry) List() []Server {
 	out := make([]Server, 0, len(r.servers))
