forward: a late event of a run that may be stopped does not keep its stream open

Callers would see a stream that stands still until its deadline. Cause: if no answer says whether a run was stopped for a move, one event within 300 ms counted as a sign that it goes on; it may have been in transit. Then nobody looked again. Change: events have to go on to arrive in three such times in a row; in any of them without one the stream is closed.

--- a/forward/move.go
+++ b/forward/move.go
@@ -126,17 +126,31 @@
 }
 
 // endStream closes the stream of a run that was stopped once its events have had time to arrive. If no response says
-// whether the run was stopped, an event in that time shows that it goes on. Otherwise the stream is closed too: behind a
-// partition it would stay open until the deadline, and the copy would expire.
+// whether the run was stopped, events that go on to arrive show that it was not. Otherwise the stream is closed too: behind
+// a partition it would stay open until the deadline, and the copy would expire.
 func (m *move) endStream() {
-	stopped := m.a.state.stopped()
-	if !stopped && !m.a.state.mayBeStopped() {
-		return
+	switch {
+	case m.a.state.stopped():
+		time.AfterFunc(drainTime, func() { _ = m.stream.Close() })
+	case m.a.state.mayBeStopped():
+		m.closeOnceSilent(maxDrainChecks)
 	}
+}
+
+// maxDrainChecks is the number of times in a row that events have to arrive within drainTime to show that a run goes on:
+// those of the first times may have been in transit.
+const maxDrainChecks = 3
+
+// closeOnceSilent closes the stream if no event arrives within drainTime, and looks again otherwise, as often as checks
+// says.
+func (m *move) closeOnceSilent(checks int) {
 	received := m.a.received.Load()
 	time.AfterFunc(drainTime, func() {
-		if stopped || m.a.received.Load() == received {
+		switch {
+		case m.a.received.Load() == received:
 			_ = m.stream.Close()
+		case checks > 1:
+			m.closeOnceSilent(checks - 1)
 		}
 	})
 }
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -31,6 +31,17 @@
 	v.leaving = id
 }
 
+// TestLateEventOfStoppedRun guards against a stream that stands still until its deadline: an event that was in transit
+// while the run was stopped, without an answer, counted as a sign that the run goes on.
+func TestLateEventOfStoppedRun(t *testing.T) {
+	w, first := newMoveEnv(t, "/draft/1")
+	first.Behave(site.Answer, site.HoldLateEventStream)
+	first.BehaveMoves(site.MoveRun, site.MoveLost, site.MoveLost)
+	got := w.post(t, "/draft/1", longRun...)
+	assert.Equal(t, got.body, whole)
+	assert.Assert(t, !got.cut)
+}
+
 // A stream of several seconds was cut by an engine that left. It moves while its client receives every event once, and
 // it goes on at the source if the destination refuses it after it was stopped.
 func TestMovesOffLeavingEngine(t *testing.T) {
--- a/proofs/gateway_observer_test.go
+++ b/proofs/gateway_observer_test.go
@@ -143,6 +143,9 @@
 func (w *gatewayObserver) client(number int, seed uint64, stop <-chan struct{}) {
 	rng := rand.New(rand.NewPCG(seed, uint64(number)+1))
 	routes := []string{"safe", "safe", "unsafe", "unsafe", "draft", "resume", "version"}
+	if w.takeUps.leaveWithin > 0 {
+		routes = []string{"resume", "resume", "resume", "safe"}
+	}
 	for k := 0; ; k++ {
 		select {
 		case <-stop:
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -89,7 +89,7 @@
 	w := newGatewayObserver(c)
 	x := &soaker{faults: newFaults(seed), c: c, w: w}
 	if kinds == versionsOnly {
-		w.takeUps.leaveWithin = clientTimeout / 2
+		w.takeUps.leaveWithin, x.resting = clientTimeout/2, site.SlowStream
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -138,6 +138,8 @@
 	*faults
 	c *gatewayCluster
 	w *gatewayObserver
+	// resting is how servers behave after a fault of theirs.
+	resting site.Behaviour
 }
 
 // kinds are the faults of gateways, servers, links and the store.
@@ -254,7 +256,7 @@
 		return "", nil
 	}
 	s.Behave(b)
-	return s.ID, func() { s.Behave(site.Answer) }
+	return s.ID, func() { s.Behave(x.resting) }
 }
 
 func (x *soaker) fillEngine(i int) (string, func()) {
--- a/standin/site/behaviour.go
+++ b/standin/site/behaviour.go
@@ -35,6 +35,8 @@
 	HoldCutStream
 	// HoldSilentStream keeps the connection open then, without any data.
 	HoldSilentStream
+	// HoldLateEventStream sends the next event lateEventDelay later, and then keeps the connection open.
+	HoldLateEventStream
 	// HoldPartialStream sends a part of the next event then, and ends like a whole stream.
 	HoldPartialStream
 	// RepeatEvent sends the last event that the request says was delivered once more, and then the others.
@@ -52,6 +54,9 @@
 	TruncatedEvents
 )
 
+// lateEventDelay is how long an event takes to arrive that is in transit while its run is stopped.
+const lateEventDelay = 100 * time.Millisecond
+
 // slowInterval makes a slow stream last three seconds, longer than a fault.
 const slowInterval = 600 * time.Millisecond
 
--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -84,6 +84,12 @@
 	case HoldSilentStream:
 		x.end.Do(func() { close(x.stopped) })
 		<-r.Context().Done()
+	case HoldLateEventStream:
+		x.end.Do(func() { close(x.stopped) })
+		time.Sleep(lateEventDelay)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", event, event)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
 	}
 }
 
