--- a/forward/answer.go
+++ b/forward/answer.go
@@ -256,7 +256,7 @@
 		e = e.Err(err)
 	}
 	if j.cachedDigest != nil {
-		e = e.Str("content", j.cachedDigest.String())
+		e = e.Str("content", j.cachedDigest.String()).Strs("parts", j.meta.SharedParts).Int("generated", j.generated-j.generatedBefore)
 	}
 	e.Msg("")
 }
--- a/forward/terminations.go
+++ b/forward/terminations.go
@@ -113,7 +113,7 @@
 	f.Metrics.Counter(metrics.RequestsInterrupted).Inc(int64(len(broken)))
 	f.Guard.ServerTerminated(id, broken)
 	event.ServerTerminated.Log(f.Log).Str("server", id).Str("how", string(how)).Int("requests", len(broken)).
-		Strs("contents", digestsOf(broken)).Msg("")
+		Strs("contents", digestsOf(broken)).Ints("generated", generatedIn(broken)).Msg("")
 }
 
 func digestsOf(broken []quarantine.BrokenAttempt) []string {
@@ -124,6 +124,15 @@
 	return out
 }
 
+// generatedIn returns the number of tokens that each attempt had generated.
+func generatedIn(broken []quarantine.BrokenAttempt) []int {
+	var out []int
+	for _, b := range broken[:min(len(broken), maxLoggedDigests)] {
+		out = append(out, b.Generated)
+	}
+	return out
+}
+
 // quarantined reports whether a request is quarantined, and for how much longer.
 func (f *Forwarder) quarantined(j *job) (time.Duration, bool) {
 	if !f.Guard.Active() {
--- a/forward/types.go
+++ b/forward/types.go
@@ -52,6 +52,8 @@
 	ClientTimeout time.Duration
 	// PromptTokens and MaxTokens are the size of the prompt and the maximum number of generated tokens.
 	PromptTokens, MaxTokens int
+	// SharedParts are the IDs of the parts of the prompt, in order, without the last one, which no other request has.
+	SharedParts []string
 	// LengthHint is the client's estimate of the number of generated tokens; zero if none.
 	LengthHint int
 	// LastEventID is the last event that the client received of an interrupted stream.
