--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -55,19 +55,29 @@
 	current           *site.Server
 	// behaviour is how decode engines answer all other requests.
 	behaviour site.Behaviour
+	// crashPart is the part of prompts that crashes decode engines instead of the crashing request; empty if none does.
+	crashPart string
+	// restartTime is how long it takes until another engine is listed in place of a crashed one.
+	restartTime time.Duration
 }
 
 // newCluster starts one engine of each stage.
 func newCluster(t *testing.T) *cluster {
 	cl := &cluster{t: t, store: site.NewStore(t), calls: site.NewLog(), behaviour: site.StallStream}
+	cl.start(`"attempts":1`)
+	return cl
+}
+
+// start starts one engine of each stage and configures the route, with these fields of its entry besides the usual ones.
+func (cl *cluster) start(route string) {
+	t := cl.t
 	e := site.NewServer(t, "pre", cl.calls).Entry("llm", "ready")
 	e.Stage = "prefill"
 	cl.store.Put("servers", "pre", e.Encode())
 	cl.addEngine()
 	cl.store.Put("op", "config", []byte(`{"version":3,
-		"routes":[{"name":"r","host":"h","prefix":"/s/","kind":"stream","timeout_ms":30000,"slo_ms":500,"attempts":1,"service":"llm"}],
+		"routes":[{"name":"r","host":"h","prefix":"/s/","kind":"stream","timeout_ms":30000,"slo_ms":500,`+route+`,"service":"llm"}],
 		"services":[{"name":"llm","engine":{"slots":48,"kv_capacity":50000,"hold_ms":2000}}]}`))
-	return cl
 }
 
 func (cl *cluster) addEngine() {
@@ -76,7 +86,11 @@
 	cl.started++
 	s := site.NewServer(cl.t, fmt.Sprint("dec-", cl.started), cl.calls)
 	s.Behave(cl.behaviour)
-	s.CrashOn(crashingBody, cl.replaceCrashed)
+	if cl.crashPart != "" {
+		s.CrashOnPart(cl.crashPart, cl.replaceCrashed)
+	} else {
+		s.CrashOn(crashingBody, cl.replaceCrashed)
+	}
 	cl.current = s
 	e := s.Entry("llm", "ready")
 	e.Stage, e.Slots = "decode", 48
@@ -84,6 +98,7 @@
 }
 
 func (cl *cluster) replaceCrashed(*site.Server) {
+	<-time.After(cl.restartTime)
 	cl.addEngine()
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
@@ -118,6 +133,12 @@
 
 // stream sends a streaming request and returns its answer; the caller closes it.
 func (p *process) stream(t *testing.T, id, body string) *http.Response {
+	t.Helper()
+	return p.streamOfParts(t, id, body, "")
+}
+
+// streamOfParts is like stream, for a prompt of these parts.
+func (p *process) streamOfParts(t *testing.T, id, body, parts string) *http.Response {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.settings.ClientAddr+"/s/1", strings.NewReader(body))
 	assert.NilError(t, err)
@@ -125,6 +146,9 @@
 	r.Header.Set(site.RequestID, id)
 	r.Header.Set(site.Tokens, "1000,200")
 	r.Header.Set(site.Deadline, "20000")
+	if parts != "" {
+		r.Header.Set(site.Parts, parts)
+	}
 	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	assert.NilError(t, err)
 	return res
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -10,6 +10,14 @@
 	s.crashPrefix, s.afterCrash = bodyPrefix, afterCrash
 }
 
+// CrashOnPart makes the server crash as soon as it begins to run a request whose prompt has a part with this ID, at any
+// place; a prefill does not count as running. After the crash it calls afterCrash, unless that is nil.
+func (s *Server) CrashOnPart(id string, afterCrash func(*Server)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPart, s.afterCrash = id, afterCrash
+}
+
 // BeforeCrash makes the server call f when it begins to crash, before any connection or listener closes.
 func (s *Server) BeforeCrash(f func()) {
 	s.mu.Lock()
@@ -20,7 +28,20 @@
 func (s *Server) crashesOn(c Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashPrefix != "" && strings.HasPrefix(c.Body, s.crashPrefix) && c.Kind != Prefill
+	if c.Kind == Prefill {
+		return false
+	}
+	return s.crashPrefix != "" && strings.HasPrefix(c.Body, s.crashPrefix) || s.crashPart != "" && c.HasPart(s.crashPart)
+}
+
+// HasPart reports whether the prompt of the request has a part with this ID.
+func (c Call) HasPart(id string) bool {
+	for entry := range strings.SplitSeq(c.Header.Get(Parts), ",") {
+		if part, _, _ := strings.Cut(entry, ":"); part == id {
+			return true
+		}
+	}
+	return false
 }
 
 // Crash terminates the server and its requests: it breaks its connections and closes its listener. It does not wait
--- a/standin/site/names.go
+++ b/standin/site/names.go
@@ -8,6 +8,7 @@
 	Deadline      = "Hibiscusspur-Deadline-Ms"
 	Tokens        = "Hibiscusspur-Tokens"
 	LengthHint    = "Hibiscusspur-Length-Hint"
+	Parts         = "Hibiscusspur-Prefix-Hash"
 	Tenant        = "Hibiscusspur-Tenant"
 	Credentials   = "Authorization"
 	Stamp         = "Hibiscusspur-Stamp"
