quarantine: a part of prompts that crashes servers is held

Cause: a gateway recognizes a request by the digest of its whole content, and the requests that ended servers had only one part of their prompts in common. Class: a poison request whose poison is a fragment; identity was taken of the whole. Change: lost runs are told with their parts; a part is held by the likelihood of what was lost and what began; a begun run clears its parts.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -108,7 +108,7 @@
 	if !s.quarantine.Active() {
 		return outcome.Outcome{}, false
 	}
-	left, held := s.quarantine.Quarantined(c.get())
+	left, held := s.quarantine.Quarantined(c.get(), nil)
 	return outcome.Refuse(outcome.Quarantined, left), held
 }
 
--- a/fingerprint/fingerprint.go
+++ b/fingerprint/fingerprint.go
@@ -37,6 +37,16 @@
 	return Digest(h.Sum(nil)[:digestBytes])
 }
 
+// OfParts returns the digest of a list of parts of prompts, given by their IDs. No request has the same digest.
+func OfParts(ids []string) Digest {
+	h := sha256.New()
+	part(h, []byte("parts of prompts"))
+	for _, id := range ids {
+		part(h, []byte(id))
+	}
+	return Digest(h.Sum(nil)[:digestBytes])
+}
+
 // part hashes one part after its length, so that no two lists of parts hash the same bytes.
 func part(h hash.Hash, p []byte) {
 	var length [8]byte
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -110,7 +110,9 @@
 		if err == io.EOF {
 			return event, a.checkEnd(res.Framing)
 		}
-		a.events++
+		if a.events++; a.events == 1 {
+			r.f.Guard.RunBegan(r.j.meta.SharedParts)
+		}
 		if r.delivered(event) {
 			continue
 		}
--- a/forward/terminations.go
+++ b/forward/terminations.go
@@ -85,6 +85,9 @@
 // connection is probed at once: its registry entry expires seconds later, and until then no request may be sent there.
 func (f *Forwarder) recordInterrupted(j *job, s registry.Server, cut bool) {
 	b := quarantine.BrokenAttempt{Content: j.digest(), Generated: j.generated - j.generatedBefore}
+	if b.Generated == 0 && s.Stage != registry.Prefill {
+		b.Parts = j.meta.SharedParts
+	}
 	terminated, probe := f.interrupted.add(s.ID, b, cut)
 	switch {
 	case terminated:
@@ -138,7 +141,7 @@
 	if !f.Guard.Active() {
 		return 0, false
 	}
-	return f.Guard.Quarantined(j.digest())
+	return f.Guard.Quarantined(j.digest(), j.meta.SharedParts)
 }
 
 // recordSuccess records that a server answered a request successfully, so the request did not crash it. A failure
--- a/forward/types.go
+++ b/forward/types.go
@@ -159,10 +159,12 @@
 type Quarantine interface {
 	// Active reports whether any request is suspected or quarantined; if not, no request needs to be looked up.
 	Active() bool
-	// Quarantined reports whether a request is quarantined, and for how much longer.
-	Quarantined(d fingerprint.Digest) (time.Duration, bool)
+	// Quarantined reports whether a request with these parts in its prompt is quarantined, and for how much longer.
+	Quarantined(d fingerprint.Digest, parts []string) (time.Duration, bool)
 	// ServerTerminated takes the requests that were in progress at a terminated server.
 	ServerTerminated(server string, broken []quarantine.BrokenAttempt)
+	// RunBegan records that a server began to generate for a request whose prompt has these parts.
+	RunBegan(parts []string)
 	// RequestSucceeded records that a server answered a request successfully.
 	RequestSucceeded(d fingerprint.Digest)
 }
--- a/holdback/holdback.go
+++ b/holdback/holdback.go
@@ -41,6 +41,7 @@
 	// observations, releases and localHolds are the recent ones that originate here, to be reported.
 	observations []timedObservation
 	releases     map[fingerprint.Digest]time.Time
+	partReleases map[string]time.Time
 	localHolds   map[fingerprint.Digest]time.Time
 	// decisionScheduled is set while a timer is running to call decide.
 	decisionScheduled bool
@@ -58,7 +59,7 @@
 func New(l *log.Logger, m *metrics.Set, off bool) *Guard {
 	g := &Guard{
 		log: l, met: m, off: off, updates: make(chan struct{}, 1), persistDue: make(chan struct{}, 1), ledger: quarantine.New(),
-		releases: map[fingerprint.Digest]time.Time{}, localHolds: map[fingerprint.Digest]time.Time{},
+		releases: map[fingerprint.Digest]time.Time{}, partReleases: map[string]time.Time{}, localHolds: map[fingerprint.Digest]time.Time{},
 		stored: map[fingerprint.Digest]storeState{}, removals: map[fingerprint.Digest]time.Time{},
 	}
 	m.GaugeFunc(metrics.RequestsQuarantined, g.numHolds)
@@ -78,11 +79,11 @@
 	return g.ledger.Active()
 }
 
-// Quarantined reports whether a request is quarantined, and for how much longer.
-func (g *Guard) Quarantined(d fingerprint.Digest) (time.Duration, bool) {
+// Quarantined reports whether a request with these parts in its prompt is quarantined, and for how much longer.
+func (g *Guard) Quarantined(d fingerprint.Digest, parts []string) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Quarantined(d, time.Now())
+	return g.ledger.Quarantined(d, parts, time.Now())
 }
 
 // ServerTerminated takes the requests of this process that were in progress at a terminated server.
@@ -94,7 +95,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range broken {
-		o := quarantine.Observation{Content: b.Content, Server: server, Generated: b.Generated}
+		o := quarantine.Observation{Content: b.Content, Server: server, Generated: b.Generated, Parts: b.Parts}
 		if g.ledger.Observe(o, now) {
 			g.observations = append(g.observations, timedObservation{o, now})
 		}
@@ -108,7 +109,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, held := g.ledger.Quarantined(d, now)
+	_, held := g.ledger.Quarantined(d, nil, now)
 	if !g.ledger.Clear(d, now) {
 		return
 	}
@@ -121,6 +122,41 @@
 	}
 }
 
+// RunBegan records that a server began to generate for a request of this process whose prompt has these parts.
+func (g *Guard) RunBegan(parts []string) {
+	if g.off || len(parts) == 0 {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cleared, changes := g.ledger.RunBegan(parts, now)
+	for _, p := range cleared {
+		g.partReleases[p] = now
+	}
+	if len(cleared) > 0 {
+		notify.Send(g.updates)
+	}
+	for _, h := range changes.Ended {
+		g.removals[h.Content] = now
+	}
+	g.applyHoldChanges(changes, sourceLocal)
+	if g.ledger.PartsUndecided() {
+		g.decide()
+	}
+}
+
+// applyHoldChanges logs holds that ended or were narrowed because a run began to generate. The caller holds mu.
+func (g *Guard) applyHoldChanges(c quarantine.HoldChanges, from string) {
+	for _, h := range c.Ended {
+		g.logRelease(h.Content, from)
+		notify.Send(g.persistDue)
+	}
+	for _, h := range c.Started {
+		g.logHold(h, from)
+	}
+}
+
 // Expire removes outdated state.
 func (g *Guard) Expire() {
 	g.mu.Lock()
@@ -160,7 +196,7 @@
 
 // logHold logs a new hold and signals that it may have to be persisted. The caller holds mu.
 func (g *Guard) logHold(h quarantine.Hold, from string) {
-	event.RequestQuarantined.Log(g.log).Str("content", h.Content.String()).Strs("servers", g.ledger.TerminatedServers(h.Content)).
+	event.RequestQuarantined.Log(g.log).Str("content", h.Content.String()).Strs("parts", h.Parts).Strs("servers", g.ledger.TerminatedServers(h)).
 		Dur("left", time.Until(h.Until)).Dur("for", h.Duration).Str("from", from).Msg("")
 	notify.Send(g.persistDue)
 }
@@ -169,7 +205,8 @@
 	event.RequestReleased.Log(g.log).Str("content", d.String()).Str("from", from).Msg("")
 }
 
-// observedLocally reports whether a recent termination affected this request in this process. The caller holds mu.
-func (g *Guard) observedLocally(d fingerprint.Digest) bool {
-	return slices.ContainsFunc(g.observations, func(o timedObservation) bool { return o.Content == d })
+// observedLocally reports whether a recent termination affected a request of this process that the hold matches. The
+// caller holds mu.
+func (g *Guard) observedLocally(h quarantine.Hold) bool {
+	return slices.ContainsFunc(g.observations, func(o timedObservation) bool { return h.Matches(o.Content, o.Parts) })
 }
--- a/holdback/holdback_test.go
+++ b/holdback/holdback_test.go
@@ -41,7 +41,7 @@
 }
 
 func quarantined(g *Guard, d fingerprint.Digest) bool {
-	_, ok := g.Quarantined(d)
+	_, ok := g.Quarantined(d, nil)
 	return ok
 }
 
@@ -101,7 +101,7 @@
 		}, "g2")
 		assert.Assert(t, !g.Active())
 		g.Receive(&peer.Suspects{Holds: []*peer.Hold{{Content: crashing[:], LeftMs: 1 << 60, ForMs: 1 << 60}}}, "g2")
-		left, _ := g.Quarantined(crashing)
+		left, _ := g.Quarantined(crashing, nil)
 		assert.Assert(t, left <= quarantine.MaxHold)
 	})
 }
@@ -179,7 +179,7 @@
 		started := newGuard(false)
 		time.Sleep(time.Minute)
 		syncFrom(t, started, table)
-		left, ok := started.Quarantined(crashing)
+		left, ok := started.Quarantined(crashing, nil)
 		assert.Assert(t, ok)
 		assert.Equal(t, left, quarantine.FirstHold-time.Minute-persistDelay)
 
@@ -232,7 +232,7 @@
 			version, err = g.follow(t.Context(), &rowTable{Table: memory.New(memory.Options{}).Table(), rows: stale, version: 60}, version, false)
 			assert.NilError(t, err)
 			assert.Equal(t, version, store.Position(90), "continues from the known version")
-			left, ok := g.Quarantined(crashing)
+			left, ok := g.Quarantined(crashing, nil)
 			assert.Assert(t, ok)
 			assert.Equal(t, left, 1200*time.Second)
 		}
@@ -262,7 +262,7 @@
 		}}
 		syncFrom(t, g, table)
 		assert.Equal(t, len(g.ledger.Holds(now)), 1)
-		left, _ := g.Quarantined(crashing)
+		left, _ := g.Quarantined(crashing, nil)
 		assert.Equal(t, left, time.Minute)
 	})
 }
--- a/holdback/persist.go
+++ b/holdback/persist.go
@@ -46,6 +46,9 @@
 	ForSeconds float64 `json:"for_s"`
 	// Servers are the servers that terminated while running the request, as known to the gateway that wrote the row.
 	Servers []string `json:"servers"`
+	// Parts are the IDs of the parts of prompts that a request must all have to be quarantined, whose digest is the key;
+	// none if the key is the digest of one request.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // storeState is the local state of a hold's row in the store.
@@ -67,8 +70,11 @@
 	if duration <= 0 || duration > quarantine.MaxHold {
 		return quarantine.Hold{}, errors.New("for_s is out of range")
 	}
+	if len(r.Parts) > 0 && d != fingerprint.OfParts(r.Parts) {
+		return quarantine.Hold{}, errors.New("the key is not the digest of parts")
+	}
 	left := min(r.Begun.Add(duration).Sub(now.Round(0)), duration)
-	return quarantine.Hold{Content: d, Until: now.Add(left), Duration: duration}, nil
+	return quarantine.Hold{Content: d, Parts: r.Parts, Until: now.Add(left), Duration: duration}, nil
 }
 
 // Follow applies the holds of the table and their changes until ctx is done. It calls report with the result of each
@@ -262,7 +268,7 @@
 	var out []change
 	for _, h := range g.ledger.Holds(now) {
 		k := g.stored[h.Content]
-		observed := g.observedLocally(h.Content)
+		observed := g.observedLocally(h)
 		_, removing := g.removals[h.Content]
 		if k.duration >= h.Duration || removing || (!observed && (!readsForAll || now.Sub(h.StartedAt()) < persistDelay)) {
 			continue
@@ -283,7 +289,7 @@
 
 // changeToWrite returns the change that writes a hold. The caller holds mu.
 func (g *Guard) changeToWrite(h quarantine.Hold, version uint64) change {
-	value, err := json.Marshal(Row{Begun: h.StartedAt().UTC(), ForSeconds: h.Duration.Seconds(), Servers: g.ledger.TerminatedServers(h.Content)})
+	value, err := json.Marshal(Row{Begun: h.StartedAt().UTC(), ForSeconds: h.Duration.Seconds(), Servers: g.ledger.TerminatedServers(h), Parts: h.Parts})
 	if err != nil {
 		panic(err) // A Row can always be encoded.
 	}
--- a/holdback/report.go
+++ b/holdback/report.go
@@ -54,7 +54,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.ledger.Active() && len(g.releases) == 0 {
+	if !g.ledger.Active() && len(g.releases)+len(g.partReleases) == 0 {
 		return nil
 	}
 	return g.encode(now, within, g.ledger.Holds(now))
@@ -66,6 +66,7 @@
 	expired := func(_ fingerprint.Digest, at time.Time) bool { return now.Sub(at) >= within }
 	maps.DeleteFunc(g.releases, expired)
 	maps.DeleteFunc(g.localHolds, expired)
+	maps.DeleteFunc(g.partReleases, func(_ string, at time.Time) bool { return now.Sub(at) >= within })
 }
 
 // encode encodes holds, and the observations and releases that originated here within some time. The caller holds mu.
@@ -76,13 +77,14 @@
 			break
 		}
 		out.Sightings = append(out.Sightings, &peer.Sighting{
-			Content: o.Content[:], Server: o.Server, Generated: uint32(o.Generated), AgeMs: ageMillis(o.at, now),
+			Content: o.Content[:], Server: o.Server, Generated: uint32(o.Generated), AgeMs: ageMillis(o.at, now), Parts: o.Parts,
 		})
 	}
+	g.encodeShares(out)
 	for _, h := range holds[:min(len(holds), maxHoldsPerReport)] {
 		left := h.Until.Sub(now)
 		out.Holds = append(out.Holds, &peer.Hold{
-			Content: h.Content[:], LeftMs: uint64(left.Milliseconds()), ForMs: uint64(h.Duration.Milliseconds()),
+			Content: h.Content[:], LeftMs: uint64(left.Milliseconds()), ForMs: uint64(h.Duration.Milliseconds()), Parts: h.Parts,
 		})
 	}
 	for d, at := range g.releases {
@@ -90,9 +92,42 @@
 			out.Releases = append(out.Releases, &peer.Release{Content: d[:], AgeMs: ageMillis(at, now)})
 		}
 	}
+	for part, at := range g.partReleases {
+		if now.Sub(at) < within && len(out.PartReleases) < maxHoldsPerReport {
+			out.PartReleases = append(out.PartReleases, &peer.PartRelease{Part: part, AgeMs: ageMillis(at, now)})
+		}
+	}
 	return out
 }
 
+// encodeShares adds how often the parts of the sightings are in runs that began to generate here. The caller holds mu.
+func (g *Guard) encodeShares(out *peer.Suspects) {
+	var parts []string
+	for _, s := range out.Sightings {
+		parts = append(parts, s.Parts...)
+	}
+	if len(parts) == 0 {
+		return
+	}
+	shares := g.ledger.Shares(parts)
+	out.BegunRuns = uint32(shares.Runs)
+	for part, n := range shares.Parts {
+		out.PartCounts = append(out.PartCounts, &peer.PartCount{Part: part, Runs: uint32(n)})
+	}
+}
+
+// receiveShares applies how often parts are in runs that began to generate at another gateway. The caller holds mu.
+func (g *Guard) receiveShares(in *peer.Suspects, from string, now time.Time) {
+	if in.GetBegunRuns() == 0 {
+		return
+	}
+	shares := quarantine.Shares{Runs: int(in.GetBegunRuns()), Parts: map[string]int{}}
+	for _, c := range in.GetPartCounts() {
+		shares.Parts[c.GetPart()] = int(c.GetRuns())
+	}
+	g.ledger.ObserveShares(from, shares, now)
+}
+
 func ageMillis(at, now time.Time) uint32 { return uint32(now.Sub(at).Milliseconds()) }
 
 // Receive applies a report of another gateway.
@@ -110,13 +145,19 @@
 	}
 	for _, h := range in.GetHolds() {
 		if d, ok := parseDigest(h.GetContent()); ok {
-			g.applyHold(quarantine.Hold{Content: d, Until: now.Add(boundedMillis(h.GetLeftMs())), Duration: boundedMillis(h.GetForMs())}, from)
+			g.applyHold(quarantine.Hold{
+				Content: d, Parts: h.GetParts(), Until: now.Add(boundedMillis(h.GetLeftMs())), Duration: boundedMillis(h.GetForMs()),
+			}, from)
 		}
 	}
+	for _, r := range in.GetPartReleases() {
+		g.applyHoldChanges(g.ledger.ClearPart(r.GetPart(), now.Add(-boundedMillis(uint64(r.GetAgeMs())))), from)
+	}
+	g.receiveShares(in, from, now)
 	changed := false
 	for _, o := range in.GetSightings() {
 		if d, ok := parseDigest(o.GetContent()); ok {
-			observed := quarantine.Observation{Content: d, Server: o.GetServer(), Generated: int(o.GetGenerated())}
+			observed := quarantine.Observation{Content: d, Server: o.GetServer(), Generated: int(o.GetGenerated()), Parts: o.GetParts()}
 			changed = g.ledger.Observe(observed, now.Add(-boundedMillis(uint64(o.GetAgeMs())))) || changed
 		}
 	}
@@ -131,6 +172,9 @@
 	if h.Duration <= 0 || h.Duration > quarantine.MaxHold || h.StartedAt().After(time.Now()) {
 		return
 	}
+	if len(h.Parts) > 0 && h.Content != fingerprint.OfParts(h.Parts) {
+		return
+	}
 	if g.ledger.AddHold(h) && h.Until.After(time.Now()) {
 		g.logHold(h, from)
 	}
@@ -138,9 +182,9 @@
 
 // applyRelease applies a release from elsewhere, and reports whether it changed anything. The caller holds mu.
 func (g *Guard) applyRelease(d fingerprint.Digest, at time.Time, from string) bool {
-	_, held := g.ledger.Quarantined(d, time.Now())
+	_, held := g.ledger.Quarantined(d, nil, time.Now())
 	changed := g.ledger.Clear(d, at)
-	if _, still := g.ledger.Quarantined(d, time.Now()); held && !still {
+	if _, still := g.ledger.Quarantined(d, nil, time.Now()); held && !still {
 		g.logRelease(d, from)
 	}
 	return changed
--- a/holdback/stored_test.go
+++ b/holdback/stored_test.go
@@ -49,7 +49,7 @@
 		time.Sleep(time.Minute)
 		g := newGuard(false)
 		syncFrom(t, g, table)
-		left, ok := g.Quarantined(crashing)
+		left, ok := g.Quarantined(crashing, nil)
 		assert.Assert(t, ok)
 		assert.Equal(t, left, 9*time.Minute+300*time.Millisecond)
 	})
--- a/policy/quarantine/bench_test.go
+++ b/policy/quarantine/bench_test.go
@@ -23,7 +23,7 @@
 	observeAll(l, 0, "s", "one", "two")
 	now := at(1)
 	for b.Loop() {
-		l.Quarantined(one, now)
+		l.Quarantined(one, nil, now)
 	}
 }
 
--- a/policy/quarantine/decide.go
+++ b/policy/quarantine/decide.go
@@ -13,8 +13,12 @@
 // Among the requests under which enough servers have terminated, the one with the most terminations is first. Of several
 // with as many, it is the one that had generated the fewest tokens: a crashing request crashes a server when it begins to
 // run, while the requests beside it had been running before. The terminations under the selected request no longer count
-// against the others.
+// against the others. Parts of prompts are decided before whole requests.
 func (l *Ledger) Decide(now time.Time) (started []Hold, next time.Time) {
+	started, next = l.decideParts(now)
+	if !next.IsZero() {
+		return started, next
+	}
 	for {
 		c, ok := l.topCandidate(now)
 		if !ok {
@@ -35,6 +39,26 @@
 	}
 }
 
+// decideParts starts the holds of parts that are due.
+func (l *Ledger) decideParts(now time.Time) (started []Hold, next time.Time) {
+	for {
+		h, reached, ok := l.renewedPart(now)
+		if !ok {
+			h, reached, ok = l.topPart(now)
+		}
+		if !ok {
+			return started, time.Time{}
+		}
+		if due := reached.Add(SettleDelay); due.After(now) {
+			return started, due
+		}
+		if !l.AddHold(h) {
+			return started, time.Time{}
+		}
+		started = append(started, h)
+	}
+}
+
 // candidate is a request under which enough servers have terminated.
 type candidate struct {
 	content      fingerprint.Digest
@@ -52,7 +76,7 @@
 		if _, known := l.holds[d]; len(x.terminations) < MaxTerminations && !known {
 			continue // Nearly all suspects stop here, so a scan of 8,000 takes 0.1 ms.
 		}
-		if _, quarantined := l.Quarantined(d, now); quarantined {
+		if l.holds[d].Until.After(now) {
 			continue
 		}
 		c, ok := x.candidate(l.explained, l.requiredTerminations(d, now), l.holds[d].Until)
@@ -82,7 +106,7 @@
 }
 
 // candidate counts the terminations after some time that no quarantined request explains.
-func (x *suspect) candidate(explained map[string]time.Time, required int, since time.Time) (candidate, bool) {
+func (x *suspect) candidate(explained map[string]explanation, required int, since time.Time) (candidate, bool) {
 	var c candidate
 	var times []time.Time
 	for _, e := range x.terminations {
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -22,6 +22,9 @@
 	FirstHold = 10 * time.Minute
 	// MaxHold bounds the duration of a hold: each one that proves right lasts twice as long as the one before.
 	MaxHold = 24 * time.Hour
+	// PartHold is the duration of a hold of a part: a trial costs a server, and only a run that begins to generate, or an
+	// operator, shows that the part has become harmless.
+	PartHold = MaxHold
 	// maxSuspects and maxHolds bound the memory of a Ledger, to 1.5 MB (TestLedgerIsSmall): two hundred servers that
 	// terminate within ObservationTTL with forty requests each.
 	maxSuspects = 8000
@@ -34,17 +37,32 @@
 	Server  string
 	// Generated is the number of tokens that the server had generated for the request.
 	Generated int
+	// Parts are the IDs of the parts of its prompt that other requests may have too.
+	Parts []string
 }
 
-// Hold is the decision to quarantine a request: to send it to no server for some time.
+// Hold is the decision to quarantine a request, or all requests with certain parts in their prompts: to send them to no
+// server for some time.
 type Hold struct {
+	// Content is the digest of the request, or of Parts.
 	Content fingerprint.Digest
+	// Parts are the IDs of the parts that a request must all have, in ascending order; none if the hold is of one request.
+	// There is more than one if they have always come together, so that any of them may crash servers.
+	Parts []string
 	// Until is when the hold ends. A single termination within Duration after it starts the next hold.
 	Until time.Time
 	// Duration is the whole length of the hold.
 	Duration time.Duration
 }
 
+// Matches reports whether a request with these parts in its prompt is under the hold.
+func (h Hold) Matches(content fingerprint.Digest, parts []string) bool {
+	if len(h.Parts) == 0 {
+		return h.Content == content
+	}
+	return containsAll(parts, h.Parts)
+}
+
 // StartedAt returns when the hold was decided.
 func (h Hold) StartedAt() time.Time { return h.Until.Add(-h.Duration) }
 
@@ -57,9 +75,20 @@
 	holds    map[fingerprint.Digest]Hold
 	// cleared is when requests were last answered by a server or released by an operator.
 	cleared map[fingerprint.Digest]time.Time
-	// explained is when servers terminated under requests that are or were quarantined. They don't count against other
-	// requests, even after the hold: otherwise the requests that ran beside it would be quarantined in its place.
-	explained map[string]time.Time
+	// explained holds the servers that terminated under requests that are or were quarantined. They don't count against
+	// other requests, even after the hold: otherwise the requests that ran beside it would be quarantined in its place.
+	explained map[string]explanation
+	// evidence is what is known of parts of prompts, minEvidence what a hold of a part requires. partsUndecided is set if
+	// a part only lacks evidence.
+	evidence       partEvidence
+	minEvidence    float64
+	partsUndecided bool
+}
+
+// explanation is the hold that explains the termination of a server, and when the server terminated.
+type explanation struct {
+	by fingerprint.Digest
+	at time.Time
 }
 
 // suspect holds the terminations of servers under one request, each server once; one or two for most requests.
@@ -87,22 +116,34 @@
 func New() *Ledger {
 	return &Ledger{
 		suspects: map[fingerprint.Digest]*suspect{}, holds: map[fingerprint.Digest]Hold{}, cleared: map[fingerprint.Digest]time.Time{},
-		explained: map[string]time.Time{},
+		explained: map[string]explanation{}, evidence: newPartEvidence(), minEvidence: minEvidence,
 	}
 }
 
 // Active reports whether any request is suspected or quarantined. If none is, callers can skip the checks of each
 // request.
-func (l *Ledger) Active() bool { return len(l.suspects)+len(l.holds) > 0 }
+func (l *Ledger) Active() bool { return len(l.suspects)+len(l.evidence.lost)+len(l.holds) > 0 }
 
-// Quarantined returns how long a request remains quarantined; ok is false if it is not.
-func (l *Ledger) Quarantined(d fingerprint.Digest, now time.Time) (left time.Duration, ok bool) {
+// Quarantined returns how long a request with these parts in its prompt remains quarantined; ok is false if it is not.
+func (l *Ledger) Quarantined(d fingerprint.Digest, parts []string, now time.Time) (left time.Duration, ok bool) {
 	left = l.holds[d].Until.Sub(now)
+	if len(parts) > 0 {
+		for _, h := range l.holds {
+			if h.Matches(d, parts) {
+				left = max(left, h.Until.Sub(now))
+			}
+		}
+	}
 	return left, left > 0
 }
 
 // Observe records an observation made at some time, and reports whether it is new.
 func (l *Ledger) Observe(o Observation, at time.Time) bool {
+	lost := len(o.Parts) > 0 && o.Generated == 0 && l.evidence.add(lostRun{server: o.Server, at: at, content: o.Content, parts: o.Parts})
+	return l.observeContent(o, at) || lost
+}
+
+func (l *Ledger) observeContent(o Observation, at time.Time) bool {
 	if cleared, ok := l.cleared[o.Content]; ok && !at.After(cleared) {
 		return false
 	}
@@ -117,12 +158,28 @@
 	}
 	x.terminations = append(x.terminations, termination{server: o.Server, at: at, generated: o.Generated})
 	x.lastTermination = later(x.lastTermination, at)
-	if _, quarantined := l.Quarantined(o.Content, at); quarantined {
-		l.explained[o.Server] = at
+	if by, ok := l.heldBy(o, at); ok {
+		l.explained[o.Server] = explanation{by: by, at: at}
 	}
 	return true
 }
 
+// heldBy returns the hold that an observed request was under.
+func (l *Ledger) heldBy(o Observation, at time.Time) (by fingerprint.Digest, ok bool) {
+	if l.holds[o.Content].Until.After(at) {
+		return o.Content, true
+	}
+	if o.Generated > 0 {
+		return by, false
+	}
+	for key, h := range l.holds {
+		if len(h.Parts) > 0 && h.Until.After(at) && containsAll(o.Parts, h.Parts) {
+			return key, true
+		}
+	}
+	return by, false
+}
+
 // evictOldest drops the suspects with the oldest last terminations when there are too many: a tenth of them, so that it
 // rarely has to.
 func (l *Ledger) evictOldest() {
@@ -144,6 +201,9 @@
 	if x == nil && h.Duration == 0 {
 		return false
 	}
+	for _, p := range h.Parts {
+		l.evidence.clear(p, at)
+	}
 	l.cleared[d] = later(l.cleared[d], at)
 	changed := false
 	if h.Duration > 0 && !h.StartedAt().After(at) {
@@ -173,7 +233,11 @@
 		return false
 	}
 	known, ok := l.holds[h.Content]
-	if ok && h.Duration <= known.Duration && h.StartedAt().Before(known.Until) {
+	if ok && len(known.Parts) > len(h.Parts) {
+		// Forwarded by a router that does not know of parts.
+		return false
+	}
+	if ok && len(known.Parts) == len(h.Parts) && h.Duration <= known.Duration && h.StartedAt().Before(known.Until) {
 		// The same hold, forwarded by another router: its end has moved by the transmission delay.
 		return false
 	}
@@ -183,9 +247,12 @@
 	l.holds[h.Content] = h
 	if x := l.suspects[h.Content]; x != nil {
 		for _, e := range x.terminations {
-			l.explained[e.server] = e.at
+			l.explained[e.server] = explanation{by: h.Content, at: e.at}
 		}
 	}
+	if len(h.Parts) > 0 {
+		l.explain(h)
+	}
 	return true
 }
 
@@ -201,18 +268,23 @@
 	return out
 }
 
-// TerminatedServers returns the servers that terminated under a request.
-func (l *Ledger) TerminatedServers(d fingerprint.Digest) []string {
-	x := l.suspects[d]
-	if x == nil {
-		return nil
-	}
+// TerminatedServers returns the servers that terminated under the requests of a hold.
+func (l *Ledger) TerminatedServers(h Hold) []string {
 	var out []string
-	for _, e := range x.terminations {
-		out = append(out, e.server)
+	if x := l.suspects[h.Content]; x != nil {
+		for _, e := range x.terminations {
+			out = append(out, e.server)
+		}
+	}
+	if len(h.Parts) > 0 {
+		for i := range l.evidence.lost {
+			if r := &l.evidence.lost[i]; r.hasAll(h.Parts) {
+				out = append(out, r.server)
+			}
+		}
 	}
 	slices.Sort(out)
-	return out
+	return slices.Compact(out)
 }
 
 // Expire drops observations older than ObservationTTL and holds past their forgottenAt.
@@ -224,7 +296,8 @@
 		}
 	}
 	maps.DeleteFunc(l.holds, func(_ fingerprint.Digest, h Hold) bool { return !h.forgottenAt().After(now) })
-	maps.DeleteFunc(l.explained, func(_ string, at time.Time) bool { return now.Sub(at) >= ObservationTTL })
+	maps.DeleteFunc(l.explained, func(_ string, x explanation) bool { return now.Sub(x.at) >= ObservationTTL })
+	l.evidence.expire(now)
 	maps.DeleteFunc(l.cleared, func(_ fingerprint.Digest, at time.Time) bool { return now.Sub(at) >= ObservationTTL })
 }
 
--- a/policy/quarantine/ledger_test.go
+++ b/policy/quarantine/ledger_test.go
@@ -79,7 +79,7 @@
 			var generated int
 			_, err := fmt.Sscanf(strings.Replace(stream, ":", " ", 1), "%s %d", &prompt, &generated)
 			assert.NilError(t, err)
-			if _, ok := l.Quarantined(named(prompt), at(s.second)); ok {
+			if _, ok := l.Quarantined(named(prompt), nil, at(s.second)); ok {
 				continue
 			}
 			l.Observe(Observation{Content: named(prompt), Server: fmt.Sprint("server-", i), Generated: generated}, at(s.second))
@@ -95,7 +95,7 @@
 	}{{"2233", 15.39}, {"9401", 40.25}} {
 		assert.Equal(t, holds[i].Content, named(want.prompt))
 		assert.Equal(t, holds[i].StartedAt(), at(want.third).Add(SettleDelay))
-		assert.Equal(t, len(l.TerminatedServers(named(want.prompt))), MaxTerminations)
+		assert.Equal(t, len(l.TerminatedServers(Hold{Content: named(want.prompt)})), MaxTerminations)
 	}
 }
 
@@ -189,12 +189,12 @@
 	first := decideUntil(l, at(5))
 	assert.Equal(t, len(first), 1)
 	assert.Equal(t, first[0].Duration, FirstHold)
-	left, ok := l.Quarantined(named("deadly"), first[0].StartedAt())
+	left, ok := l.Quarantined(named("deadly"), nil, first[0].StartedAt())
 	assert.Assert(t, ok)
 	assert.Equal(t, left, FirstHold)
 
 	later := first[0].Until.Add(time.Second)
-	_, ok = l.Quarantined(named("deadly"), later)
+	_, ok = l.Quarantined(named("deadly"), nil, later)
 	assert.Assert(t, !ok, "expired hold")
 	l.Expire(later)
 	started, _ := l.Decide(later)
@@ -205,7 +205,7 @@
 	assert.Equal(t, started[0].Duration, 2*FirstHold)
 
 	assert.Assert(t, l.Clear(named("deadly"), later.Add(time.Minute)))
-	_, ok = l.Quarantined(named("deadly"), later.Add(time.Minute))
+	_, ok = l.Quarantined(named("deadly"), nil, later.Add(time.Minute))
 	assert.Assert(t, !ok)
 	assert.Assert(t, !l.AddHold(started[0]), "forwarded by a router that does not know of the answer")
 	l.Expire(later.Add(time.Hour))
@@ -237,7 +237,7 @@
 	now := start
 	for range 100 {
 		for _, pair := range [][2]*Ledger{{a, b}, {b, a}} {
-			left, ok := pair[0].Quarantined(one, now)
+			left, ok := pair[0].Quarantined(one, nil, now)
 			assert.Assert(t, ok)
 			now = now.Add(delay)
 			pair[1].AddHold(Hold{Content: one, Until: now.Add(left), Duration: FirstHold})
@@ -299,7 +299,7 @@
 				refill(s)
 			}
 			l.Decide(now)
-			_, quarantined := l.Quarantined(named("deadly"), now)
+			_, quarantined := l.Quarantined(named("deadly"), nil, now)
 			crash := !quarantined
 			if quarantined && rng.IntN(4) > 0 {
 				continue
--- a/policy/quarantine/terminations.go
+++ b/policy/quarantine/terminations.go
@@ -22,7 +22,9 @@
 	Content fingerprint.Digest
 	// Generated is the number of tokens received before.
 	Generated int
-	at        time.Time
+	// Parts are the IDs of the parts of its prompt that other requests may have too, if nothing was received.
+	Parts []string
+	at    time.Time
 }
 
 // Terminations correlates two events that a router observes separately: that an attempt broke, and that its server
