holdback: a released part is not held again by a late report, and reports with long parts fit a datagram

Cause: a report with a hold that was sent before a run with the part began arrives after it, and the hold was added anew: whether it is older was asked for whole requests alone. And the parts of 60 lost runs, 64 IDs of 64 bytes each, are 240 kB in one message.

--- a/holdback/report.go
+++ b/holdback/report.go
@@ -12,12 +12,14 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/quarantine"
 )
 
-// Bounds of one message, which contains the newest updates: 60 observations of 55 bytes, and 50 holds of 30 bytes and as
-// many releases, together 6 kB, so that it fits a datagram and reports to dozens of gateways pass a link of 10 Mbit/s.
+// Bounds of one message, which contains the newest updates: 60 observations of 55 bytes with the IDs of parts, and 50 holds of
+// 30 bytes and as many releases, together 9 kB, so that it fits a datagram and reports to dozens of gateways pass a link of 10 Mbit/s.
 // Updates left out are reported by the gateways where they originate, or are in the store.
 const (
 	maxObservationsPerReport = 60
 	maxHoldsPerReport        = 50
+	// maxPartBytesPerReport bounds the IDs of parts; further observations go without.
+	maxPartBytesPerReport = 3 << 10
 )
 
 // Updates returns a channel that signals that Recent has something new.
@@ -72,13 +74,19 @@
 // encode encodes holds, and the observations and releases that originated here within some time. The caller holds mu.
 func (g *Guard) encode(now time.Time, within time.Duration, holds []quarantine.Hold) *peer.Suspects {
 	out := &peer.Suspects{}
+	partBytes := 0
 	for _, o := range slices.Backward(g.observations) {
 		if now.Sub(o.at) >= within || len(out.Sightings) == maxObservationsPerReport {
 			break
 		}
-		out.Sightings = append(out.Sightings, &peer.Sighting{
-			Content: o.Content[:], Server: o.Server, Generated: uint32(o.Generated), AgeMs: ageMillis(o.at, now), Parts: o.Parts,
-		})
+		s := &peer.Sighting{Content: o.Content[:], Server: o.Server, Generated: uint32(o.Generated), AgeMs: ageMillis(o.at, now)}
+		for _, p := range o.Parts {
+			partBytes += len(p)
+		}
+		if partBytes <= maxPartBytesPerReport {
+			s.Parts = o.Parts
+		}
+		out.Sightings = append(out.Sightings, s)
 	}
 	g.encodeShares(out)
 	for _, h := range holds[:min(len(holds), maxHoldsPerReport)] {
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -221,10 +221,10 @@
 	return changed
 }
 
-// Released reports whether a hold began before its request was last cleared.
+// Released reports whether a hold began before its request, or all its parts, were last cleared.
 func (l *Ledger) Released(h Hold) bool {
 	cleared, ok := l.cleared[h.Content]
-	return ok && !h.StartedAt().After(cleared)
+	return ok && !h.StartedAt().After(cleared) || len(h.Parts) > 0 && len(l.uncleared(h)) == 0
 }
 
 // AddHold adds a hold, also one that another router decided or that was persisted, and reports whether it is new.
@@ -232,6 +232,9 @@
 	if l.Released(h) {
 		return false
 	}
+	if rest := l.uncleared(h); len(rest) < len(h.Parts) {
+		h.Content, h.Parts = fingerprint.OfParts(rest), rest
+	}
 	known, ok := l.holds[h.Content]
 	if ok && len(known.Parts) > len(h.Parts) {
 		// Forwarded by a router that does not know of parts.
--- a/policy/quarantine/parts.go
+++ b/policy/quarantine/parts.go
@@ -268,18 +268,23 @@
 		changes.Ended = append(changes.Ended, h)
 	}
 	for _, h := range changes.Ended {
-		rest := slices.DeleteFunc(slices.Clone(h.Parts), func(p string) bool { return p == part })
-		if len(rest) == 0 {
-			continue
-		}
+		rest := l.uncleared(h)
 		narrowed := Hold{Content: fingerprint.OfParts(rest), Parts: rest, Duration: h.Duration, Until: h.Until}
-		if l.AddHold(narrowed) {
+		if len(rest) > 0 && l.AddHold(narrowed) {
 			changes.Started = append(changes.Started, narrowed)
 		}
 	}
 	return changes
 }
 
+// uncleared returns the parts of a hold with which no run has begun to generate since it started.
+func (l *Ledger) uncleared(h Hold) []string {
+	return slices.DeleteFunc(slices.Clone(h.Parts), func(p string) bool {
+		cleared, ok := l.evidence.cleared[p]
+		return ok && !h.StartedAt().After(cleared)
+	})
+}
+
 // explain marks the terminations of servers under runs that a hold of parts matches as explained by it.
 func (l *Ledger) explain(h Hold) {
 	for i := range l.evidence.lost {
