entry: a message that crashes engines is held in whatever chat it comes

Change: all messages of a chat but the last are its shared parts; a lost run at the engine that generates counts against them, and the first token clears them. Prompts that are one text have no parts. Result: TestMessageThatCrashesEngines, which fails if lost runs carry no parts (nothing held in 10 s), passes: held after the third engine, a chat with the other messages is answered.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -31,6 +31,9 @@
 		return outcome.Outcome{}, false
 	}
 	fresh := c.GetTokens()[skip:]
+	if a.r.received == a.receivedBefore {
+		a.s.quarantine.RunBegan(a.r.content.parts)
+	}
 	for _, t := range fresh {
 		a.r.text = append(a.r.text, t...)
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,7 +80,7 @@
 // end describes the ended attempt to the quarantine.
 func (a *attempt) end(o outcome.Outcome) end {
 	at := a.endedAt()
-	e := end{outcome: o, backend: at.backend.ID, incarnation: a.incarnation, engineLosses: a.engineLosses, generated: a.r.received - a.receivedBefore}
+	e := end{outcome: o, backend: at.backend.ID, incarnation: a.incarnation, engineLosses: a.engineLosses, generated: a.r.received - a.receivedBefore, decoding: at == a.servers.decode}
 	if at != a.servers.decode {
 		e.incarnation = at.incarnation()
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -110,6 +110,7 @@
 		model:        body.Model,
 		prompt:       body.prompt(),
 		maxTokens:    max(body.MaxTokens, body.MaxCompletionTokens),
+		sharedParts:  body.sharedMessages(),
 		promptEmpty:  len(body.Messages) == 0,
 		promptField:  "messages",
 		stream:       body.Stream,
@@ -139,6 +140,8 @@
 	chat   bool
 	model  string
 	prompt string
+	// sharedParts identifies the parts of the prompt that other requests may have too.
+	sharedParts []string
 	// promptField is the name of the field with the prompt; promptEmpty is set when it was empty.
 	promptField string
 	promptEmpty bool
@@ -257,7 +260,7 @@
 		promptTokens:   engine.EstimateTokens(m.prompt),
 		prefixHashes:   engine.PrefixHashes(m.prompt),
 		maxTokens:      m.maxTokens,
-		content: content{request: func() fingerprint.Request {
+		content: content{parts: m.sharedParts, request: func() fingerprint.Request {
 			return fingerprint.Request{Caller: c.contract.Customer, Method: hr.Method, Target: m.model, Body: []byte(m.prompt)}
 		}},
 		start:    now,
--- a/entry/openai.go
+++ b/entry/openai.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"reflect"
 	"strings"
+
+	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 )
 
 // The request and response bodies follow the API that clients of language models already use; fields that do
@@ -170,6 +172,15 @@
 	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
 }
 
+// sharedMessages identifies the messages of a chat that other chats may have too: all but the last one.
+func (c *chatRequest) sharedMessages() []string {
+	var ids []string
+	for _, m := range c.Messages[:max(len(c.Messages)-1, 0)] {
+		ids = append(ids, fingerprint.OfParts([]string{m.Role, string(m.Content)}).String())
+	}
+	return ids
+}
+
 // prompt renders chat messages as one text.
 func (c *chatRequest) prompt() string {
 	var b strings.Builder
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -90,6 +90,8 @@
 
 // content computes the digest of a request when it is first needed.
 type content struct {
+	// parts identifies the parts of its prompt that other requests may have too.
+	parts []string
 	// request is called once at most.
 	request  func() fingerprint.Request
 	computed bool
@@ -108,7 +110,7 @@
 	if !s.quarantine.Active() {
 		return outcome.Outcome{}, false
 	}
-	left, held := s.quarantine.Quarantined(c.get(), nil)
+	left, held := s.quarantine.Quarantined(c.get(), c.parts)
 	return outcome.Refuse(outcome.Quarantined, left), held
 }
 
@@ -123,6 +125,8 @@
 	engineLosses uint32
 	// generated is the number of tokens received in this attempt.
 	generated int
+	// decoding is set if it ended at the engine that generates.
+	decoding bool
 }
 
 // terminated returns a name for the termination of a server that ended the attempt; ok is false if none did. Attempts
@@ -154,5 +158,9 @@
 	s.metrics.Counter(metrics.RequestsInterrupted).Inc(1)
 	event.ServerTerminated.Log(s.log).Str("server", name).Str("how", string(e.outcome.Reason)).Int("requests", 1).
 		Strs("contents", []string{c.get().String()}).Msg("")
-	s.quarantine.ServerTerminated(name, []quarantine.BrokenAttempt{{Content: c.get(), Generated: e.generated}})
+	b := quarantine.BrokenAttempt{Content: c.get(), Generated: e.generated}
+	if b.Generated == 0 && e.decoding {
+		b.Parts = c.parts
+	}
+	s.quarantine.ServerTerminated(name, []quarantine.BrokenAttempt{b})
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -143,3 +145,57 @@
 	}
 	assert.Equal(t, strings.Count(p.Log.String(), eventHeld), 0)
 }
+
+// chatOf sends a chat of these messages and returns the status and the reason of an error.
+func chatOf(t *testing.T, url string, messages ...string) (status int, code string) {
+	t.Helper()
+	type message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	var list []message
+	for _, m := range messages {
+		list = append(list, message{"user", m})
+	}
+	data, err := json.Marshal(map[string]any{"model": pathtest.Lookup, "messages": list, "max_tokens": 5})
+	assert.NilError(t, err)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(data))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+pathtest.Key)
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	var answer struct {
+		Error struct{ Code string }
+	}
+	assert.NilError(t, json.NewDecoder(res.Body).Decode(&answer))
+	return res.StatusCode, answer.Error.Code
+}
+
+// TestMessageThatCrashesEngines: chats of which no two are alike have one message in common under which engines end. After
+// the third it is held, and a chat with the other messages is answered.
+func TestMessageThatCrashesEngines(t *testing.T) {
+	p := pathtest.Start(t, pathtest.Options{})
+	awaitServing(t, p.URL)
+	for i := range 40 {
+		status, _ := chatOf(t, p.URL, "You are kind.", fmt.Sprint("Document ", i%5), fmt.Sprint("Question ", i))
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for i := range 3 {
+		assert.NilError(t, p.Faults.Add(fault.Rule{Op: standin.OpDecode, Kind: fault.Cut}))
+		assert.NilError(t, p.Faults.Add(fault.Rule{Op: standin.OpResume, Kind: fault.Refuse}))
+		status, _ := chatOf(t, p.URL, "You are kind.", "No engine survives this.", fmt.Sprint("Question ", i))
+		assert.Equal(t, status, http.StatusBadGateway)
+		p.Faults.Clear()
+		status, _ = chatOf(t, p.URL, "You are kind.", "Document 1", fmt.Sprint("Between ", i))
+		assert.Equal(t, status, http.StatusOK)
+	}
+	awaitLogged(t, p, eventHeld, 1)
+	before := decodeStarts(p)
+	status, code := chatOf(t, p.URL, "You are kind.", "No engine survives this.", "Another question")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, code, string(outcome.Quarantined))
+	assert.Equal(t, decodeStarts(p), before, "nothing is sent to the engine")
+	status, _ = chatOf(t, p.URL, "You are kind.", "Document 1", "Another question")
+	assert.Equal(t, status, http.StatusOK)
+}
