--- a/policy/quarantine/decide.go
+++ b/policy/quarantine/decide.go
@@ -39,8 +39,18 @@
 	}
 }
 
+// partsInterval is the least time between two decisions on parts, which look at all lost runs.
+const partsInterval = SettleDelay / 3
+
 // decideParts starts the holds of parts that are due.
 func (l *Ledger) decideParts(now time.Time) (started []Hold, next time.Time) {
+	if len(l.evidence.lost) == 0 {
+		return nil, time.Time{}
+	}
+	if next := l.partsDecided.Add(partsInterval); next.After(now) {
+		return nil, next
+	}
+	l.partsDecided = now
 	for {
 		h, reached, ok := l.renewedPart(now)
 		if !ok {
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -16,7 +16,7 @@
 	// are a thousand times as likely if it crashes each server as if they coincided with any of the parts by chance.
 	minEvidence = 6.9
 	// maxLostRuns and maxBegins bound the memory of partEvidence; the oldest are dropped first.
-	maxLostRuns = 2000
+	maxLostRuns = 600
 	maxBegins   = 1000
 )
 
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -83,6 +83,8 @@
 	evidence       partEvidence
 	minEvidence    float64
 	partsUndecided bool
+	// partsDecided is when parts were last decided on.
+	partsDecided time.Time
 }
 
 // explanation is the hold that explains the termination of a server, and when the server terminated.
--- a/policy/quarantine/parts.go
+++ b/policy/quarantine/parts.go
@@ -22,9 +22,6 @@
 
 // topPart returns the hold of the part, or of the parts that can't be told apart, to decide first.
 func (l *Ledger) topPart(now time.Time) (h Hold, reached time.Time, ok bool) {
-	if len(l.evidence.lost) < MaxTerminations {
-		return Hold{}, time.Time{}, false
-	}
 	l.partsUndecided = false
 	candidates := l.partCandidates(now)
 	var best *partCandidate
--- a/policy/quarantine/parts_test.go
+++ b/policy/quarantine/parts_test.go
@@ -163,7 +163,7 @@
 // oldest or was counted least is dropped first.
 func TestEvidenceIsBounded(t *testing.T) {
 	l := New()
-	for i := range 3 * maxLostRuns {
+	for i := range maxCountedRuns + 2000 {
 		lose(l, float64(i)/1000, fmt.Sprint("s", i), fmt.Sprint("c", i), "first", fmt.Sprint("part-", i))
 		l.RunBegan([]string{"often", fmt.Sprint("part-", i)}, at(float64(i)/1000))
 	}
--- a/policy/quarantine/size_test.go
+++ b/policy/quarantine/size_test.go
@@ -18,6 +18,12 @@
 	for i := range maxSuspects {
 		observeAll(l, 0, fmt.Sprintf("i-%010d@1764720000123", i/40), fmt.Sprint(i))
 	}
+	for i := range maxLostRuns {
+		lose(l, 0, fmt.Sprintf("i-%010d@1764720000123", i/10), fmt.Sprint("lost ", i), "first", fmt.Sprintf("%08x", i%500), fmt.Sprintf("%08x", i))
+	}
+	for i := range maxCountedRuns {
+		l.RunBegan([]string{fmt.Sprintf("%08x", i+maxLostRuns), fmt.Sprintf("%08x", i%500)}, at(0))
+	}
 	for i := range maxHolds {
 		l.AddHold(Hold{Content: named(fmt.Sprint("held ", i)), Until: start.Add(FirstHold), Duration: FirstHold})
 	}
