kvmemory: a router with most of the callers expects more than its equal share of free memory

Cause: while the load balancer hands most new connections to one gateway, it rejects at once whom it could serve: it expects one of N equal shares of the memory that becomes free, though the others ask for none. Change: a router that has placed more than twice the mean expects what it has placed itself.

--- a/forward/customers.go
+++ b/forward/customers.go
@@ -174,7 +174,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := shortage{overShare: e.customers.shares.OverShare(w.Customer)}
-	if rate := e.memory.TokensPerRouter(); rate > 0 {
+	if rate := e.memory.ExpectedTokens(); rate > 0 {
 		s.expected = time.Duration(float64(e.queue.Ahead(w)) / rate * float64(hold))
 	}
 	return s, e.customers.holding(w.Customer)
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -140,7 +140,7 @@
 	if hold <= 0 || e.queue.Len() == 0 {
 		return false
 	}
-	rate := e.memory.TokensPerRouter() / hold.Seconds()
+	rate := e.memory.ExpectedTokens() / hold.Seconds()
 	return e.policy.ShouldReject(e.queue.Ahead(w), rate, w.GiveUpAt.Sub(now))
 }
 
--- a/policy/kvmemory/kvmemory.go
+++ b/policy/kvmemory/kvmemory.go
@@ -327,11 +327,31 @@
 // router may expect that share of the memory that becomes free as runs end, whichever router placed
 // them.
 func (p *Pool) TokensPerRouter() float64 {
-	sum := 0
+	_, all := p.placedTokens()
+	return float64(all) / float64(p.routers)
+}
+
+// gatheredFactor is how many times the mean a router must have placed to count as one to which most callers come.
+const gatheredFactor = 2
+
+// ExpectedTokens is the number of placed tokens of which a router may expect to get the memory that becomes free as runs
+// end: the mean per router, or its own if most callers come to it.
+func (p *Pool) ExpectedTokens() float64 {
+	own, all := p.placedTokens()
+	mean := float64(all) / float64(p.routers)
+	if float64(own) > gatheredFactor*mean {
+		return float64(own)
+	}
+	return mean
+}
+
+// placedTokens returns the tokens that this router and that all routers placed on all engines.
+func (p *Pool) placedTokens() (own, all int) {
 	for _, s := range p.servers {
-		sum += s.ownLoad.Tokens + s.peerLoad.Tokens
+		own += s.ownLoad.Tokens
+		all += s.ownLoad.Tokens + s.peerLoad.Tokens
 	}
-	return float64(sum) / float64(p.routers)
+	return own, all
 }
 
 // OwnLoad returns the load that this router placed on one engine.
