gateway: connections are shed while most callers come to one gateway and overload it

Cause: the users' load balancer may hand most new connections of a zone or an area to one gateway. What it reads beyond what its processor bears is answered after the deadline: with 400 connections a second where it bears some 88 nothing that it reads is served. Change: policy/shedding, a rate of new connections that falls while timers fire late and more than twice the usual rate comes; the rest is closed unread, and connections are closed after their answers meanwhile, so that the rate bounds requests.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -85,6 +85,8 @@
 	CustomerShort        = Event{753, log.InfoLevel, "customer is short of engine memory"}
 	StreamTruncated      = Event{754, log.WarnLevel, "stream of an engine ended inside an event"}
 	StreamVersionChanged = Event{755, log.ErrorLevel, "stream holds events of two software versions"}
+	ConnectionsLimited   = Event{756, log.WarnLevel, "new connections limited"}
+	ConnectionsUnlimited = Event{757, log.InfoLevel, "new connections no longer limited"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -106,6 +108,6 @@
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted, CustomerShort,
-		StreamTruncated, StreamVersionChanged,
+		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited,
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,8 @@
 	quotas *quotas
 	// streams knows the software versions of streams that clients may resume.
 	streams *streamversions.Directory
+	// connections limits the callers' new connections.
+	connections *connectionLimit
 	// guard quarantines requests that crash servers; holds is the table that persists the quarantine.
 	guard *holdback.Guard
 	holds holdback.Table
@@ -186,6 +188,7 @@
 	s.metrics.GaugeFunc(metrics.QuotaReservedPeers, s.quotas.unresponsiveGateways)
 	s.peerLoads = newPeerLoads(s.view.incarnationID)
 	s.view.onReplaced = s.incarnationsReplaced
+	s.connections = newConnectionLimit(d.Log, d.Metrics)
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, settings.Off.Has(mechanism.Quarantine)), d.Holds
 	s.streams = streamversions.New(streamNetwork{s}, streamversions.NewHistory(d.Versions), d.Metrics)
 	s.fwd = forward.New(forward.Config{
@@ -213,6 +216,9 @@
 	s.work.Go(func() { s.exchangeReports(ctx) })
 	s.work.Go(func() { s.planStages(ctx) })
 	s.startQuarantine(ctx)
+	if !s.settings.Off.Has(mechanism.Shedding) {
+		s.work.Go(func() { s.connections.probe(ctx) })
+	}
 	s.work.Go(func() { s.keepVersions(ctx) })
 	if !s.settings.Off.Has(mechanism.Datagrams) {
 		s.work.Go(func() { s.announceChanges(ctx) })
@@ -223,27 +229,36 @@
 
 func (s *Service) listen() error {
 	var err error
-	s.callers, err = s.serve("callers", s.settings.ClientAddr, s.fwd, s.fwd.CheckHead)
+	o := httpserver.Options{Name: "callers", Addr: s.settings.ClientAddr, Handler: s.fwd, CheckHead: s.fwd.CheckHead}
+	if !s.settings.Off.Has(mechanism.Shedding) {
+		o.Accepts, o.ClosesConnections = s.connections.accept, s.connections.isLimited
+	}
+	s.callers, err = s.serve(o)
 	if err != nil {
 		return err
 	}
-	if _, err = s.serve("ready", s.settings.ReadyAddr, http.HandlerFunc(s.handleReady), nil); err != nil {
+	if err := s.serveOther("ready", s.settings.ReadyAddr, http.HandlerFunc(s.handleReady)); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
 	mux.HandleFunc("GET "+AccessPath, s.handleAccess)
 	mux.HandleFunc("GET "+ServersPath, s.handleServers)
-	_, err = s.serve("metrics", s.settings.MetricsAddr, mux, nil)
-	return err
+	return s.serveOther("metrics", s.settings.MetricsAddr, mux)
 }
 
-func (s *Service) serve(name, addr string, h http.Handler, head func(*http.Request) int) (*httpserver.Server, error) {
-	server, err := httpserver.Start(httpserver.Options{Name: name, Addr: addr, Handler: h, CheckHead: head, Pollers: 1})
-	if err == nil && name != "callers" {
+func (s *Service) serve(o httpserver.Options) (*httpserver.Server, error) {
+	o.Pollers = 1
+	return httpserver.Start(o)
+}
+
+// serveOther starts a server for others than callers.
+func (s *Service) serveOther(name, addr string, h http.Handler) error {
+	server, err := s.serve(httpserver.Options{Name: name, Addr: addr, Handler: h})
+	if err == nil {
 		s.servers = append(s.servers, server)
 	}
-	return server, err
+	return err
 }
 
 // handleReady reports to the load balancer whether to send new connections.
--- a/httpserver/listener.go
+++ b/httpserver/listener.go
@@ -14,17 +14,19 @@
 // closes all connections, and until then it accepts in a loop.
 type listener struct {
 	net.Listener
+	// accepts reports whether to accept a new connection; others are closed before anything is read from them.
+	accepts                  func() bool
 	stopping, closed         chan struct{}
 	stoppingOnce, closedOnce sync.Once
 }
 
-func newListener(l net.Listener) *listener {
-	return &listener{Listener: l, stopping: make(chan struct{}), closed: make(chan struct{})}
+func newListener(l net.Listener, accepts func() bool) *listener {
+	return &listener{Listener: l, accepts: accepts, stopping: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener. Once accepting has stopped, it blocks until Close.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.acceptWanted()
 	if err == nil {
 		return c, nil
 	}
@@ -37,6 +39,18 @@
 	return nil, err
 }
 
+// acceptWanted returns the next connection that is accepted.
+func (l *listener) acceptWanted() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || l.accepts() {
+			return c, err
+		}
+		// The connection is given up in any case.
+		_ = c.Close()
+	}
+}
+
 func (l *listener) stopAccepting() {
 	l.stoppingOnce.Do(func() {
 		close(l.stopping)
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -52,6 +52,12 @@
 	// CheckHead checks a request whose head has arrived before its body, and returns a status with which to reject it
 	// at once, or zero. It must not block or retain the request. Nil accepts all requests.
 	CheckHead func(r *http.Request) int
+	// Accepts reports whether to accept a new connection; others are closed before anything is read from them. It must
+	// not block. Nil accepts all connections.
+	Accepts func() bool
+	// ClosesConnections reports whether connections are closed after their current response, so that their clients
+	// connect anew. It must not block. Nil keeps connections open.
+	ClosesConnections func() bool
 	// Rejection returns the headers and the JSON body of the response to a request that is rejected before it reaches
 	// Handler. It must not block. Nil means neither.
 	Rejection func(status int) (http.Header, []byte)
@@ -110,7 +116,7 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "listen on %s", o.Addr)
 	}
-	s.listener = newListener(lis)
+	s.listener = newListener(lis, o.Accepts)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:                   o.Name,
 		Network:                "tcp",
@@ -144,6 +150,12 @@
 	setDefault(&o.StallTimeout, DefaultStallTimeout)
 	setDefault(&o.ReadTimeout, DefaultReadTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	if o.Accepts == nil {
+		o.Accepts = func() bool { return true }
+	}
+	if o.ClosesConnections == nil {
+		o.ClosesConnections = func() bool { return false }
+	}
 	if o.Rejection == nil {
 		o.Rejection = func(int) (http.Header, []byte) { return nil, nil }
 	}
@@ -190,7 +202,7 @@
 // serve runs the handler; nbhttp sends the rest of the response afterwards.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	res := newResponse(w.(*nbhttp.Response), r)
-	r.Close = r.Close || s.closing.Load()
+	r.Close = r.Close || s.closing.Load() || s.opts.ClosesConnections()
 	defer res.finish()
 	defer func() {
 		if p := recover(); p != nil {
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -321,3 +322,23 @@
 	assert.Equal(t, res.StatusCode, 200)
 	assert.Equal(t, body, "whole")
 }
+
+// TestRejectedConnectionIsClosedUnread: a connection that is not accepted is closed without an answer, and the next one
+// that is accepted is served.
+func TestRejectedConnectionIsClosedUnread(t *testing.T) {
+	var rejects atomic.Bool
+	var handled atomic.Int64
+	addr := start(t, Options{Accepts: func() bool { return !rejects.Load() }}, func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		echo(w, r)
+	})
+	rejects.Store(true)
+	c := dial(t, addr)
+	_, _ = io.WriteString(c, post("abc")) // It may be closed already.
+	answer, _ := io.ReadAll(c)            // A reset is as good as an end.
+	assert.Equal(t, len(answer), 0)
+	assert.Equal(t, handled.Load(), int64(0))
+	rejects.Store(false)
+	_, body := send(t, dial(t, addr), "POST", post("abc"))
+	assert.Equal(t, body, "abc")
+}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -81,6 +81,7 @@
 		{ShareYields, Counter},
 		{ConnectionFramed, Counter},
 		{StreamsTruncatedPrefix, Counter},
+		{ConnectionsShed, Counter},
 		{StreamsResumed, Counter},
 		{StreamVersionChanges, Counter},
 		{StreamLookupsPrefix, Counter},
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -35,6 +35,8 @@
 	// RequestsInterrupted those requests.
 	ServersTerminated   = "servers_ended"
 	RequestsInterrupted = "requests_broken"
+	// ConnectionsShed counts connections that were closed unread, since too many came for the processor.
+	ConnectionsShed = "connections_shed"
 	// RequestsQuarantined is the number of requests in quarantine, since they make servers terminate; Holds
 	// counts those that this process quarantined.
 	RequestsQuarantined = "requests_held"
--- a/policy/mechanism/mechanism.go
+++ b/policy/mechanism/mechanism.go
@@ -59,6 +59,8 @@
 	QuotaOrder
 	// CustomerShares orders requests that wait for memory by what their customers hold.
 	CustomerShares
+	// Shedding closes new connections unread while most callers come to an overloaded gateway.
+	Shedding
 	count
 )
 
@@ -70,6 +72,7 @@
 	"pace",
 	"quota-order",
 	"customer-shares",
+	"shedding",
 }
 
 // String returns the name of m as used in settings.
