soak: parts of prompts that crash servers, and requests gathered at one gateway

Cause: the stand-ins and the soak repeated crashing requests to the byte, and spread requests evenly.

--- a/gateway/crashingpart_test.go
+++ b/gateway/crashingpart_test.go
@@ -31,7 +31,7 @@
 func (cl *cluster) requestsWithPart() int {
 	ids := map[string]bool{}
 	for _, c := range cl.calls.Calls() {
-		if c.HasPart(crashingPart) && c.Kind != site.Hold {
+		if c.PartWithPrefix(crashingPart) != "" && c.Kind != site.Hold {
 			ids[c.ID] = true
 		}
 	}
--- a/proofs/gateway_cluster_test.go
+++ b/proofs/gateway_cluster_test.go
@@ -102,10 +102,12 @@
 	s.Restart(time.Now().UnixMilli(), false)
 	s.relay = newRelay(c.t, s.Addr())
 	s.SetAddr(s.relay.addr)
-	s.CrashOn(crashPrefix, func(*site.Server) {
+	replace := func(*site.Server) {
 		defer c.crashes.Done()
 		c.replaceCrashed(s)
-	})
+	}
+	s.CrashOn(crashPrefix, replace)
+	s.CrashOnPart(crashPart, replace)
 	s.BeforeCrash(func() { c.crashes.Add(1) })
 	c.mu.Lock()
 	c.servers = append(c.servers, s)
--- a/proofs/gateway_observer_test.go
+++ b/proofs/gateway_observer_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -29,6 +30,8 @@
 	c    *gatewayCluster
 	rec  *invariant.Recorder
 	pool *upstream.Pool
+	// fresh is the pool of clients that open a connection for each request.
+	fresh *upstream.Pool
 
 	mu       sync.Mutex
 	outcomes map[string]int
@@ -40,6 +43,8 @@
 	crashing      *crashingRequests
 	announcements announcements
 	takeUps       takeUps
+	// gathered is the gateway at which most requests arrive; nil if they are spread.
+	gathered atomic.Pointer[clusterGateway]
 }
 
 // acceptedManifest is a manifest that the store has accepted.
@@ -50,7 +55,7 @@
 
 func newGatewayObserver(c *gatewayCluster) *gatewayObserver {
 	w := &gatewayObserver{
-		c: c, rec: invariant.NewRecorder(), pool: upstream.New(upstream.Options{}),
+		c: c, rec: invariant.NewRecorder(), pool: upstream.New(upstream.Options{}), fresh: upstream.New(upstream.Options{}),
 		outcomes: map[string]int{}, newestShown: map[string]int{}, accepted: []acceptedManifest{{version: c.newestVersion()}},
 	}
 	w.crashing = newCrashingRequests(w)
@@ -99,6 +104,10 @@
 	// target and body are those of a request that is sent repeatedly under different IDs; empty for all
 	// others.
 	target, body string
+	// fresh is set if the client opens a connection for the request.
+	fresh bool
+	// parts are the IDs of the parts of a stream's prompt that others may share.
+	parts []string
 	// resumes is the ID of the request that began the stream which this one resumes behind its first events; empty for
 	// all others.
 	resumes string
@@ -159,7 +168,13 @@
 		if rng.IntN(8) == 0 {
 			q.leaveAfter = time.Duration(rng.IntN(int(100 * time.Millisecond)))
 		}
-		gateway := func() *clusterGateway { return w.c.gateways[rng.IntN(len(w.c.gateways))] }
+		q.parts = sharedParts(rng)
+		gateway := func() *clusterGateway {
+			if g := w.gathered.Load(); g != nil && rng.IntN(gatheredOneIn) != 0 {
+				return g
+			}
+			return w.c.gateways[rng.IntN(len(w.c.gateways))]
+		}
 		if q.route == "resume" {
 			q.leaveAfter = max(q.leaveAfter, time.Duration(rng.IntN(2)*rng.IntN(1+int(w.takeUps.leaveWithin))))
 			w.sendUntilWhole(gateway, q)
@@ -251,6 +266,7 @@
 	if q.streams() {
 		h.Set(site.Tokens, fmt.Sprint("1000,", streamTokens))
 		h.Set(site.LengthHint, strconv.Itoa(streamTokens))
+		h.Set(site.Parts, encodeParts(q.parts, q.id))
 	}
 	if q.resumes != "" {
 		h.Set(site.Resumes, q.resumes)
@@ -260,7 +276,12 @@
 	if q.kind() == "safe" || q.kind() == "v" {
 		method = http.MethodGet
 	}
-	res, err := w.pool.Do(ctx, g.callers, &upstream.Request{Method: method, Target: q.path(), Host: routeHost, Header: h, Body: []byte(q.body)})
+	pool := w.pool
+	if q.fresh {
+		pool = w.fresh
+		pool.CloseIdle(g.callers)
+	}
+	res, err := pool.Do(ctx, g.callers, &upstream.Request{Method: method, Target: q.path(), Host: routeHost, Header: h, Body: []byte(q.body)})
 	if err != nil {
 		return 0
 	}
--- a/proofs/soak_crash_test.go
+++ b/proofs/soak_crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,10 +16,13 @@
 const (
 	// crashPrefix is the prefix of the bodies of requests that crash the servers that run them.
 	crashPrefix = "deadly "
-	// maxCrashes is how many servers such a request may crash before it has to be detected, within
-	// detectionBound, and maxLateSends in how many sends it may still reach servers after that.
-	maxCrashes, maxLateSends = 3, 3
-	detectionBound           = 3*time.Second + longestFault
+	// crashPart is the prefix of the IDs of the parts of prompts that crash the servers that generate on them.
+	crashPart = "bad"
+	// maxCrashes is how many servers such a request may crash before it has to be detected, maxPartCrashes how many all
+	// requests with such a part may, each within detectionBound, and maxLateSends in how many sends they may still reach
+	// servers after that.
+	maxCrashes, maxPartCrashes, maxLateSends = 3, 5, 3
+	detectionBound                           = 3*time.Second + longestFault
 	// crashSendInterval is the mean interval between two sends of one such request.
 	crashSendInterval = 300 * time.Millisecond
 )
@@ -30,7 +35,7 @@
 
 	mu    sync.Mutex
 	count int
-	// serverCalls are the calls with which each request reached servers, in order; stateLosses counts how often
+	// serverCalls are the calls with which each request, or those with each part, reached servers, in order; stateLosses counts how often
 	// all gateways were killed, which loses their local state if the store is unavailable too.
 	serverCalls map[string][]serverCall
 	stateLosses int
@@ -70,14 +75,57 @@
 	}
 }
 
+// beginPart adds requests with a part that crashes servers, no two alike, which are sent until the check.
+func (x *crashingRequests) beginPart(seed uint64) {
+	x.mu.Lock()
+	x.count++
+	part := fmt.Sprint(crashPart, x.count)
+	x.mu.Unlock()
+	x.wg.Go(func() { x.runPart(part, rand.New(rand.NewPCG(seed, 3))) })
+}
+
+func (x *crashingRequests) runPart(part string, rng *rand.Rand) {
+	place := rng.IntN(maxSharedParts + 1)
+	for k := 0; ; k++ {
+		select {
+		case <-x.stop:
+			return
+		case <-time.After(time.Duration(rng.Int64N(int64(2 * crashSendInterval)))):
+		}
+		route := []string{"draft", "resume"}[rng.IntN(2)]
+		q := gatewayRequest{id: fmt.Sprintf("%s-%s-%d", route, part, k), route: route, body: fmt.Sprint("question ", part, k)}
+		q.parts = slices.Insert(sharedParts(rng), place, part)
+		x.w.sendRecorded(x.w.c.gateways[rng.IntN(len(x.w.c.gateways))], q)
+	}
+}
+
+// maxSharedParts is the number of parts of a prompt that others share.
+const maxSharedParts = 2
+
+// sharedParts draws the shared parts of a prompt: one that most have, and one of a few.
+func sharedParts(rng *rand.Rand) []string {
+	return []string{"f0", fmt.Sprint("d", rng.IntN(5))}
+}
+
+// encodeParts is the header with the parts of a prompt and one of the request's own.
+func encodeParts(parts []string, id string) string {
+	return strings.Join(append(slices.Clone(parts), "own-"+id), ":100,") + ":700"
+}
+
 // recordCall records a call at a server.
 func (x *crashingRequests) recordCall(c site.Call) {
-	if len(c.Body) < len(crashPrefix) || c.Body[:len(crashPrefix)] != crashPrefix || c.Refused {
+	if c.Refused || c.Kind == site.Hold {
+		return
+	}
+	name := ""
+	if strings.HasPrefix(c.Body, crashPrefix) {
+		name = c.Body
+	} else if name = c.PartWithPrefix(crashPart); name == "" {
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.serverCalls[c.Body] = append(x.serverCalls[c.Body], serverCall{c.ID, time.Now(), c.Kind != site.Prefill})
+	x.serverCalls[name] = append(x.serverCalls[name], serverCall{c.ID, time.Now(), c.Kind != site.Prefill})
 }
 
 // recordStateLoss records that all gateways were killed.
@@ -97,12 +145,16 @@
 	allowed := maxLateSends * (1 + x.stateLosses)
 	for body, list := range x.serverCalls {
 		crashes, lateSends, detectable := 0, map[string]bool{}, time.Time{}
+		enough := maxCrashes
+		if strings.HasPrefix(body, crashPart) {
+			enough = maxPartCrashes
+		}
 		for _, r := range list {
 			if r.crashesServer {
 				crashes++
 			}
 			switch {
-			case crashes == maxCrashes && detectable.IsZero():
+			case crashes == enough && detectable.IsZero():
 				detectable = r.at
 			case !detectable.IsZero() && r.at.Sub(detectable) > detectionBound:
 				lateSends[r.id] = true
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -69,6 +69,7 @@
 	}
 	t.Run("copies of runs", func(t *testing.T) { soak(t, seed, copyFaults, copiesOnly) })
 	t.Run("software versions", func(t *testing.T) { soak(t, seed, versionFaults, versionsOnly) })
+	t.Run("parts of prompts", func(t *testing.T) { soak(t, seed, partFaults, partsOnly) })
 	for _, r := range soakRegressions {
 		t.Run(fmt.Sprint("seed ", r.seed, ": ", r.cause), func(t *testing.T) { soak(t, r.seed, r.faults, r.kinds) })
 	}
@@ -80,8 +81,11 @@
 	allKinds, copiesOnly = -1, -2
 	// versionsOnly selects those of rollouts, and of gateways whose streams are taken up elsewhere.
 	versionsOnly = -3
-	// copyFaults is the number of faults of a run with copiesOnly, versionFaults that of one with versionsOnly.
-	copyFaults, versionFaults = 10, 14
+	// partsOnly selects parts of prompts that crash servers, requests gathered at one gateway, and faults of gateways.
+	partsOnly = -4
+	// copyFaults is the number of faults of a run with copiesOnly, versionFaults that of one with versionsOnly, and
+	// partFaults that of one with partsOnly.
+	copyFaults, versionFaults, partFaults = 10, 14, 10
 )
 
 func soak(t *testing.T, seed uint64, n, kinds int) {
@@ -100,6 +104,10 @@
 	switch kinds {
 	case allKinds:
 		w.crashing.begin(seed)
+		w.crashing.beginPart(seed)
+	case partsOnly:
+		w.crashing.beginPart(seed)
+		drawn = slices.Concat(x.partKinds(), x.partKinds(), x.kinds()[:gatewayKinds-1])
 	case copiesOnly:
 		drawn = x.copyKinds()
 	case versionsOnly:
@@ -193,7 +201,7 @@
 // everyKind returns all fault kinds in the order in which they were added: the regression seeds draw from the
 // first ones only.
 func (x *soaker) everyKind() []faultKind {
-	return slices.Concat(x.kinds(), x.keyKinds(), x.announcementKinds(), x.restoreKinds(), x.copyKinds(), x.versionKinds())
+	return slices.Concat(x.kinds(), x.keyKinds(), x.announcementKinds(), x.restoreKinds(), x.copyKinds(), x.versionKinds(), x.partKinds())
 }
 
 // gatewayKinds is the number of kinds that come first, of gateways that are killed, frozen or shut down.
--- a/proofs/soak_versions_test.go
+++ b/proofs/soak_versions_test.go
@@ -161,7 +161,7 @@
 	for i := 1; i <= maxTakeUps && received > 0 && received < site.Events; i++ {
 		time.Sleep(takeUpDelay)
 		before := received
-		again := gatewayRequest{id: fmt.Sprintf("%s-%d", q.id, i), route: q.route, resumes: q.id, first: received, received: &received}
+		again := gatewayRequest{id: fmt.Sprintf("%s-%d", q.id, i), route: q.route, parts: q.parts, resumes: q.id, first: received, received: &received}
 		status := w.sendRecorded(gateway(), again)
 		w.countIf(&w.takeUps.tried, status != 0)
 		w.countIf(&w.takeUps.wentOn, status == http.StatusOK && received > before)
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -10,12 +10,12 @@
 	s.crashPrefix, s.afterCrash = bodyPrefix, afterCrash
 }
 
-// CrashOnPart makes the server crash as soon as it begins to run a request whose prompt has a part with this ID, at any
-// place; a prefill does not count as running. After the crash it calls afterCrash, unless that is nil.
-func (s *Server) CrashOnPart(id string, afterCrash func(*Server)) {
+// CrashOnPart makes the server crash as soon as it begins to run a request whose prompt has a part whose ID starts with
+// idPrefix, at any place; a prefill does not count as running. After the crash it calls afterCrash, unless that is nil.
+func (s *Server) CrashOnPart(idPrefix string, afterCrash func(*Server)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashPart, s.afterCrash = id, afterCrash
+	s.crashPart, s.afterCrash = idPrefix, afterCrash
 }
 
 // BeforeCrash makes the server call f when it begins to crash, before any connection or listener closes.
@@ -31,17 +31,17 @@
 	if c.Kind == Prefill {
 		return false
 	}
-	return s.crashPrefix != "" && strings.HasPrefix(c.Body, s.crashPrefix) || s.crashPart != "" && c.HasPart(s.crashPart)
+	return s.crashPrefix != "" && strings.HasPrefix(c.Body, s.crashPrefix) || s.crashPart != "" && c.PartWithPrefix(s.crashPart) != ""
 }
 
-// HasPart reports whether the prompt of the request has a part with this ID.
-func (c Call) HasPart(id string) bool {
+// PartWithPrefix returns the ID of the first part of the request's prompt whose ID starts with prefix; empty if none does.
+func (c Call) PartWithPrefix(prefix string) string {
 	for entry := range strings.SplitSeq(c.Header.Get(Parts), ",") {
-		if part, _, _ := strings.Cut(entry, ":"); part == id {
-			return true
+		if id, _, _ := strings.Cut(entry, ":"); strings.HasPrefix(id, prefix) {
+			return id
 		}
 	}
-	return false
+	return ""
 }
 
 // Crash terminates the server and its requests: it breaks its connections and closes its listener. It does not wait
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -46,8 +46,8 @@
 	retryAfter string
 	// reservations and orders are counts since the last start.
 	reservations, orders int
-	// crashPrefix is the body prefix and crashPart a part of the prompt of requests that crash the server, empty if none
-	// does; afterCrash is called after the crash.
+	// crashPrefix is the body prefix, and crashPart the prefix of the ID of a part of the prompt, of requests that crash
+	// the server, empty if none does; afterCrash is called after the crash.
 	crashPrefix, crashPart string
 	afterCrash             func(*Server)
 	// beforeCrash is called when the server begins to crash, and crashed is set then.
