--- a/entry/answer.go
+++ b/entry/answer.go
@@ -31,8 +31,8 @@
 		return outcome.Outcome{}, false
 	}
 	fresh := c.GetTokens()[skip:]
-	if a.r.received == a.receivedBefore {
-		a.s.quarantine.RunBegan(a.r.content.parts)
+	if parts := a.r.content.parts; len(parts) > 0 && a.r.received == a.receivedBefore {
+		a.s.quarantine.RunBegan(parts)
 	}
 	for _, t := range fresh {
 		a.r.text = append(a.r.text, t...)
