--- a/cmd/hibiscusspur/access_test.go
+++ b/cmd/hibiscusspur/access_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/forward"
@@ -35,13 +36,27 @@
 	for _, text := range []string{"configuration 7", "830 ms ago", "are served", "2 gateways are not heard", "tokens", "rate_limited", "id-1", "p2-expensive", "61234", "7001", "52345", "1.25"} {
 		assert.Assert(t, strings.Contains(out, text), "%s in %s", text, out)
 	}
-	out, _, err = execute(accessCmd(), "--gateway", addr, "-o", "json")
+	assertJSON(t, accessCmd(), addr, want)
+}
+
+// assertJSON checks what a command that asks a gateway writes as JSON.
+func assertJSON[T any](t *testing.T, cmd *cobra.Command, addr string, want T) {
+	t.Helper()
+	out, _, err := execute(cmd, "--gateway", addr, "-o", "json")
 	assert.NilError(t, err)
-	var got gateway.Access
+	var got T
 	assert.NilError(t, json.Unmarshal([]byte(out), &got))
 	assert.DeepEqual(t, got, want)
 }
 
+// assertOperationsPageNames checks that the page for operators documents a command.
+func assertOperationsPageNames(t *testing.T, command string) {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(page), "`"+command+"`"))
+}
+
 // TestAccessInput checks that the error for bad input names the flag.
 func TestAccessInput(t *testing.T) {
 	for _, c := range []struct {
@@ -60,7 +75,5 @@
 
 // TestPageNamesAccess checks that the page for operators documents the command.
 func TestPageNamesAccess(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATIONS.md")
-	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(page), "`hibiscusspur access --gateway IP:PORT`"))
+	assertOperationsPageNames(t, "hibiscusspur access --gateway IP:PORT")
 }
--- a/cmd/hibiscusspur/servers_test.go
+++ b/cmd/hibiscusspur/servers_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 
@@ -54,11 +53,7 @@
 		"overload router reduced to 0.25 - -",
 		"failing router costs 7.50 - -",
 	})
-	out, _, err = execute(serversCmd(), "--gateway", addr, "-o", "json")
-	assert.NilError(t, err)
-	var got gateway.Servers
-	assert.NilError(t, json.Unmarshal([]byte(out), &got))
-	assert.DeepEqual(t, got, want)
+	assertJSON(t, serversCmd(), addr, want)
 }
 
 // TestServersInput checks that the error for bad input names the flag.
@@ -70,7 +65,5 @@
 
 // TestPageNamesServers checks that the page for operators documents the command.
 func TestPageNamesServers(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATIONS.md")
-	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(page), "`hibiscusspur servers --gateway IP:PORT`"))
+	assertOperationsPageNames(t, "hibiscusspur servers --gateway IP:PORT")
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -32,8 +32,15 @@
 // completion sends a prompt and returns the status, the reason of an error, and the Retry-After.
 func completion(t *testing.T, url, prompt string) (status int, code, retryAfter string) {
 	t.Helper()
-	body := `{"model":"` + pathtest.Lookup + `","prompt":"` + prompt + `","max_tokens":5}`
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+	return postModel(t, url+"/v1/completions", map[string]any{"model": pathtest.Lookup, "prompt": prompt, "max_tokens": 5})
+}
+
+// postModel sends a body to the API of models and returns the status, the reason of an error, and the Retry-After.
+func postModel(t *testing.T, url string, body map[string]any) (status int, code, retryAfter string) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(data))
 	assert.NilError(t, err)
 	r.Header.Set("Authorization", "Bearer "+pathtest.Key)
 	res, err := http.DefaultClient.Do(r)
@@ -157,19 +164,8 @@
 	for _, m := range messages {
 		list = append(list, message{"user", m})
 	}
-	data, err := json.Marshal(map[string]any{"model": pathtest.Lookup, "messages": list, "max_tokens": 5})
-	assert.NilError(t, err)
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(data))
-	assert.NilError(t, err)
-	r.Header.Set("Authorization", "Bearer "+pathtest.Key)
-	res, err := http.DefaultClient.Do(r)
-	assert.NilError(t, err)
-	defer func() { _ = res.Body.Close() }()
-	var answer struct {
-		Error struct{ Code string }
-	}
-	assert.NilError(t, json.NewDecoder(res.Body).Decode(&answer))
-	return res.StatusCode, answer.Error.Code
+	status, code, _ = postModel(t, url+"/v1/chat/completions", map[string]any{"model": pathtest.Lookup, "messages": list, "max_tokens": 5})
+	return status, code
 }
 
 // TestMessageThatCrashesEngines: chats of which no two are alike have one message in common under which engines end. After
--- a/forward/customers_test.go
+++ b/forward/customers_test.go
@@ -37,17 +37,25 @@
 	}
 }
 
-// TestCustomerMemoryIsReported guards against figures that remain after the request that they count.
-func TestCustomerMemoryIsReported(t *testing.T) {
+// waitingForMemory starts a request of customer a that waits for memory, and returns its answer's channel. The gateway has
+// learned how long runs are, and engines are full.
+func waitingForMemory(t *testing.T, path string) (*testEnv, <-chan answer) {
+	t.Helper()
 	w := newEngineEnv(t)
 	w.withTenants(t, tenant("a", ownKey))
 	assert.Equal(t, w.post(t, "/draft/1", authorization, scheme+ownKey).status, 200)
 	w.awaitCustomerMemory(t, 0)
 	w.fill(10_000)
 	done := make(chan answer, 1)
-	go func() { done <- w.post(t, "/draft/patient/1", authorization, scheme+ownKey) }()
+	go func() { done <- w.post(t, path, authorization, scheme+ownKey) }()
 	w.awaitCustomerMemory(t, 1)
 	<-w.fwd.PlacementChanged()
+	return w, done
+}
+
+// TestCustomerMemoryIsReported guards against figures that remain after the request that they count.
+func TestCustomerMemoryIsReported(t *testing.T) {
+	w, done := waitingForMemory(t, "/draft/patient/1")
 	waits := customershare.Key{Pool: "llm", Customer: "a", Waiting: true}
 	assert.DeepEqual(t, w.fwd.TakeChangedCustomerMemory(), []customershare.Figure{{Key: waits, Tokens: 1100}})
 	assert.DeepEqual(t, w.fwd.CustomerMemory(), []customershare.Figure{{Key: waits, Tokens: 1100}})
@@ -61,15 +69,7 @@
 // TestEndOfWaitIsReported guards against requests of other gateways that yield to one that has given up, until the next
 // full report: at 400 gateways that is 10 s later.
 func TestEndOfWaitIsReported(t *testing.T) {
-	w := newEngineEnv(t)
-	w.withTenants(t, tenant("a", ownKey))
-	assert.Equal(t, w.post(t, "/draft/1", authorization, scheme+ownKey).status, 200)
-	w.awaitCustomerMemory(t, 0)
-	w.fill(10_000)
-	done := make(chan answer, 1)
-	go func() { done <- w.post(t, "/draft/1", authorization, scheme+ownKey) }()
-	w.awaitCustomerMemory(t, 1)
-	<-w.fwd.PlacementChanged()
+	w, done := waitingForMemory(t, "/draft/1")
 	assert.Equal(t, len(w.fwd.TakeChangedCustomerMemory()), 1)
 	assert.Equal(t, (<-done).status, 503)
 	select {
--- /dev/null
+++ b/gateway/shedding_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+)
+
+// TestConnectionsAreShed: while many times the usual number of connections come and timers fire late, some are closed
+// unread and counted, and connections are closed after their answers; afterwards all are accepted again.
+func TestConnectionsAreShed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		met := metrics.NewSet()
+		c := newConnectionLimit(&log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, met)
+		// comes has connections come for some seconds, while timers fire late.
+		comes := func(seconds, perSecond int, lag time.Duration) (accepted int) {
+			step := time.Second / time.Duration(perSecond)
+			next := time.Now().Add(c.interval() + lag)
+			for range seconds * perSecond {
+				time.Sleep(step)
+				if c.accept() {
+					accepted++
+				}
+				if now := time.Now(); !now.Before(next) {
+					c.observe(lag)
+					next = now.Add(c.interval() + lag)
+				}
+			}
+			return accepted
+		}
+		assert.Equal(t, comes(20, 20, 0), 20*20)
+		accepted := comes(10, 400, 60*time.Millisecond)
+		assert.Assert(t, accepted < 10*400/2, "%d", accepted)
+		assert.Equal(t, met.Counter(metrics.ConnectionsShed).Count(), int64(10*400-accepted))
+		assert.Assert(t, c.isLimited())
+		comes(20, 5, 0)
+		assert.Assert(t, !c.isLimited())
+		assert.Equal(t, comes(5, 20, 0), 5*20)
+	})
+}
