quarantine: shares count a router's runs only for parts that it was asked for; parts from the wire are bounded

Cause: a router's counts of begun runs were added for all parts, but it names only those of its own lost runs: at 40 gateways a part that most prompts have looked rare, and so looked guilty where servers end by themselves. And a message could name any number of parts. Change: counts of zero are sent too, and a router counts for the parts that it named; 64 parts of 64 bytes at most.

--- a/holdback/holdback_test.go
+++ b/holdback/holdback_test.go
@@ -99,6 +99,11 @@
 			},
 			Releases: []*peer.Release{{}},
 		}, "g2")
+		parts := make([]string, quarantine.MaxParts+1)
+		digest := fingerprint.OfParts(parts)
+		g.Receive(&peer.Suspects{Holds: []*peer.Hold{
+			{Content: digest[:], LeftMs: 1000, ForMs: 1000, Parts: parts}, {Content: crashing[:], LeftMs: 1000, ForMs: 1000, Parts: []string{"bad"}},
+		}}, "g2")
 		assert.Assert(t, !g.Active())
 		g.Receive(&peer.Suspects{Holds: []*peer.Hold{{Content: crashing[:], LeftMs: 1 << 60, ForMs: 1 << 60}}}, "g2")
 		left, _ := g.Quarantined(crashing, nil)
--- a/holdback/report.go
+++ b/holdback/report.go
@@ -165,7 +165,10 @@
 	changed := false
 	for _, o := range in.GetSightings() {
 		if d, ok := parseDigest(o.GetContent()); ok {
-			observed := quarantine.Observation{Content: d, Server: o.GetServer(), Generated: int(o.GetGenerated()), Parts: o.GetParts()}
+			observed := quarantine.Observation{Content: d, Server: o.GetServer(), Generated: int(o.GetGenerated())}
+			if validParts(o.GetParts()) {
+				observed.Parts = o.GetParts()
+			}
 			changed = g.ledger.Observe(observed, now.Add(-boundedMillis(uint64(o.GetAgeMs())))) || changed
 		}
 	}
@@ -180,7 +183,7 @@
 	if h.Duration <= 0 || h.Duration > quarantine.MaxHold || h.StartedAt().After(time.Now()) {
 		return
 	}
-	if len(h.Parts) > 0 && h.Content != fingerprint.OfParts(h.Parts) {
+	if len(h.Parts) > 0 && (h.Content != fingerprint.OfParts(h.Parts) || !validParts(h.Parts)) {
 		return
 	}
 	if g.ledger.AddHold(h) && h.Until.After(time.Now()) {
@@ -198,6 +201,11 @@
 	return changed
 }
 
+// validParts reports whether parts of a prompt from the wire are within the bounds.
+func validParts(ids []string) bool {
+	return len(ids) <= quarantine.MaxParts && !slices.ContainsFunc(ids, func(id string) bool { return id == "" || len(id) > quarantine.MaxPartID })
+}
+
 // parseDigest returns the digest in b; ok is false if b is not of the length of one.
 func parseDigest(b []byte) (d fingerprint.Digest, ok bool) {
 	return d, copy(d[:], b) == len(b) && len(b) == len(d)
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -18,6 +18,11 @@
 	// maxLostRuns and maxBegins bound the memory of partEvidence; the oldest are dropped first.
 	maxLostRuns = 600
 	maxBegins   = 1000
+	// maxReportedParts bounds the parts of which one router's counts are kept.
+	maxReportedParts = 200
+	// MaxParts and MaxPartID bound the parts of one prompt that are looked at, and the length of an ID in bytes.
+	MaxParts  = 64
+	MaxPartID = 64
 )
 
 // lostRun is a run that had generated nothing yet when its server terminated.
@@ -52,7 +57,7 @@
 // Shares counts runs that began to generate at one router.
 type Shares struct {
 	Runs int
-	// Parts counts those with a part, if there are any.
+	// Parts counts those with a part, for the parts that the router was asked for.
 	Parts map[string]int
 }
 
@@ -121,7 +126,9 @@
 func (e *partEvidence) share(part string) float64 {
 	runs, with := e.shares.runs, e.shares.counts[part]
 	for _, r := range e.reported {
-		runs, with = runs+r.Runs, with+r.Parts[part]
+		if n, ok := r.Parts[part]; ok {
+			runs, with = runs+r.Runs, with+n
+		}
 	}
 	return float64(with+1) / float64(runs+2)
 }
@@ -130,16 +137,21 @@
 func (l *Ledger) Shares(parts []string) Shares {
 	out := Shares{Runs: l.evidence.shares.runs, Parts: map[string]int{}}
 	for _, p := range parts {
-		if n := l.evidence.shares.counts[p]; n > 0 {
-			out.Parts[p] = n
-		}
+		out.Parts[p] = l.evidence.shares.counts[p]
 	}
 	return out
 }
 
-// ObserveShares takes the counts of another router, of the parts that it last reported as lost.
+// ObserveShares takes the counts of another router, of parts that it reports as lost.
 func (l *Ledger) ObserveShares(router string, s Shares, at time.Time) {
-	l.evidence.reported[router] = reportedShares{Shares: s, at: at}
+	known := l.evidence.reported[router].Parts
+	if known == nil {
+		known = map[string]int{}
+	}
+	if len(known) < maxReportedParts {
+		maps.Copy(known, s.Parts)
+	}
+	l.evidence.reported[router] = reportedShares{Shares: Shares{Runs: s.Runs, Parts: known}, at: at}
 }
 
 // maxCountedRuns is the number of runs from which the counts of partShares are halved.
