--- a/fingerprint/fingerprint.go
+++ b/fingerprint/fingerprint.go
@@ -37,6 +37,12 @@
 	return Digest(h.Sum(nil)[:digestBytes])
 }
 
+// MaxParts and MaxPartID bound the parts of one prompt that are told apart, and the length of an ID in bytes.
+const (
+	MaxParts  = 64
+	MaxPartID = 64
+)
+
 // OfParts returns the digest of a list of parts of prompts, given by their IDs. No request has the same digest.
 func OfParts(ids []string) Digest {
 	h := sha256.New()
--- a/holdback/holdback_test.go
+++ b/holdback/holdback_test.go
@@ -99,7 +99,7 @@
 			},
 			Releases: []*peer.Release{{}},
 		}, "g2")
-		parts := make([]string, quarantine.MaxParts+1)
+		parts := make([]string, fingerprint.MaxParts+1)
 		digest := fingerprint.OfParts(parts)
 		g.Receive(&peer.Suspects{Holds: []*peer.Hold{
 			{Content: digest[:], LeftMs: 1000, ForMs: 1000, Parts: parts}, {Content: crashing[:], LeftMs: 1000, ForMs: 1000, Parts: []string{"bad"}},
--- a/holdback/report.go
+++ b/holdback/report.go
@@ -203,7 +203,7 @@
 
 // validParts reports whether parts of a prompt from the wire are within the bounds.
 func validParts(ids []string) bool {
-	return len(ids) <= quarantine.MaxParts && !slices.ContainsFunc(ids, func(id string) bool { return id == "" || len(id) > quarantine.MaxPartID })
+	return len(ids) <= fingerprint.MaxParts && !slices.ContainsFunc(ids, func(id string) bool { return id == "" || len(id) > fingerprint.MaxPartID })
 }
 
 // parseDigest returns the digest in b; ok is false if b is not of the length of one.
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -20,9 +20,6 @@
 	maxBegins   = 1000
 	// maxReportedParts bounds the parts of which one router's counts are kept.
 	maxReportedParts = 200
-	// MaxParts and MaxPartID bound the parts of one prompt that are looked at, and the length of an ID in bytes.
-	MaxParts  = 64
-	MaxPartID = 64
 )
 
 // lostRun is a run that had generated nothing yet when its server terminated.
