proofs, quarantine: one loop for requests that crash servers; a hold is asked what it matches

Cause: the soak's two kinds of crashing requests had the same loop twice, and heldBy compared parts beside Hold.Matches. Change: crashingRequests.repeat, with draws in the same order; heldBy calls Matches. No behaviour and no assertion changed.

--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -175,7 +175,7 @@
 		return by, false
 	}
 	for key, h := range l.holds {
-		if len(h.Parts) > 0 && h.Until.After(at) && containsAll(o.Parts, h.Parts) {
+		if len(h.Parts) > 0 && h.Until.After(at) && h.Matches(o.Content, o.Parts) {
 			return key, true
 		}
 	}
--- a/proofs/soak_crash_test.go
+++ b/proofs/soak_crash_test.go
@@ -64,13 +64,20 @@
 func (x *crashingRequests) run(body string, rng *rand.Rand) {
 	routes := []string{"safe", "unsafe", "draft", "resume"}
 	route := routes[rng.IntN(len(routes))]
+	x.repeat(rng, func(k int) gatewayRequest {
+		return gatewayRequest{id: fmt.Sprintf("%s-%s-%d", route, body, k), route: route, target: "/" + route + "/" + body[len(crashPrefix):], body: body}
+	})
+}
+
+// repeat sends requests through any gateway until the check.
+func (x *crashingRequests) repeat(rng *rand.Rand, request func(k int) gatewayRequest) {
 	for k := 0; ; k++ {
 		select {
 		case <-x.stop:
 			return
 		case <-time.After(time.Duration(rng.Int64N(int64(2 * crashSendInterval)))):
 		}
-		q := gatewayRequest{id: fmt.Sprintf("%s-%s-%d", route, body, k), route: route, target: "/" + route + "/" + body[len(crashPrefix):], body: body}
+		q := request(k)
 		x.w.sendRecorded(x.w.c.gateways[rng.IntN(len(x.w.c.gateways))], q)
 	}
 }
@@ -86,17 +93,13 @@
 
 func (x *crashingRequests) runPart(part string, rng *rand.Rand) {
 	place := rng.IntN(maxSharedParts + 1)
-	for k := 0; ; k++ {
-		select {
-		case <-x.stop:
-			return
-		case <-time.After(time.Duration(rng.Int64N(int64(2 * crashSendInterval)))):
-		}
+	x.repeat(rng, func(k int) gatewayRequest {
 		route := []string{"draft", "resume"}[rng.IntN(2)]
-		q := gatewayRequest{id: fmt.Sprintf("%s-%s-%d", route, part, k), route: route, body: fmt.Sprint("question ", part, k)}
-		q.parts = slices.Insert(sharedParts(rng), place, part)
-		x.w.sendRecorded(x.w.c.gateways[rng.IntN(len(x.w.c.gateways))], q)
-	}
+		return gatewayRequest{
+			id: fmt.Sprintf("%s-%s-%d", route, part, k), route: route, body: fmt.Sprint("question ", part, k),
+			parts: slices.Insert(sharedParts(rng), place, part),
+		}
+	})
 }
 
 // maxSharedParts is the number of parts of a prompt that others share.
