vmlink: what goes over the VM's network link is counted, and its wait estimated

Callers of a gateway with most connections of a zone were late by seconds while its processor idled; no log or metric showed its network link, so that a full link, a used-up processor and a wait of ours could not be told apart.

--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
 	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 const (
@@ -72,8 +73,9 @@
 	}
 	l, batch := event.NewBatched("gateway", set.VM, log.InfoLevel)
 	defer batch.Flush()
-	pool := upstream.New(upstream.Options{DialTimeout: serverDialTimeout})
-	store := platform.NewStore(upstream.New(upstream.Options{}), set.StoreAddr, storeTimeout)
+	vmLink := vmlink.New(set.LinkBytesPerSecond)
+	pool := upstream.New(upstream.Options{DialTimeout: serverDialTimeout, Link: vmLink})
+	store := platform.NewStore(upstream.New(upstream.Options{Link: vmLink}), set.StoreAddr, storeTimeout)
 	engines := platform.NewEngines(pool, engineTimeout)
 	s := gateway.New(gatewaySettings(set, off), gateway.Deps{
 		Store:   store,
@@ -82,7 +84,7 @@
 		Orders:  engines,
 		Lease:   fencing.New(store.Table(ordersTable), ordersKey, set.VM, nil),
 		Holds:   store.Table(holdback.TableName), Versions: store.Table(streamversions.TableName),
-		Pool: pool, Log: l, Batch: batch, Metrics: metrics.NewSet(),
+		Pool: pool, Link: vmLink, Log: l, Batch: batch, Metrics: metrics.NewSet(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,6 +88,8 @@
 	ConnectionsLimited   = Event{756, log.WarnLevel, "new connections limited"}
 	ConnectionsUnlimited = Event{757, log.InfoLevel, "new connections no longer limited"}
 	ProbeFailed          = Event{758, log.ErrorLevel, "processor is not watched for an overload"}
+	LinkFull             = Event{759, log.WarnLevel, "network link is full"}
+	LinkFree             = Event{760, log.InfoLevel, "network link is no longer full"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -109,6 +111,6 @@
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted, CustomerShort,
-		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited, ProbeFailed,
+		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited, LinkFull, LinkFree, ProbeFailed,
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/hibiscusspur/hibiscusspur/store"
 	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 // ServiceName is the name under which the gateway is registered in a kernel.
@@ -115,6 +116,7 @@
 	fwd      *forward.Forwarder
 	watcher  *httpserver.Watcher
 	pool     *upstream.Pool
+	link     *vmlink.Link
 	peers    *peer.Service
 	orders   Orders
 	lease    *fencing.Lease
@@ -161,8 +163,10 @@
 	// Versions persists which software versions of each service were seen; see streamversions.History.
 	Versions store.Table
 	// Clock continues while the VM is suspended; nil stands for that of package clock.
-	Clock   func() time.Duration
-	Pool    *upstream.Pool
+	Clock func() time.Duration
+	Pool  *upstream.Pool
+	// Link is the network link of this VM; nil is not accounted for.
+	Link    *vmlink.Link
 	Log     *log.Logger
 	Batch   *event.Batch
 	Metrics *metrics.Set
@@ -171,7 +175,7 @@
 // New returns a gateway.
 func New(settings Settings, d Deps) *Service {
 	s := &Service{
-		settings: settings, log: d.Log, batch: d.Batch, metrics: d.Metrics, store: d.Store, pool: d.Pool,
+		settings: settings, log: d.Log, batch: d.Batch, metrics: d.Metrics, store: d.Store, pool: d.Pool, link: d.Link,
 		orders: d.Orders, lease: d.Lease,
 		view: newView(), watcher: httpserver.NewWatcher(), proofs: newProofs(settings.Freshness, d.Clock),
 		customersChanged: make(chan struct{}, 1),
@@ -179,6 +183,10 @@
 	s.view.proofs = s.proofs
 	s.quotas = newQuotas(d.Log, d.Metrics, settings.Off, time.Now())
 	s.peers = peer.New(settings.ControlAddr, settings.Datagrams, settings.Seeds, s)
+	s.peers.SetLink(d.Link)
+	s.metrics.GaugeFunc(metrics.NetworkBytesSent, d.Link.BytesSent)
+	s.metrics.GaugeFunc(metrics.NetworkBytesReceived, d.Link.BytesReceived)
+	s.metrics.GaugeFunc(metrics.NetworkWait, func() int64 { return d.Link.Wait().Microseconds() })
 	s.metrics.GaugeFunc(metrics.UpstreamDials, d.Pool.Dialed)
 	s.metrics.Gauge(metrics.MechanismsOff).Update(int64(settings.Off.Len()))
 	s.metrics.GaugeFunc(metrics.LinkBytesSent, s.peers.Sent)
@@ -249,7 +257,7 @@
 }
 
 func (s *Service) serve(o httpserver.Options) (*httpserver.Server, error) {
-	o.Pollers = 1
+	o.Pollers, o.Link = 1, s.link
 	return httpserver.Start(o)
 }
 
@@ -280,6 +288,7 @@
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
 	var traffic linkTraffic
+	use := networkUse{s: s, at: time.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -287,6 +296,7 @@
 		case <-t.C:
 		}
 		traffic = s.recordTraffic(traffic)
+		use.record(time.Now())
 		live := s.peers.LiveGateways()
 		s.view.others.Store(int64(live - 1))
 		s.view.routers.Store(int64(max(live, len(s.settings.Seeds))))
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -109,6 +109,7 @@
 
 // Parse implements nbhttp.ParserCloser.
 func (c *conn) Parse(data []byte) error {
+	c.server.opts.Link.Received(len(data))
 	if !c.ready.Load() || c.rejected {
 		return nil
 	}
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -22,6 +22,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 // Options configure a server. Fields left zero take the default.
@@ -58,6 +60,8 @@
 	// ClosesConnections reports whether connections are closed after their current response, so that their clients
 	// connect anew. It must not block. Nil keeps connections open.
 	ClosesConnections func() bool
+	// Link is the link of this VM that the connections use; nil is not accounted for.
+	Link *vmlink.Link
 	// Rejection returns the headers and the JSON body of the response to a request that is rejected before it reaches
 	// Handler. It must not block. Nil means neither.
 	Rejection func(status int) (http.Header, []byte)
--- a/httpserver/writer.go
+++ b/httpserver/writer.go
@@ -109,6 +109,7 @@
 	if !ok || !c.ready.Load() {
 		return
 	}
+	c.server.opts.Link.Sent(n)
 	c.out.pending.Add(-int64(n))
 	notify.Send(c.out.wake)
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -41,6 +41,11 @@
 	// goroutine waited for the processor, on average over the latest probes, in microseconds.
 	ConnectionsAccepted = "connections_accepted"
 	SchedulingDelay     = "scheduling_delay"
+	// NetworkBytesSent and NetworkBytesReceived are the bytes over the VM's link; NetworkWait is how long a byte that is sent
+	// waits for the link, as far as it is estimated, in microseconds.
+	NetworkBytesSent     = "network_bytes_sent"
+	NetworkBytesReceived = "network_bytes_received"
+	NetworkWait          = "network_wait"
 	// RequestsQuarantined is the number of requests in quarantine, since they make servers terminate; Holds
 	// counts those that this process quarantined.
 	RequestsQuarantined = "requests_held"
--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 // maxDatagramBytes bounds a datagram: a hundred engines of 70 bytes each. A larger placement is split.
@@ -14,7 +16,9 @@
 
 // datagrams sends and receives placements over UDP. The next report makes up for a lost datagram.
 type datagrams struct {
-	port     int
+	port int
+	// link is the link of this VM; nil is not accounted for.
+	link     *vmlink.Link
 	sequence atomic.Uint64
 	conn     atomic.Pointer[net.UDPConn]
 }
@@ -42,18 +46,19 @@
 	}
 	d.conn.Store(conn)
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	go receive(conn, onPlacement)
+	go d.receive(conn, onPlacement)
 	return nil
 }
 
 // receive reads datagrams until the socket is closed. One that can't be decoded is dropped.
-func receive(conn *net.UDPConn, onPlacement func(*Placement)) {
+func (d *datagrams) receive(conn *net.UDPConn, onPlacement func(*Placement)) {
 	buf := make([]byte, maxDatagramBytes)
 	for {
 		n, _, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return
 		}
+		d.link.Received(n)
 		p := &Placement{}
 		if proto.Unmarshal(buf[:n], p) == nil {
 			onPlacement(p)
@@ -91,5 +96,6 @@
 		}
 		// Send errors are ignored, as for a datagram lost on the way.
 		_, _ = conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(to.Addr(), uint16(d.port)))
+		d.link.Sent(len(data))
 	}
 }
--- a/peer/network.go
+++ b/peer/network.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 // Network opens the connections between gateways.
@@ -12,15 +14,34 @@
 }
 
 // tcpNetwork is the Network used in production.
-type tcpNetwork struct{}
+type tcpNetwork struct {
+	// link is the link of this VM; nil is not accounted for.
+	link *vmlink.Link
+}
 
 // Listen implements Network.
-func (tcpNetwork) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+func (n tcpNetwork) Listen(addr string) (net.Listener, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return n.link.Listener(lis), nil
+}
 
 // Dial implements Network.
-func (tcpNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+func (n tcpNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return n.link.Conn(c), nil
+}
+
+// SetLink makes the exchanges and datagrams account for the link of this VM. It must be called before Run.
+func (s *Service) SetLink(l *vmlink.Link) {
+	s.net = tcpNetwork{link: l}
+	s.datagrams.link = l
 }
 
 // SetNetwork replaces TCP, for tests. It must be called before Run.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 // ErrNotSent means that no byte of the request was sent.
@@ -32,6 +34,8 @@
 	IdleTimeout time.Duration
 	// MaxIdlePerServer bounds the unused connections to one server.
 	MaxIdlePerServer int
+	// Link is the link of this VM that the connections use; nil is not accounted for.
+	Link *vmlink.Link
 	// Connect opens a connection; if nil, over TCP.
 	Connect func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -125,7 +129,7 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return newConn(c, addr), nil
+	return newConn(p.opts.Link.Conn(c), addr), nil
 }
 
 // Probe checks that a server can be reached: by a reusable idle connection, or by opening one,
