vmlink: long requests are sent to servers in pieces, as the link has room, so that small ones pass them

Callers' lookups took 0.3 to 0.8 s (120 ms wanted) at a small gateway with most connections of a zone, and were then turned away. Cause: prompts are sent out twice at once, and all else waits behind them in the queue of the VM's link; the wait was taken for the servers' (dials that are not open in 150 ms, limits of calls), so that requests were rejected. Change: bodies from 2 kB are sent in pieces of 4 kB by a token bucket of the link's rate, which what is small only draws from; headers of packets and acknowledgements count.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -9,11 +9,13 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
 // maxInlineBody is the maximum length of a body that is written together with the head; a
 // longer one is written while the response is read, since a server may respond before it
-// has read the body.
+// has read the body. So is any long one for which the link has no room.
 const maxInlineBody = 8 << 10
 
 // maxUnmatched is the number of responses to other requests that are skipped on one
@@ -82,7 +84,7 @@
 		x.abort()
 		return nil, errors.Join(ErrNotSent, context.Cause(ctx))
 	}
-	if err := x.send(r); err != nil {
+	if err := x.send(ctx, r); err != nil {
 		x.abort()
 		return nil, err
 	}
@@ -116,9 +118,10 @@
 	endOnce   sync.Once
 }
 
-func (x *exchange) send(r *Request) error {
+func (x *exchange) send(ctx context.Context, r *Request) error {
 	head := encodeHead(r)
-	if len(r.Body) <= maxInlineBody {
+	link := x.pool.opts.Link
+	if len(r.Body) <= vmlink.LongBytes || len(r.Body) <= maxInlineBody && link.Wait() == 0 {
 		defer close(x.writeDone)
 		_, x.writeErr = x.conn.Write(append(head, r.Body...))
 		return x.writeErr
@@ -128,7 +131,10 @@
 	}
 	go func() {
 		defer close(x.writeDone)
-		_, x.writeErr = x.conn.Write(r.Body)
+		x.writeErr = link.WriteLong(ctx, x.conn.Conn, r.Body)
+		if errors.Is(x.writeErr, vmlink.ErrTooLate) {
+			x.abort()
+		}
 	}()
 	return nil
 }
--- a/vmlink/vmlink.go
+++ b/vmlink/vmlink.go
@@ -2,10 +2,12 @@
 // link waits in one queue, small messages behind large ones.
 //
 // The queue is not visible to a process. It is estimated from the rate that the platform states and from what this process
-// sends.
+// sends. Long messages are sent in pieces, and each piece once the link has room, so that small ones pass them.
 package vmlink
 
 import (
+	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -17,8 +19,20 @@
 // burstTime is how much the link sends within the time in which its queue counts as empty.
 const burstTime = 10 * time.Millisecond
 
-// minBurstBytes bounds the burst of slow links from below: some packets.
-const minBurstBytes = 8 << 10
+const (
+	// minBurstBytes bounds the burst of slow links from below: some packets.
+	minBurstBytes = 8 << 10
+	// usableShare is the share of the link's rate that is used: the rest is for handshakes and what is sent again.
+	usableShare = 0.95
+	// packetBytes is the payload of a full packet, headerBytes what a packet has besides, as an acknowledgement does.
+	packetBytes, headerBytes = 1448, 66
+	// LongBytes is the size from which a message counts as long, pieceBytes that of the pieces in which it is sent.
+	LongBytes  = 2 << 10
+	pieceBytes = 4 << 10
+)
+
+// ErrTooLate means that a message is not sent to its end, since its context ends before the link has room.
+var ErrTooLate = errors.New("no room on the network link in time")
 
 // Link is the network link of this VM. It is safe for concurrent use. A nil Link has no limit and counts nothing.
 type Link struct {
@@ -26,6 +40,8 @@
 	// outgoing has a token for each byte that the link can send at once; it is in debt while bytes wait.
 	outgoing       *rate.Limiter
 	sent, received atomic.Int64
+	// unsent is the number of bytes of long messages that wait to be sent.
+	unsent atomic.Int64
 }
 
 // New returns a link of a rate in bytes per second, in each direction. Zero means that the rate is not known, and that nothing
@@ -34,7 +50,7 @@
 	l := &Link{bytesPerSecond: bytesPerSecond, outgoing: rate.NewLimiter(rate.Inf, 0)}
 	if bytesPerSecond > 0 {
 		burst := max(int(bytesPerSecond*burstTime.Seconds()), minBurstBytes)
-		l.outgoing = rate.NewLimiter(rate.Limit(bytesPerSecond), burst)
+		l.outgoing = rate.NewLimiter(rate.Limit(usableShare*bytesPerSecond), burst)
 	}
 	return l
 }
@@ -45,7 +61,7 @@
 		return
 	}
 	l.sent.Add(int64(n))
-	l.reserve(n)
+	l.reserve(n + headers(n))
 }
 
 // Received records that n bytes came over the link.
@@ -54,8 +70,12 @@
 		return
 	}
 	l.received.Add(int64(n))
+	l.reserve(headers(n))
 }
 
+// headers returns the bytes of the headers of n bytes in one message, or of their acknowledgements.
+func headers(n int) int { return headerBytes * ((n + packetBytes - 1) / packetBytes) }
+
 // reserve takes the tokens of n bytes. A reservation is for at most one burst.
 func (l *Link) reserve(n int) {
 	if l.bytesPerSecond == 0 {
@@ -74,8 +94,52 @@
 	if l == nil || l.bytesPerSecond == 0 {
 		return 0
 	}
-	debt := max(-l.outgoing.Tokens(), 0)
-	return time.Duration(debt / l.bytesPerSecond * float64(time.Second))
+	return l.duration(max(-l.outgoing.Tokens(), 0))
+}
+
+// UnsentTime returns how long the link needs for the long messages that wait to be sent.
+func (l *Link) UnsentTime() time.Duration {
+	if l == nil || l.bytesPerSecond == 0 {
+		return 0
+	}
+	return l.duration(float64(l.unsent.Load()))
+}
+
+// duration is the time that the link needs for some bytes.
+func (l *Link) duration(bytes float64) time.Duration {
+	return time.Duration(bytes / float64(l.outgoing.Limit()) * float64(time.Second))
+}
+
+// WriteLong writes a long message to a connection of the link, in pieces. It blocks until the link has had room for all of
+// them, or until ctx ends.
+func (l *Link) WriteLong(ctx context.Context, c net.Conn, message []byte) error {
+	if l == nil || l.bytesPerSecond == 0 {
+		_, err := c.Write(message)
+		return err
+	}
+	if counted, ok := c.(interface{ uncounted() net.Conn }); ok {
+		c = counted.uncounted()
+	}
+	l.unsent.Add(int64(len(message)))
+	for len(message) > 0 {
+		piece := message[:min(len(message), pieceBytes)]
+		if err := l.writePiece(ctx, c, piece); err != nil {
+			l.unsent.Add(-int64(len(message)))
+			return err
+		}
+		l.unsent.Add(-int64(len(piece)))
+		message = message[len(piece):]
+	}
+	return nil
+}
+
+func (l *Link) writePiece(ctx context.Context, c net.Conn, piece []byte) error {
+	if err := l.outgoing.WaitN(ctx, len(piece)+headers(len(piece))); err != nil {
+		return errors.Join(ErrTooLate, err)
+	}
+	n, err := c.Write(piece)
+	l.sent.Add(int64(n))
+	return err
 }
 
 // BytesPerSecond returns the rate of the link, or zero if it is not known.
@@ -120,6 +184,9 @@
 	link *Link
 }
 
+// uncounted returns the connection that is counted.
+func (c *countedConn) uncounted() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
