policy/shedding: a gateway accepts only as many long requests as its processor reads in time

Cause: what waits for the processor is in the sockets, which the event loop reads in turns, each a part; the probe of the processor goes by the runtime's own poller and waited for 21 to 277 us (metric scheduling_delay) while 30 bodies were being read and none was whole in time. Class: admission by a sign that does not see what binds. Change: a body of over 16 kB that has been coming for 200 ms and of which more waits is late; while two are, a new connection is closed unread, but for one a second. Why it works: those that are read are finished, and others go elsewhere; a slow client's body has nothing that waits.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 soak: build
 	HIBISCUSSPUR_SOAK=$(or $(FAULTS),20) HIBISCUSSPUR_SEED=$(or $(SEED),1) HIBISCUSSPUR_SOAK_SEEDS=$(or $(SEEDS),1) scripts/proofs.sh -run 'TestSoak$$'
 
-# Gateways as processes under a processor quota and at a small network link, about 140 s.
+# Gateways as processes under a processor quota and at a small network link, about 175 s.
 quota: build
 	scripts/proofs.sh -run 'UnderQuota|SmallLink'
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,6 +245,7 @@
 	if err != nil {
 		return err
 	}
+	s.connections.setLateBodies(s.callers.LateBodies)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
 	mux.HandleFunc("GET "+AccessPath, s.handleAccess)
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -30,6 +30,8 @@
 	mu      sync.Mutex
 	limiter *shedding.Limiter
 	reads   shedding.Reads
+	// lateBodies returns the number of long bodies that are not read as fast as they come; nil means none.
+	lateBodies func() int
 	// rejecting is set while connections are logged as rejected; closed counts those.
 	rejecting bool
 	closed    int
@@ -39,6 +41,13 @@
 	return &connectionLimit{log: l, met: m, link: link, came: make(chan struct{}, 1), limiter: shedding.New()}
 }
 
+// setLateBodies sets what returns the number of long bodies that are not read as fast as they come.
+func (c *connectionLimit) setLateBodies(lateBodies func() int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lateBodies = lateBodies
+}
+
 // accept reports whether to accept a new connection. It returns a function to call once its first request was received.
 func (c *connectionLimit) accept() (received func(), ok bool) {
 	notify.Send(c.came)
@@ -61,8 +70,13 @@
 
 // work returns what this gateway has in hand. The caller holds mu.
 func (c *connectionLimit) work(now time.Time) shedding.Work {
+	lateBodies := 0
+	if c.lateBodies != nil {
+		lateBodies = c.lateBodies()
+	}
 	return shedding.Work{
-		Reading: c.reads.Count(now), SendTime: c.link.SendTime(), ReceivesFull: c.link.ReceivesFull(), ReceiveTime: c.link.ReceiveTime(),
+		LateBodies: lateBodies,
+		Reading:    c.reads.Count(now), SendTime: c.link.SendTime(), ReceivesFull: c.link.ReceivesFull(), ReceiveTime: c.link.ReceiveTime(),
 	}
 }
 
@@ -141,7 +155,7 @@
 	if c.rejecting = !c.rejecting; c.rejecting {
 		work := c.work(time.Now())
 		event.ConnectionsLimited.Log(c.log).Float64("rate", c.limiter.Rate()).Float64("usual", c.limiter.Usual()).Dur("delay", c.limiter.Delay()).
-			Int("reading", work.Reading).Dur("receive", work.ReceiveTime).Dur("send", work.SendTime).Msg("")
+			Int("late_bodies", work.LateBodies).Int("reading", work.Reading).Dur("receive", work.ReceiveTime).Dur("send", work.SendTime).Msg("")
 		return
 	}
 	event.ConnectionsUnlimited.Log(c.log).Int("closed", c.closed).Msg("")
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -26,6 +26,12 @@
 	errIdle = merry.Sentinel("connection idle for too long")
 )
 
+// longBodyBytes is the size from which a body is long: it does not come with one read.
+const longBodyBytes = readBufferBytes
+
+// lateBodyTime is the age from which a body that is not read as fast as it comes is late.
+const lateBodyTime = 200 * time.Millisecond
+
 const continueLine = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // conn sits between nbio and the parser of nbhttp and checks what a connection sends. Parse and the processor run on
@@ -41,8 +47,10 @@
 	inProgress atomic.Int32
 	// received is called once the first request was received, or the connection closed; perhaps more than once.
 	received func()
-	// expected is the number of bytes of the body that is being received.
-	expected atomic.Int64
+	// expected is the number of bytes of the body that is being received, bodyBegan when that began, in nanoseconds of the Unix
+	// epoch. moreWaits is set while the latest read left bytes for the next one.
+	expected, bodyBegan atomic.Int64
+	moreWaits           atomic.Bool
 	// idleTimer closes the connection if it fires while no request is in progress. nbio's own read deadline can't do
 	// that: nbhttp sets it when it accepts a connection, sometimes after the first request has begun, and so cuts off
 	// a long one.
@@ -114,6 +122,7 @@
 // Parse implements nbhttp.ParserCloser.
 func (c *conn) Parse(data []byte) error {
 	c.server.opts.Link.Received(len(data))
+	c.moreWaits.Store(len(data) >= readBufferBytes)
 	if !c.ready.Load() || c.rejected {
 		return nil
 	}
@@ -159,6 +168,25 @@
 	}
 }
 
+// expect records the number of bytes of the body that is being received.
+func (c *conn) expect(n int64) {
+	c.bodyBegan.Store(time.Now().UnixNano())
+	before := c.expected.Swap(n)
+	c.server.opts.Link.Expect(n - before)
+	if isLong := n > longBodyBytes; isLong != (before > longBodyBytes) {
+		if isLong {
+			c.server.longBodies.Add(1)
+			return
+		}
+		c.server.longBodies.Add(-1)
+	}
+}
+
+// isBodyLate reports whether a long body has been coming for some time, and more of it waits to be read.
+func (c *conn) isBodyLate(now time.Time) bool {
+	return c.expected.Load() > longBodyBytes && c.moreWaits.Load() && now.UnixNano()-c.bodyBegan.Load() >= lateBodyTime.Nanoseconds()
+}
+
 // head returns the current request without its body.
 func (c *conn) head() *http.Request {
 	r := &http.Request{Method: c.method, RequestURI: c.target, Header: make(http.Header, len(c.fields)/2)}
@@ -249,7 +277,7 @@
 	if length > c.server.opts.MaxBody {
 		p.reject(http.StatusRequestEntityTooLarge)
 	} else if length > 0 {
-		c.server.opts.Link.Expect(int64(length) - c.expected.Swap(int64(length)))
+		c.expect(int64(length))
 	}
 	if c.expectsContinue && c.server.opts.CheckHead != nil && !c.headChecked {
 		c.headChecked = true
@@ -268,7 +296,7 @@
 	c := p.conn
 	c.inBody, c.completed = false, true
 	c.received()
-	c.server.opts.Link.Expect(-c.expected.Swap(0))
+	c.expect(0)
 	if c.readTimer != nil {
 		c.readTimer.Stop()
 		c.readTimer = nil
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -105,6 +105,8 @@
 	engine   *nbhttp.Engine
 	listener *listener
 	closing  atomic.Bool
+	// longBodies is the number of requests of which a part of a long body is still to come.
+	longBodies atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -176,6 +178,23 @@
 // Addr is the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// LateBodies returns the number of long bodies that are not read as fast as they come: they have been coming for some time, and
+// more of them waits to be read.
+func (s *Server) LateBodies() int {
+	if s.longBodies.Load() == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late, now := 0, time.Now()
+	for c := range s.conns {
+		if c.isBodyLate(now) {
+			late++
+		}
+	}
+	return late
+}
+
 // opened is called before anything is read from a connection.
 func (s *Server) opened(raw *nbio.Conn) {
 	parser, ok := raw.Session().(*nbhttp.Parser)
@@ -200,7 +219,7 @@
 	}
 	c.idleTimer.Stop()
 	c.received()
-	s.opts.Link.Expect(-c.expected.Swap(0))
+	c.expect(0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/policy/shedding/shedding.go
+++ b/policy/shedding/shedding.go
@@ -11,8 +11,9 @@
 // overload at the usual rate limits nothing: the callers' next choice would be no better. Besides, only a bounded number is
 // accepted while one probe waits, from the first connection on.
 //
-// A rate in connections knows nothing of what a request costs. So while the VM's network link has no room, the work in hand is
-// bounded too: few requests are read at the same time, and the link needs only so long for them.
+// A rate in connections knows nothing of what a request costs. So while the VM's network link has no room, or long bodies are read
+// more slowly than they come, the work in hand is bounded too: few requests are read at the same time, and the link needs only so
+// long for them.
 //
 // Whatever else holds, a connection is accepted if none was for MaxPause, or MaxLinkPause while the link has too much in hand.
 //
@@ -220,7 +221,7 @@
 
 // rejects reports whether a limit rejects a connection.
 func (l *Limiter) rejects(now time.Time, w Work) bool {
-	return w.linkOverloaded() || l.creditSpent(now) || l.Limited() && !l.take(now)
+	return w.linkOverloaded() || w.readsTooMuch() || l.creditSpent(now) || l.Limited() && !l.take(now)
 }
 
 // creditSpent reports whether probes wait for the processor and more connections were accepted than the bound and the usual
--- a/policy/shedding/work.go
+++ b/policy/shedding/work.go
@@ -9,6 +9,8 @@
 	// maxReading bounds the connections whose first requests are read at the same time while the link has no room:
 	// where many are read side by side, none is read in time.
 	maxReading = 4
+	// maxLateBodies bounds the long bodies that are read more slowly than they come.
+	maxLateBodies = 2
 	// maxReadTime is the age from which a connection no longer counts as being read: its client sends slowly.
 	maxReadTime = 2 * time.Second
 	// maxLinkTime bounds the time that the network link needs for the requests in hand, in each direction.
@@ -21,6 +23,8 @@
 type Work struct {
 	// Reading is the number of accepted connections whose first request is not complete yet.
 	Reading int
+	// LateBodies is the number of long bodies that are not read as fast as they come.
+	LateBodies int
 	// SendTime is the time that the network link of the VM needs for what waits to be sent.
 	SendTime time.Duration
 	// ReceivesFull is set while as much is received as the link bears, ReceiveTime is the time that it needs for the rest of
@@ -34,6 +38,10 @@
 	return w.SendTime >= maxLinkTime || w.ReceivesFull && (w.Reading >= maxReading || w.ReceiveTime >= maxLinkTime)
 }
 
+// readsTooMuch reports whether as many long bodies are being read as the processor can finish in time. Probes do not show it: what
+// waits is in the sockets.
+func (w Work) readsTooMuch() bool { return w.LateBodies >= maxLateBodies }
+
 // maxPause is the longest time between two connections that are accepted with this work in hand.
 func maxPause(w Work) time.Duration {
 	if w.linkOverloaded() {
--- a/policy/shedding/work_test.go
+++ b/policy/shedding/work_test.go
@@ -20,6 +20,8 @@
 		{"receives full, little in hand", Work{Reading: maxReading - 1, ReceivesFull: true, ReceiveTime: maxLinkTime - 1}, true, false},
 		{"receives full, many requests in hand", Work{Reading: maxReading, ReceivesFull: true}, false, false},
 		{"receives full, a long request in hand", Work{Reading: 1, ReceivesFull: true, ReceiveTime: maxLinkTime}, false, false},
+		{"long bodies are read in time", Work{LateBodies: maxLateBodies - 1}, true, false},
+		{"long bodies are not read in time", Work{LateBodies: maxLateBodies}, false, false},
 		{"much to send", Work{SendTime: maxLinkTime}, false, false},
 		{"more to send than is sent in time", Work{SendTime: unresponsiveLinkTime}, false, true},
 		{"more to receive than is received in time", Work{ReceivesFull: true, ReceiveTime: unresponsiveLinkTime}, false, true},
--- a/proofs/smalllink_test.go
+++ b/proofs/smalllink_test.go
@@ -28,11 +28,32 @@
 			g.settings["limits"] = map[string]any{"memory_mb": smallMemoryMB, "link_mbps": smallLinkRate * 8 / 1e6}
 			cluster.startGateways()
 			small := &clusterGateway{callers: link.relayIn(g.callers), proc: g.proc}
-			w := &crowd{c: cluster, gateways: []*clusterGateway{small}, clients: c.clients, bodyBytes: c.bodyBytes, bodyOneIn: c.bodyOneIn, connectsAlways: true}
-			for range otherGateways {
-				w.gateways = append(w.gateways, &clusterGateway{})
-			}
+			w := &crowd{c: cluster, clients: c.clients, bodyBytes: c.bodyBytes, bodyOneIn: c.bodyOneIn, connectsAlways: true}
+			w.gateways = amongOthers(small)
 			w.checkServed(t, true)
 		})
 	}
 }
+
+// amongOthers returns a gateway and the others of its zone.
+func amongOthers(g *clusterGateway) []*clusterGateway {
+	gateways := []*clusterGateway{g}
+	for range otherGateways {
+		gateways = append(gateways, &clusterGateway{})
+	}
+	return gateways
+}
+
+// TestLongRequestsUnderQuota guards against a gateway that reads more long requests side by side than its processor bears.
+func TestLongRequestsUnderQuota(t *testing.T) {
+	const (
+		share     = 0.07
+		clients   = 90
+		bodyBytes = 1_000_000
+	)
+	cluster := newGatewayCluster(t, 1)
+	g := cluster.gateways[0]
+	t.Cleanup(g.proc.limitProcessor(share))
+	w := &crowd{c: cluster, gateways: amongOthers(g), clients: clients, bodyBytes: bodyBytes, bodyOneIn: 1, connectsAlways: true}
+	w.checkServed(t, true)
+}
