--- a/httpserver/latebody_test.go
+++ b/httpserver/latebody_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +58,26 @@
 	assert.NilError(t, err)
 	awaitLong(0)
 }
+
+// TestFirstRequestIsReported: what accepts a connection learns when its first request was received, or that it was closed before.
+func TestFirstRequestIsReported(t *testing.T) {
+	var received atomic.Int64
+	accept := func() (func(), bool) {
+		var once sync.Once
+		return func() { once.Do(func() { received.Add(1) }) }, true
+	}
+	addr := start(t, Options{Accept: accept}, echo)
+	served, closed := dial(t, addr), dial(t, addr)
+	_, body := send(t, served, http.MethodPost, post("abc"))
+	assert.Equal(t, body, "abc")
+	assert.Equal(t, received.Load(), int64(1))
+	_, err := io.WriteString(closed, "POST / HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if received.Load() < 2 {
+			return poll.Continue("the closed connection is not reported")
+		}
+		return poll.Success()
+	})
+}
