vmlink: the estimated queue of the link is bounded, as the real one is

Found by reading: what is sent beyond the link's rate for long, as datagrams that the link drops, added up without end, and a gateway would have been not ready for as long after it.

--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -75,8 +75,9 @@
 		lateBodies = c.lateBodies()
 	}
 	return shedding.Work{
-		LateBodies: lateBodies,
-		Reading:    c.reads.Count(now), SendTime: c.link.SendTime(), ReceivesFull: c.link.ReceivesFull(), ReceiveTime: c.link.ReceiveTime(),
+		Reading: c.reads.Count(now), LateBodies: lateBodies,
+		SendTime:     c.link.SendTime(),
+		ReceivesFull: c.link.ReceivesFull(), ReceiveTime: c.link.ReceiveTime(),
 	}
 }
 
--- a/vmlink/vmlink.go
+++ b/vmlink/vmlink.go
@@ -10,16 +10,14 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
 )
 
-// burstTime is how much the link sends within the time in which its queue counts as empty.
-const burstTime = 10 * time.Millisecond
-
 const (
+	// burstTime is the time for which the link may send ahead: a queue that is shorter counts as none.
+	burstTime = 10 * time.Millisecond
 	// minBurstBytes bounds the burst of slow links from below: some packets.
 	minBurstBytes = 8 << 10
 	// usableShare is the share of the link's rate that is used: the rest is for handshakes and what is sent again.
@@ -29,6 +27,8 @@
 	// LongBytes is the size from which a message counts as long, pieceBytes that of the pieces in which it is sent.
 	LongBytes  = 2 << 10
 	pieceBytes = 4 << 10
+	// maxWait bounds the estimated queue of the link.
+	maxWait = 500 * time.Millisecond
 	// fullShare is the share of its rate from which a link has hardly any room: small messages wait behind bursts.
 	fullShare = 0.75
 )
@@ -88,13 +88,14 @@
 // headers returns the bytes of the headers of n bytes in one message, or of their acknowledgements.
 func headers(n int) int { return headerBytes * ((n + packetBytes - 1) / packetBytes) }
 
-// reserve takes the tokens of n bytes. A reservation is for at most one burst.
+// reserve takes the tokens of n bytes. A reservation is for at most one burst. What would wait for longer than maxWait is taken for lost:
+// the queue of a link is bounded, and datagrams beyond it are dropped.
 func (l *Link) reserve(n int) {
 	if l.bytesPerSecond == 0 {
 		return
 	}
 	now := time.Now()
-	for n > 0 {
+	for n > 0 && l.Wait() < maxWait {
 		part := min(n, l.outgoing.Burst())
 		l.outgoing.ReserveN(now, part)
 		n -= part
@@ -193,66 +194,3 @@
 	}
 	return l.received.Load()
 }
-
-// Conn returns c with its bytes recorded.
-func (l *Link) Conn(c net.Conn) net.Conn {
-	if l == nil {
-		return c
-	}
-	counted := &countedConn{Conn: c, link: l}
-	if raw, ok := c.(syscall.Conn); ok {
-		return &countedSocket{countedConn: counted, raw: raw}
-	}
-	return counted
-}
-
-// countedConn records the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	link *Link
-}
-
-// uncounted returns the connection that is counted.
-func (c *countedConn) uncounted() net.Conn { return c.Conn }
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.link.Received(n)
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.link.Sent(n)
-	return n, err
-}
-
-// countedSocket is a countedConn of which the socket can be reached.
-type countedSocket struct {
-	*countedConn
-	raw syscall.Conn
-}
-
-// SyscallConn implements syscall.Conn.
-func (c *countedSocket) SyscallConn() (syscall.RawConn, error) { return c.raw.SyscallConn() }
-
-// Listener returns l with the bytes of all its connections recorded.
-func (l *Link) Listener(lis net.Listener) net.Listener {
-	return &countedListener{Listener: lis, link: l}
-}
-
-type countedListener struct {
-	net.Listener
-	link *Link
-}
-
-// Accept implements net.Listener.
-func (l *countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.link.Conn(c), nil
-}
