--- a/policy/limit/meter.go
+++ b/policy/limit/meter.go
@@ -3,27 +3,21 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/policy/decay"
 )
 
 // meterTimeConstant is the time over which demand is averaged, at entries and sidecars alike.
 const meterTimeConstant = 10 * time.Second
 
-// rateMeter is an exponentially decaying average of a rate. The zero rateMeter is ready to use.
-type rateMeter struct {
-	value float64
-	at    time.Time
-}
+// rateMeter is an average of a rate over meterTimeConstant. The zero rateMeter is ready to use.
+type rateMeter struct{ average decay.Rate }
 
 // add counts an event.
-func (m *rateMeter) add(weight float64, now time.Time) {
-	m.value = m.rate(now) + weight/meterTimeConstant.Seconds()
-	m.at = now
-}
+func (m *rateMeter) add(weight float64, now time.Time) { m.average.Add(weight, now, meterTimeConstant) }
 
 // rate returns the rate per second.
-func (m *rateMeter) rate(now time.Time) float64 {
-	return m.value * math.Exp(-float64(max(now.Sub(m.at), 0))/float64(meterTimeConstant))
-}
+func (m *rateMeter) rate(now time.Time) float64 { return m.average.PerSecond(now, meterTimeConstant) }
 
 // Meter is the sidecar's part: it measures the demand of each customer.
 type Meter struct {
