review: gateways use replicas that the store has dropped

A gateway that was cut off for some seconds goes on to send calls to a replica that left the list meanwhile, long after it is in touch again; calls that run there at the replica's exit are lost. After a freeze it also passes such a replica on to gateways that had dropped it.

Cause: the list that such a gateway takes keeps missing servers for two seconds, and nothing looks again when these are over.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -25,6 +25,9 @@
 	after   int
 	// timeout is how long the client waits for the whole answer.
 	timeout time.Duration
+	// parts are shared parts of the prompt, and path is that of the route; empty for the usual ones.
+	parts []string
+	path  string
 }
 
 // answer is what the client got.
@@ -94,14 +97,21 @@
 }
 
 func (a attempt) request(ctx context.Context) *http.Request {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.gateway.front.addr+routePath+"draft", strings.NewReader("a prompt"))
+	path, parts := routePath, "5c1e07a2:800,"
+	if a.path != "" {
+		path, parts = a.path, ""
+		for _, p := range a.parts {
+			parts += p + ":400,"
+		}
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.gateway.front.addr+path+"draft", strings.NewReader("a prompt of "+a.id))
 	must(err)
 	r.Host = routeHost
 	r.Header.Set(site.RequestID, a.id)
 	r.Header.Set(site.Deadline, strconv.FormatInt(a.timeout.Milliseconds(), 10))
 	r.Header.Set(strings.TrimSuffix(site.Tokens, "Tokens")+"Model", "m")
 	r.Header.Set(site.Tokens, "1460,55")
-	r.Header.Set(site.Parts, "5c1e07a2:800,"+a.id+":660")
+	r.Header.Set(site.Parts, parts+a.id+":660")
 	if a.resumes != "" {
 		r.Header.Set(site.Resumes, a.resumes)
 		r.Header.Set(lastEventID, strconv.Itoa(a.after))
--- a/review/standin/lost.go
+++ b/review/standin/lost.go
@@ -35,7 +35,7 @@
 		}
 	}
 	s.writeManifest()
-	s.startGateways()
+	s.startGateways(gateways)
 	s.sleepUntil(lostStreamsAt)
 	var backAt atomic.Int64
 	var clients sync.WaitGroup
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,8 +17,9 @@
 
 // cases are the cases by name. Each returns how often its rule was broken beyond what the rule allows; zero if it held.
 var cases = map[string]func(*scene) int{
-	"order": playOrder,
-	"lost":  playLost,
+	"order":  playOrder,
+	"lost":   playLost,
+	"drain":  playDrain,
 }
 
 // Exit codes.
@@ -35,7 +36,7 @@
 
 func run() (code int) {
 	if len(os.Args) < 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin order|lost -gateway FILE -record FILE -trouble 0|1")
+		fmt.Fprintln(os.Stderr, "usage: standin order|lost|drain -gateway FILE -record FILE -trouble 0|1")
 		return failed
 	}
 	flags := flag.NewFlagSet(os.Args[1], flag.ContinueOnError)
--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -31,13 +31,12 @@
 		s.addEngine(stage, "v1")
 	}
 	s.writeManifest()
-	s.startGateways()
+	s.startGateways(gateways)
 	lone := s.gateways[gateways-1]
 	s.send(attempt{id: "a0", gateway: lone, timeout: timeLimit})
 	s.sleepUntil(orderCutAt)
 	if s.trouble {
-		s.peers.cutOff(lone.number)
-		lone.toStore.silent.Store(true)
+		s.isolate(lone, true)
 		s.note("edge-%d is cut off from the store and from all other gateways", lone.number)
 	}
 	s.sleepUntil(orderRolloutAt)
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -17,6 +17,7 @@
 	// silent drops all that passes on connections that are open or will be opened.
 	silent atomic.Bool
 
+	lis   net.Listener
 	mu    sync.Mutex
 	conns map[*proxied]struct{}
 }
@@ -30,11 +31,8 @@
 func newProxy(h *host, addr, target string) *proxy {
 	lis, err := net.Listen("tcp", addr)
 	must(err)
-	p := &proxy{addr: lis.Addr().String(), target: target, conns: map[*proxied]struct{}{}}
-	h.Cleanup(func() {
-		_ = lis.Close()
-		p.resetAll()
-	})
+	p := &proxy{addr: lis.Addr().String(), target: target, lis: lis, conns: map[*proxied]struct{}{}}
+	h.Cleanup(p.close)
 	go func() {
 		for {
 			c, err := lis.Accept()
@@ -47,6 +45,12 @@
 	return p
 }
 
+// close ends listening and resets the open connections.
+func (p *proxy) close() {
+	_ = p.lis.Close()
+	p.resetAll()
+}
+
 func (p *proxy) serve(client net.Conn) {
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
@@ -132,10 +136,10 @@
 // peerNet is the network between gateways. Each gateway reaches each other one through a proxy of its own, so that one can
 // be cut off: the proxy translates the addresses that gateways tell each other, like a translating router.
 type peerNet struct {
-	control int
-	pattern *regexp.Regexp
-	cut     [gateways + 1]atomic.Bool
-	proxies []*peerProxy
+	count, control int
+	pattern        *regexp.Regexp
+	cut            [10]atomic.Bool
+	proxies        []*peerProxy
 }
 
 type peerProxy struct {
@@ -148,10 +152,10 @@
 func realIP(number int) string       { return fmt.Sprintf("127.%d.10.1", number) }
 func seenIP(number, from int) string { return fmt.Sprintf("127.%d.2%d.1", number, from) }
 
-func newPeerNet(h *host, control, datagrams int) *peerNet {
-	n := &peerNet{control: control, pattern: regexp.MustCompile(`127\.(\d)\.\d\d\.1:` + strconv.Itoa(control))}
-	for from := 1; from <= gateways; from++ {
-		for to := 1; to <= gateways; to++ {
+func newPeerNet(h *host, count, control, datagrams int) *peerNet {
+	n := &peerNet{count: count, control: control, pattern: regexp.MustCompile(`127\.(\d)\.\d\d\.1:` + strconv.Itoa(control))}
+	for from := 1; from <= count; from++ {
+		for to := 1; to <= count; to++ {
 			if from != to {
 				n.connect(h, from, to, datagrams)
 			}
@@ -200,9 +204,12 @@
 	})
 }
 
-// seedsOf returns the control addresses of the other gateways as one reaches them.
+// maxSeeds is the most seeds that the platform states.
+const maxSeeds = 3
+
+// seedsOf returns the control addresses of other gateways as one reaches them.
 func (n *peerNet) seedsOf(number int) (seeds []string) {
-	for other := 1; other <= gateways; other++ {
+	for other := 1; other <= n.count && len(seeds) < maxSeeds; other++ {
 		if other != number {
 			seeds = append(seeds, fmt.Sprintf("%s:%d", seenIP(other, number), n.control))
 		}
@@ -210,12 +217,12 @@
 	return seeds
 }
 
-// cutOff cuts a gateway off from all others; connections stay open and are silent.
-func (n *peerNet) cutOff(number int) {
-	n.cut[number].Store(true)
+// cutOff cuts a gateway off from all others, or heals that. Connections that were open stay so and are silent.
+func (n *peerNet) cutOff(number int, cut bool) {
+	n.cut[number].Store(cut)
 	for _, p := range n.proxies {
 		if p.from == number || p.to == number {
-			p.silent.Store(true)
+			p.silent.Store(cut)
 		}
 	}
 }
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -19,8 +19,11 @@
 // Names and figures of the small deployment that is played.
 const (
 	model      = "llm"
+	plain      = "desk"
 	routeHost  = "h.example"
 	routePath  = "/review/"
+	plainPath  = "/desk/"
+	oncePath   = "/once/"
 	gateways   = 3
 	timeLimit  = 14 * time.Second
 	objective  = time.Second
@@ -95,9 +98,11 @@
 }
 
 // addEngine starts an engine of a software version and registers it in the store.
-func (s *scene) addEngine(stage, version string) {
+func (s *scene) addEngine(stage, version string) *site.Server {
+	s.mu.Lock()
 	s.engines++
 	id := fmt.Sprintf("i-%s-%s-%d", stage, version, s.engines)
+	s.mu.Unlock()
 	e := site.NewServer(s.host, id, s.log)
 	e.Restart(time.Now().UnixMilli(), false)
 	if stage == "decode" {
@@ -111,6 +116,7 @@
 	}
 	s.store.Put("servers", id, entry.Encode())
 	s.note("%s registers in the store, version %s, stage %s", id, version, stage)
+	return e
 }
 
 // versionOf returns the software version of an engine.
@@ -120,34 +126,74 @@
 	return s.versions[id]
 }
 
-// writeManifest writes the operator's manifest: one route of streams that may be resumed.
+// plainWork is how long a replica of the plain service works on a call.
+const plainWork = 60 * time.Millisecond
+
+// addPlain starts a replica of the plain service and registers it in the store. It returns its ID and a function that ends it.
+func (s *scene) addPlain() (id string, exit func()) {
+	s.engines++
+	id = fmt.Sprintf("i-plain-%d", s.engines)
+	e := site.NewServer(s.host, id, s.log)
+	e.Restart(time.Now().UnixMilli(), false)
+	slow := newProxy(s.host, "127.0.0.1:0", e.Addr())
+	slow.rewrite = func(b []byte, up bool) []byte {
+		if !up {
+			time.Sleep(plainWork)
+		}
+		return b
+	}
+	entry := site.Entry{Service: plain, Addr: slow.addr, Zone: "z1", Version: "v1", Slots: 6, State: "ready", Seq: 1, Born: e.Born()}
+	s.store.Put("servers", id, entry.Encode())
+	s.note("%s registers in the store", id)
+	return id, func() {
+		slow.close()
+		e.Crash()
+		s.note("%s exits", id)
+	}
+}
+
+// writeManifest writes the operator's manifest: a route of streams that may be resumed, and one of unsafe calls.
 func (s *scene) writeManifest() {
 	data, err := json.Marshal(map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": routeHost, "prefix": routePath, "kind": "stream", "timeout_ms": timeLimit.Milliseconds(),
-			"slo_ms": objective.Milliseconds(), "priority": 1, "service": model, "attempts": 2, "sticky": true, "resumable": true,
-			"gap_target_ms": maxPause.Milliseconds(),
-		}},
-		"services": []any{map[string]any{
-			"name": model, "max_conns": 310, "protocol": "h1", "tls": false,
-			"engine": map[string]any{
-				"slots": 48, "kv_capacity": 66786, "kv_token_bytes": 131072, "link_mbps": 1500000.0, "moves": true, "backups": true,
-				"stride": 11, "most": 12, "kv_ttl_s": 0.5, "switch_s": 6.0, "pin_ms": 4000.0, "hold_ms": 2000.0,
-				"models": []any{map[string]any{"name": "m"}},
+		"routes": []any{
+			map[string]any{
+				"name": "r-1", "host": routeHost, "prefix": routePath, "kind": "stream", "timeout_ms": timeLimit.Milliseconds(),
+				"slo_ms": objective.Milliseconds(), "priority": 1, "service": model, "attempts": 2, "sticky": true, "resumable": true,
+				"gap_target_ms": maxPause.Milliseconds(),
+			},
+			map[string]any{
+				"name": "r-3", "host": routeHost, "prefix": oncePath, "kind": "stream", "timeout_ms": timeLimit.Milliseconds(),
+				"slo_ms": objective.Milliseconds(), "priority": 1, "service": model, "attempts": 1, "sticky": true, "resumable": false,
+				"gap_target_ms": maxPause.Milliseconds(),
+			},
+			map[string]any{
+				"name": "r-2", "host": routeHost, "prefix": plainPath, "kind": "unsafe", "timeout_ms": 800, "slo_ms": 150, "priority": 2,
+				"service": plain, "attempts": 1,
+			},
+		},
+		"services": []any{
+			map[string]any{
+				"name": model, "max_conns": 310, "protocol": "h1", "tls": false,
+				"engine": map[string]any{
+					"slots": 48, "kv_capacity": 66786, "kv_token_bytes": 131072, "link_mbps": 1500000.0, "moves": true, "backups": true,
+					"stride": 11, "most": 12, "kv_ttl_s": 0.5, "switch_s": 6.0, "pin_ms": 4000.0, "hold_ms": 2000.0,
+					"models": []any{map[string]any{"name": "m"}},
+				},
 			},
-		}},
+			map[string]any{"name": plain, "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false},
+		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	must(err)
 	s.store.Put("op", "config", data)
 }
 
-// startGateways starts all gateways and waits until they are ready.
-func (s *scene) startGateways() {
-	port := freePorts(gateways)
-	s.peers = newPeerNet(s.host, port+2, port+10)
-	for i := 1; i <= gateways; i++ {
+// startGateways starts n gateways and waits until they are ready.
+func (s *scene) startGateways(n int) {
+	port := freePorts(n)
+	s.peers = newPeerNet(s.host, n, port+2, port+10)
+	for i := 1; i <= n; i++ {
 		s.gateways = append(s.gateways, s.newGateway(i, port))
 	}
 	for _, g := range s.gateways {
@@ -202,6 +248,12 @@
 	g.s.note("edge-%d starts", g.number)
 }
 
+// isolate cuts a gateway off from the store and from all other gateways, or heals that.
+func (s *scene) isolate(g *gateway, cut bool) {
+	s.peers.cutOff(g.number, cut)
+	g.toStore.silent.Store(cut)
+}
+
 // kill kills the gateway's process.
 func (g *gateway) kill() {
 	g.end(g.cmd, g.done)
