--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,8 @@
 	"order":  playOrder,
 	"lost":   playLost,
 	"drain":  playDrain,
+	"parts":  playParts,
+	"writes": playWrites,
 }
 
 // Exit codes.
@@ -36,7 +38,7 @@
 
 func run() (code int) {
 	if len(os.Args) < 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin order|lost|drain -gateway FILE -record FILE -trouble 0|1")
+		fmt.Fprintln(os.Stderr, "usage: standin order|lost|drain|parts|writes -gateway FILE -record FILE -trouble 0|1")
 		return failed
 	}
 	flags := flag.NewFlagSet(os.Args[1], flag.ContinueOnError)
