scripts/proofs.sh: each assertion is judged with its own test

Cause: the script printed all lines '--- FAIL' and then all assertions, and the check gave the last test every assertion and the others none.

Change: the script runs go test -json, whose events name the test of each line. A failed test is judged by its own assertions; a panic or assertion under the name of a test that passed, or of none, and a test that did not end, fail the check as before. The check prints the reasons of each failure.

--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -71,7 +71,7 @@
 		if m := failedTest.FindStringSubmatch(line); m != nil {
 			current = append(current, Failure{Test: m[1]})
 		}
-		if reason.MatchString(line) {
+		if isReason(line) {
 			if len(current) == 0 {
 				current = append(current, Failure{})
 			}
@@ -99,6 +99,9 @@
 // maxLine is the maximum length of a line of output, in bytes.
 const maxLine = 1 << 20
 
+// isReason reports whether a line states a failed assertion or a panic.
+func isReason(line string) bool { return reason.MatchString(line) }
+
 // expects reports whether the entry covers a failure with all of its reasons.
 func (e *Entry) expects(f Failure) bool {
 	if e.Test != f.Test || f.Package != e.Package && !strings.HasSuffix(f.Package, "/"+e.Package) {
@@ -112,7 +115,7 @@
 	return len(f.Reasons) > 0
 }
 
-// Judge writes one line for each failure and each listed test that did not fail, and reports whether all failures
+// Judge writes each failure with its own reasons, and each listed test that did not fail, and reports whether all failures
 // are listed.
 func Judge(entries []Entry, failures []Failure, out io.Writer) bool {
 	ok, failed := true, map[string]bool{}
@@ -120,7 +123,7 @@
 		text, listed := find(entries, f)
 		if listed {
 			failed[text] = true
-			_, _ = fmt.Fprintln(out, "known red:", text)
+			_, _ = fmt.Fprintf(out, "known red: %s\n    %s\n", text, strings.Join(f.Reasons, "\n    "))
 			continue
 		}
 		ok = false
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -4,17 +4,16 @@
 # on to go test, such as -run TestMemoryIsFreed.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-out=$(mktemp)
-trap 'rm -f "$out"' EXIT
-HIBISCUSSPUR_PROOFS=1 HIBISCUSSPUR_BIN=$PWD/bin go test -v -count=1 -parallel "${PROOFS_PARALLEL:-4}" -timeout 30m "$@" ./proofs >"$out" 2>&1
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+HIBISCUSSPUR_PROOFS=1 HIBISCUSSPUR_BIN=$PWD/bin go test -json -count=1 -parallel "${PROOFS_PARALLEL:-4}" -timeout 30m "$@" ./proofs >"$out/events"
 code=$?
-[ $code = 0 ] || grep -vE '^(point|=== )' "$out"
-grep -E '^point' "$out" | sort -k2n
-grep -oE 'seed [0-9]+: [0-9]+ faults.*' "$out"
+# A failure that KNOWN-RED.txt lists with all of its assertions is passed over. The events say which test a line is of.
+go run ./internal/knownred/check -json "$out/text" $code <"$out/events" >"$out/verdict"
+verdict=$?
+[ $code = 0 ] || grep -vE '^(point|=== )' "$out/text"
+grep -E '^point' "$out/text" | sort -k2n
+grep -oE 'seed [0-9]+: [0-9]+ faults.*' "$out/text"
 [ $code = 0 ] && exit 0
-# A failure that KNOWN-RED.txt lists with all of its assertions is passed over. With -v they come before the test's name.
-{
-	grep -E '^--- FAIL' "$out"
-	grep -E 'assertion failed|^panic:|^fatal error:|DATA RACE' "$out"
-	grep -E '^(ok|FAIL)[[:space:]]+[^[:space:]]+/' "$out"
-} | go run ./internal/knownred/check $code
+cat "$out/verdict"
+exit $verdict
