streamversions: a list that was only seen proves no version

Cause: a gateway that had run for 30 s counted the versions that it had seen as complete, however old its list was, and asked nobody. The same on related paths: after a freeze, for two gateways that are cut off together, in the removal of versions from the row of the table versions, and for a gateway that knows no engine yet.

Change: a stream that no gateway knows goes on only by evidence got after the client came back: a gateway that reads the list itself all the time (field current of its answer), a reading of the list now, or, while the store can't be read, the word of all gateways that may have begun it. Clocks are those that count suspensions, taken when the store was called. TestPossible held that a list seen for 30 s decides: that was the fault; its rows say now which evidence decides, and TestReadings what evidence is.

--- a/forward/env_test.go
+++ b/forward/env_test.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/clock"
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/holdback"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
@@ -201,6 +202,18 @@
 func (noRouters) Others() []string                        { return nil }
 func (noRouters) Ask([]string, string, streamversion.Key) {}
 
+// envLists reads the servers of an environment.
+type envLists struct{ w *testEnv }
+
+func (l envLists) ReadServers(context.Context) error {
+	l.w.view.mu.Lock()
+	list := slices.Clone(l.w.view.servers)
+	l.w.view.mu.Unlock()
+	l.w.streams.Observe(list)
+	l.w.streams.RecordReading(clock.Uptime())
+	return nil
+}
+
 func newTestEnv(t *testing.T) *testEnv { return newTestEnvWith(t, unlimited) }
 
 func newTestEnvWith(t *testing.T, limits retrybudget.Limits) *testEnv {
@@ -225,7 +238,7 @@
 	}
 	table.Build()
 	w.view = &view{table: table, lookups: map[string]int{}, markedLeaving: map[string]bool{}, leavingSince: map[string]time.Time{}}
-	w.streams = streamversions.New(noRouters{}, streamversions.NewHistory(memory.New(memory.Options{}).Table()), w.met)
+	w.streams = streamversions.New(streamversions.Config{Network: noRouters{}, Lists: envLists{w}, History: streamversions.NewHistory(memory.New(memory.Options{}).Table()), Metrics: w.met})
 	l := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.logged}}
 	w.guard = holdback.New(l, w.met, false)
 	dialer := net.Dialer{}
--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"time"
+
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
@@ -9,7 +12,70 @@
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
-// entryFaults are the server entries that were invalid at the last reading. They belong to one goroutine.
+// serverReader reads the list of servers from the store, one reading at a time.
+type serverReader struct {
+	s *Service
+	// turn holds a token while nobody reads; it guards the fields below.
+	turn     chan struct{}
+	faults   entryFaults
+	readings listReadings
+	// last is when the call of the last reading was made, by a clock that continues while the VM is suspended.
+	last time.Duration
+}
+
+func newServerReader(s *Service) *serverReader {
+	r := &serverReader{s: s, turn: make(chan struct{}, 1), faults: entryFaults{}}
+	r.turn <- struct{}{}
+	return r
+}
+
+// ReadServers implements streamversions.Lists.
+func (r *serverReader) ReadServers(ctx context.Context) error {
+	err := r.read(ctx, r.s.proofs.now())
+	if err != nil {
+		r.s.metrics.Counter(metrics.StoreErrors).Inc(1)
+	}
+	return err
+}
+
+// read puts the list in force that the store holds, unless a reading was begun since the given time.
+func (r *serverReader) read(ctx context.Context, since time.Duration) error {
+	select {
+	case <-r.turn:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { r.turn <- struct{}{} }()
+	if r.last >= since {
+		return nil
+	}
+	requested := r.s.proofs.now()
+	snapshot, position, err := r.s.store.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	r.apply(snapshot.RequireStartTimes(r.s.view.latestIncarnation), position, requested)
+	return nil
+}
+
+// apply takes a reading whose call was made at the time requested.
+func (r *serverReader) apply(snapshot registry.Snapshot, position store.Position, requested time.Duration) {
+	s := r.s
+	r.faults.record(s, snapshot.Faults)
+	accepted := r.readings.accept(s, position)
+	if accepted {
+		s.view.recordRead(time.Now())
+	}
+	if s.view.applyStoreList(position, snapshot.List(), time.Now()) {
+		s.serversChanged(position, fromStore)
+	}
+	if accepted {
+		s.streams.RecordReading(requested)
+		r.last = requested
+	}
+}
+
+// entryFaults are the server entries that were invalid at the last reading. They are not safe for concurrent use.
 type entryFaults map[string]registry.Fault
 
 // record logs and counts the entries that have become faulty, or faulty in another way, since the last reading.
@@ -27,7 +93,7 @@
 	*known = now
 }
 
-// listReadings tracks readings of the server list that are dropped. It belongs to one goroutine.
+// listReadings tracks readings of the server list that are dropped. It is not safe for concurrent use.
 type listReadings struct {
 	// dropping is set while readings are older than the list in force.
 	dropping bool
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -141,13 +141,13 @@
 // followServers keeps the server list up to date.
 func (s *Service) followServers(ctx context.Context) {
 	dep := &dependency{s: s, what: "servers"}
-	faults, readings, failures := entryFaults{}, listReadings{}, 0
+	failures := 0
 	for ctx.Err() == nil {
 		if !s.shouldReadServers() {
 			sleep.For(ctx, jitter(serverListInterval))
 			continue
 		}
-		snapshot, position, err := s.store.Servers(ctx)
+		err := s.servers.read(ctx, s.proofs.now())
 		if ctx.Err() != nil {
 			return
 		}
@@ -158,14 +158,6 @@
 			continue
 		}
 		failures = 0
-		snapshot = snapshot.RequireStartTimes(s.view.latestIncarnation)
-		faults.record(s, snapshot.Faults)
-		if readings.accept(s, position) {
-			s.view.recordRead(time.Now())
-		}
-		if s.view.applyStoreList(position, snapshot.List(), time.Now()) {
-			s.serversChanged(position, fromStore)
-		}
 		sleep.For(ctx, jitter(serverListInterval))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,15 +134,17 @@
 	quotas *quotas
 	// streams knows the software versions of streams that clients may resume.
 	streams *streamversions.Directory
+	// servers reads the list of servers.
+	servers *serverReader
 	// connections limits the callers' new connections.
 	connections *connectionLimit
 	// guard quarantines requests that crash servers; holds is the table that persists the quarantine.
 	guard *holdback.Guard
 	holds holdback.Table
 
-	servers  []*httpserver.Server
-	callers  *httpserver.Server
-	draining atomic.Bool
+	listeners []*httpserver.Server
+	callers   *httpserver.Server
+	draining  atomic.Bool
 	// storeLost is set while the last reading of the route table failed.
 	storeLost atomic.Bool
 	ready     atomic.Bool
@@ -198,7 +200,10 @@
 	s.view.onReplaced = s.incarnationsReplaced
 	s.connections = newConnectionLimit(d.Log, d.Metrics, d.Link)
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, settings.Off.Has(mechanism.Quarantine)), d.Holds
-	s.streams = streamversions.New(streamNetwork{s}, streamversions.NewHistory(d.Versions), d.Metrics)
+	s.servers = newServerReader(s)
+	s.streams = streamversions.New(streamversions.Config{
+		Network: streamNetwork{s}, Lists: s.servers, History: streamversions.NewHistory(d.Versions), Metrics: d.Metrics, Clock: s.proofs.now,
+	})
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas, Streams: s.streams,
 		Log: d.Log, Metrics: d.Metrics, VM: settings.VM, Zone: settings.Zone, Retry: settings.Retry, Off: settings.Off,
@@ -266,7 +271,7 @@
 func (s *Service) serveOther(name, addr string, h http.Handler) error {
 	server, err := s.serve(httpserver.Options{Name: name, Addr: addr, Handler: h})
 	if err == nil {
-		s.servers = append(s.servers, server)
+		s.listeners = append(s.listeners, server)
 	}
 	return err
 }
@@ -308,7 +313,7 @@
 		s.pool.Sweep(func(addr string) bool { return addrs[addr] })
 		s.guard.Expire()
 		s.observeVersions()
-		s.streams.Expire()
+		s.streams.Expire(s.view.confirmedAge(time.Now()) < maxConfirmAge)
 		s.fwd.Forget(func(id string) bool { return ids[id] })
 		if n := s.batch.TakeDropped(); n > 0 {
 			event.LinesDropped.Log(s.log).Int64("lines", n).Msg("")
@@ -337,7 +342,7 @@
 	if err != nil {
 		event.DrainIncomplete.Emit(s.log)
 	}
-	for _, server := range s.servers {
+	for _, server := range s.listeners {
 		server.Close()
 	}
 	s.stop()
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -80,7 +80,7 @@
 	for _, u := range p.GetUnknownStreams() {
 		s.streams.ReceiveUnknown(p.GetAddr(), streamversions.Unknown{
 			Stream:   streamversion.Key(u.GetStream()),
-			Possible: streamversion.Possible{Versions: validVersions(u.GetSeen()), Complete: u.GetComplete()},
+			Possible: streamversion.Possible{Versions: validVersions(u.GetSeen()), Complete: u.GetComplete(), Current: u.GetCurrent()},
 		})
 	}
 	if queries := p.GetStreamQueries(); len(queries) > 0 && p.GetAddr() != "" {
@@ -100,7 +100,7 @@
 			continue
 		}
 		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{
-			Stream: uint64(unknown.Stream), Seen: unknown.Versions, Complete: unknown.Complete,
+			Stream: uint64(unknown.Stream), Seen: unknown.Versions, Complete: unknown.Complete, Current: unknown.Current,
 		})
 	}
 	answer.StreamVersions = encodeStreams(known, time.Now())
--- a/policy/streamversion/streamversion.go
+++ b/policy/streamversion/streamversion.go
@@ -4,7 +4,9 @@
 // versions write does not fit together. Routers are killed, restarted and cut off meanwhile, and the clients of their
 // streams take these up at other routers within a second. So the version of each stream that may be resumed is known
 // to more than the router that began it, and a stream goes on at that version or, if nobody knows it, only if one
-// version alone can have begun it.
+// version alone can have begun it. What a router has seen doesn't prove that: it may be cut off, or have been frozen, while
+// the others use engines of a new version. A reading of the store does, that was made after the client came back or by a
+// router that reads all the time; or, while nobody reaches the store, the word of all routers that may have begun streams.
 //
 // The package is deterministic and takes times from its caller. Its types are not safe for concurrent use.
 package streamversion
@@ -88,22 +90,40 @@
 // serve for some seconds after they have left the list, and clients come back within the time that they have left.
 const Window = 30 * time.Second
 
+const (
+	// maxReadingGap is the longest time between two readings of the list after which no version can have come and gone
+	// unseen: an engine's entry lapses after three missed heartbeats, and it serves for longer than a second.
+	maxReadingGap = 3 * time.Second
+	// maxReadingAge is up to which age a reading is one of the list as it is. It covers two readings that are missed.
+	maxReadingAge = 1500 * time.Millisecond
+)
+
 // Seen are the versions of the engines of each service that a router has lately seen listed.
 type Seen struct {
-	// since is when the router began to see lists.
+	// since is when the router began to see lists, its own readings or what others told it.
 	since    time.Time
 	services map[string]map[string]time.Time
+	// unversioned are the services of which an engine was listed without a version.
+	unversioned map[string]bool
+	// readings are those that the router made itself, on a clock that continues while the VM is suspended.
+	readings readings
 }
 
+// readings are consecutive readings of the list without a gap: the first one and the last one.
+type readings struct{ first, last time.Duration }
+
 // NewSeen returns the versions of a router that has seen no list.
-func NewSeen() *Seen { return &Seen{services: map[string]map[string]time.Time{}} }
+func NewSeen() *Seen {
+	return &Seen{services: map[string]map[string]time.Time{}, unversioned: map[string]bool{}}
+}
 
-// Observe records that an engine of a service is listed with a version now. An unknown version is ignored.
+// Observe records that an engine of a service is listed with a version now, empty if it reports none.
 func (s *Seen) Observe(service, version string, now time.Time) {
 	if s.since.IsZero() {
 		s.since = now
 	}
 	if version == "" {
+		s.unversioned[service] = true
 		return
 	}
 	versions, ok := s.services[service]
@@ -129,45 +149,74 @@
 	return slices.Sorted(maps.Keys(s.services[service]))
 }
 
+// Unversioned reports whether an engine of a service was listed that reports no version.
+func (s *Seen) Unversioned(service string) bool { return s.unversioned[service] }
+
 // Several reports whether engines of more than one version of a service may have begun streams.
 func (s *Seen) Several(service string) bool { return len(s.services[service]) > 1 }
 
-// Complete reports whether the router has seen lists for the whole window, so that it has missed no version.
+// Complete reports whether the router has seen lists for the whole window. They may be out of date.
 func (s *Seen) Complete(now time.Time) bool {
 	return !s.since.IsZero() && now.Sub(s.since) >= Window
 }
 
+// RecordReading records that the router has observed the list as the store held it at a time, by a clock that continues
+// while the VM is suspended: when the call to the store was made.
+func (s *Seen) RecordReading(at time.Duration) {
+	if s.readings.last == 0 || at-s.readings.last > maxReadingGap {
+		s.readings.first = at
+	}
+	s.readings.last = max(s.readings.last, at)
+}
+
+// Current reports whether the router has read the list itself throughout the window and a moment ago, so that it has missed
+// no version. What others tell it doesn't count: a message may have waited while this router was frozen or cut off.
+func (s *Seen) Current(now time.Duration) bool {
+	return s.readings.last != 0 && now-s.readings.last <= maxReadingAge && s.readings.last-s.readings.first >= Window
+}
+
 // Possible are the versions that may have begun a stream of which no router that was asked knows the beginning.
 type Possible struct {
 	Versions []string
-	// Complete is set if no other version can have begun it.
+	// Unversioned is set if engines are known that report no version.
+	Unversioned bool
+	// Complete is set if the router that knows them has seen lists for the whole window, though perhaps not the last ones.
 	Complete bool
+	// Current is set if no other version can have begun it, by what the store lists.
+	Current bool
 }
 
 // With returns what is possible by p and by what another router, or the store, knows.
 func (p Possible) With(other Possible) Possible {
 	versions := slices.Concat(p.Versions, other.Versions)
 	slices.Sort(versions)
-	return Possible{Versions: slices.Compact(versions), Complete: p.Complete || other.Complete}
+	return Possible{
+		Versions: slices.Compact(versions), Unversioned: p.Unversioned || other.Unversioned,
+		Complete: p.Complete && other.Complete, Current: p.Current || other.Current,
+	}
 }
 
-// Only returns the only version that can have begun the stream; empty if engines report none. ok is false if there may be
+// Only returns the only version that can have begun the stream; empty if the known engines report none. ok is false if there may be
 // others, so that the stream may not go on.
 func (p Possible) Only() (version string, ok bool) {
 	switch {
 	case len(p.Versions) == 0:
-		return "", true
-	case len(p.Versions) == 1 && p.Complete:
+		return "", p.Unversioned
+	case len(p.Versions) == 1 && p.Current:
 		return p.Versions[0], true
 	default:
 		return "", false
 	}
 }
 
-// Decided reports whether there is only one version, or none are reported, so that no other router need be asked.
-func (p Possible) Decided() bool {
-	_, ok := p.Only()
-	return ok
+// Agreed returns the only version that can have begun the stream while nobody reaches the store, so that no router learns
+// of another one: p is what is possible by this router and all others that it has lately known. The same holds of ok as
+// for Only.
+func (p Possible) Agreed() (version string, ok bool) {
+	if len(p.Versions) == 1 && p.Complete {
+		return p.Versions[0], true
+	}
+	return p.Only()
 }
 
 const (
--- a/policy/streamversion/streamversion_test.go
+++ b/policy/streamversion/streamversion_test.go
@@ -59,27 +59,61 @@
 	assert.DeepEqual(t, s.Versions("llm"), []string{"v2"})
 }
 
+// TestReadings: only a router's own readings, without a gap and not old, prove that it has seen all versions.
+func TestReadings(t *testing.T) {
+	const second = time.Second
+	s := streamversion.NewSeen()
+	assert.Assert(t, !s.Current(0))
+	for at := 10 * second; at <= 40*second; at += second {
+		assert.Assert(t, !s.Current(at), "%v", at)
+		s.RecordReading(at)
+	}
+	assert.Assert(t, s.Current(40*second) && s.Current(41*second+500*time.Millisecond))
+	assert.Assert(t, !s.Current(42*second), "cut off, or woken from a freeze")
+	s.RecordReading(39 * second)
+	assert.Assert(t, s.Current(41*second), "a late answer changes nothing")
+	s.RecordReading(43 * second)
+	assert.Assert(t, s.Current(43*second), "a short gap")
+	s.RecordReading(47 * second)
+	assert.Assert(t, !s.Current(47*second), "a version may have come and gone in the gap")
+}
+
 func TestPossible(t *testing.T) {
+	seen := func(versions ...string) streamversion.Possible {
+		return streamversion.Possible{Versions: versions, Complete: true}
+	}
+	read := func(versions ...string) streamversion.Possible {
+		return streamversion.Possible{Versions: versions, Complete: true, Current: true}
+	}
+	started := func(versions ...string) streamversion.Possible { return streamversion.Possible{Versions: versions} }
 	for _, c := range []struct {
-		name     string
-		own      streamversion.Possible
-		other    streamversion.Possible
-		version  string
-		decided  bool
-		decided1 bool
+		name       string
+		own, other streamversion.Possible
+		version    string
+		// only is whether one version is proved by the store, agreed whether it is by the word of these two.
+		only, agreed bool
 	}{
-		{"none reported", streamversion.Possible{}, streamversion.Possible{}, "", true, true},
-		{"one, all seen", streamversion.Possible{Versions: []string{"v1"}, Complete: true}, streamversion.Possible{}, "v1", true, true},
-		{"one, just started", streamversion.Possible{Versions: []string{"v1"}}, streamversion.Possible{}, "", false, false},
-		{"one, another has seen all", streamversion.Possible{Versions: []string{"v1"}}, streamversion.Possible{Versions: []string{"v1"}, Complete: true}, "v1", true, false},
-		{"another has seen another one", streamversion.Possible{Versions: []string{"v1"}}, streamversion.Possible{Versions: []string{"v2"}, Complete: true}, "", false, false},
-		{"two", streamversion.Possible{Versions: []string{"v1", "v2"}, Complete: true}, streamversion.Possible{}, "", false, false},
+		{"none reported", streamversion.Possible{Unversioned: true}, started(), "", true, true},
+		{"no engine known", started(), started(), "", false, false},
+		{"one, all read", read("v1"), seen("v1"), "v1", true, true},
+		{"one, all seen, perhaps cut off", seen("v1"), seen("v1"), "v1", false, true},
+		{"one, another has just started", seen("v1"), started("v1"), "v1", false, false},
+		{"one, another has read all", started("v1"), read("v1"), "v1", true, true},
+		{"another has seen another one", seen("v1"), read("v2"), "", false, false},
+		{"two", read("v1", "v2"), read("v1"), "", false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, c.own.Decided(), c.decided1)
-			version, ok := c.own.With(c.other).Only()
-			assert.Equal(t, version, c.version)
-			assert.Equal(t, ok, c.decided)
+			both := c.own.With(c.other)
+			version, ok := both.Only()
+			assert.Equal(t, ok, c.only)
+			if ok {
+				assert.Equal(t, version, c.version)
+			}
+			version, ok = both.Agreed()
+			assert.Equal(t, ok, c.agreed)
+			if ok {
+				assert.Equal(t, version, c.version)
+			}
 		})
 	}
 }
--- a/streamversions/history.go
+++ b/streamversions/history.go
@@ -8,7 +8,6 @@
 	"iter"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -77,26 +76,18 @@
 	})
 }
 
-// historyTimeout bounds a reading of the history while a client waits for its stream.
-const historyTimeout = 300 * time.Millisecond
-
-// kept returns the versions of a service in the history, which is read once. It returns false if that is not possible.
+// kept returns the versions of a service in the history. It returns false if that is not possible.
 func (d *Directory) kept(ctx context.Context, service string) ([]string, bool) {
-	d.mu.Lock()
-	versions, ok := d.stored[service]
-	d.mu.Unlock()
-	if ok || d.history == nil {
-		return versions, ok
+	if d.History == nil {
+		return nil, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	versions, err := d.history.Versions(ctx, service)
+	versions, err := d.History.Versions(ctx, service)
 	if err != nil {
 		return nil, false
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.stored[service] = versions
+	d.setStored(service, versions)
 	return versions, true
 }
 
@@ -112,7 +103,7 @@
 		case <-d.historyDue:
 		}
 		for service, versions := range d.dueHistory(writes()) {
-			err := d.history.Keep(ctx, service, versions)
+			err := d.History.Keep(ctx, service, versions)
 			if ctx.Err() != nil {
 				return
 			}
@@ -137,7 +128,7 @@
 // dueHistory returns the versions of the services whose row is to be written: those that have several, and those that
 // were kept with others than are seen now.
 func (d *Directory) dueHistory(writes bool) map[string][]string {
-	if !writes || d.history == nil {
+	if !writes || d.History == nil {
 		return nil
 	}
 	d.mu.Lock()
@@ -162,14 +153,14 @@
 	}
 }
 
-// historyDiffers reports whether the history of a service has to be written. Versions are removed from it only once this
-// router has seen lists for long enough to know that they are gone. The caller holds mu.
+// historyDiffers reports whether the history of a service has to be written. Versions are removed from it only by a
+// router that has read lists for long enough to know that they are gone. The caller holds mu.
 func (d *Directory) historyDiffers(service string) bool {
 	seen, kept := d.seen.Versions(service), d.stored[service]
 	if slices.Equal(seen, kept) || len(seen) < 2 && len(kept) < 2 {
 		return false
 	}
-	return d.seen.Complete(time.Now()) || !slices.ContainsFunc(kept, func(v string) bool { return !slices.Contains(seen, v) })
+	return d.seen.Current(d.Clock()) || !slices.ContainsFunc(kept, func(v string) bool { return !slices.Contains(seen, v) })
 }
 
 func (d *Directory) setStored(service string, versions []string) {
--- a/streamversions/observe_bench_test.go
+++ b/streamversions/observe_bench_test.go
@@ -14,7 +14,7 @@
 	for i := range 4500 {
 		list = append(list, registry.Server{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("llm-", i%32), Stage: registry.Decode, Version: "v1"})
 	}
-	d := New(fleetNetwork{}, nil, metrics.NewSet())
+	d := New(Config{Network: fleetNetwork{}, Metrics: metrics.NewSet()})
 	for b.Loop() {
 		d.Observe(list)
 	}
--- a/streamversions/simulation_test.go
+++ b/streamversions/simulation_test.go
@@ -71,7 +71,7 @@
 	counters := metrics.NewSet()
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("10.0.%d.%d:1", i/250, i%250))
-		f.all = append(f.all, New(fleetNetwork{f, i}, nil, counters))
+		f.all = append(f.all, New(Config{Network: fleetNetwork{f, i}, Metrics: counters}))
 		f.all[i].Observe(engines("v1", "v2"))
 	}
 	return f
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/clock"
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -18,6 +20,13 @@
 	"github.com/hibiscusspur/hibiscusspur/registry"
 )
 
+// Lists reads the list of servers. It is safe for concurrent use.
+type Lists interface {
+	// ReadServers reads the list from the store after it was called. Before it returns, the directory has observed the list
+	// and recorded the reading.
+	ReadServers(ctx context.Context) error
+}
+
 // Network reaches the other routers. Messages may be lost.
 type Network interface {
 	// Others returns the addresses of the other routers that communicate.
@@ -38,11 +47,22 @@
 	streamversion.Possible
 }
 
+// Config are the dependencies of a directory.
+type Config struct {
+	Network Network
+	// Lists reads lists; without it, nil, only other routers' readings count.
+	Lists Lists
+	// History is what routers know that start when no other one has seen lists for long. Without it, nil, such routers turn
+	// streams away that nobody knows.
+	History *History
+	Metrics *metrics.Set
+	// Clock continues while the VM is suspended; nil stands for that of package clock.
+	Clock func() time.Duration
+}
+
 // Directory is the local knowledge of one router. It implements forward.StreamVersions and is safe for concurrent use.
 type Directory struct {
-	network Network
-	history *History
-	metrics *metrics.Set
+	Config
 	// updated is signalled when TakeUpdates has something to return, historyDue when KeepHistory has something to write.
 	updated, historyDue chan struct{}
 
@@ -56,23 +76,36 @@
 	// several are the services of which more than one version was seen when the list was last observed.
 	several map[string]bool
 	lookups map[streamversion.Key][]*lookup
+	// known are the other routers that may have begun streams since the list was last confirmed, with the time at which each
+	// last communicated.
+	known map[string]time.Duration
 	// stored are the versions of each service in the history, as last read or written here.
 	stored map[string][]string
 }
 
 var _ forward.StreamVersions = (*Directory)(nil)
 
-// New returns an empty directory. Without a history, nil, a router that has just started and finds no other one that has
-// seen lists for long turns streams away that nobody knows.
-func New(n Network, h *History, m *metrics.Set) *Directory {
+// New returns an empty directory.
+func New(c Config) *Directory {
+	if c.Clock == nil {
+		c.Clock = clock.Uptime
+	}
 	return &Directory{
-		network: n, history: h, metrics: m, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1),
-		records: streamversion.NewRecords(), seen: streamversion.NewSeen(),
+		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1),
+		records: streamversion.NewRecords(), seen: streamversion.NewSeen(), known: map[string]time.Duration{},
 		own: map[streamversion.Key]string{}, pending: map[streamversion.Key]struct{}{}, several: map[string]bool{},
 		lookups: map[streamversion.Key][]*lookup{}, stored: map[string][]string{},
 	}
 }
 
+// RecordReading records that the list was read from the store by a call made at a time of the directory's clock. Observe
+// has taken what was read.
+func (d *Directory) RecordReading(at time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen.RecordReading(at)
+}
+
 // Observe takes the servers in force of the services whose streams may be resumed. If a service now has several versions,
 // the others are told of the streams in progress.
 func (d *Directory) Observe(list []registry.Server) {
@@ -114,7 +147,7 @@
 	defer d.mu.Unlock()
 	d.seen.Observe(s.Service, version, now)
 	if !d.records.Put(k, streamversion.Record{Version: version, Until: until}, now) {
-		d.metrics.Counter(metrics.StreamRecordsDropped).Inc(1)
+		d.Metrics.Counter(metrics.StreamRecordsDropped).Inc(1)
 		return
 	}
 	d.own[k] = s.Service
@@ -144,30 +177,34 @@
 // Version implements forward.StreamVersions.
 func (d *Directory) Version(ctx context.Context, s forward.StreamRef) (string, bool) {
 	version, result := d.version(ctx, s)
-	d.metrics.Counter(metrics.StreamLookupsPrefix + string(result)).Inc(1)
+	d.Metrics.Counter(metrics.StreamLookupsPrefix + string(result)).Inc(1)
 	return version, result != notFound && result != unnamed
 }
 
 func (d *Directory) version(ctx context.Context, s forward.StreamRef) (string, lookupResult) {
-	k, now := keyOf(s), time.Now()
+	k := keyOf(s)
 	d.mu.Lock()
-	rec, known := d.records.Get(k, now)
-	possible := d.possible(s.Service, now)
+	rec, known := d.records.Get(k, time.Now())
+	possible := d.possible(s.Service)
 	d.mu.Unlock()
 	if s.ID != "" && known {
 		return rec.Version, foundHere
 	}
-	if s.ID != "" && !possible.Decided() {
-		var version string
-		if version, possible = d.ask(ctx, s.Service, k, possible); version != "" {
-			return version, foundElsewhere
-		}
+	if len(possible.Versions) == 0 && possible.Unversioned {
+		return "", onlyVersion
+	}
+	l := d.startLookup(s, k, possible)
+	defer d.forget(k, l)
+	d.resolve(ctx, l)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.version != "" {
+		return l.version, foundElsewhere
 	}
-	if len(possible.Versions) == 1 && !possible.Complete {
-		kept, ok := d.kept(ctx, s.Service)
-		possible = possible.With(streamversion.Possible{Versions: kept, Complete: ok})
+	version, ok := l.possible.Only()
+	if l.agreed() {
+		version, ok = l.possible.Agreed()
 	}
-	version, ok := possible.Only()
 	switch {
 	case ok:
 		return version, onlyVersion
@@ -179,8 +216,10 @@
 }
 
 // possible returns what is possible by the lists that this router has seen. The caller holds mu.
-func (d *Directory) possible(service string, now time.Time) streamversion.Possible {
-	return streamversion.Possible{Versions: d.seen.Versions(service), Complete: d.seen.Complete(now)}
+func (d *Directory) possible(service string) streamversion.Possible {
+	return streamversion.Possible{
+		Versions: d.seen.Versions(service), Unversioned: d.seen.Unversioned(service), Complete: d.seen.Complete(time.Now()), Current: d.seen.Current(d.Clock()),
+	}
 }
 
 // Updates is signalled when TakeUpdates has something to return.
@@ -226,12 +265,13 @@
 	if known {
 		return Update{Stream: k, Record: rec}, Unknown{}, true
 	}
-	return Update{}, Unknown{Stream: k, Possible: d.possible(service, now)}, false
+	return Update{}, Unknown{Stream: k, Possible: d.possible(service)}, false
 }
 
-// Expire drops what is no longer needed.
-func (d *Directory) Expire() {
-	now := time.Now()
+// Expire drops what is no longer needed. confirmed is set if the list in force is known to have been read a moment ago, so
+// that other routers that are gone since long have begun no stream at a version that is not listed here.
+func (d *Directory) Expire(confirmed bool) {
+	now, at, others := time.Now(), d.Clock(), d.Network.Others()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records.Expire(now)
@@ -240,4 +280,10 @@
 			delete(d.own, k)
 		}
 	}
+	for _, addr := range others {
+		d.known[addr] = at
+	}
+	if confirmed {
+		maps.DeleteFunc(d.known, func(_ string, last time.Duration) bool { return at-last > streamversion.Window })
+	}
 }
