streamversions: streams outlive the memory of all gateways

Cause: the version of a stream was in the memory of gateways alone. Related: a gateway that started after a version had left the list saw one version, and neither told nor kept the streams that it began for 30 s.

Change: each gateway process keeps the streams that it began in a row of the table streams while their service has several versions, at most each 0.25 s (80 writes a second of all gateways), and asks the store for a stream that no gateway knows. A gateway that starts adopts the versions kept. An answer repeats the number of its query, since a late one to an earlier query of the same stream proves nothing.

TestTakenUpAfterAllGatewaysLeft held the loss for right (503); the rule asks that the stream goes on, at its own version. It now requires that, and that a stream that nobody knows is refused still.

Not held: streams begun while one version alone was listed, when all memory is lost before another one is.

--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -83,7 +83,7 @@
 		Engines: engines,
 		Orders:  engines,
 		Lease:   fencing.New(store.Table(ordersTable), ordersKey, set.VM, nil),
-		Holds:   store.Table(holdback.TableName), Versions: store.Table(streamversions.TableName),
+		Holds:   store.Table(holdback.TableName), Versions: store.Table(streamversions.TableName), Streams: store.Table(streamversions.StreamsTableName),
 		Pool: pool, Link: vmLink, Log: l, Batch: batch, Metrics: metrics.NewSet(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/forward/env_test.go
+++ b/forward/env_test.go
@@ -21,7 +21,6 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/platform"
 	"github.com/hibiscusspur/hibiscusspur/policy/retrybudget"
-	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/route"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
@@ -199,8 +198,8 @@
 // noRouters is the network of a process that is alone.
 type noRouters struct{}
 
-func (noRouters) Others() []string                        { return nil }
-func (noRouters) Ask([]string, string, streamversion.Key) {}
+func (noRouters) Others() []string                   { return nil }
+func (noRouters) Ask([]string, streamversions.Query) {}
 
 // envLists reads the servers of an environment.
 type envLists struct{ w *testEnv }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -134,6 +135,8 @@
 	quotas *quotas
 	// streams knows the software versions of streams that clients may resume.
 	streams *streamversions.Directory
+	// streamsEra is the era of the store in which streams were last kept.
+	streamsEra atomic.Int64
 	// servers reads the list of servers.
 	servers *serverReader
 	// connections limits the callers' new connections.
@@ -164,6 +167,8 @@
 	Holds holdback.Table
 	// Versions persists which software versions of each service were seen; see streamversions.History.
 	Versions store.Table
+	// Streams persists at which software versions streams were begun; see streamversions.StreamRows.
+	Streams store.Table
 	// Clock continues while the VM is suspended; nil stands for that of package clock.
 	Clock func() time.Duration
 	Pool  *upstream.Pool
@@ -202,7 +207,8 @@
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, settings.Off.Has(mechanism.Quarantine)), d.Holds
 	s.servers = newServerReader(s)
 	s.streams = streamversions.New(streamversions.Config{
-		Network: streamNetwork{s}, Lists: s.servers, History: streamversions.NewHistory(d.Versions), Metrics: d.Metrics, Clock: s.proofs.now,
+		Network: streamNetwork{s}, Lists: s.servers, History: streamversions.NewHistory(d.Versions),
+		Rows: streamversions.NewStreamRows(d.Streams, settings.VM+"/"+rand.Text()), Metrics: d.Metrics, Clock: s.proofs.now,
 	})
 	s.fwd = forward.New(forward.Config{
 		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas, Streams: s.streams,
@@ -233,6 +239,7 @@
 		s.work.Go(func() { s.connections.probe(ctx) })
 	}
 	s.work.Go(func() { s.keepVersions(ctx) })
+	s.work.Go(func() { s.keepStreams(ctx) })
 	if !s.settings.Off.Has(mechanism.Datagrams) {
 		s.work.Go(func() { s.announceChanges(ctx) })
 		s.work.Go(func() { s.announceStreams(ctx) })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -65,7 +65,7 @@
 	p.s = gateway.New(settings, gateway.Deps{
 		Store: client, Codec: platform.Codec{}, Engines: engines, Orders: engines,
 		Lease: fencing.New(client.Table("hibiscusspur"), "orders", vm, nil),
-		Holds: client.Table(holdback.TableName), Versions: client.Table(streamversions.TableName),
+		Holds: client.Table(holdback.TableName), Versions: client.Table(streamversions.TableName), Streams: client.Table(streamversions.StreamsTableName),
 		Pool: pool, Log: l, Batch: event.NewBatch(io.Discard), Metrics: metrics.NewSet(),
 	})
 	k := kernel.New()
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -34,8 +34,8 @@
 }
 
 // Ask implements streamversions.Network.
-func (n streamNetwork) Ask(to []string, service string, stream streamversion.Key) {
-	n.s.peers.Send(to, &peer.Placement{StreamQueries: []*peer.StreamQuery{{Stream: uint64(stream), Service: service}}})
+func (n streamNetwork) Ask(to []string, q streamversions.Query) {
+	n.s.peers.Send(to, &peer.Placement{StreamQueries: []*peer.StreamQuery{{Stream: uint64(q.Stream), Service: q.Service, Query: q.Number}}})
 }
 
 // announceStreams tells other gateways the versions of streams that clients may resume, until ctx ends.
@@ -79,7 +79,7 @@
 	s.streams.Receive(decodeStreams(p.GetStreamVersions(), time.Now()))
 	for _, u := range p.GetUnknownStreams() {
 		s.streams.ReceiveUnknown(p.GetAddr(), streamversions.Unknown{
-			Stream:   streamversion.Key(u.GetStream()),
+			Stream: streamversion.Key(u.GetStream()), Query: u.GetQuery(),
 			Possible: streamversion.Possible{Versions: validVersions(u.GetSeen()), Complete: u.GetComplete(), Current: u.GetCurrent()},
 		})
 	}
@@ -94,13 +94,16 @@
 	answer := &peer.Placement{}
 	var known []streamversions.Update
 	for _, q := range queries {
-		u, unknown, ok := s.streams.Answer(q.GetService(), streamversion.Key(q.GetStream()))
+		u, unknown, ok := s.streams.Answer(streamversions.Query{
+			Stream: streamversion.Key(q.GetStream()), Service: q.GetService(), Number: q.GetQuery(),
+		})
 		if ok {
 			known = append(known, u)
 			continue
 		}
 		answer.UnknownStreams = append(answer.UnknownStreams, &peer.UnknownStream{
 			Stream: uint64(unknown.Stream), Seen: unknown.Versions, Complete: unknown.Complete, Current: unknown.Current,
+			Query: unknown.Query,
 		})
 	}
 	answer.StreamVersions = encodeStreams(known, time.Now())
@@ -159,9 +162,20 @@
 
 // keepVersions keeps in the store which versions of each service were seen, until ctx ends.
 func (s *Service) keepVersions(ctx context.Context) {
-	dep := &dependency{s: s, what: "versions kept"}
-	wait := func(failures int) { sleep.For(ctx, s.nextStoreRetry(failures)) }
-	s.streams.KeepHistory(ctx, s.isStoreReader, dep.record, wait)
+	s.streams.KeepHistory(ctx, s.versionCalls(ctx, "versions kept"))
+}
+
+// keepStreams keeps in the store at which versions streams were begun, until ctx ends.
+func (s *Service) keepStreams(ctx context.Context) {
+	s.streams.KeepStreams(ctx, s.versionCalls(ctx, "streams kept"))
+}
+
+func (s *Service) versionCalls(ctx context.Context, what string) streamversions.StoreCalls {
+	dep := &dependency{s: s, what: what}
+	return streamversions.StoreCalls{
+		Writes: s.isStoreReader, Report: dep.record,
+		BackOff: func(failures int) { sleep.For(ctx, s.nextStoreRetry(failures)) },
+	}
 }
 
 // observeVersions has the directory of streams take the list of servers in force, of services whose streams may be resumed.
@@ -170,7 +184,12 @@
 	if table == nil {
 		return
 	}
-	if services := table.ResumableServices(); len(services) > 0 {
-		s.streams.Observe(s.view.serversOf(services))
+	services := table.ResumableServices()
+	if len(services) == 0 {
+		return
+	}
+	s.streams.Observe(s.view.serversOf(services))
+	if era := s.view.listVersion().Era(); s.streamsEra.Swap(era) != era {
+		s.streams.StoreRestored()
 	}
 }
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -148,20 +148,25 @@
 	}
 }
 
-// TestTakenUpAfterAllGatewaysLeft guards against a stream of which no gateway knows anything and that goes on at a version
-// that need not be its own.
+// TestTakenUpAfterAllGatewaysLeft guards against a stream that can't be taken up after all gateways have lost their memory,
+// and against one of which nobody knows anything and that goes on at a version that need not be its own.
 func TestTakenUpAfterAllGatewaysLeft(t *testing.T) {
 	v := newVersionsSite(t)
 	v.list(v.new, "v2")
 	a := v.start("g1")
 	v.waitListed(a)
 	v.begin(a, "first")
+	waitUntil(t, "the stream is kept", func() bool { return len(v.store.Values(streamversions.StreamsTableName)) == 1 })
 	a.stop()
 	assert.NilError(t, <-a.done)
 	a.done = nil
 	b := v.start("g2")
 	v.waitListed(b)
-	status, engine := v.takeUp(b, "again", "first")
+	for i := range 3 {
+		status, engine := v.takeUp(b, fmt.Sprint("again-", i), "first")
+		assert.Check(t, status == 200 && engine == "old", "%d at %q", status, engine)
+	}
+	status, engine := v.takeUp(b, "again", "unknown")
 	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
 }
 
@@ -194,4 +199,5 @@
 	status, engine := v.takeUp(a, "again", "first")
 	assert.Check(t, status == 200 && engine == "old", "%d at %q", status, engine)
 	assert.Check(t, v.store.Value(streamversions.TableName, "llm") == nil, "nothing is kept")
+	assert.Check(t, len(v.store.Values(streamversions.StreamsTableName)) == 0, "nothing is kept")
 }
--- a/invariant/check.go
+++ b/invariant/check.go
@@ -22,6 +22,7 @@
 	LeavingGetsNothing
 	ShutdownCutsNothing
 	NewestRevision
+	OneVersion
 )
 
 var pointNames = map[Point]string{
@@ -33,6 +34,7 @@
 	LeavingGetsNothing:  "leaving gets nothing",
 	ShutdownCutsNothing: "shutdown cuts nothing",
 	NewestRevision:      "newest revision",
+	OneVersion:          "one version",
 }
 
 // String returns the number and the name of p.
@@ -90,6 +92,8 @@
 	continuations  []Event
 	tokens         int
 	streamedText   strings.Builder
+	// version is that of the engine whose events the caller received first.
+	version string
 }
 
 type checker struct {
@@ -136,6 +140,8 @@
 		c.request(e.Request).sent = e
 	case Token:
 		c.token(e)
+	case EventsReceived:
+		c.eventsReceived(e)
 	case ResponseReceived, ConnectionLost, CallerGone:
 		c.requestEnded(e)
 	case WorkAccepted:
@@ -178,6 +184,17 @@
 	r.streamedText.WriteString(e.Text)
 }
 
+// eventsReceived requires that all events of a stream come from engines of one software version.
+func (c *checker) eventsReceived(e Event) {
+	r := c.request(e.Request)
+	if r.version == "" {
+		r.version = e.Version
+	}
+	if r.version != e.Version {
+		c.report(OneVersion, e, "began at version %q, events of version %q", r.version, e.Version)
+	}
+}
+
 func (c *checker) requestEnded(e Event) {
 	r := c.request(e.Request)
 	if !r.ended {
--- a/invariant/check_test.go
+++ b/invariant/check_test.go
@@ -49,6 +49,10 @@
 		{"old revision decided under", []Point{NewestRevision}, []Event{
 			{Kind: RevisionCommitted, Key: "c", Revision: 4}, {At: second, Kind: RevisionUsed, Node: "n", Key: "c", Revision: 3}, {At: 4 * second, Kind: RevisionUsed, Node: "n", Key: "c", Revision: 3},
 		}},
+		{"stream of two versions", []Point{OneVersion}, []Event{
+			{Kind: EventsReceived, Request: "s", Version: "v1"}, {Kind: EventsReceived, Request: "s", Version: "v1"}, {Kind: EventsReceived, Request: "s", Version: "v2"},
+		}},
+		{"streams of one version each", nil, []Event{{Kind: EventsReceived, Request: "s", Version: "v1"}, {Kind: EventsReceived, Request: "t", Version: "v2"}}},
 		{"other key unaffected", nil, []Event{{Kind: RevisionCommitted, Key: "c", Revision: 4}, {At: 4 * second, Kind: RevisionUsed, Node: "n", Key: "d", Revision: 3}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/invariant/event.go
+++ b/invariant/event.go
@@ -44,6 +44,9 @@
 	RevisionCommitted
 	// RevisionUsed: the process Node made a decision that depends on Key under Revision.
 	RevisionUsed
+	// EventsReceived: the caller received events of the stream Request, in whichever of its tries, through the router Node
+	// from an engine of the software version Version.
+	EventsReceived
 )
 
 // Event is one event of a run. Fields that do not apply to its Kind are zero.
@@ -66,6 +69,7 @@
 	Text     string
 	Outcome  outcome.Kind
 	Revision uint64
+	Version  string
 }
 
 // Recorder collects events. It is safe for concurrent use.
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -110,6 +110,19 @@
 	return s.rows[rowKey(table, "", key)].Value
 }
 
+// Values returns the values of all rows of a table with an empty part, by key.
+func (s *Store) Values(table string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string][]byte{}
+	for _, r := range s.rows {
+		if r.Table == table && r.Part == "" {
+			out[r.Key] = r.Value
+		}
+	}
+	return out
+}
+
 // put writes a row in a transaction of its own. The caller holds mu.
 func (s *Store) put(r Row) {
 	s.ver++
--- a/streamversions/history.go
+++ b/streamversions/history.go
@@ -5,9 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"iter"
-	"maps"
 	"slices"
+	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -57,27 +56,33 @@
 	return value.Versions, row.Version, nil
 }
 
-// Keep writes the versions of a service, unless they are kept already. A row that can't be decoded is replaced.
-func (h *History) Keep(ctx context.Context, service string, versions []string) error {
+// Keep writes the versions of a service, unless they are kept already. Those that are kept stay unless the router that writes
+// has missed none (complete). It returns what is kept then. A row that can't be decoded is replaced.
+func (h *History) Keep(ctx context.Context, service string, versions []string, complete bool) ([]string, error) {
 	kept, rowVersion, err := h.read(ctx, service)
 	if err != nil && !errors.Is(err, store.ErrMalformed) {
-		return err
+		return nil, err
+	}
+	if !complete {
+		versions = slices.Concat(versions, kept)
+		slices.Sort(versions)
+		versions = slices.Compact(versions)
 	}
 	if err == nil && slices.Equal(kept, versions) {
-		return nil
+		return versions, nil
 	}
 	value, err := json.Marshal(historyRow{Versions: versions[:min(len(versions), maxHistoryVersions)]})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return h.table.Commit(ctx, store.Txn{
+	return versions, h.table.Commit(ctx, store.Txn{
 		Checks: []store.Check{{Key: service, Version: rowVersion}},
 		Writes: []store.Write{{Key: service, Value: value}},
 	})
 }
 
-// kept returns the versions of a service in the history. It returns false if that is not possible.
-func (d *Directory) kept(ctx context.Context, service string) ([]string, bool) {
+// historyOf returns the versions of a service in the history. It returns false if that is not possible.
+func (d *Directory) historyOf(ctx context.Context, service string) ([]string, bool) {
 	if d.History == nil {
 		return nil, false
 	}
@@ -91,10 +96,8 @@
 	return versions, true
 }
 
-// KeepHistory keeps in the store which versions of each service were seen, until ctx ends. writes reports whether this
-// process is one of the few that write for all routers. KeepHistory calls report with the result of each call, and
-// backOff after a failed one, with the number of consecutive failures.
-func (d *Directory) KeepHistory(ctx context.Context, writes func() bool, report func(error), backOff func(failures int)) {
+// KeepHistory keeps in the store which versions of each service were seen, until ctx ends.
+func (d *Directory) KeepHistory(ctx context.Context, calls StoreCalls) {
 	failures := 0
 	for {
 		select {
@@ -102,65 +105,92 @@
 			return
 		case <-d.historyDue:
 		}
-		for service, versions := range d.dueHistory(writes()) {
-			err := d.History.Keep(ctx, service, versions)
+		for service := range d.dueHistory(calls.Writes()) {
+			err := d.syncHistory(ctx, service)
 			if ctx.Err() != nil {
 				return
 			}
-			var conflict *store.ConflictError
-			if errors.As(err, &conflict) {
-				// Another router has written the row; it is read again with the next list.
-				err = nil
-			} else if err == nil {
-				d.setStored(service, versions)
-			}
-			report(err)
+			calls.Report(err)
 			if err == nil {
 				failures = 0
 				continue
 			}
 			failures++
-			backOff(failures)
+			calls.BackOff(failures)
 		}
 	}
 }
 
-// dueHistory returns the versions of the services whose row is to be written: those that have several, and those that
-// were kept with others than are seen now.
-func (d *Directory) dueHistory(writes bool) map[string][]string {
-	if !writes || d.History == nil {
+// syncHistory reads the row of a service that was not read yet, and writes it if it has to be written.
+func (d *Directory) syncHistory(ctx context.Context, service string) error {
+	d.mu.Lock()
+	_, read := d.stored[service]
+	d.mu.Unlock()
+	if !read {
+		versions, err := d.History.Versions(ctx, service)
+		if err != nil && !errors.Is(err, store.ErrMalformed) {
+			return err
+		}
+		d.adoptHistory(service, versions)
 		return nil
 	}
 	d.mu.Lock()
+	versions, complete := d.seen.Versions(service), d.seen.Current(d.Clock())
+	d.mu.Unlock()
+	kept, err := d.History.Keep(ctx, service, versions, complete)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		// Another router has written the row; it is read again with the next list.
+		d.mu.Lock()
+		delete(d.stored, service)
+		d.mu.Unlock()
+		return nil
+	}
+	if err == nil {
+		d.setStored(service, kept)
+	}
+	return err
+}
+
+// adoptHistory takes the versions kept of a service: a router that has just started may have missed them, and the streams
+// that it begins are not the only ones of their service.
+func (d *Directory) adoptHistory(service string, versions []string) {
+	now := time.Now()
+	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := map[string][]string{}
-	for service := range d.historyDiffs() {
-		out[service] = d.seen.Versions(service)
+	d.stored[service] = versions
+	for _, v := range versions {
+		d.seen.Observe(service, v, now)
 	}
-	return out
+	d.updateSeveral(service)
+	d.noteHistory()
 }
 
-// historyDiffs iterates over the services whose history has to be written. The caller holds mu.
-func (d *Directory) historyDiffs() iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for _, services := range []iter.Seq[string]{maps.Keys(d.several), maps.Keys(d.stored)} {
-			for service := range services {
-				if d.historyDiffers(service) && !yield(service) {
-					return
-				}
-			}
+// dueHistory returns the services whose row is to be read, or to be written if this process writes: those that have several
+// versions, and those that were kept with others than are seen now.
+func (d *Directory) dueHistory(writes bool) map[string]bool {
+	if d.History == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	due := map[string]bool{}
+	for service := range d.several {
+		_, read := d.stored[service]
+		if !read && len(d.seen.Versions(service)) > 0 || read && writes && d.historyDiffers(service) {
+			due[service] = true
 		}
 	}
+	return due
 }
 
-// historyDiffers reports whether the history of a service has to be written. Versions are removed from it only by a
-// router that has read lists for long enough to know that they are gone. The caller holds mu.
+// historyDiffers reports whether the history of a service has to be written. The caller holds mu.
 func (d *Directory) historyDiffers(service string) bool {
 	seen, kept := d.seen.Versions(service), d.stored[service]
 	if slices.Equal(seen, kept) || len(seen) < 2 && len(kept) < 2 {
 		return false
 	}
-	return d.seen.Current(d.Clock()) || !slices.ContainsFunc(kept, func(v string) bool { return !slices.Contains(seen, v) })
+	return d.seen.Current(d.Clock()) || slices.ContainsFunc(seen, func(v string) bool { return !slices.Contains(kept, v) })
 }
 
 func (d *Directory) setStored(service string, versions []string) {
@@ -169,10 +199,12 @@
 	d.stored[service] = versions
 }
 
-// noteHistory signals KeepHistory if a service's history has to be written. The caller holds mu.
+// noteHistory signals KeepHistory if a service's history has to be read or written. The caller holds mu.
 func (d *Directory) noteHistory() {
-	for range d.historyDiffs() {
-		notify.Send(d.historyDue)
-		return
+	for service, several := range d.several {
+		if _, read := d.stored[service]; !read || several || d.historyDiffers(service) {
+			notify.Send(d.historyDue)
+			return
+		}
 	}
 }
--- /dev/null
+++ b/streamversions/keep.go
@@ -0,0 +1,121 @@
+package streamversions
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
+)
+
+const (
+	// minKeepInterval is the least time between two writes of one router: most streams last for longer, so that few of those
+	// that are in progress when all routers are lost were not kept.
+	minKeepInterval = 250 * time.Millisecond
+	// keepWritesPerSecond bounds the writes of all routers together: a fifth of what the platform's store takes.
+	keepWritesPerSecond = 80
+	// removeInterval is the interval at which rows of routers that are gone are looked for.
+	removeInterval = 30 * time.Second
+)
+
+// keepInterval returns the time between two writes of one router among a number of them.
+func keepInterval(routers int) time.Duration {
+	return max(minKeepInterval, time.Duration(routers)*time.Second/keepWritesPerSecond)
+}
+
+// StoreCalls is what a goroutine that calls the store in the background reports to its process.
+type StoreCalls struct {
+	// Writes reports whether this process is one of the few that write for all routers.
+	Writes func() bool
+	// Report is called with the result of each call, BackOff after a failed one, with the number of consecutive failures.
+	Report  func(error)
+	BackOff func(failures int)
+}
+
+// KeepStreams keeps in the store at which versions this router began streams, while their services have several, until ctx
+// ends. It removes the rows of routers that are gone if this process writes for all.
+func (d *Directory) KeepStreams(ctx context.Context, calls StoreCalls) {
+	if d.Rows == nil {
+		return
+	}
+	remove := time.NewTicker(removeInterval)
+	defer remove.Stop()
+	failures, othersLeft := 0, false
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.rowDue:
+			err = d.Rows.write(ctx, d.kept())
+		case <-remove.C:
+			if !calls.Writes() || !othersLeft && !d.hasSeveral() {
+				continue
+			}
+			othersLeft, err = d.Rows.removeOld(ctx, time.Now())
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		calls.Report(err)
+		if err != nil {
+			failures++
+			notify.Send(d.rowDue)
+			calls.BackOff(failures)
+			continue
+		}
+		failures = 0
+		sleep.For(ctx, keepInterval(len(d.Network.Others())+1))
+	}
+}
+
+// kept returns the streams of which the store is to know, those that may be resumed longest first.
+func (d *Directory) kept() (out []Update) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for k, service := range d.own {
+		if rec, ok := d.records.Get(k, now); ok && d.several[service] {
+			out = append(out, Update{Stream: k, Record: rec})
+		}
+	}
+	slices.SortFunc(out, func(a, b Update) int { return cmp.Or(b.Until.Compare(a.Until), cmp.Compare(a.Stream, b.Stream)) })
+	return out
+}
+
+func (d *Directory) hasSeveral() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, several := range d.several {
+		if several {
+			return true
+		}
+	}
+	return false
+}
+
+// StoreRestored is called when the store was restored from a copy, which may lack what was kept last.
+func (d *Directory) StoreRestored() { notify.Send(d.rowDue) }
+
+// readRows takes what the store keeps of streams. Readings that are asked for while one is made share the next one.
+func (d *Directory) readRows(ctx context.Context) error {
+	requested := d.Clock()
+	select {
+	case <-d.rowsTurn:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { d.rowsTurn <- struct{}{} }()
+	if d.rowsRead >= requested {
+		return nil
+	}
+	began := d.Clock()
+	streams, err := d.Rows.read(ctx)
+	d.Receive(streams)
+	if err == nil {
+		d.rowsRead = began
+	}
+	return err
+}
--- a/streamversions/lookup.go
+++ b/streamversions/lookup.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
 )
 
@@ -22,8 +24,7 @@
 
 // lookup is one request that waits for the version of its stream. Its fields are guarded by Directory.mu.
 type lookup struct {
-	service string
-	key     streamversion.Key
+	query Query
 	// asked are the routers that have not answered, silent those of them that have to before anything is agreed on.
 	asked, silent map[string]struct{}
 	// answers is the number of routers that don't know the stream.
@@ -41,7 +42,7 @@
 // been frozen or cut off when the client came back.
 func (d *Directory) startLookup(s forward.StreamRef, k streamversion.Key, possible streamversion.Possible) *lookup {
 	possible.Current = false
-	l := &lookup{service: s.Service, key: k, asked: map[string]struct{}{}, silent: map[string]struct{}{}, possible: possible, changed: make(chan struct{}, 1)}
+	l := &lookup{query: Query{Stream: k, Service: s.Service, Number: rand.Uint64()}, asked: map[string]struct{}{}, silent: map[string]struct{}{}, possible: possible, changed: make(chan struct{}, 1)}
 	others := d.Network.Others()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -79,7 +80,8 @@
 func (l *lookup) agreed() bool { return l.storeLost && l.answers > 0 && len(l.silent) == 0 }
 
 // resolve asks other routers for the stream and, unless they know it or one reads the list all the time, the store. Where
-// the store is away it asks all routers that are known. The result is in the lookup.
+// the store is away it asks all routers that are known. The result is in the lookup. The store also knows streams of routers
+// that are all gone.
 func (d *Directory) resolve(ctx context.Context, l *lookup) {
 	d.await(ctx, l, askRetry, l.heard)
 	if d.check(l.decided) {
@@ -134,7 +136,7 @@
 	asked := slices.Collect(maps.Keys(l.asked))
 	d.mu.Unlock()
 	if len(asked) > 0 {
-		d.Network.Ask(asked, l.service, l.key)
+		d.Network.Ask(asked, l.query)
 	}
 }
 
@@ -150,8 +152,27 @@
 	return len(l.asked) > 0
 }
 
-// consultStore reads the list of servers for a lookup, and the versions kept if this router may have missed a list.
+// consultStore reads for a lookup the list of servers, if one version alone seems to be possible, and what is kept of streams
+// if there are several.
 func (d *Directory) consultStore(ctx context.Context, l *lookup) {
+	if !d.check(l.several) {
+		d.readVersions(ctx, l)
+	}
+	if !d.check(l.several) || d.Rows == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := d.readRows(ctx); err != nil {
+		d.Metrics.Counter(metrics.StoreErrors).Inc(1)
+	}
+}
+
+// several reports whether several versions may have begun the stream.
+func (l *lookup) several() bool { return len(l.possible.Versions) > 1 }
+
+// readVersions reads the list of servers, and the versions kept if this router may have missed a list.
+func (d *Directory) readVersions(ctx context.Context, l *lookup) {
 	if d.Lists == nil {
 		return
 	}
@@ -160,14 +181,14 @@
 	err := d.Lists.ReadServers(readCtx)
 	d.mu.Lock()
 	l.storeLost = err != nil
-	seen := d.possible(l.service)
+	seen := d.possible(l.query.Service)
 	d.mu.Unlock()
 	if err != nil {
 		return
 	}
 	if !seen.Current {
-		kept, ok := d.kept(ctx, l.service)
-		seen = seen.With(streamversion.Possible{Versions: kept, Current: ok})
+		versions, ok := d.historyOf(ctx, l.query.Service)
+		seen = seen.With(streamversion.Possible{Versions: versions, Current: ok})
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -195,10 +216,14 @@
 
 // unknown records that a router does not know the stream.
 func (l *lookup) unknown(from string, u Unknown) {
-	if _, ok := l.asked[from]; !ok {
+	if _, ok := l.asked[from]; !ok || u.Query != 0 && u.Query != l.query.Number {
 		return
 	}
 	delete(l.asked, from)
+	if u.Query == 0 {
+		// From a router that does not repeat the query: it may be a late answer, which proves nothing.
+		u.Complete, u.Current = false, false
+	}
 	delete(l.silent, from)
 	l.answers++
 	l.possible = l.possible.With(u.Possible)
--- a/streamversions/model_test.go
+++ b/streamversions/model_test.go
@@ -104,12 +104,12 @@
 	return out
 }
 
-func (n modelNetwork) Ask(to []string, service string, k streamversion.Key) {
+func (n modelNetwork) Ask(to []string, q Query) {
 	for _, addr := range to {
 		if n.m.alone || n.m.cut[n.self] != n.m.cut[slices.Index(names[:], addr)] {
 			continue
 		}
-		u, unknown, ok := n.m.all[slices.Index(names[:], addr)].Answer(service, k)
+		u, unknown, ok := n.m.all[slices.Index(names[:], addr)].Answer(q)
 		if ok {
 			n.m.all[n.self].Receive([]Update{u})
 			continue
@@ -262,9 +262,8 @@
 	if !m.begun {
 		m.begin()
 	}
-	for service, seen := range m.all[0].dueHistory(true) {
-		assert.NilError(m.t, m.history.Keep(m.t.Context(), service, seen))
-		m.all[0].setStored(service, seen)
+	for len(m.all[0].dueHistory(true)) > 0 {
+		assert.NilError(m.t, m.all[0].syncHistory(m.t.Context(), "llm"))
 	}
 }
 
--- a/streamversions/simulation_test.go
+++ b/streamversions/simulation_test.go
@@ -47,14 +47,14 @@
 	return f.rng.Float64() >= lostShare && !f.killed[to]
 }
 
-func (n fleetNetwork) Ask(to []string, service string, k streamversion.Key) {
+func (n fleetNetwork) Ask(to []string, q Query) {
 	f := n.f
 	for _, addr := range to {
 		i := slices.Index(f.names, addr)
 		if !f.send(i) {
 			continue
 		}
-		u, unknown, ok := f.all[i].Answer(service, k)
+		u, unknown, ok := f.all[i].Answer(q)
 		if !f.send(n.self) {
 			continue
 		}
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -31,8 +31,16 @@
 type Network interface {
 	// Others returns the addresses of the other routers that communicate.
 	Others() []string
-	// Ask asks routers for a stream of a service. Their answers are passed to Receive and ReceiveUnknown.
-	Ask(to []string, service string, stream streamversion.Key)
+	// Ask sends a query to routers. Their answers are passed to Receive and ReceiveUnknown.
+	Ask(to []string, q Query)
+}
+
+// Query asks for the version of a stream of a service.
+type Query struct {
+	Stream  streamversion.Key
+	Service string
+	// Number distinguishes the queries of a router: a late answer to an earlier one proves nothing of what is listed now.
+	Number uint64
 }
 
 // Update is the version of one stream, for other routers.
@@ -44,6 +52,8 @@
 // Unknown is the answer of a router that does not know a stream: what is possible by the lists that it has seen.
 type Unknown struct {
 	Stream streamversion.Key
+	// Query is the number of the query; zero from routers that don't repeat it.
+	Query uint64
 	streamversion.Possible
 }
 
@@ -55,6 +65,9 @@
 	// History is what routers know that start when no other one has seen lists for long. Without it, nil, such routers turn
 	// streams away that nobody knows.
 	History *History
+	// Rows keep streams for when all routers lose their memory; without them, nil, such streams are turned away while their
+	// service has several versions.
+	Rows    *StreamRows
 	Metrics *metrics.Set
 	// Clock continues while the VM is suspended; nil stands for that of package clock.
 	Clock func() time.Duration
@@ -63,8 +76,12 @@
 // Directory is the local knowledge of one router. It implements forward.StreamVersions and is safe for concurrent use.
 type Directory struct {
 	Config
-	// updated is signalled when TakeUpdates has something to return, historyDue when KeepHistory has something to write.
-	updated, historyDue chan struct{}
+	// updated is signalled when TakeUpdates has something to return, historyDue and rowDue when KeepHistory and KeepStreams
+	// have something to write.
+	updated, historyDue, rowDue chan struct{}
+	// rowsTurn holds a token while nobody reads the rows. It guards rowsRead, when the call of the last reading was made.
+	rowsTurn chan struct{}
+	rowsRead time.Duration
 
 	mu      sync.Mutex
 	records *streamversion.Records
@@ -73,7 +90,8 @@
 	own map[streamversion.Key]string
 	// pending are those of them of which the others are to be told.
 	pending map[streamversion.Key]struct{}
-	// several are the services of which more than one version was seen when the list was last observed.
+	// several are the services that were listed, set for those of which more than one version was seen when the list was last
+	// observed.
 	several map[string]bool
 	lookups map[streamversion.Key][]*lookup
 	// known are the other routers that may have begun streams since the list was last confirmed, with the time at which each
@@ -90,12 +108,14 @@
 	if c.Clock == nil {
 		c.Clock = clock.Uptime
 	}
-	return &Directory{
-		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1),
+	d := &Directory{
+		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), rowsTurn: make(chan struct{}, 1),
 		records: streamversion.NewRecords(), seen: streamversion.NewSeen(), known: map[string]time.Duration{},
 		own: map[streamversion.Key]string{}, pending: map[streamversion.Key]struct{}{}, several: map[string]bool{},
 		lookups: map[streamversion.Key][]*lookup{}, stored: map[string][]string{},
 	}
+	d.rowsTurn <- struct{}{}
+	return d
 }
 
 // RecordReading records that the list was read from the store by a call made at a time of the directory's clock. Observe
@@ -117,14 +137,21 @@
 	}
 	d.seen.Expire(now)
 	for _, s := range list {
-		if several := d.seen.Several(s.Service); several != d.several[s.Service] {
-			d.several[s.Service] = several
-			d.tellAll(s.Service, several)
-		}
+		d.updateSeveral(s.Service)
 	}
 	d.noteHistory()
 }
 
+// updateSeveral has the others told of the streams of a service if it now has several versions. The caller holds mu.
+func (d *Directory) updateSeveral(service string) {
+	several := d.seen.Several(service)
+	if known, ok := d.several[service]; ok && known == several {
+		return
+	}
+	d.several[service] = several
+	d.tellAll(service, several)
+}
+
 // tellAll marks the streams of a service to be told, if it has several versions. The caller holds mu.
 func (d *Directory) tellAll(service string, several bool) {
 	for k, of := range d.own {
@@ -138,6 +165,7 @@
 func (d *Directory) tell(k streamversion.Key) {
 	d.pending[k] = struct{}{}
 	notify.Send(d.updated)
+	notify.Send(d.rowDue)
 }
 
 // Begun implements forward.StreamVersions.
@@ -255,17 +283,17 @@
 	}
 }
 
-// Answer answers another router that asks for a stream of a service: with its version or, if that is not known, with the
+// Answer answers a query of another router: with the stream's version or, if that is not known, with the
 // versions seen.
-func (d *Directory) Answer(service string, k streamversion.Key) (u Update, unknown Unknown, known bool) {
+func (d *Directory) Answer(q Query) (u Update, unknown Unknown, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	rec, known := d.records.Get(k, now)
+	rec, known := d.records.Get(q.Stream, now)
 	if known {
-		return Update{Stream: k, Record: rec}, Unknown{}, true
+		return Update{Stream: q.Stream, Record: rec}, Unknown{}, true
 	}
-	return Update{}, Unknown{Stream: k, Possible: d.possible(service)}, false
+	return Update{}, Unknown{Stream: q.Stream, Query: q.Number, Possible: d.possible(q.Service)}, false
 }
 
 // Expire drops what is no longer needed. confirmed is set if the list in force is known to have been read a moment ago, so
@@ -278,6 +306,9 @@
 	for k := range d.own {
 		if _, ok := d.records.Get(k, now); !ok {
 			delete(d.own, k)
+			if len(d.own) == 0 {
+				notify.Send(d.rowDue)
+			}
 		}
 	}
 	for _, addr := range others {
