registry, gateway: servers that the list lacks go when the grace is over, and are told to nobody

Cause: a gateway keeps servers that the list lacks for 2 s after an outage, and looked whether that is over only when another list came; who doesn't read the list is told of one once. What it kept was told to others under the position of the list that lacks it, and a list of the same position was believed.

Change: a timer removes them; others are told the list as the store had it; a removal keeps the position of the list that lacked the server, and an entry from one that is not newer is ignored.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -17,6 +17,9 @@
 // fromStore is the source of updates that this process read from the store itself.
 const fromStore = "store"
 
+// fromGrace is the source of a change of the servers in use that no list brought: the grace after an outage is over.
+const fromGrace = "grace"
+
 // dependency logs each time that something the process depends on is lost or regained. It belongs to one goroutine.
 type dependency struct {
 	s    *Service
@@ -165,8 +168,15 @@
 // serversChanged announces a change of the server list to the other gateways.
 func (s *Service) serversChanged(version store.Position, from string) {
 	s.announceUpdate(from)
-	list, _ := s.view.list()
 	s.observeVersions()
+	s.logServers(version, from)
+}
+
+// missingRemoved logs that servers were removed which the list has lacked since an outage.
+func (s *Service) missingRemoved() { s.logServers(s.view.listVersion(), fromGrace) }
+
+func (s *Service) logServers(version store.Position, from string) {
+	list, _ := s.view.list()
 	event.ServersChanged.Log(s.log).Int64("version", version.Version()).Int64("era", version.Era()).Int("servers", len(list)).Strs("leaving", leavingIDs(list)).Str("from", from).Msg("")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,7 +202,7 @@
 	s.metrics.GaugeFunc(metrics.StoreEra, func() int64 { return s.view.listVersion().Era() })
 	s.metrics.GaugeFunc(metrics.QuotaReservedPeers, s.quotas.unresponsiveGateways)
 	s.peerLoads = newPeerLoads(s.view.incarnationID)
-	s.view.onReplaced = s.incarnationsReplaced
+	s.view.onReplaced, s.view.onRemoved = s.incarnationsReplaced, s.missingRemoved
 	s.connections = newConnectionLimit(d.Log, d.Metrics, d.Link)
 	s.guard, s.holds = holdback.New(d.Log, d.Metrics, settings.Off.Has(mechanism.Quarantine)), d.Holds
 	s.servers = newServerReader(s)
--- a/gateway/serverlist.go
+++ b/gateway/serverlist.go
@@ -44,22 +44,51 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	defer func() { replaced = v.registry.TakeTerminated() }()
-	before := v.registry.List()
+	before, listedBefore := v.registry.List(), v.registry.Listed()
 	if !v.registry.Apply(version, list, now) {
 		return false, nil
 	}
-	after := v.registry.List()
-	unchanged := v.listed && equal(before, after)
-	if unchanged && version.Era() == v.changedVersion.Era() {
+	v.awaitRemovals(now)
+	after := v.registry.Listed()
+	sameList := v.listed && equal(listedBefore, after)
+	if !sameList || version.Era() != v.changedVersion.Era() {
+		v.recordChange(version, listedBefore, after)
+		v.listed, v.listDigest = true, 0
+	}
+	if sameList && equal(before, v.registry.List()) {
 		return false, nil
 	}
-	v.recordChange(version, before, after)
-	v.listed, v.listDigest = true, 0
-	if !unchanged {
+	v.changedAt = now
+	clear(v.usable)
+	return true, nil
+}
+
+// awaitRemovals has servers removed that the list lacks once the grace after an outage is over. The caller holds mu.
+func (v *view) awaitRemovals(now time.Time) {
+	if v.removals != nil {
+		v.removals.Stop()
+		v.removals = nil
+	}
+	if until, ok := v.registry.MissingUntil(); ok {
+		v.removals = time.AfterFunc(until.Sub(now), v.removeMissing)
+	}
+}
+
+// removeMissing removes the servers that the list lacks. What other gateways are told doesn't change: they were not told of
+// these.
+func (v *view) removeMissing() {
+	v.mu.Lock()
+	now := time.Now()
+	removed := v.registry.RemoveMissing(now)
+	if removed {
 		v.changedAt = now
+		clear(v.usable)
+	}
+	v.awaitRemovals(now)
+	v.mu.Unlock()
+	if removed && v.onRemoved != nil {
+		v.onRemoved()
 	}
-	clear(v.usable)
-	return !unchanged, nil
 }
 
 // recordChange records the version at which the list changed. The history begins anew with each era of the store, since
@@ -123,16 +152,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.listed && v.listDigest == 0 {
-		v.listDigest = digestOf(v.registry.List())
+		v.listDigest = digestOf(v.registry.Listed())
 	}
 	return v.listDigest
 }
 
-// list returns the server list and the version at which it last changed.
+// list returns the server list, as other gateways are told it, and the version at which it last changed.
 func (v *view) list() ([]registry.Server, store.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.List(), v.changedVersion
+	return v.registry.Listed(), v.changedVersion
 }
 
 // listVersion returns the version at which the server list last changed.
@@ -207,7 +236,7 @@
 	if merged, ok := v.history.since(version); ok {
 		return v.changedVersion, &merged
 	}
-	return v.changedVersion, &serversUpdate{version: v.changedVersion, servers: v.registry.List()}
+	return v.changedVersion, &serversUpdate{version: v.changedVersion, servers: v.registry.Listed()}
 }
 
 // listReadAge returns how long ago this process read the list from the store.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -46,6 +46,10 @@
 	changedAt time.Time
 	// proofs tracks how recently the table was proved to be the newest.
 	proofs *proofs
+	// removals is the timer that removes servers which the list lacks; nil if there are none. onRemoved is called after it has,
+	// without mu held.
+	removals  *time.Timer
+	onRemoved func()
 	// onReplaced is called with incarnations of servers that a later one has replaced, without mu held.
 	onReplaced func([]registry.Server)
 }
--- a/registry/model_test.go
+++ b/registry/model_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 	listed, leaving bool
 	// copyListed and copyLeaving are the same before the last change: the copy from which the store is restored.
 	copyListed, copyLeaving bool
+	// listedAt is whether the store listed the first server at a position.
+	listedAt map[store.Position]bool
 	// delayed is a response of the store, and reported a report of the reader, both in transit to the peer.
 	delayed, reported *serverList
 	// processes are the reader and the peer.
@@ -40,7 +43,7 @@
 }
 
 func newLeavingSim() *leavingSim {
-	sim := &leavingSim{now: start, version: store.At(1, 1), listed: true, copyListed: true}
+	sim := &leavingSim{now: start, version: store.At(1, 1), listed: true, copyListed: true, listedAt: map[store.Position]bool{store.At(1, 1): true}}
 	for i := range sim.processes {
 		sim.processes[i] = &leavingProcess{Registry: registry.New()}
 	}
@@ -63,12 +66,14 @@
 func (sim *leavingSim) change(listed, leaving bool) {
 	sim.copyListed, sim.copyLeaving = sim.listed, sim.leaving
 	sim.listed, sim.leaving, sim.version = listed, leaving, sim.version+1
+	sim.listedAt[sim.version] = listed
 }
 
 // restore takes the store back to its copy; the version of the lost change is given out again.
 func (sim *leavingSim) restore() {
 	sim.listed, sim.leaving = sim.copyListed, sim.copyLeaving
 	sim.version = store.At(sim.version.Era()+1, max(sim.version.Version()-1, 1))
+	sim.listedAt[sim.version] = sim.listed
 }
 
 func (sim *leavingSim) apply(i int, l *serverList) {
@@ -82,6 +87,14 @@
 	}
 }
 
+// pass lets time pass, and the processes remove what they are then to remove.
+func (sim *leavingSim) pass(d time.Duration) {
+	sim.now = sim.now.Add(d)
+	for _, p := range sim.processes {
+		p.RemoveMissing(sim.now)
+	}
+}
+
 // leavingEvents are the events of the simulation; each may happen at any time.
 var leavingEvents = []struct {
 	name string
@@ -95,7 +108,7 @@
 	{"response to the peer is delayed", func(sim *leavingSim) { sim.delayed = sim.store() }},
 	{"delayed response arrives", func(sim *leavingSim) { sim.apply(1, sim.delayed) }},
 	{"reader reports", func(sim *leavingSim) {
-		sim.reported = &serverList{version: sim.processes[0].Position(), list: sim.processes[0].List()}
+		sim.reported = &serverList{version: sim.processes[0].Position(), list: sim.processes[0].Listed()}
 	}},
 	{"report arrives", func(sim *leavingSim) { sim.apply(1, sim.reported) }},
 	{"another server at the address responds to the peer", func(sim *leavingSim) {
@@ -103,9 +116,9 @@
 			sim.processes[1].sawLeaving = true
 		}
 	}},
-	{"an outage", func(sim *leavingSim) { sim.now = sim.now.Add(10 * time.Second) }},
+	{"an outage", func(sim *leavingSim) { sim.pass(10 * time.Second) }},
 	{"the store is restored", func(sim *leavingSim) { sim.restore() }},
-	{"the grace is over", func(sim *leavingSim) { sim.now = sim.now.Add(registry.Grace) }},
+	{"the grace is over", func(sim *leavingSim) { sim.pass(registry.Grace) }},
 }
 
 // check asserts the invariants of both processes.
@@ -115,13 +128,18 @@
 		assert.Assert(t, p.Position() >= p.version, "process %d went back to an older version: %s", i, at())
 		p.version = p.Position()
 		assert.Assert(t, !p.sawLeaving || !strings.Contains(usable(p.Registry), "a"), "process %d forgot the shutdown: %s", i, at())
+		told := slices.ContainsFunc(p.Listed(), func(s registry.Server) bool { return s.ID == "a" })
+		assert.Assert(t, !told || sim.listedAt[p.Position()], "process %d tells of a server that the store did not list: %s", i, at())
+		until, missing := p.MissingUntil()
+		assert.Assert(t, !missing || sim.now.Before(until), "process %d keeps a server that the list lacks: %s", i, at())
 		assert.Assert(t, p.Position() == 0 || strings.Contains(usable(p.Registry), "b"), "process %d lost the other server: %s", i, at())
 	}
 }
 
 // TestLeavingInAllEventOrders runs every sequence of events of one length. Lists that arrive late, twice, out of
 // order, from another process or from a restored store never make a leaving server usable again and never take a
-// process back to an older position; after a read beyond the grace, its state is that of the store.
+// process back to an older position; what a process tells under a position is what the store listed there; after a read
+// beyond the grace, its state is that of the store, and without one no server stays that the list lacks.
 func TestLeavingInAllEventOrders(t *testing.T) {
 	const length = 5
 	runs := 0
@@ -150,7 +168,7 @@
 	}
 	for range 2 {
 		sim.apply(0, sim.store())
-		sim.now = sim.now.Add(registry.Grace)
+		sim.pass(registry.Grace)
 	}
 	sim.apply(0, sim.store())
 	want := sim.listed && !sim.processes[0].sawLeaving
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -101,12 +101,19 @@
 	// lastRead is when the list was last read successfully, and recoveredAt when that
 	// first succeeded after the last outage.
 	lastRead, recoveredAt time.Time
-	// removed is when each incarnation was removed that the list lacked, and restoredAt when
+	// removed are the incarnations that were removed because the list lacked them, and restoredAt is when
 	// a list of a restored store was first applied: its copy may list removed servers.
-	removed    map[string]time.Time
+	removed    map[string]removal
 	restoredAt time.Time
 }
 
+// removal is when a server was removed, and the position of the newest snapshot that lacked it: an entry in one that is not
+// newer comes from a process that still knows the server.
+type removal struct {
+	at       time.Time
+	position store.Position
+}
+
 type entry struct {
 	Server
 	// missingSince is when snapshots began to lack the server; zero while it is listed.
@@ -115,7 +122,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: map[string]*entry{}, leaving: map[string]time.Time{}, latest: map[string]int64{}, removed: map[string]time.Time{}}
+	return &Registry{servers: map[string]*entry{}, leaving: map[string]time.Time{}, latest: map[string]int64{}, removed: map[string]removal{}}
 }
 
 // outageGap is the time without a snapshot that counts as an outage, in which entries may
@@ -133,7 +140,7 @@
 		return false
 	}
 	r.recordReading(position, now)
-	list = slices.DeleteFunc(slices.Clone(list), func(s Server) bool { return r.isStale(s.ID, now) })
+	list = slices.DeleteFunc(slices.Clone(list), func(s Server) bool { return r.isStale(s.ID, position, now) })
 	seen := make(map[string]struct{}, len(list))
 	for _, s := range list {
 		r.recordStart(s)
@@ -239,11 +246,41 @@
 	if e.missingSince.IsZero() {
 		e.missingSince = now
 	}
-	if !r.recoveredAt.IsZero() && now.Sub(r.recoveredAt) < Grace && !e.Leaving {
+	if now.Before(r.graceEnd()) && !e.Leaving {
 		return
 	}
 	delete(r.servers, id)
-	r.removed[id] = now
+	r.removed[id] = removal{now, r.position}
+}
+
+// graceEnd is when servers that the list lacks are removed; zero without an outage.
+func (r *Registry) graceEnd() time.Time {
+	if r.recoveredAt.IsZero() {
+		return time.Time{}
+	}
+	return r.recoveredAt.Add(Grace)
+}
+
+// RemoveMissing removes the servers that the newest snapshot lacks once the grace after an outage is over: no other snapshot may
+// come to do so. It reports whether it removed any.
+func (r *Registry) RemoveMissing(now time.Time) bool {
+	before := len(r.servers)
+	for id, e := range r.servers {
+		if !e.missingSince.IsZero() {
+			r.handleMissing(id, e, now)
+		}
+	}
+	return len(r.servers) < before
+}
+
+// MissingUntil returns when RemoveMissing is to be called; false if the newest snapshot lacks no server.
+func (r *Registry) MissingUntil() (time.Time, bool) {
+	for _, e := range r.servers {
+		if !e.missingSince.IsZero() {
+			return r.graceEnd(), true
+		}
+	}
+	return time.Time{}, false
 }
 
 // MarkLeaving records that a server shuts down, for instance because a response said so. It returns false if that was
@@ -276,7 +313,7 @@
 	if since, leaving := r.leaving[id]; leaving {
 		return since
 	}
-	return r.removed[id]
+	return r.removed[id].at
 }
 
 // Usable returns the servers of a service that may get new requests, ordered by ID. Of several at one
@@ -358,9 +395,21 @@
 
 // List returns all servers, ordered by ID.
 func (r *Registry) List() []Server {
+	return r.list(func(*entry) bool { return true })
+}
+
+// Listed returns the servers of the newest snapshot, ordered by ID: all but those that it lacks and that stay usable after an
+// outage. Only these may be told to other processes under the snapshot's position.
+func (r *Registry) Listed() []Server {
+	return r.list(func(e *entry) bool { return e.missingSince.IsZero() })
+}
+
+func (r *Registry) list(included func(*entry) bool) []Server {
 	out := make([]Server, 0, len(r.servers))
 	for _, e := range r.servers {
-		out = append(out, e.Server)
+		if included(e) {
+			out = append(out, e.Server)
+		}
 	}
 	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/registry/restored.go
+++ b/registry/restored.go
@@ -27,12 +27,19 @@
 		r.recoveredAt = now
 	}
 	r.position, r.lastRead = position, now
-	maps.DeleteFunc(r.removed, func(_ string, at time.Time) bool { return now.Sub(at) >= removedTTL })
+	maps.DeleteFunc(r.removed, func(_ string, removed removal) bool { return now.Sub(removed.at) >= removedTTL })
 }
 
-// isStale reports whether the entry of a server may come from the copy of a restored store
-// alone: the server was removed before, and the entry is not confirmed by its age yet.
-func (r *Registry) isStale(id string, now time.Time) bool {
-	removedAt, removed := r.removed[id]
-	return removed && !removedAt.After(r.restoredAt) && now.Sub(r.restoredAt) < staleEntryTTL
+// isStale reports whether the entry of a server in a snapshot of a position is out of date: the server was removed before, and the
+// snapshot is no newer than one that lacked it, or the entry may come from the copy of a restored store alone and is not
+// confirmed by its age yet.
+func (r *Registry) isStale(id string, position store.Position, now time.Time) bool {
+	removed, ok := r.removed[id]
+	if !ok {
+		return false
+	}
+	if position <= removed.position {
+		return true
+	}
+	return !removed.at.After(r.restoredAt) && now.Sub(r.restoredAt) < staleEntryTTL
 }
