--- a/standin/site/behaviour.go
+++ b/standin/site/behaviour.go
@@ -13,7 +13,7 @@
 // Behaviours of backend servers. Answer serves the request.
 const (
 	Answer Behaviour = iota
-	// Fail answers 500, Shed rejects the request and states that it was not run.
+	// Fail runs the request and answers 500, or what FailWith says; Shed rejects the request and states that it was not run.
 	Fail
 	Shed
 	// Reset runs the request and closes the connection without an answer.
@@ -107,8 +107,9 @@
 		if s.limitOnSuccessOnly {
 			w.Header().Del(limitHeader)
 		}
+		status := s.failureStatus
 		s.mu.Unlock()
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "failed at "+s.ID)
 	case c.Kind == Prefill:
 		reply(w, http.StatusOK, map[string]any{"kv_handle": exportPrefix + c.ID, "tokens": 100, "version": 1})
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -33,7 +33,9 @@
 	mu               sync.Mutex
 	nextBehaviours   []Behaviour
 	defaultBehaviour Behaviour
-	full             bool
+	// failureStatus is the status of Fail.
+	failureStatus int
+	full          bool
 	// stopping is set once the server rejects reservations and closes their connections because it is about to stop.
 	stopping bool
 	// limit is the rate limit in requests per second that answers report; empty if they report none.
@@ -61,7 +63,7 @@
 
 // NewServer starts a server that is closed at the end of the test.
 func NewServer(t testing.TB, id string, l *Log) *Server {
-	s := &Server{ID: id, log: l, runs: map[string]*liveRun{}}
+	s := &Server{ID: id, log: l, failureStatus: http.StatusInternalServerError, runs: map[string]*liveRun{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/hold-take", s.reserve)
 	mux.HandleFunc("DELETE /api/hold-drop/{id}", s.record(Drop))
@@ -88,6 +90,13 @@
 	s.defaultBehaviour, s.nextBehaviours = defaultBehaviour, nextBehaviours
 }
 
+// FailWith sets the status with which Fail answers, after the request has run.
+func (s *Server) FailWith(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failureStatus = status
+}
+
 // SetFull makes the server reject reservations.
 func (s *Server) SetFull(full bool) {
 	s.mu.Lock()
