forward: a server's status that promises without proof is not passed on

Cause: passOn and finish pass on any status of a server. Only Not-Run proves that nothing ran.

Change: such a status is the gateway's own 502 where the request can't be repeated; others get the server's answer.

Whether this is what the users saw is not known.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -106,6 +106,21 @@
 	e.Msg("")
 }
 
+// promisesFalsely reports whether a server's answer would tell the client that a request has not run, though it may have: the
+// server gave such a status without proof. Clients send a request that can't be repeated again after it. One that can be
+// repeated gets the server's answer.
+func (j *job) promisesFalsely(head AnswerHead) bool {
+	if head.NotRun || j.route.Repeatable() {
+		return false
+	}
+	switch head.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // refusalStatus is the status of an answer that says that a request has not run: 401 if its key was revoked, 429 if
 // its customer's quota is exhausted, and 503 for reasons that are not the customer's.
 func refusalStatus(reason outcome.Reason) int {
--- a/forward/call.go
+++ b/forward/call.go
@@ -80,6 +80,9 @@
 func (a *callAttempt) Answer(ctx context.Context) outcome.Outcome {
 	f, j := a.c.f, a.c.j
 	got, err := f.callServer(ctx, j, a.server)
+	if err == nil && j.promisesFalsely(got.head) {
+		got, err = nil, errors.Join(errFailed, statusError(got.head.Status))
+	}
 	if err == nil && got.head.Status < http.StatusMultipleChoices {
 		f.recordSuccess(j)
 		a.c.begun(a.server.Version)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -226,7 +226,7 @@
 func (a *streamAttempt) keepFailure(head AnswerHead, res *upstream.Response) outcome.Outcome {
 	j := a.r.j
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
-	if err == nil && !j.started {
+	if err == nil && !j.started && !j.promisesFalsely(head) {
 		a.r.failure = &answer{head: head, body: body}
 	}
 	a.r.f.attemptFailed(j, a.lease.server, outcome.EngineError, statusError(head.Status))
