forward: a request that is sent to the same server again takes a new connection

What callers saw: 503 for a stream that ran, if an engine that can't fetch the KV cache sends its refusal twice and is asked again on the same connection (REFUSED; hypothesis 2 of docs/incidents/refused-requests-that-ran.md).

Cause: answers are told apart by the request's ID, and both sends have the same one.

Change: such a send uses no idle connection (upstream.Request.NewConnection).

Result: TestLateRefusalOfEarlierSend: 503 and a run before, the whole stream now.

--- a/forward/call.go
+++ b/forward/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -215,6 +216,8 @@
 		Header: f.Codec.Outgoing(j.r.Header, o), Body: j.body,
 		Admit:   func() error { return f.admitDeparted(s.ID, o.Returns) },
 		Matches: func(h http.Header) bool { return f.Codec.Matches(j.meta.ID, h) },
+		// A second answer to an earlier send would match this one.
+		NewConnection: slices.Contains(j.servers, s.ID),
 	})
 	f.recordConnectError(s, err)
 	if errors.Is(err, upstream.ErrNotSent) {
--- a/forward/promises_test.go
+++ b/forward/promises_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 
@@ -45,3 +47,74 @@
 		}
 	}
 }
+
+// repeatRefusals relays connections to a server, and sends each answer 503 once more after the next request for a draft on
+// its connection.
+func repeatRefusals(t *testing.T, server string) (addr string) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			client, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go relayRepeating(client, server)
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func relayRepeating(client net.Conn, server string) {
+	defer func() { _ = client.Close() }()
+	upstream, err := net.Dial("tcp", server)
+	if err != nil {
+		return
+	}
+	defer func() { _ = upstream.Close() }()
+	refusals := make(chan []byte, 100)
+	go func() {
+		defer func() { _ = client.Close() }()
+		for buf := make([]byte, 64<<10); ; {
+			n, err := upstream.Read(buf)
+			if bytes.HasPrefix(buf[:n], []byte("HTTP/1.1 503")) {
+				refusals <- bytes.Clone(buf[:n])
+			}
+			if _, werr := client.Write(buf[:n]); err != nil || werr != nil {
+				return
+			}
+		}
+	}()
+	for buf := make([]byte, 64<<10); ; {
+		n, err := client.Read(buf)
+		if bytes.HasPrefix(buf[:n], []byte("POST /draft")) && len(refusals) > 0 {
+			_, _ = client.Write(<-refusals)
+		}
+		if _, werr := upstream.Write(buf[:n]); err != nil || werr != nil {
+			return
+		}
+	}
+}
+
+// TestLateRefusalOfEarlierSend guards against a second answer to a send that a server has refused, which is taken for that to the
+// next send of the same request there: the request was refused, and ran.
+func TestLateRefusalOfEarlierSend(t *testing.T) {
+	w := newEngineEnv(t)
+	w.view.mu.Lock()
+	for i := range w.view.servers {
+		w.view.servers[i].Addr = repeatRefusals(t, w.view.servers[i].Addr)
+	}
+	w.view.mu.Unlock()
+	w.setDecodeBehaviour(site.FailKVFetch)
+	got := w.post(t, "/draft/1")
+	assert.Equal(t, got.status, http.StatusOK, "%q", got.body)
+	assert.Equal(t, got.body, whole)
+	ran := 0
+	for _, c := range w.decodes("/draft/1") {
+		if !c.Refused {
+			ran++
+		}
+	}
+	assert.Equal(t, ran, 1)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,6 +33,8 @@
 	// Admit is called once there is a connection, before anything is sent, since opening one takes time. An error means
 	// that the request is not sent. It must not block; nil admits the request.
 	Admit func() error
+	// NewConnection is set if no idle connection may be used.
+	NewConnection bool
 	// Matches reports whether a response with these headers belongs to this request and
 	// not, delayed, to an earlier one; nil accepts all.
 	Matches func(http.Header) bool
@@ -70,7 +72,7 @@
 // closes the connection, also while the body is read. An error wraps ErrNotSent
 // if the server can't have seen the request; after any other error it may have run.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.connect(ctx, addr, r)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -96,6 +98,14 @@
 	return res, nil
 }
 
+// connect returns a connection for a request.
+func (p *Pool) connect(ctx context.Context, addr string, r *Request) (*conn, error) {
+	if r.NewConnection {
+		return p.dial(ctx, addr)
+	}
+	return p.get(ctx, addr)
+}
+
 func (r *Request) admit() error {
 	if r.Admit == nil {
 		return nil
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -108,6 +108,7 @@
 	return p.dialed
 }
 
+// get returns an idle connection, or opens one.
 func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
 	now := time.Now()
 	for {
@@ -120,6 +121,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, addr)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	c, err := p.opts.Connect(ctx, "tcp", addr)
