pathtest: the start of a path asks each of its two requests until it is served, once

TestRefusals counts the runs of the start, so it saw 2 where 1 was expected, in 1 of 400 and 1 of 900 runs.

Change: each is asked by itself until it is served. A refused request that runs is still seen by the count.

--- a/internal/pathtest/pathtest.go
+++ b/internal/pathtest/pathtest.go
@@ -229,7 +229,7 @@
 	p.drain = drain
 	p.URL = "http://" + e.Addr()
 	if !p.opts.SkipReadyWait {
-		poll.WaitOn(p.t, p.checkServing, poll.WithTimeout(startBound), poll.WithDelay(10*time.Millisecond))
+		p.awaitServing()
 	}
 }
 
@@ -249,25 +249,33 @@
 	return drain
 }
 
-// checkServing succeeds when the entry has served a model request and a service call.
-func (p *Path) checkServing(poll.LogT) poll.Result {
-	for _, r := range []struct{ method, path, body string }{
+// readinessRequest is a request that a path serves once it is ready.
+type readinessRequest struct{ method, path, body string }
+
+// awaitServing waits until the entry has served a model request and a service call, each of them once.
+func (p *Path) awaitServing() {
+	for _, r := range []readinessRequest{
 		{http.MethodPost, "/v1/completions", `{"model":"` + Lookup + `","prompt":"ready?","max_tokens":1}`},
 		{http.MethodGet, "/services/" + Permits + "/status/0", ""},
 	} {
-		req, err := http.NewRequest(r.method, p.URL+r.path, bytes.NewBufferString(r.body))
-		if err != nil {
-			return poll.Error(err)
-		}
-		req.Header.Set("Authorization", "Bearer "+Key)
-		res, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return poll.Continue("%v", err)
-		}
-		_ = res.Body.Close()
-		if res.StatusCode != http.StatusOK {
-			return poll.Continue("%s: %s", r.path, res.Status)
-		}
+		poll.WaitOn(p.t, func(poll.LogT) poll.Result { return p.checkServed(r) }, poll.WithTimeout(startBound), poll.WithDelay(10*time.Millisecond))
+	}
+}
+
+// checkServed succeeds when the entry has served a request.
+func (p *Path) checkServed(r readinessRequest) poll.Result {
+	req, err := http.NewRequest(r.method, p.URL+r.path, bytes.NewBufferString(r.body))
+	if err != nil {
+		return poll.Error(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+Key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return poll.Continue("%v", err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return poll.Continue("%s: %s", r.path, res.Status)
 	}
 	return poll.Success()
 }
