policy/quarantine: of two parts the narrower one is held, if it leaves one termination over

Cause: parts are ranked by the number of servers that ended with them; one more ended with the shared part, under a sound request, and what its runs have in common leaves the bad part out.

Change: of the candidates the one with the most evidence is taken that leaves at most one server unexplained.

--- a/policy/quarantine/parts.go
+++ b/policy/quarantine/parts.go
@@ -33,6 +33,7 @@
 	if best == nil {
 		return Hold{}, time.Time{}, false
 	}
+	best = best.narrowest(candidates)
 	var parts []string
 	for _, p := range best.common() {
 		if candidates[p] != nil {
@@ -204,6 +205,37 @@
 	return cmp.Or(cmp.Compare(other.servers, c.servers), cmp.Compare(other.evidence, c.evidence), cmp.Compare(c.part, other.part)) < 0
 }
 
+// otherCauses is the number of servers that may have terminated for another reason beside those that a part crashed.
+const otherCauses = 1
+
+// narrowest returns the candidate with the most evidence with which the same servers terminated, but for otherCauses of them: the
+// runs with the part c that lack it were then lost by chance, and requests that lack it are sound.
+func (c *partCandidate) narrowest(candidates map[string]*partCandidate) *partCandidate {
+	best := c
+	for _, other := range candidates {
+		if c.serversWithout(other.part) <= otherCauses && other.evidence > best.evidence {
+			best = other
+		}
+	}
+	return best
+}
+
+// serversWithout returns how many servers terminated with lost runs none of which has another part.
+func (c *partCandidate) serversWithout(part string) int {
+	with, all := map[string]bool{}, map[string]bool{}
+	for _, r := range c.runs {
+		all[r.server] = true
+		with[r.server] = with[r.server] || slices.Contains(r.parts, part)
+	}
+	without := 0
+	for server := range all {
+		if !with[server] {
+			without++
+		}
+	}
+	return without
+}
+
 // renewedPart returns a hold that has expired, and after which a server terminated under a run that it matches.
 func (l *Ledger) renewedPart(now time.Time) (h Hold, reached time.Time, ok bool) {
 	for _, h := range l.holds {
--- a/policy/quarantine/parts_test.go
+++ b/policy/quarantine/parts_test.go
@@ -174,3 +174,23 @@
 	l.Expire(at(60).Add(ObservationTTL))
 	assert.Equal(t, len(l.evidence.lost)+len(l.evidence.cleared)+len(l.evidence.begins), 0)
 }
+
+// TestSharedPartIsHeldForUnrelatedTermination guards against holding a part that sound requests share, since one server more has
+// terminated, under a sound request, than under those with the part that crashes servers.
+func TestSharedPartIsHeldForUnrelatedTermination(t *testing.T) {
+	l := New()
+	for i := range 960 {
+		l.RunBegan([]string{fmt.Sprint("customer-", i%7)}, at(float64(i)/40))
+	}
+	for i := range 24 {
+		l.RunBegan([]string{"shared"}, at(float64(i)))
+	}
+	lose(l, 27, "s0", "sound", "shared")
+	for i := range 4 {
+		lose(l, 27.1+float64(i)/10, fmt.Sprint("s", i+1), fmt.Sprint("crashing-", i), "shared", "bad")
+	}
+	l.Decide(at(28))
+	assert.DeepEqual(t, heldParts(l, 28), [][]string{{"bad", "shared"}})
+	_, held := l.Quarantined(named("new"), []string{"shared"}, at(28))
+	assert.Assert(t, !held)
+}
