--- a/forward/answer.go
+++ b/forward/answer.go
@@ -72,9 +72,6 @@
 	cachedDigest *fingerprint.Digest
 	// lastActivity is when a server was last sent the request, or last sent part of its answer.
 	lastActivity time.Time
-	// soundTimer runs from the first event of the run in progress until the run has shown that no part of its prompt crashes
-	// servers; nil before.
-	soundTimer *time.Timer
 	// started is set once the head of the answer was sent to the client; status is its status.
 	started bool
 	status  int
@@ -195,7 +192,6 @@
 
 func (f *Forwarder) conclude(j *job, kind outcome.Kind, reason outcome.Reason) {
 	now := time.Now()
-	j.stopSoundTimer()
 	f.refundQuota(j)
 	f.returnSends(j)
 	f.Metrics.Ended(kind)
--- a/forward/call.go
+++ b/forward/call.go
@@ -211,8 +211,6 @@
 	o.Keyed, o.Customer = j.table.Tenants != nil, j.customer()
 	ranBefore := j.ran
 	j.generatedBefore, j.lastActivity = j.generated, time.Now()
-	j.stopSoundTimer()
-	j.soundTimer = nil
 	res, err := f.Pool.Do(ctx, s.Addr, &upstream.Request{
 		Method: j.r.Method, Target: j.target(), Host: j.r.Host,
 		Header: f.Codec.Outgoing(j.r.Header, o), Body: j.body,
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -69,9 +69,6 @@
 		// A client that resumes may have received all events already.
 		f.head(j, head, 0)
 	}
-	if j.stopSoundTimer() {
-		f.Guard.RunBegan(j.meta.SharedParts)
-	}
 	f.recordSuccess(j)
 	f.observeHold(j, a.lease)
 	f.service(j.service).engines.finished(a.lease.run)
@@ -114,7 +111,7 @@
 			return event, a.checkEnd(res.Framing)
 		}
 		if a.events++; a.events == 1 {
-			r.j.firstEventReceived(r.f.Guard)
+			r.f.Guard.RunBegan(r.j.meta.SharedParts)
 		}
 		if r.delivered(event) {
 			continue
@@ -127,22 +124,6 @@
 	}
 }
 
-// soundAfter is how long a run has to go on after its first event to show that no part of its prompt crashes its server: one that
-// does may do so only once the server writes its answer.
-const soundAfter = 200 * time.Millisecond
-
-// firstEventReceived has the parts of the prompt recorded as sound once the run has gone on for soundAfter.
-func (j *job) firstEventReceived(guard Quarantine) {
-	parts := j.meta.SharedParts
-	j.soundTimer = time.AfterFunc(soundAfter, func() { guard.RunBegan(parts) })
-}
-
-// stopSoundTimer ends the wait for soundAfter, when the run has ended. It reports whether the run has begun and its parts were
-// not recorded as sound.
-func (j *job) stopSoundTimer() bool {
-	return j.soundTimer != nil && j.soundTimer.Stop()
-}
-
 // recordVersion records that the client was sent an event of the engine's software version.
 func (a *streamAttempt) recordVersion() {
 	f, j, s := a.r.f, a.r.j, a.lease.server
--- a/forward/terminations.go
+++ b/forward/terminations.go
@@ -85,7 +85,7 @@
 // connection is probed at once: its registry entry expires seconds later, and until then no request may be sent there.
 func (f *Forwarder) recordInterrupted(j *job, s registry.Server, cut bool) {
 	b := quarantine.BrokenAttempt{Content: j.digest(), Generated: j.generated - j.generatedBefore}
-	if sound := j.soundTimer != nil && !j.stopSoundTimer(); !sound && s.Stage != registry.Prefill {
+	if b.Generated == 0 && s.Stage != registry.Prefill {
 		b.Parts = j.meta.SharedParts
 	}
 	terminated, probe := f.interrupted.add(s.ID, b, cut)
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -22,7 +22,7 @@
 	maxReportedParts = 200
 )
 
-// lostRun is a run that had generated nothing yet, or only just begun to, when its server terminated.
+// lostRun is a run that had generated nothing yet when its server terminated.
 type lostRun struct {
 	server  string
 	at      time.Time
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -141,7 +141,7 @@
 
 // Observe records an observation made at some time, and reports whether it is new.
 func (l *Ledger) Observe(o Observation, at time.Time) bool {
-	lost := len(o.Parts) > 0 && l.evidence.add(lostRun{server: o.Server, at: at, content: o.Content, parts: o.Parts})
+	lost := len(o.Parts) > 0 && o.Generated == 0 && l.evidence.add(lostRun{server: o.Server, at: at, content: o.Content, parts: o.Parts})
 	return l.observeContent(o, at) || lost
 }
 
@@ -171,6 +171,9 @@
 	if l.holds[o.Content].Until.After(at) {
 		return o.Content, true
 	}
+	if o.Generated > 0 {
+		return by, false
+	}
 	for key, h := range l.holds {
 		if len(h.Parts) > 0 && h.Until.After(at) && h.Matches(o.Content, o.Parts) {
 			return key, true
--- a/policy/quarantine/terminations.go
+++ b/policy/quarantine/terminations.go
@@ -22,8 +22,7 @@
 	Content fingerprint.Digest
 	// Generated is the number of tokens received before.
 	Generated int
-	// Parts are the IDs of the parts of its prompt that other requests may have too, unless the run has shown that they crash
-	// no server.
+	// Parts are the IDs of the parts of its prompt that other requests may have too, if nothing was received.
 	Parts []string
 	at    time.Time
 }
