upstream, forward, eventstream: bytes without end are bounded

Cause: heads were parsed on an unbounded reader; answers to other requests were read to their end; one line of an event had no bound; refusals and failures were read up to 16 MiB; unstamped successes were read before they were dropped.

Not done of the issue: a reason of its own in logs and counters, engines with processes, entries and sidecars, fuzzing, a benchmark, a fault of the soak.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -38,23 +38,37 @@
 func Read(br *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
-		line, err := br.ReadBytes('\n')
+		line, err := readLine(br, maxEvent-len(event))
 		event = append(event, line...)
 		if err == io.EOF && Truncated(event) {
 			return event, ErrTruncated
 		}
+		if errors.Is(err, ErrTooLarge) {
+			return nil, err
+		}
 		if err != nil {
 			return event, err
 		}
-		if len(event) > maxEvent {
-			return nil, ErrTooLarge
-		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
 			return event, nil
 		}
 	}
 }
 
+// readLine reads a line of at most limit bytes.
+func readLine(br *bufio.Reader, limit int) (line []byte, err error) {
+	for {
+		piece, err := br.ReadSlice('\n')
+		line = append(line, piece...)
+		if len(line) > limit {
+			return nil, ErrTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // Truncated reports whether a stream, or the rest of one, ends inside an event: without the empty line after it. Lines
 // end with LF, CR LF or CR.
 func Truncated(stream []byte) bool {
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -51,3 +51,30 @@
 	assert.NilError(t, eventstream.CheckBody("text/plain", body))
 	assert.NilError(t, eventstream.CheckBody("", body))
 }
+
+// TestEventWithoutEnd guards against holding a line without end in memory.
+func TestEventWithoutEnd(t *testing.T) {
+	for name, pattern := range map[string]string{"one line": "x", "lines": "data: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			source := &endlessReader{pattern: pattern}
+			_, err := eventstream.Read(bufio.NewReader(source))
+			assert.ErrorIs(t, err, eventstream.ErrTooLarge)
+			assert.Assert(t, source.read <= 1<<20+1<<13, "%d bytes were read", source.read)
+		})
+	}
+}
+
+// endlessReader repeats a pattern.
+type endlessReader struct {
+	pattern string
+	read    int
+}
+
+// Read implements io.Reader.
+func (r *endlessReader) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.pattern[(r.read+i)%len(r.pattern)]
+	}
+	r.read += len(p)
+	return len(p), nil
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -24,6 +24,15 @@
 // if it fails.
 const maxAnswer = 16 << 20
 
+const (
+	// maxFailure bounds the body of a server's failure that is passed on, which is a short text.
+	maxFailure = 1 << 20
+	// maxExport bounds the answer of a prefill engine that names the KV cache it exported.
+	maxExport = 64 << 10
+	// maxDiscarded bounds what is read of a refusal only to reuse its connection.
+	maxDiscarded = 64 << 10
+)
+
 // answer is a whole answer of a plain service.
 type answer struct {
 	head AnswerHead
@@ -171,24 +180,34 @@
 		discard(res)
 		return nil, refusal(head)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
+	if head.Status < http.StatusMultipleChoices && (!head.Stamped || head.Encoded) {
+		return nil, errNoStamp
+	}
+	limit := maxAnswer
+	if head.Status >= http.StatusInternalServerError {
+		limit = maxFailure
+	}
+	body, err := readBody(res, limit)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxAnswer {
-		return nil, errTooLarge
-	}
 	if res.Framing == upstream.FramedByConnection {
 		if err := eventstream.CheckBody(res.Header.Get("Content-Type"), body); err != nil {
 			return nil, err
 		}
 	}
-	if head.Status < http.StatusMultipleChoices && (!head.Stamped || head.Encoded) {
-		return nil, errNoStamp
-	}
 	return &answer{head: head, body: body}, nil
 }
 
+// readBody reads a body that is no larger than limit.
+func readBody(res *upstream.Response, limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = errTooLarge
+	}
+	return body, err
+}
+
 // refusal returns the error of an answer that proves that the server did not run the request.
 func refusal(head AnswerHead) error {
 	err := fmt.Errorf("%w: status %d", errNotRun, head.Status)
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -189,7 +188,7 @@
 		return Export{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	body, err := readBody(res, maxExport)
 	if err != nil {
 		return Export{}, err
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -218,14 +218,14 @@
 
 // discard reads a short body to its end so that the connection can be reused.
 func discard(res *upstream.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswer))
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscarded))
 	_ = res.Body.Close()
 }
 
 // keepFailure keeps an engine's error answer, passed on if no other engine does better.
 func (a *streamAttempt) keepFailure(head AnswerHead, res *upstream.Response) outcome.Outcome {
 	j := a.r.j
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	body, err := readBody(res, maxFailure)
 	if err == nil && !j.started && !j.promisesFalsely(head) {
 		a.r.failure = &answer{head: head, body: body}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -170,6 +170,8 @@
 
 // readHead reads the head of the response and skips responses to other requests.
 func (x *exchange) readHead(r *Request) (*Response, error) {
+	x.conn.limit.begin(maxHeadBytes)
+	defer x.conn.limit.end()
 	for range maxUnmatched + 1 {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -181,9 +183,11 @@
 		if r.Matches == nil || r.Matches(res.Header) {
 			return x.response(res), nil
 		}
+		x.conn.limit.begin(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
-			return nil, errUnmatched
+			return nil, errors.Join(errUnmatched, err)
 		}
+		x.conn.limit.begin(maxHeadBytes)
 	}
 	return nil, errUnmatched
 }
