--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -30,7 +30,7 @@
 	"interim answers":             {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 	"chunk extension of another":  {"HTTP/1.1 200 OK\r\n" + site.RequestID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
 	"failure":                     {"HTTP/1.1 500 Failed\r\n" + site.RequestID + ": ID\r\n" + site.Stamp + ": i-bad\r\n\r\n", "x"},
-	"refusal with an endless end": {"HTTP/1.1 503 Busy\r\n" + site.RequestID + ": ID\r\nHibiscusspur-Not-Run: 1\r\n\r\n", "x"},
+	"refusal with an endless end": {"HTTP/1.1 503 Busy\r\n" + site.RequestID + ": ID\r\n" + site.NotRun + ": 1\r\n\r\n", "x"},
 }
 
 // TestAnswersWithoutEndTakeNoMemory guards against gateways that hold in memory, or read until the time limit, what a server in
--- a/standin/site/behaviour.go
+++ b/standin/site/behaviour.go
@@ -86,7 +86,7 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, c Call, b Behaviour) {
 	switch {
 	case c.Refused:
-		w.Header().Set(notRun, "1")
+		w.Header().Set(NotRun, "1")
 		s.reject(w)
 		return
 	case b == Reset:
--- a/standin/site/names.go
+++ b/standin/site/names.go
@@ -15,7 +15,7 @@
 	Reservation   = "Hibiscusspur-Hold"
 	KVFrom        = "Hibiscusspur-Kv-From"
 	kvBackup      = "Hibiscusspur-Kv-Backup"
-	notRun        = "Hibiscusspur-Not-Run"
+	NotRun        = "Hibiscusspur-Not-Run"
 	instance      = "Hibiscusspur-Expect-Instance"
 	stage         = "Hibiscusspur-Stage"
 	lastEventID   = "Last-Event-Id"
