internal/shared: one call for all that wait, in place of two copies

gateway.serverReader and streamversions.Directory each kept a token, the time of the last call and the same order of checks.

Behaviour is as before.

--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/shared"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -15,51 +16,38 @@
 // serverReader reads the list of servers from the store, one reading at a time.
 type serverReader struct {
 	s *Service
-	// turn holds a token while nobody reads; it guards the fields below.
-	turn     chan struct{}
+	// call guards the fields below.
+	call     *shared.Call
 	faults   entryFaults
 	readings listReadings
-	// last is when the call of the last reading was made, by a clock that continues while the VM is suspended.
-	last time.Duration
 }
 
 func newServerReader(s *Service) *serverReader {
-	r := &serverReader{s: s, turn: make(chan struct{}, 1), faults: entryFaults{}}
-	r.turn <- struct{}{}
-	return r
+	return &serverReader{s: s, call: shared.New(s.proofs.now), faults: entryFaults{}}
 }
 
 // ReadServers implements streamversions.Lists.
 func (r *serverReader) ReadServers(ctx context.Context) error {
-	err := r.read(ctx, r.s.proofs.now())
+	err := r.read(ctx)
 	if err != nil {
 		r.s.metrics.Counter(metrics.StoreErrors).Inc(1)
 	}
 	return err
 }
 
-// read puts the list in force that the store holds, unless a reading was begun since the given time.
-func (r *serverReader) read(ctx context.Context, since time.Duration) error {
-	select {
-	case <-r.turn:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { r.turn <- struct{}{} }()
-	if r.last >= since {
-		return nil
-	}
-	requested := r.s.proofs.now()
-	snapshot, position, err := r.s.store.Servers(ctx)
-	if err != nil {
-		return err
-	}
-	r.apply(snapshot.RequireStartTimes(r.s.view.latestIncarnation), position, requested)
-	return nil
+// read puts the list in force that the store holds, unless a reading was begun since it was called.
+func (r *serverReader) read(ctx context.Context) error {
+	return r.call.Do(ctx, func(requested time.Duration) (bool, error) {
+		snapshot, position, err := r.s.store.Servers(ctx)
+		if err != nil {
+			return false, err
+		}
+		return r.apply(snapshot.RequireStartTimes(r.s.view.latestIncarnation), position, requested), nil
+	})
 }
 
-// apply takes a reading whose call was made at the time requested.
-func (r *serverReader) apply(snapshot registry.Snapshot, position store.Position, requested time.Duration) {
+// apply takes a reading whose call was made at the time requested, and reports whether it is as new as the list in force.
+func (r *serverReader) apply(snapshot registry.Snapshot, position store.Position, requested time.Duration) bool {
 	s := r.s
 	r.faults.record(s, snapshot.Faults)
 	accepted := r.readings.accept(s, position)
@@ -71,8 +59,8 @@
 	}
 	if accepted {
 		s.streams.RecordReading(requested)
-		r.last = requested
 	}
+	return accepted
 }
 
 // entryFaults are the server entries that were invalid at the last reading. They are not safe for concurrent use.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -150,7 +150,7 @@
 			sleep.For(ctx, jitter(serverListInterval))
 			continue
 		}
-		err := s.servers.read(ctx, s.proofs.now())
+		err := s.servers.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
--- a/streamversions/keep.go
+++ b/streamversions/keep.go
@@ -101,21 +101,9 @@
 
 // readRows takes what the store keeps of streams. Readings that are asked for while one is made share the next one.
 func (d *Directory) readRows(ctx context.Context) error {
-	requested := d.Clock()
-	select {
-	case <-d.rowsTurn:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { d.rowsTurn <- struct{}{} }()
-	if d.rowsRead >= requested {
-		return nil
-	}
-	began := d.Clock()
-	streams, err := d.Rows.read(ctx)
-	d.Receive(streams)
-	if err == nil {
-		d.rowsRead = began
-	}
-	return err
+	return d.rowsCall.Do(ctx, func(time.Duration) (bool, error) {
+		streams, err := d.Rows.read(ctx)
+		d.Receive(streams)
+		return err == nil, err
+	})
 }
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscusspur/hibiscusspur/clock"
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/internal/shared"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -79,9 +80,8 @@
 	// updated is signalled when TakeUpdates has something to return, historyDue and rowDue when KeepHistory and KeepStreams
 	// have something to write.
 	updated, historyDue, rowDue chan struct{}
-	// rowsTurn holds a token while nobody reads the rows. It guards rowsRead, when the call of the last reading was made.
-	rowsTurn chan struct{}
-	rowsRead time.Duration
+	// rowsCall reads the rows.
+	rowsCall *shared.Call
 
 	mu      sync.Mutex
 	records *streamversion.Records
@@ -108,14 +108,12 @@
 	if c.Clock == nil {
 		c.Clock = clock.Uptime
 	}
-	d := &Directory{
-		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), rowsTurn: make(chan struct{}, 1),
+	return &Directory{
+		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), rowsCall: shared.New(c.Clock),
 		records: streamversion.NewRecords(), seen: streamversion.NewSeen(), known: map[string]time.Duration{},
 		own: map[streamversion.Key]string{}, pending: map[streamversion.Key]struct{}{}, several: map[string]bool{},
 		lookups: map[streamversion.Key][]*lookup{}, stored: map[string][]string{},
 	}
-	d.rowsTurn <- struct{}{}
-	return d
 }
 
 // RecordReading records that the list was read from the store by a call made at a time of the directory's clock. Observe
