--- a/registry/registry.go
+++ b/registry/registry.go
@@ -81,11 +81,6 @@
 	return ValidInstance(s.Instance()) && err == nil && s.Service != "" && s.Stage <= Decode && s.Slots >= 0 && s.Born >= 0
 }
 
-// Grace is how long after an outage of the list a server that is missing from it stays
-// usable. Entries that expired during an outage are renewed within about two seconds; a
-// server that is still missing then is removed.
-const Grace = 2 * time.Second
-
 // Registry is the local view of all servers. It is not safe for concurrent use.
 type Registry struct {
 	// position is that of the newest snapshot applied.
@@ -107,13 +102,6 @@
 	restoredAt time.Time
 }
 
-// removal is when a server was removed, and the position of the newest snapshot that lacked it: an entry in one that is not
-// newer comes from a process that still knows the server.
-type removal struct {
-	at       time.Time
-	position store.Position
-}
-
 type entry struct {
 	Server
 	// missingSince is when snapshots began to lack the server; zero while it is listed.
@@ -125,11 +113,6 @@
 	return &Registry{servers: map[string]*entry{}, leaving: map[string]time.Time{}, latest: map[string]int64{}, removed: map[string]removal{}}
 }
 
-// outageGap is the time without a snapshot that counts as an outage, in which entries may
-// have expired because servers could not renew them: heartbeats are sent every 1.2 s, and
-// an entry expires after three missed ones.
-const outageGap = 3 * time.Second
-
 // Position returns the position of the newest snapshot applied.
 func (r *Registry) Position() store.Position { return r.position }
 
@@ -240,49 +223,6 @@
 	e.Server, e.missingSince = s, time.Time{}
 }
 
-// handleMissing handles a server that the list lacks: except within Grace after an outage, it is
-// removed at once.
-func (r *Registry) handleMissing(id string, e *entry, now time.Time) {
-	if e.missingSince.IsZero() {
-		e.missingSince = now
-	}
-	if now.Before(r.graceEnd()) && !e.Leaving {
-		return
-	}
-	delete(r.servers, id)
-	r.removed[id] = removal{now, r.position}
-}
-
-// graceEnd is when servers that the list lacks are removed; zero without an outage.
-func (r *Registry) graceEnd() time.Time {
-	if r.recoveredAt.IsZero() {
-		return time.Time{}
-	}
-	return r.recoveredAt.Add(Grace)
-}
-
-// RemoveMissing removes the servers that the newest snapshot lacks once the grace after an outage is over: no other snapshot may
-// come to do so. It reports whether it removed any.
-func (r *Registry) RemoveMissing(now time.Time) bool {
-	before := len(r.servers)
-	for id, e := range r.servers {
-		if !e.missingSince.IsZero() {
-			r.handleMissing(id, e, now)
-		}
-	}
-	return len(r.servers) < before
-}
-
-// MissingUntil returns when RemoveMissing is to be called; false if the newest snapshot lacks no server.
-func (r *Registry) MissingUntil() (time.Time, bool) {
-	for _, e := range r.servers {
-		if !e.missingSince.IsZero() {
-			return r.graceEnd(), true
-		}
-	}
-	return time.Time{}, false
-}
-
 // MarkLeaving records that a server shuts down, for instance because a response said so. It returns false if that was
 // known, or if the server is not listed; the record then applies once the server is listed.
 func (r *Registry) MarkLeaving(id string, now time.Time) bool {
