--- a/policy/streamversion/streamversion.go
+++ b/policy/streamversion/streamversion.go
@@ -186,12 +186,17 @@
 	Current bool
 }
 
+// Union returns the versions of two lists, in order.
+func Union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // With returns what is possible by p and by what another router, or the store, knows.
 func (p Possible) With(other Possible) Possible {
-	versions := slices.Concat(p.Versions, other.Versions)
-	slices.Sort(versions)
 	return Possible{
-		Versions: slices.Compact(versions), Unversioned: p.Unversioned || other.Unversioned,
+		Versions: Union(p.Versions, other.Versions), Unversioned: p.Unversioned || other.Unversioned,
 		Complete: p.Complete && other.Complete, Current: p.Current || other.Current,
 	}
 }
--- a/streamversions/history.go
+++ b/streamversions/history.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
@@ -64,9 +65,7 @@
 		return nil, err
 	}
 	if !complete {
-		versions = slices.Concat(versions, kept)
-		slices.Sort(versions)
-		versions = slices.Compact(versions)
+		versions = streamversion.Union(versions, kept)
 	}
 	if err == nil && slices.Equal(kept, versions) {
 		return versions, nil
