streamversions: a lookup's reading of the kept versions doesn't stand for their adoption

What callers would see: a gateway that starts while two versions are kept and one is listed neither tells nor keeps the streams that it begins, if a client takes a stream up there first: after a loss of all gateways they can't be taken up.

Change: it reads only.

Result: TestLookupHidesKeptVersions fails before (0 streams kept, 1 wanted); go test ./streamversions passes.

--- a/streamversions/history.go
+++ b/streamversions/history.go
@@ -88,11 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	versions, err := d.History.Versions(ctx, service)
-	if err != nil {
-		return nil, false
-	}
-	d.setStored(service, versions)
-	return versions, true
+	return versions, err == nil
 }
 
 // KeepHistory keeps in the store which versions of each service were seen, until ctx ends.
--- /dev/null
+++ b/streamversions/history_test.go
@@ -0,0 +1,29 @@
+package streamversions
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusspur/hibiscusspur/metrics"
+	"github.com/hibiscusspur/hibiscusspur/store/memory"
+)
+
+// TestLookupHidesKeptVersions guards against a router that has just started, whose first take-up reads the kept versions before the
+// router adopts them: it then took the one that is listed for the only one, and kept none of its streams.
+func TestLookupHidesKeptVersions(t *testing.T) {
+	history := NewHistory(memory.New(memory.Options{}).Table())
+	_, err := history.Keep(t.Context(), "llm", []string{"v1", "v2"}, true)
+	assert.NilError(t, err)
+	d := New(Config{Network: fleetNetwork{}, History: history, Metrics: metrics.NewSet()})
+	d.Observe(engines("v2"))
+	versions, ok := d.historyOf(t.Context(), "llm")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, versions, []string{"v1", "v2"})
+	for service := range d.dueHistory(false) {
+		assert.NilError(t, d.syncHistory(t.Context(), service))
+	}
+	d.Begun(stream, "v2", time.Now().Add(time.Minute))
+	assert.Equal(t, len(d.kept()), 1, "its service has had two versions lately")
+}
