proofs: crowds of clients that don't behave, at each listener of each role, before any mend

Nothing in the tests sends many large requests that stop short, or more than the limits, to a real process.

Change: a table of 23 kinds of clients (length, chunks, pieces, whole or short, far over the limit, heads, extensions and trailers without end, requests ahead, connections without number) against one process told that its VM has 112 MB and 1,000 descriptors, and a part of it against each other listener of gateways, entries and sidecars. Checked: the process lives, its peak of memory and its descriptors stay under what the VM has, an ordinary request is answered while the connections are open and afterwards.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test check proofs chaos soak quota demo compare capacity generate setup
+.PHONY: build test check proofs chaos soak quota misbehaving demo compare capacity generate setup
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,6 +34,10 @@
 quota: build
 	scripts/proofs.sh -run 'UnderQuota|SmallLink'
 
+# Crowds of clients that don't behave, at every listener of every role as a process, one after the other, about 4 minutes.
+misbehaving: build
+	PROOFS_PARALLEL=1 scripts/proofs.sh -run 'Misbehaving|RequestAtTheLimit|SlowClient'
+
 demo: build
 	scripts/demo.sh
 
--- a/proofs/gateway_cluster_test.go
+++ b/proofs/gateway_cluster_test.go
@@ -58,6 +58,8 @@
 	version int
 	started int
 	servers []*clusterServer
+	// limits are those of the manifest; nil if it has none.
+	limits map[string]any
 	// software is the software version of servers that start, and versions that of each server that has started, by ID.
 	software string
 	versions map[string]string
@@ -186,7 +188,7 @@
 			"timeout_ms": 6000, "slo_ms": 900, "attempts": attempts, "resumable": resumable,
 		}
 	}
-	data, err := json.Marshal(map[string]any{
+	manifest := map[string]any{
 		"version": c.version,
 		"tenants": c.keys.tenants(),
 		"routes": []any{
@@ -200,7 +202,11 @@
 				"slots": 48, "kv_capacity": 1_000_000, "hold_ms": 2000, "stride": eventTokens, "kv_ttl_s": 2, "moves": true, "backups": true,
 			}},
 		},
-	})
+	}
+	if c.limits != nil {
+		manifest["limits"] = c.limits
+	}
+	data, err := json.Marshal(manifest)
 	assert.NilError(c.t, err)
 	c.store.Put("op", "config", data)
 	return c.version
