httpserver, vmmemory: what clients make a process hold is bounded by its VM

Cause: bounds stood per connection and were never added up, and nbhttp's parser copied all that it held of a body or a chunk with each 16 kB; limits.memory_mb and the manifest's limits were decoded and unused, limits.max_fds was not decoded. Ruled out: a leak (the peak follows what is sent), the handlers (bodies that are never whole fill the memory as well).

Change: policy/membudget decides (pure, with a replay of the load): an announced body is reserved from its head on, other requests take what has come, what finds no room is rejected at once with 503 and Retry-After, requests that stall for 4 s or can't be whole in 30 s give way (408) if another needs their room, a quarter is left to small ones. vmmemory counts over all listeners. Bodies are taken by a decoder of our own and no longer cached by the parser; nbio's pool no longer hands out buffers of any size. The runtime's memory limit, connections by the VM's descriptors, the manifest's four limits, 100 requests ahead, 32 kB of an unread answer, incomplete messages of drpc, for gateways, entries and sidecars. Two ways more were weighed: docs/design/misbehaving-clients.md.

--- a/cmd/hibiscusspur/daemon.go
+++ b/cmd/hibiscusspur/daemon.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/operator"
 	"github.com/hibiscusspur/hibiscusspur/sidecar"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // report prints the error of a command with advice, and returns the exit code.
@@ -35,6 +37,7 @@
 		if err := config.Load(file, &set); err != nil {
 			return err
 		}
+		limitRuntime(set.Bounds.MemoryBytes)
 		l := event.New("entry", set.ID, log.ParseLevel(set.LogLevel))
 		return runDaemon(l, entry.New(set, l, metrics.NewSet()), set.Timing.Drain)
 	})
@@ -46,6 +49,7 @@
 		if err := config.Load(file, &set); err != nil {
 			return err
 		}
+		limitRuntime(set.Bounds.MemoryBytes)
 		l := event.New("sidecar", set.ID, log.ParseLevel(set.LogLevel))
 		return runDaemon(l, sidecar.New(set, l, metrics.NewSet()), set.Timing.Drain)
 	})
@@ -64,6 +68,13 @@
 	return cmd
 }
 
+// limitRuntime sets the memory limit of the Go runtime for a VM of some bytes; zero stands for what the machine has.
+func limitRuntime(vmBytes int64) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(vmmemory.RuntimeLimit(vmBytes))
+	}
+}
+
 // runDaemon runs a service until SIGTERM or SIGINT, then drains it.
 func runDaemon(l *log.Logger, s kernel.Service, drain time.Duration) error {
 	httpserver.RouteLogs(l)
--- a/cmd/hibiscusspur/gateway.go
+++ b/cmd/hibiscusspur/gateway.go
@@ -74,6 +74,7 @@
 	l, batch := event.NewBatched("gateway", set.VM, log.InfoLevel)
 	defer batch.Flush()
 	vmLink := vmlink.New(set.LinkBytesPerSecond)
+	limitRuntime(set.MemoryBytes)
 	pool := upstream.New(upstream.Options{DialTimeout: serverDialTimeout, Link: vmLink})
 	store := platform.NewStore(upstream.New(upstream.Options{Link: vmLink}), set.StoreAddr, storeTimeout)
 	engines := platform.NewEngines(pool, engineTimeout)
@@ -103,8 +104,8 @@
 		MetricsAddr: net.JoinHostPort(set.IP, strconv.Itoa(set.PortRange[0])),
 		Drain:       set.DrainTimeout, Notice: gateway.DefaultNotice,
 		Retry:     retrybudget.Limits{Ratio: set.Retry.Ratio, Window: set.Retry.Window, Slack: set.Retry.Slack},
-		Freshness: freshnessBounds(set),
-		Off:       off,
+		Freshness: freshnessBounds(set), MemoryBytes: set.MemoryBytes, MaxFiles: set.MaxFiles,
+		Off: off,
 	}
 }
 
--- a/entry/body.go
+++ b/entry/body.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"unicode/utf8"
 
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 )
 
@@ -17,7 +17,7 @@
 	if m := c.contract.Limits.MaxBodyBytes; m > 0 {
 		limit = min(limit, m)
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	data, err := httpserver.ReadBody(r)
 	switch {
 	case err != nil:
 		s.refuseRequest(w, c.contract.Brand, outcome.Refuse(outcome.BadRequest, 0), paramBody)
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 )
 
@@ -108,13 +109,7 @@
 
 // earlyRefusal counts a request that the HTTP server refuses by itself, and returns its response.
 func (s *Service) earlyRefusal(status int) (http.Header, []byte) {
-	o := outcome.Refuse(outcome.BadRequest, 0)
-	switch status {
-	case http.StatusRequestEntityTooLarge:
-		o.Reason = outcome.BodyTooLarge
-	case http.StatusRequestHeaderFieldsTooLarge:
-		o.Reason = outcome.HeadersTooLarge
-	}
+	o := outcome.Refuse(httpserver.ReasonOf(status), 0)
 	h := http.Header{}
 	h.Set(requestIDHeader, requestID(nil))
 	h.Set(shouldRetryHeader, "false")
--- a/entry/service.go
+++ b/entry/service.go
@@ -17,6 +17,8 @@
 	"github.com/hibiscusspur/hibiscusspur/kernel"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/store"
+	"github.com/hibiscusspur/hibiscusspur/vmfiles"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // ServiceName is the name of the entry in a kernel.
@@ -27,6 +29,7 @@
 	settings Settings
 	log      *log.Logger
 	metrics  *metrics.Set
+	memory   *vmmemory.Memory
 	state    *dissemination.State
 	index    *dissemination.Index
 	table    store.Table
@@ -51,7 +54,8 @@
 
 // New returns the service for checked settings.
 func New(set Settings, l *log.Logger, m *metrics.Set) *Service {
-	s := &Service{settings: set, log: l, metrics: m, state: dissemination.NewState(), callers: httpserver.NewWatcher()}
+	memory := vmmemory.New(set.Bounds.MemoryBytes, httpserver.DefaultReadTimeout)
+	s := &Service{settings: set, memory: memory, log: l, metrics: m, state: dissemination.NewState(), callers: httpserver.NewWatcher()}
 	s.quarantine = holdback.New(l, m, !set.Policy.Quarantine)
 	s.index = dissemination.NewIndex(s.state, func(key string, rev uint64, err error) {
 		event.RecordInvalid.Log(l).Str("key", key).Uint64("revision", rev).Err(err).Msg("")
@@ -107,6 +111,7 @@
 	s.work.Go(func() { s.vmListLoop(ctx) })
 	s.work.Go(func() { s.confirmLoop(ctx) })
 	s.startQuarantine(ctx)
+	s.memory.Report(ctx, s.log, s.metrics)
 	return s.listen()
 }
 
@@ -115,7 +120,7 @@
 	s.http, err = httpserver.Start(httpserver.Options{
 		Name: "callers", Addr: s.settings.Listen, Handler: s.handler(),
 		MaxBody: s.settings.Bounds.BodyBytes + 1, MaxInProgress: s.settings.Bounds.InProgress, MaxWriteBuffer: s.settings.Bounds.WriteBuffer,
-		Rejection: s.earlyRefusal,
+		Rejection: s.earlyRefusal, Memory: s.memory, MaxOpen: vmfiles.For(s.settings.Bounds.MaxFiles).Callers,
 	})
 	if err != nil {
 		return err
@@ -123,7 +128,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /healthz", s.health)
-	s.admin, err = httpserver.Start(httpserver.Options{Name: "admin", Addr: s.settings.Admin, Handler: mux})
+	s.admin, err = httpserver.Start(httpserver.Options{Name: "admin", Addr: s.settings.Admin, Handler: mux, MaxBody: httpserver.NoBody, Memory: s.memory, MaxOpen: vmfiles.For(s.settings.Bounds.MaxFiles).Operators})
 	return err
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscusspur/hibiscusspur/config"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/security"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // Settings configure one entry.
@@ -80,6 +81,10 @@
 	WriteBuffer int `yaml:"write_buffer"`
 	// LinkQueue is the maximum number of frames queued on one link.
 	LinkQueue int `yaml:"link_queue"`
+	// MemoryBytes is the memory of the VM that this process may use; zero stands for what the machine has.
+	MemoryBytes int64 `yaml:"memory_bytes"`
+	// MaxFiles is the number of file descriptors that this process may have; zero stands for what the system allows.
+	MaxFiles int `yaml:"max_files"`
 }
 
 // Retry bounds the attempts at one request.
@@ -166,5 +171,7 @@
 	config.CheckRange(fail, "bounds.in_progress", s.Bounds.InProgress, 1, 1<<20)
 	config.CheckRange(fail, "bounds.write_buffer", s.Bounds.WriteBuffer, 4096, 64<<20)
 	config.CheckRange(fail, "bounds.link_queue", s.Bounds.LinkQueue, 64, 1<<20)
+	config.CheckRange(fail, "bounds.memory_bytes", s.Bounds.MemoryBytes, 0, vmmemory.MaxBytes)
+	config.CheckRange(fail, "bounds.max_files", s.Bounds.MaxFiles, 0, 1<<20)
 	config.CheckRange(fail, "retry.attempts", s.Retry.Attempts, 1, 10)
 }
--- a/entry/skew_test.go
+++ b/entry/skew_test.go
@@ -39,7 +39,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- link.Serve(ctx, lis, session) }()
+	go func() { served <- link.Serve(ctx, lis, session, link.Limits{}) }()
 
 	logged := make(logLines, 64)
 	l := event.New("entry", "t", log.InfoLevel)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -90,6 +90,7 @@
 	ProbeFailed          = Event{758, log.ErrorLevel, "processor is not watched for an overload"}
 	LinkFull             = Event{759, log.WarnLevel, "network link is full"}
 	LinkFree             = Event{760, log.InfoLevel, "network link is no longer full"}
+	MemoryShort          = Event{761, log.WarnLevel, "requests were rejected, or gave way, for lack of memory"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -111,6 +112,6 @@
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted, CustomerShort,
-		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited, LinkFull, LinkFree, ProbeFailed,
+		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited, LinkFull, LinkFree, ProbeFailed, MemoryShort,
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -245,11 +244,9 @@
 		f.reject(j, http.StatusBadRequest, outcome.BadRequest)
 		return false
 	}
-	if j.r.Body != nil {
-		if j.body, err = io.ReadAll(j.r.Body); err != nil {
-			f.reject(j, http.StatusBadRequest, outcome.BadRequest)
-			return false
-		}
+	if j.body, err = httpserver.ReadBody(j.r); err != nil {
+		f.reject(j, http.StatusBadRequest, outcome.BadRequest)
+		return false
 	}
 	if limit := j.table.Limits.BodyBytes; limit > 0 && len(j.body) > limit {
 		f.reject(j, http.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/kernel"
+	"github.com/hibiscusspur/hibiscusspur/link"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/freshness"
@@ -29,7 +30,9 @@
 	"github.com/hibiscusspur/hibiscusspur/store"
 	"github.com/hibiscusspur/hibiscusspur/streamversions"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
+	"github.com/hibiscusspur/hibiscusspur/vmfiles"
 	"github.com/hibiscusspur/hibiscusspur/vmlink"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // ServiceName is the name under which the gateway is registered in a kernel.
@@ -68,6 +71,10 @@
 	// Freshness bounds how long requests with keys are served under a configuration that is not proved to be the
 	// newest.
 	Freshness freshness.Bounds
+	// MemoryBytes is the memory of the VM that this process may use; zero stands for what the machine has.
+	MemoryBytes int64
+	// MaxFiles is the number of file descriptors that this process may have; zero stands for what the system allows.
+	MaxFiles int
 	// Off is the set of disabled mechanisms.
 	Off mechanism.Set
 }
@@ -102,6 +109,9 @@
 	closeMargin = time.Second
 	// drainCheckInterval is the interval at which a drain checks for streams in progress.
 	drainCheckInterval = 20 * time.Millisecond
+	// writeBuffer is the number of bytes that may wait for one client: those of all connections that a small VM may have fit its
+	// memory.
+	writeBuffer = 32 << 10
 	// sweepInterval is the interval between two sweeps for idle connections.
 	sweepInterval = time.Second
 )
@@ -118,6 +128,7 @@
 	watcher  *httpserver.Watcher
 	pool     *upstream.Pool
 	link     *vmlink.Link
+	memory   *vmmemory.Memory
 	peers    *peer.Service
 	orders   Orders
 	lease    *fencing.Lease
@@ -187,10 +198,12 @@
 		view: newView(), watcher: httpserver.NewWatcher(), proofs: newProofs(settings.Freshness, d.Clock),
 		customersChanged: make(chan struct{}, 1),
 	}
+	s.memory = vmmemory.New(settings.MemoryBytes, httpserver.DefaultReadTimeout)
 	s.view.proofs = s.proofs
 	s.quotas = newQuotas(d.Log, d.Metrics, settings.Off, time.Now())
 	s.peers = peer.New(settings.ControlAddr, settings.Datagrams, settings.Seeds, s)
 	s.peers.SetLink(d.Link)
+	s.peers.SetLimits(link.Limits{Conns: vmfiles.For(settings.MaxFiles).Processes, Memory: s.memory.Messages()})
 	s.metrics.GaugeFunc(metrics.NetworkBytesSent, d.Link.BytesSent)
 	s.metrics.GaugeFunc(metrics.NetworkBytesReceived, d.Link.BytesReceived)
 	s.metrics.GaugeFunc(metrics.NetworkWait, func() int64 { return d.Link.Wait().Microseconds() })
@@ -235,6 +248,7 @@
 	s.work.Go(func() { s.exchangeReports(ctx) })
 	s.work.Go(func() { s.planStages(ctx) })
 	s.startQuarantine(ctx)
+	s.memory.Report(ctx, s.log, s.metrics)
 	if !s.settings.Off.Has(mechanism.Shedding) {
 		s.work.Go(func() { s.connections.probe(ctx) })
 	}
@@ -249,7 +263,7 @@
 
 func (s *Service) listen() error {
 	var err error
-	o := httpserver.Options{Name: "callers", Addr: s.settings.ClientAddr, Handler: s.fwd, CheckHead: s.fwd.CheckHead}
+	o := httpserver.Options{Name: "callers", Addr: s.settings.ClientAddr, Handler: s.fwd, CheckHead: s.fwd.CheckHead, Rejection: s.countRejection, Limits: s.callerLimits, MaxOpen: vmfiles.For(s.settings.MaxFiles).Callers}
 	if !s.settings.Off.Has(mechanism.Shedding) {
 		o.Accept, o.ClosesConnections = s.connections.accept, s.connections.isRejecting
 	}
@@ -270,13 +284,31 @@
 }
 
 func (s *Service) serve(o httpserver.Options) (*httpserver.Server, error) {
-	o.Pollers, o.Link = 1, s.link
+	o.Pollers, o.Link, o.Memory, o.MaxWriteBuffer = 1, s.link, s.memory, writeBuffer
 	return httpserver.Start(o)
 }
 
+// callerLimits returns the limits of the configuration in force.
+func (s *Service) callerLimits() httpserver.Limits {
+	table := s.view.Table()
+	if table == nil {
+		return httpserver.Limits{}
+	}
+	l := table.Limits
+	return httpserver.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+// countRejection counts a request that the HTTP server rejects by itself. CheckHead has counted those that it rejects.
+func (s *Service) countRejection(status int) (http.Header, []byte) {
+	if status != http.StatusUnauthorized {
+		s.metrics.Refused(httpserver.ReasonOf(status))
+	}
+	return nil, nil
+}
+
 // serveOther starts a server for others than callers.
 func (s *Service) serveOther(name, addr string, h http.Handler) error {
-	server, err := s.serve(httpserver.Options{Name: name, Addr: addr, Handler: h})
+	server, err := s.serve(httpserver.Options{Name: name, Addr: addr, Handler: h, MaxBody: httpserver.NoBody, MaxOpen: vmfiles.For(s.settings.MaxFiles).Operators})
 	if err == nil {
 		s.listeners = append(s.listeners, server)
 	}
--- a/httpserver/caller.go
+++ b/httpserver/caller.go
@@ -1,9 +1,11 @@
 package httpserver
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
 )
 
 // Caller reports whether the client of a request is still connected. nbhttp cancels no context and fails no write
@@ -37,3 +39,18 @@
 		_ = res.out.raw.Close()
 	}
 }
+
+// ReadBody reads the body of a request, which has been received whole. It takes no more memory than the body, and frees what held
+// it before.
+func ReadBody(r *http.Request) ([]byte, error) {
+	if r.Body == nil {
+		return nil, nil
+	}
+	received, ok := r.Body.(*nbhttp.BodyReader)
+	if !ok {
+		return io.ReadAll(r.Body)
+	}
+	body := make([]byte, received.Left())
+	_, err := io.ReadFull(received, body)
+	return body, err
+}
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -21,9 +21,11 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/hibiscusspur/hibiscusspur/vmlink"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // Options configure a server. Fields left zero take the default.
@@ -37,8 +39,13 @@
 	MaxBody int
 	// MaxHeaders and MaxHeaderBytes bound the head of a request.
 	MaxHeaders, MaxHeaderBytes int
+	// Limits returns further limits that may change; it must not block. Nil sets none.
+	Limits func() Limits
 	// MaxConns bounds the open connections; further ones are closed at once.
 	MaxConns int
+	// MaxOpen is the number of open connections beyond which the one that is silent for longest is closed for a new one. The
+	// default is none.
+	MaxOpen int
 	// MaxInProgress bounds the requests handled at once.
 	MaxInProgress int
 	// Pollers is the number of goroutines that read from connections; zero is nbio's own default.
@@ -61,6 +68,8 @@
 	// ClosesConnections reports whether connections are closed after their current response, so that their clients
 	// connect anew. It must not block. Nil keeps connections open.
 	ClosesConnections func() bool
+	// Memory is the memory of this VM that requests take; nil is not bounded.
+	Memory *vmmemory.Memory
 	// Link is the link of this VM that the connections use; nil is not accounted for.
 	Link *vmlink.Link
 	// Rejection returns the headers and the JSON body of the response to a request that is rejected before it reaches
@@ -68,6 +77,17 @@
 	Rejection func(status int) (http.Header, []byte)
 }
 
+// Limits bound what a client may send, and for how long. Fields left zero are those of Options.
+type Limits struct {
+	// HeaderBytes bounds the header lines of a request, and its first line, BodyBytes its body.
+	HeaderBytes, BodyBytes int
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its head, IdleTimeout that without a request.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// NoBody is the MaxBody of servers whose requests have none worth mentioning.
+const NoBody = 4 << 10
+
 // Defaults of Options.
 const (
 	DefaultMaxBody        = 4 << 20
@@ -83,8 +103,6 @@
 
 const (
 	readBufferBytes = 16 << 10
-	// parserOverhead is what the parser may hold in addition to a head and a body.
-	parserOverhead = 64 << 10
 	// maxOpenFiles sizes nbio's table of connections, 8 bytes for each.
 	maxOpenFiles = 1 << 17
 	// shutdownCheckInterval is the interval at which Shutdown checks for unfinished responses.
@@ -97,7 +115,8 @@
 	stopTimeout = time.Second
 )
 
-var setMaxOpenFiles sync.Once
+// setGlobals sets the variables of nbio that are the same for all servers.
+var setGlobals sync.Once
 
 // Server is a running HTTP server.
 type Server struct {
@@ -107,6 +126,8 @@
 	closing  atomic.Bool
 	// longBodies is the number of requests of which a part of a long body is still to come.
 	longBodies atomic.Int64
+	// replaced counts the connections that were closed for new ones.
+	replaced atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -114,7 +135,11 @@
 
 // Start listens and serves until Shutdown or Close.
 func Start(o Options) (*Server, error) {
-	setMaxOpenFiles.Do(func() { nbio.MaxOpenFiles = maxOpenFiles })
+	setGlobals.Do(func() {
+		nbio.MaxOpenFiles = maxOpenFiles
+		// The default allocator hands out buffers that are as large as those of the largest request before.
+		mempool.DefaultMemPool = mempool.NewAligned()
+	})
 	s := &Server{opts: withDefaults(o), conns: make(map[*conn]struct{})}
 	o = s.opts
 	// Listen first: an engine whose listener fails stops its pollers before they have started, and that blocks
@@ -132,8 +157,6 @@
 		Handler:                http.HandlerFunc(s.serve),
 		MaxLoad:                o.MaxConns,
 		NPoller:                o.Pollers,
-		ReadLimit:              o.MaxBody + o.MaxHeaderBytes + parserOverhead,
-		MaxHTTPBodySize:        o.MaxBody,
 		MessageHandlerPoolSize: o.MaxInProgress,
 		ReadBufferSize:         readBufferBytes,
 		KeepaliveTime:          noTimeout,
@@ -152,6 +175,7 @@
 	setDefault(&o.MaxHeaders, DefaultMaxHeaders)
 	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&o.MaxConns, DefaultMaxConns)
+	setDefault(&o.MaxOpen, o.MaxConns)
 	setDefault(&o.MaxInProgress, DefaultMaxInProgress)
 	setDefault(&o.MaxWriteBuffer, DefaultMaxWriteBuffer)
 	setDefault(&o.StallTimeout, DefaultStallTimeout)
@@ -163,6 +187,9 @@
 	if o.ClosesConnections == nil {
 		o.ClosesConnections = func() bool { return false }
 	}
+	if o.Limits == nil {
+		o.Limits = func() Limits { return Limits{} }
+	}
 	if o.Rejection == nil {
 		o.Rejection = func(int) (http.Header, []byte) { return nil, nil }
 	}
@@ -175,6 +202,16 @@
 	}
 }
 
+// limits returns the limits in force.
+func (s *Server) limits() Limits {
+	l := s.opts.Limits()
+	setDefault(&l.HeaderBytes, s.opts.MaxHeaderBytes)
+	setDefault(&l.BodyBytes, s.opts.MaxBody)
+	setDefault(&l.HeaderTimeout, s.opts.ReadTimeout)
+	setDefault(&l.IdleTimeout, s.opts.IdleTimeout)
+	return l
+}
+
 // Addr is the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -203,9 +240,7 @@
 	}
 	c := newConn(s, raw, parser, s.listener.takeReceived(raw.RemoteAddr()))
 	raw.SetSession(c)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
+	s.add(c)
 }
 
 func (s *Server) closed(nc net.Conn, _ error) {
--- a/internal/sidecartest/sidecartest.go
+++ b/internal/sidecartest/sidecartest.go
@@ -25,7 +25,7 @@
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = link.Serve(ctx, lis, s) }()
+	go func() { _ = link.Serve(ctx, lis, s, link.Limits{}) }()
 	t.Cleanup(func() {
 		cancel()
 		s.Close()
--- a/load/capacity/farm.go
+++ b/load/capacity/farm.go
@@ -74,7 +74,7 @@
 	}
 	lis = f.meter.Listener(lis)
 	f.addrs = append(f.addrs, lis.Addr().String())
-	go func() { _ = link.Serve(ctx, lis, countingServer{s, f.frames}) }()
+	go func() { _ = link.Serve(ctx, lis, countingServer{s, f.frames}, link.Limits{}) }()
 	return nil
 }
 
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -46,6 +46,11 @@
 	NetworkBytesSent     = "network_bytes_sent"
 	NetworkBytesReceived = "network_bytes_received"
 	NetworkWait          = "network_wait"
+	// RequestMemory is the memory that requests hold, in bytes; RequestsWithoutMemory counts those that were rejected for lack of it,
+	// RequestsEvicted those that did not arrive while others needed their memory.
+	RequestMemory         = "request_memory"
+	RequestsWithoutMemory = "requests_without_memory"
+	RequestsEvicted       = "requests_evicted"
 	// RequestsQuarantined is the number of requests in quarantine, since they make servers terminate; Holds
 	// counts those that this process quarantined.
 	RequestsQuarantined = "requests_held"
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -51,6 +51,8 @@
 	ServerCooldown     Reason = "server_resting"
 	VersionGone        Reason = "version_gone"
 	VersionUnknown     Reason = "version_unknown"
+	MemoryShort        Reason = "memory_short"
+	RequestStalled     Reason = "request_stalled"
 )
 
 // All lists every reason, for the registration of metrics and for the test that
@@ -63,6 +65,7 @@
 		ReservationLapsed, LeaseLapsed, Fenced, KVLost, EngineError, EngineLost, LinkDown,
 		SidecarRestarted, CallerGone, CallerStalled, DeadlineExceeded, RetryBudgetSpent,
 		AnswerIncomplete, Duplicate, Quarantined, ConfigUnproved, ServerLimited, ServerCooldown, VersionGone, VersionUnknown,
+		MemoryShort, RequestStalled,
 	}
 }
 
@@ -90,6 +93,8 @@
 		return http.StatusBadGateway
 	case DeadlineExceeded:
 		return http.StatusGatewayTimeout
+	case RequestStalled:
+		return http.StatusRequestTimeout
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,6 +65,7 @@
 	// incarnation distinguishes this process from earlier ones at the same address.
 	incarnation uint64
 	meter       link.Meter
+	limits      link.Limits
 	traffic     trafficMeter
 	datagrams   *datagrams
 	server      stateServer
@@ -103,6 +104,9 @@
 	return s
 }
 
+// SetLimits bounds what connections to this gateway can make it hold. It must be called before Run.
+func (s *Service) SetLimits(l link.Limits) { s.limits = l }
+
 // Run listens and exchanges reports until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	lis, err := s.net.Listen(s.self)
@@ -120,7 +124,7 @@
 	for _, f := range s.fetchers {
 		go f.run(ctx)
 	}
-	return link.ServeMux(ctx, lis, mux)
+	return link.ServeMux(ctx, lis, mux, s.limits)
 }
 
 // SetSeeds replaces the addresses that are contacted besides the known members.
--- a/proofs/misbehaving_test.go
+++ b/proofs/misbehaving_test.go
@@ -97,7 +97,7 @@
 		{"ready", func(g *clusterGateway) string { return g.ready }},
 		{"metrics", func(g *clusterGateway) string { return fmt.Sprintf("127.0.0.2:%d", datagramPort) }},
 	} {
-		for _, kind := range otherListenerKinds(func(int) string { return "POST /api/ready HTTP/1.1\r\nHost: h\r\n" }) {
+		for _, kind := range otherListenerKinds(func(int) string { return "POST " + site.ReadyPath + " HTTP/1.1\r\nHost: h\r\n" }) {
 			t.Run(listener.name+", "+kind.name, func(t *testing.T) {
 				g := startSmallGateway(t)
 				g.target(listener.addr(g.gateways[0])).checkBears(t, kind)
@@ -276,7 +276,10 @@
 }
 
 // Settings of processes on the smallest VM.
-const smallEntryYAML, smallSidecarYAML = "", ""
+var (
+	smallEntryYAML   = fmt.Sprintf("bounds: {memory_bytes: %d, max_files: %d}\n", smallMemoryBytes, smallMaxFiles)
+	smallSidecarYAML = smallEntryYAML
+)
 
 func (c *cluster) entryTarget(addr string) strangerTarget {
 	return strangerTarget{proc: c.entries[0].proc, addr: addr, serves: c.servesOrdinary}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -17,6 +17,8 @@
 	"github.com/hibiscusspur/hibiscusspur/link"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/security"
+	"github.com/hibiscusspur/hibiscusspur/vmfiles"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // ServiceName is the name of the sidecar in a kernel.
@@ -27,6 +29,7 @@
 	set         Settings
 	log         *log.Logger
 	met         *metrics.Set
+	memory      *vmmemory.Memory
 	server      *Server
 	admin       *httpserver.Server
 	addr        string
@@ -37,7 +40,8 @@
 
 // New returns the service for checked settings.
 func New(set Settings, l *log.Logger, m *metrics.Set) *Service {
-	return &Service{set: set, log: l, met: m, serveResult: make(chan error, 1)}
+	memory := vmmemory.New(set.Bounds.MemoryBytes, httpserver.DefaultReadTimeout)
+	return &Service{set: set, memory: memory, log: l, met: m, serveResult: make(chan error, 1)}
 }
 
 // Addr returns the address where entries connect, once started.
@@ -61,7 +65,7 @@
 		return err
 	}
 	s.server.Loops()
-	s.admin, err = httpserver.Start(httpserver.Options{Name: "admin", Addr: s.set.Admin, Handler: s.adminHandler()})
+	s.admin, err = httpserver.Start(httpserver.Options{Name: "admin", Addr: s.set.Admin, Handler: s.adminHandler(), MaxBody: httpserver.NoBody, Memory: s.memory, MaxOpen: vmfiles.For(s.set.Bounds.MaxFiles).Operators})
 	return err
 }
 
@@ -92,7 +96,9 @@
 	lis = security.NewListener(s.meter.Listener(lis), conf)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopServing = cancel
-	go func() { s.serveResult <- link.Serve(ctx, lis, s.server) }()
+	s.memory.Report(ctx, s.log, s.met)
+	limits := link.Limits{Conns: vmfiles.For(s.set.Bounds.MaxFiles).Callers, Memory: s.memory}
+	go func() { s.serveResult <- link.Serve(ctx, lis, s.server, limits) }()
 	return nil
 }
 
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscusspur/hibiscusspur/config"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/security"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -86,6 +87,10 @@
 	Queue int `yaml:"queue"`
 	// LinkQueue is how many frames may be queued on one link.
 	LinkQueue int `yaml:"link_queue"`
+	// MemoryBytes is the memory of the VM that this process may use; zero stands for what the machine has.
+	MemoryBytes int64 `yaml:"memory_bytes"`
+	// MaxFiles is the number of file descriptors that this process may have; zero stands for what the system allows.
+	MaxFiles int `yaml:"max_files"`
 	// Runs is the maximum number of attempts in the ledger.
 	Runs int `yaml:"runs"`
 	// Tickets is the maximum number of claimed tickets.
@@ -166,6 +171,8 @@
 	config.CheckRange(fail, "bounds.window", int64(b.Window), 2*wire.AckEvery, 1<<16)
 	config.CheckRange(fail, "bounds.queue", int64(b.Queue), 1, 1<<16)
 	config.CheckRange(fail, "bounds.link_queue", int64(b.LinkQueue), 64, 1<<20)
+	config.CheckRange(fail, "bounds.memory_bytes", b.MemoryBytes, 0, vmmemory.MaxBytes)
+	config.CheckRange(fail, "bounds.max_files", b.MaxFiles, 0, 1<<20)
 	config.CheckRange(fail, "bounds.runs", int64(b.Runs), 64, 1<<22)
 	config.CheckRange(fail, "bounds.tickets", int64(b.Tickets), 1, 1<<22)
 	config.CheckRange(fail, "bounds.prefills", int64(b.Prefills), 1, 64)
--- a/sidecar/skew_test.go
+++ b/sidecar/skew_test.go
@@ -48,7 +48,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- link.Serve(ctx, lis, s) }()
+	go func() { served <- link.Serve(ctx, lis, s, link.Limits{}) }()
 	conn, err := link.Dial(ctx, lis.Addr().String(), nil, s.set.Timing.EngineCall, new(link.Meter))
 	assert.NilError(t, err)
 	t.Cleanup(func() {
