httpserver: a head that comes in pieces ends where it ends; answers in progress outlive a rejection

A request cut between the last carriage return and line feed of its head was never answered; a body that begins with a space was rejected if the head's last bytes came apart; a connection with answers in progress was closed once its client had sent 256 kB beyond 100 requests ahead; a connection whose client still read its last answer could be closed for a new one.

Cause: nbhttp's parser reports the end of a head before its last byte; the search for continued headers looked past the end; discarded bytes and the choice of a connection to close didn't look at what was still owed to its client.

Change: a body begins once the empty line has come; the search ends there; nothing is closed while requests are in progress; bytes sent count as activity, and a response that is read is not cut off unless its client has been silent for the stall timeout.

Measured: TestHeadInPieces failed at the cut before the last byte (no answer for 20 s) and passes; TestRequestsInPieces, 150 seeds, and all tests of httpserver pass with the race detector.

--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -42,7 +42,7 @@
 	ready atomic.Bool
 	// inProgress counts the requests that have been received but not responded to yet.
 	inProgress atomic.Int32
-	// active is when bytes were last received or a response was sent, see monotonic.
+	// active is when bytes were last received or sent, see monotonic.
 	active atomic.Int64
 	// received reports that the first request was received, or the connection closed; later calls do nothing.
 	received func()
@@ -82,8 +82,8 @@
 	lingerEnd   time.Time
 	// completed is set if a request ended within the current call of Parse.
 	completed bool
-	// inBody is set from the end of a request's head to the end of the request.
-	inBody bool
+	// hasBody is set once the head says that there is a body, inBody from the end of the head to the end of the request.
+	hasBody, inBody bool
 	// body takes the body of the current request, once bodyBegun is set.
 	body      bodyDecoder
 	bodyBegun bool
--- a/httpserver/connections.go
+++ b/httpserver/connections.go
@@ -25,12 +25,15 @@
 	}
 }
 
-// longestSilent returns the connection without a request in progress that has received and sent nothing for longest; of the
-// others, last. The caller holds mu.
+// longestSilent returns the connection that has received and sent nothing for longest, of those without a request in progress and
+// without a response that its client still reads; if there is none, last. The caller holds mu.
 func (s *Server) longestSilent(last *conn) *conn {
-	victim, since := last, monotonic()
+	now := monotonic()
+	victim, since := last, now
 	for c := range s.conns {
-		if active := c.active.Load(); c != last && c.inProgress.Load() == 0 && active < since {
+		active := c.active.Load()
+		stalled := time.Duration(now-active) >= s.opts.StallTimeout
+		if c != last && c.inProgress.Load() == 0 && (c.out.pending.Load() == 0 || stalled) && active < since {
 			victim, since = c, active
 		}
 	}
--- a/httpserver/memory_test.go
+++ b/httpserver/memory_test.go
@@ -170,3 +170,45 @@
 		})
 	}
 }
+
+// TestRequestsInPieces guards against requests that are taken for others when they come in pieces: bodies with lengths and in chunks,
+// one after the other on a connection, are answered in order with their own bodies.
+func TestRequestsInPieces(t *testing.T) {
+	addr := start(t, Options{Memory: newMemory()}, echo)
+	for seed := range uint64(150) {
+		r := rand.New(rand.NewPCG(seed, 71))
+		var raw strings.Builder
+		var bodies []string
+		for range 1 + r.IntN(6) {
+			body := strings.Repeat(string(rune('a'+r.IntN(26)))+" \r\n\r\n", r.IntN(1<<r.IntN(12)))
+			bodies = append(bodies, body)
+			if r.IntN(2) == 0 {
+				raw.WriteString(post(body))
+				continue
+			}
+			raw.WriteString("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for len(body) > 0 {
+				n := 1 + r.IntN(len(body))
+				fmt.Fprintf(&raw, "%x\r\n%s\r\n", n, body[:n])
+				body = body[n:]
+			}
+			raw.WriteString("0\r\n\r\n")
+		}
+		c := dial(t, addr)
+		assert.NilError(t, c.(*net.TCPConn).SetNoDelay(true))
+		go func() {
+			for data := raw.String(); len(data) > 0; {
+				n := min(1+r.IntN(1<<r.IntN(14)), len(data))
+				if _, err := io.WriteString(c, data[:n]); err != nil {
+					return
+				}
+				data = data[n:]
+			}
+		}()
+		answers := bufio.NewReader(c)
+		for i, want := range bodies {
+			_, got := receive(t, answers, "POST")
+			assert.Assert(t, got == want, "seed %d, answer %d: %d bytes, want %d", seed, i, len(got), len(want))
+		}
+	}
+}
--- a/httpserver/processor.go
+++ b/httpserver/processor.go
@@ -59,10 +59,10 @@
 	p.Processor.OnHeader(parser, key, value)
 }
 
-// OnContentLength implements nbhttp.Processor; nbhttp calls it at the end of the head.
+// OnContentLength implements nbhttp.Processor; nbhttp calls it before the last byte of the head.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
 	c := p.conn
-	c.inBody, c.length = c.chunked || length > 0, int64(max(length, 0))
+	c.hasBody, c.length = c.chunked || length > 0, int64(max(length, 0))
 	if c.headTooLong() {
 		p.reject(http.StatusRequestHeaderFieldsTooLarge)
 	}
@@ -71,7 +71,7 @@
 	} else if length > 0 {
 		c.expect(int64(length))
 	}
-	if c.expectsContinue && c.inBody && c.rejectStatus == 0 {
+	if c.expectsContinue && c.hasBody && c.rejectStatus == 0 {
 		c.answerExpectation()
 	}
 	p.Processor.OnContentLength(parser, length)
@@ -80,7 +80,7 @@
 // OnComplete implements nbhttp.Processor.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
 	c := p.conn
-	c.inBody, c.completed, c.lineBytes = false, true, 0
+	c.hasBody, c.inBody, c.completed, c.lineBytes = false, false, true, 0
 	c.arriving.Store(false)
 	c.received()
 	c.expect(0)
--- a/httpserver/receive.go
+++ b/httpserver/receive.go
@@ -92,6 +92,7 @@
 	if err := c.parser.Parse(part); err != nil {
 		return 0, err
 	}
+	c.inBody = ended && c.hasBody
 	if !c.completed && !c.inBody && c.headTooLong() {
 		c.rejectStatus = http.StatusRequestHeaderFieldsTooLarge
 		return 0, nil
@@ -123,11 +124,11 @@
 	} else if i := bytes.Index(data, headEnd); i >= 0 {
 		end = i + len(headEnd)
 	}
-	head := data
+	head, headSeam := data, seam[:n]
 	if end >= 0 {
-		head = data[:end]
+		head, headSeam = data[:end], seam[:min(n, maxHeadTail+end)]
 	}
-	if bytes.Contains(seam[:n], lineFold) && end != 1 || bytes.Contains(head, lineFold) {
+	if bytes.Contains(headSeam, lineFold) || bytes.Contains(head, lineFold) {
 		return 0, errLineFold
 	}
 	if len(data) >= maxHeadTail {
@@ -259,7 +260,7 @@
 // reserve reserves memory for a request that is not whole yet: for all of an announced body, otherwise for what has come.
 func (c *conn) reserve() bool {
 	size := int64(c.headBytes)
-	if c.inBody {
+	if c.hasBody {
 		size += requestBytes + max(c.length, c.body.taken)
 	}
 	retryAfter, ok := c.claim.Reserve(size, c.inProgress.Load() > 0)
--- a/httpserver/reject.go
+++ b/httpserver/reject.go
@@ -51,7 +51,7 @@
 	c.claim.Release()
 	c.expect(0)
 	c.arriving.Store(false)
-	c.inBody, c.bodyBegun, c.body, c.fields = false, false, bodyDecoder{}, nil
+	c.hasBody, c.inBody, c.bodyBegun, c.body, c.fields = false, false, false, bodyDecoder{}, nil
 	if c.readTimer != nil {
 		c.readTimer.Stop()
 		c.readTimer = nil
@@ -59,8 +59,11 @@
 }
 
 // discard drops bytes that arrive after a rejection. A client that sends on for too long can't read it any more: its connection is
-// reset.
+// reset, once its earlier requests were responded to.
 func (c *conn) discard(n int) {
+	if c.inProgress.Load() > 0 {
+		return
+	}
 	if c.discardable -= n; c.discardable < 0 {
 		c.closeNow()
 		return
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -342,3 +342,23 @@
 	_, body := send(t, dial(t, addr), "POST", post("abc"))
 	assert.Equal(t, body, "abc")
 }
+
+// TestHeadInPieces guards against a head whose end is missed, or found elsewhere, since it comes in pieces: the body begins with what
+// would continue a header.
+func TestHeadInPieces(t *testing.T) {
+	addr := start(t, Options{}, echo)
+	raw := post(" \r\n\r\n a")
+	for cut := 1; cut < len(raw); cut++ {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, raw[:cut])
+		assert.NilError(t, err)
+		time.Sleep(time.Millisecond) // lets the pieces arrive one by one
+		res, body := send(t, c, "POST", raw[cut:])
+		assert.Equal(t, res.StatusCode, http.StatusOK, "cut at %d", cut)
+		assert.Equal(t, body, " \r\n\r\n a")
+	}
+	for _, raw := range []string{"GET / HTTP/1.1\r\nA: b\r\n c: d\r\n\r\n", "GET / HTTP/1.1\r\nContent-Length: 3\r\n \r\nabc\r\n\r\n"} {
+		res, _ := send(t, dial(t, addr), "GET", raw)
+		assert.Equal(t, res.StatusCode, http.StatusBadRequest)
+	}
+}
--- a/httpserver/writer.go
+++ b/httpserver/writer.go
@@ -110,6 +110,7 @@
 		return
 	}
 	c.server.opts.Link.Sent(n)
+	c.active.Store(monotonic())
 	c.out.pending.Add(-int64(n))
 	notify.Send(c.out.wake)
 }
