httpserver: answers that clients don't read count in the same memory; closed connections are counted by reason

What callers saw: nothing yet. By reading: 32 kB of an answer at each of 1,950 connections is 62 MB that no budget knew of, and connections that are closed for new ones, or after too many requests ahead, were in no metric.

Cause: the budget counted what comes in. Change: what waits to be sent counts as held, so that requests find less room while clients don't read; metrics connections_replaced and connections_overrun. TestBusyConnectionIsKept waits until the server knows that an answer was sent: the client has it before, and with three connections the new one was then closed in one run of two (traced: all others had requests in progress, as the rule says).

Measured: TestUnreadResponsesCount waits in vain without the change (nothing is held); it and TestBusyConnectionIsKept pass 20 of 20 runs with the race detector.

--- a/entry/service.go
+++ b/entry/service.go
@@ -125,6 +125,8 @@
 	if err != nil {
 		return err
 	}
+	s.metrics.GaugeFunc(metrics.ConnectionsReplaced, s.http.Replaced)
+	s.metrics.GaugeFunc(metrics.ConnectionsOverrun, s.http.Overrun)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /healthz", s.health)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -272,6 +272,8 @@
 		return err
 	}
 	s.connections.setLateBodies(s.callers.LateBodies)
+	s.metrics.GaugeFunc(metrics.ConnectionsReplaced, s.callers.Replaced)
+	s.metrics.GaugeFunc(metrics.ConnectionsOverrun, s.callers.Overrun)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
 	mux.HandleFunc("GET "+AccessPath, s.handleAccess)
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -149,6 +149,7 @@
 	c.parser.CloseAndClean(err)
 	c.rejected = true
 	c.claim.Release()
+	c.out.dropPending()
 	for _, t := range []*time.Timer{c.lingerTimer, c.readTimer} {
 		if t != nil {
 			t.Stop()
--- a/httpserver/connections.go
+++ b/httpserver/connections.go
@@ -42,3 +42,6 @@
 
 // Replaced returns the number of connections that were closed for new ones since the start.
 func (s *Server) Replaced() int64 { return s.replaced.Load() }
+
+// Overrun returns the number of connections that were closed since too many requests were sent ahead of their responses.
+func (s *Server) Overrun() int64 { return s.overrun.Load() }
--- a/httpserver/limits_test.go
+++ b/httpserver/limits_test.go
@@ -78,21 +78,39 @@
 // a new one, and against connections without number.
 func TestBusyConnectionIsKept(t *testing.T) {
 	proceed := make(chan struct{})
-	addr := start(t, Options{MaxOpen: 3}, func(w http.ResponseWriter, r *http.Request) {
+	s, err := Start(Options{MaxOpen: 3, Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
 			<-proceed
 		}
 		echo(w, r)
-	})
+	})})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Shutdown(t.Context()) })
+	addr := s.Addr()
+	// A client has its answer before the server knows that it was sent.
+	awaitOneBusy := func() {
+		for busy := 0; busy != 1; time.Sleep(time.Millisecond) {
+			busy = 0
+			s.mu.Lock()
+			for c := range s.conns {
+				if c.busy() {
+					busy++
+				}
+			}
+			s.mu.Unlock()
+		}
+	}
 	silent, busy := dial(t, addr), dial(t, addr)
-	_, err := io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	used := dial(t, addr)
 	for range 5 {
 		_, body := send(t, used, "POST", post("abc"))
 		assert.Equal(t, body, "abc")
+		awaitOneBusy()
 		_, body = send(t, dial(t, addr), "POST", post("new"))
 		assert.Equal(t, body, "new")
+		awaitOneBusy()
 	}
 	_, err = silent.Read(make([]byte, 1))
 	var timeout net.Error
--- a/httpserver/memory_test.go
+++ b/httpserver/memory_test.go
@@ -212,3 +212,20 @@
 		}
 	}
 }
+
+// TestUnreadResponsesCount guards against responses that their clients don't read and nobody counts: requests find less room meanwhile,
+// and the room is free once the connections are closed.
+func TestUnreadResponsesCount(t *testing.T) {
+	m := newMemory()
+	addr := start(t, Options{Memory: m, MaxWriteBuffer: 1 << 20}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 20<<20))
+	})
+	c := dial(t, addr)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	for m.Held() < 900_000 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, c.Close())
+	awaitFree(t, m)
+}
--- a/httpserver/receive.go
+++ b/httpserver/receive.go
@@ -184,6 +184,7 @@
 func (c *conn) takeRoom() bool {
 	if c.inProgress.Load() >= maxRequestsAhead {
 		c.rejectStatus = http.StatusTooManyRequests
+		c.server.overrun.Add(1)
 		return false
 	}
 	if c.claimed {
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -126,8 +126,9 @@
 	closing  atomic.Bool
 	// longBodies is the number of requests of which a part of a long body is still to come.
 	longBodies atomic.Int64
-	// replaced counts the connections that were closed for new ones.
-	replaced atomic.Int64
+	// replaced counts the connections that were closed for new ones, overrun those that were closed since too many requests were sent
+	// ahead on them.
+	replaced, overrun atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
--- a/httpserver/writer.go
+++ b/httpserver/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/lesismal/nbio"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // maxPieceBytes is the size of the pieces in which large writes are passed to nbio.
@@ -30,10 +32,17 @@
 	// pending counts the bytes that nbio has accepted but not written yet.
 	pending atomic.Int64
 	wake    chan struct{}
+
+	memory *vmmemory.Memory
+	// counted is the part of pending that memory counts; it is set with mu held.
+	counted atomic.Int64
+	mu      sync.Mutex
+	// closed is set once the connection was closed, and nothing waits any more.
+	closed bool
 }
 
 func newWriter(c net.Conn, raw *nbio.Conn, o Options) *writer {
-	return &writer{Conn: c, raw: raw, maxPending: int64(o.MaxWriteBuffer), stallTimeout: o.StallTimeout, wake: make(chan struct{}, 1)}
+	return &writer{Conn: c, raw: raw, maxPending: int64(o.MaxWriteBuffer), stallTimeout: o.StallTimeout, wake: make(chan struct{}, 1), memory: o.Memory}
 }
 
 // Write implements net.Conn. It may block, so it must not be called by a poller.
@@ -58,9 +67,31 @@
 func (w *writer) send(b []byte) error {
 	w.pending.Add(int64(len(b)))
 	_, err := w.raw.Write(b)
+	if w.pending.Load() > 0 {
+		w.count()
+	}
 	return err
 }
 
+// count tells the memory how much waits to be sent.
+func (w *writer) count() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
+	pending := w.pending.Load()
+	w.memory.Add(pending - w.counted.Swap(pending))
+}
+
+// dropPending tells the memory that nothing waits to be sent any more, as the connection is closed.
+func (w *writer) dropPending() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.memory.Add(-w.counted.Swap(0))
+}
+
 // Close implements net.Conn. It waits until everything was sent, then waits up to lingerTime for the client to close
 // first. If nbio v1.6.8 closes a connection at the same time as its client, a late event of the old connection can
 // reach a new one with the same file descriptor and close that one.
@@ -112,5 +143,8 @@
 	c.server.opts.Link.Sent(n)
 	c.active.Store(monotonic())
 	c.out.pending.Add(-int64(n))
+	if c.out.counted.Load() > 0 {
+		c.out.count()
+	}
 	notify.Send(c.out.wake)
 }
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -90,6 +90,8 @@
 		{RequestMemory, Gauge},
 		{RequestsWithoutMemory, Gauge},
 		{RequestsEvicted, Gauge},
+		{ConnectionsReplaced, Gauge},
+		{ConnectionsOverrun, Gauge},
 		{StreamsResumed, Counter},
 		{StreamVersionChanges, Counter},
 		{StreamLookupsPrefix, Counter},
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -51,6 +51,10 @@
 	RequestMemory         = "request_memory"
 	RequestsWithoutMemory = "requests_without_memory"
 	RequestsEvicted       = "requests_evicted"
+	// ConnectionsReplaced counts callers' connections that were closed for new ones, ConnectionsOverrun those that were closed since too
+	// many requests were sent ahead on them.
+	ConnectionsReplaced = "connections_replaced"
+	ConnectionsOverrun  = "connections_overrun"
 	// RequestsQuarantined is the number of requests in quarantine, since they make servers terminate; Holds
 	// counts those that this process quarantined.
 	RequestsQuarantined = "requests_held"
--- a/policy/membudget/membudget.go
+++ b/policy/membudget/membudget.go
@@ -156,6 +156,10 @@
 	return size, true
 }
 
+// Add counts bytes that are held whether there is room or not, such as those of a response that its client does not read; less than
+// none are freed. They leave less room to requests.
+func (b *Budget) Add(bytes int64) { b.held += bytes }
+
 // Return frees the room of a request that was received whole.
 func (b *Budget) Return(size int64) {
 	b.held -= size
--- a/vmmemory/vmmemory.go
+++ b/vmmemory/vmmemory.go
@@ -1,4 +1,4 @@
-// Package vmmemory accounts for the memory of this VM that the requests of clients take while they are received and answered, over
+// Package vmmemory accounts for the memory of this VM that the requests of clients and unread responses take, over
 // all listeners of a process. What is received, and what gives way if there is too little room, is decided by
 // policy/membudget.
 package vmmemory
@@ -119,6 +119,17 @@
 	m.budget.Return(bytes)
 }
 
+// Add counts bytes that are held whether there is room or not, such as those of a response that its client does not read; less than
+// none are freed.
+func (m *Memory) Add(bytes int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Add(bytes)
+}
+
 // Claim is the room of one request after the other while they are received over a connection. It is safe for concurrent use.
 type Claim struct {
 	memory *Memory
