policy/membudget: an ordinary small request always has room, and may come back within its client's time

Cause: a quarter of the budget was left to requests of up to 64 kB, and requests ahead counted among them; 64 clients with 100 of 4 kB took all of it. Retry-After was when the next request gives way, whatever time the client has.

Change: two fifths are left to requests of up to 8 kB that are the first on their connection; requests behind others, and large ones, take none of it; no more connections are open than have room for one each. A rejected client is told a third of its own time at most.

--- a/forward/access.go
+++ b/forward/access.go
@@ -202,3 +202,13 @@
 	// Return refunds the charge of a request that has not run.
 	Return(customer string, cost float64)
 }
+
+// RetryAfter returns when the client of a request that is rejected before it is received may come back: after a third of its time it
+// would not.
+func (f *Forwarder) RetryAfter(r *http.Request, after time.Duration) time.Duration {
+	meta, err := f.Codec.ParseRequest(r.Header)
+	if err != nil || meta.ClientTimeout <= 0 {
+		return min(after, unprovedRetry)
+	}
+	return min(after, meta.ClientTimeout/3).Truncate(retryUnit)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,7 +263,7 @@
 
 func (s *Service) listen() error {
 	var err error
-	o := httpserver.Options{Name: "callers", Addr: s.settings.ClientAddr, Handler: s.fwd, CheckHead: s.fwd.CheckHead, Rejection: s.countRejection, Limits: s.callerLimits, MaxOpen: vmfiles.For(s.settings.MaxFiles).Callers}
+	o := httpserver.Options{Name: "callers", Addr: s.settings.ClientAddr, Handler: s.fwd, CheckHead: s.fwd.CheckHead, Rejection: s.countRejection, Limits: s.callerLimits, RetryAfter: s.fwd.RetryAfter, MaxOpen: vmfiles.For(s.settings.MaxFiles).Callers}
 	if !s.settings.Off.Has(mechanism.Shedding) {
 		o.Accept, o.ClosesConnections = s.connections.accept, s.connections.isRejecting
 	}
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/hibiscusspur/hibiscusspur/policy/membudget"
 	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
@@ -104,7 +105,7 @@
 	length  int64
 	// claimed is set if claim takes memory for the current request, charged is what the request takes that is handed over.
 	claimed bool
-	charged int64
+	charged membudget.Room
 	// method, target and fields are the head of the current request, kept only for Options.CheckHead; headChecked is
 	// set once that has been called.
 	method, target string
@@ -158,7 +159,7 @@
 }
 
 // requestDone is called once a request was responded to, whose memory is free again.
-func (c *conn) requestDone(charged int64) {
+func (c *conn) requestDone(charged membudget.Room) {
 	c.server.opts.Memory.Return(charged)
 	if c.inProgress.Add(-1) > 0 {
 		return
@@ -168,7 +169,7 @@
 		return
 	}
 	c.active.Store(monotonic())
-	c.claim.Unpin()
+	c.claim.First()
 	c.idleTimer.Reset(c.server.limits().IdleTimeout)
 }
 
--- a/httpserver/receive.go
+++ b/httpserver/receive.go
@@ -189,17 +189,17 @@
 	}
 	if c.claimed {
 		c.claimed = false
-		size, ok := c.claim.Complete()
-		c.charged = size
+		room, ok := c.claim.Complete()
+		c.charged = room
 		c.rejected = c.rejected || !ok
 		return ok
 	}
 	size := requestBytes + int64(c.headBytes) + c.body.taken
-	retryAfter, ok := c.server.opts.Memory.Take(size)
+	room, retryAfter, ok := c.server.opts.Memory.Take(size, c.inProgress.Load() > 0)
 	if !ok {
 		c.rejectStatus, c.retryAfter = http.StatusServiceUnavailable, retryAfter
 	}
-	c.charged = size
+	c.charged = room
 	return ok
 }
 
--- a/httpserver/reject.go
+++ b/httpserver/reject.go
@@ -32,6 +32,9 @@
 		c.discardable = max(c.limits.BodyBytes, maxHopelessBytes)
 	}
 	c.received()
+	if c.retryAfter > 0 {
+		c.retryAfter = c.server.opts.RetryAfter(c.head(), c.retryAfter)
+	}
 	c.dropRequest()
 	c.ended.Store(true)
 	if c.inProgress.Load() > 0 || !c.answered.CompareAndSwap(false, true) {
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -72,6 +72,9 @@
 	Memory *vmmemory.Memory
 	// Link is the link of this VM that the connections use; nil is not accounted for.
 	Link *vmlink.Link
+	// RetryAfter returns when the client of a request is told to come back that there is no room for before some time; it must neither
+	// block nor retain the request. Nil tells that time.
+	RetryAfter func(r *http.Request, after time.Duration) time.Duration
 	// Rejection returns the headers and the JSON body of the response to a request that is rejected before it reaches
 	// Handler. It must not block. Nil means neither.
 	Rejection func(status int) (http.Header, []byte)
@@ -191,6 +194,12 @@
 	if o.Limits == nil {
 		o.Limits = func() Limits { return Limits{} }
 	}
+	if o.RetryAfter == nil {
+		o.RetryAfter = func(_ *http.Request, after time.Duration) time.Duration { return after }
+	}
+	if o.Memory != nil {
+		o.MaxOpen = min(o.MaxOpen, max(o.Memory.Connections(), 1))
+	}
 	if o.Rejection == nil {
 		o.Rejection = func(int) (http.Header, []byte) { return nil, nil }
 	}
--- a/policy/membudget/membudget.go
+++ b/policy/membudget/membudget.go
@@ -8,7 +8,8 @@
 //
 // Two rules keep a crowd from taking the room for good. When room is needed, requests give way that have received nothing for a
 // while, or arrive so slowly that they can't be whole in time; slow ones that can keep theirs. And a part of the budget is left to
-// small requests.
+// small requests that are the first on their connection: where that part is as large as all connections together need for one each, there is
+// room for every such request.
 //
 // The package is pure: it has no clock, lock or goroutine.
 package membudget
@@ -22,10 +23,9 @@
 	// StallTime is how long a request may receive nothing before it gives way to others. It allows for a lost packet that is sent
 	// again twice, after one and two seconds. A request is also as old as this before its rate is judged.
 	StallTime = 4 * time.Second
-	// SmallBytes is the size up to which a request is small.
-	SmallBytes = 64 << 10
-	// smallShare is the part of the budget that is left to small requests.
-	smallShare = 0.25
+	// SmallBytes is the size up to which a request is small, SmallShare the part of the budget that is left to small requests.
+	SmallBytes = 8 << 10
+	SmallShare = 0.4
 	// defaultRetry is after how long a rejected client may come again if it is not known when there will be room, minRetry bounds
 	// that time from below.
 	defaultRetry = time.Second
@@ -42,17 +42,27 @@
 
 // Claim is the room that one request takes while it is received. The zero value takes none.
 type Claim struct {
-	// Pinned is set while the request can't be answered, whatever it receives; it doesn't give way.
-	Pinned bool
+	// Behind is set while the request can't be answered, whatever it receives, since others on its connection are answered first. It
+	// doesn't give way, and takes no room of small requests.
+	Behind bool
 
 	// size is the number of bytes reserved, received the number of those that have arrived.
 	size, received int64
+	// small is that of Room.
+	small bool
 	// began is when the claim was made, progressed when bytes were last received.
 	began, progressed time.Time
 	// index is the claim's position in Budget.claims plus one; zero if it takes no room.
 	index int
 }
 
+// Room is the room of a request that was received whole.
+type Room struct {
+	bytes int64
+	// small is set if it may be in the part of small requests.
+	small bool
+}
+
 // Verdict is the decision on a claim that asks for room.
 type Verdict struct {
 	// Granted is set if the claim has the room now.
@@ -66,7 +76,8 @@
 // Budget tracks the bytes that are held. It is not safe for concurrent use.
 type Budget struct {
 	limits Limits
-	// held is the sum over all claims and over the requests that were received whole, large the part of it that large ones hold.
+	// held is the sum over all claims and over the requests that were received whole, large the part of it that can't be in the part
+	// of small requests.
 	held, large int64
 	claims      []*Claim
 }
@@ -74,6 +85,9 @@
 // New returns a budget that nothing is taken from.
 func New(l Limits) *Budget { return &Budget{limits: l} }
 
+// Total returns the number of bytes that may be held.
+func (b *Budget) Total() int64 { return b.limits.Total }
+
 // Held returns the number of bytes that are held.
 func (b *Budget) Held() int64 { return b.held }
 
@@ -89,27 +103,29 @@
 	if size <= c.size {
 		return Verdict{Granted: true}
 	}
-	if b.fits(c.size, size, 0, 0) {
+	if b.fits(c, size, 0, 0) {
 		b.resize(c, size)
 		return Verdict{Granted: true}
 	}
 	return b.makeRoom(c, size, now)
 }
 
-// Take asks for room for a request that was received whole at once, until Return is called with the same size.
-func (b *Budget) Take(size int64, now time.Time) Verdict {
-	if b.fits(0, size, 0, 0) {
-		b.add(size)
-		return Verdict{Granted: true}
+// Take asks for room for a request that was received whole at once, until Return is called with it. Behind is that of Claim.
+func (b *Budget) Take(size int64, behind bool, now time.Time) (Room, Verdict) {
+	c := Claim{Behind: behind}
+	if b.fits(&c, size, 0, 0) {
+		b.resize(&c, size)
+		return c.room(), Verdict{Granted: true}
 	}
-	return b.makeRoom(&Claim{}, size, now)
+	v := b.makeRoom(&c, size, now)
+	return c.room(), v
 }
 
 // makeRoom lets as many claims give way as are needed, or none if that is not enough.
 func (b *Budget) makeRoom(c *Claim, size int64, now time.Time) Verdict {
 	var victims []*Claim
 	for _, other := range b.claims {
-		if other != c && !other.Pinned && b.givesWay(other, now) {
+		if other != c && !other.Behind && b.givesWay(other, now) {
 			victims = append(victims, other)
 		}
 	}
@@ -117,8 +133,8 @@
 	var freed, freedLarge int64
 	for i, v := range victims {
 		freed += v.size
-		freedLarge += largePart(v.size)
-		if !b.fits(c.size, size, freed, freedLarge) {
+		freedLarge += v.room().large()
+		if !b.fits(c, size, freed, freedLarge) {
 			continue
 		}
 		for _, v := range victims[:i+1] {
@@ -146,14 +162,14 @@
 }
 
 // Complete records that a request was received whole: it does not give way any more, and takes room until Return is called with
-// the size that is returned. It reports false if the claim takes no room, as after it was evicted.
-func (b *Budget) Complete(c *Claim) (size int64, ok bool) {
+// it. It reports false if the claim takes no room, as after it was evicted.
+func (b *Budget) Complete(c *Claim) (r Room, ok bool) {
 	if c.index == 0 {
-		return 0, false
+		return Room{}, false
 	}
-	size = c.size
+	r = c.room()
 	b.remove(c)
-	return size, true
+	return r, true
 }
 
 // Add counts bytes that are held whether there is room or not, such as those of a response that its client does not read; less than
@@ -161,9 +177,9 @@
 func (b *Budget) Add(bytes int64) { b.held += bytes }
 
 // Return frees the room of a request that was received whole.
-func (b *Budget) Return(size int64) {
-	b.held -= size
-	b.large -= largePart(size)
+func (b *Budget) Return(r Room) {
+	b.held -= r.bytes
+	b.large -= r.large()
 }
 
 // Release frees the room of a request that is not received any more.
@@ -171,7 +187,7 @@
 	if c.index == 0 {
 		return
 	}
-	b.Return(c.size)
+	b.Return(c.room())
 	b.remove(c)
 }
 
@@ -184,31 +200,33 @@
 }
 
 func (b *Budget) resize(c *Claim, size int64) {
-	b.Return(c.size)
-	b.add(size)
+	b.Return(c.room())
 	c.size = size
-}
-
-func (b *Budget) add(size int64) {
+	c.small = size <= SmallBytes && !c.Behind
 	b.held += size
-	b.large += largePart(size)
+	b.large += c.room().large()
 }
 
-// fits reports whether a claim may grow from one size to another once some bytes were freed.
-func (b *Budget) fits(from, to, freed, freedLarge int64) bool {
-	if b.held-freed-from+to > b.limits.Total {
-		return false
+func (c *Claim) room() Room { return Room{bytes: c.size, small: c.small} }
+
+// large returns the bytes that can't be in the part of small requests.
+func (r Room) large() int64 {
+	if r.small {
+		return 0
 	}
-	reserved := int64(smallShare * float64(b.limits.Total))
-	return to <= SmallBytes || b.large-freedLarge-largePart(from)+to <= b.limits.Total-reserved
+	return r.bytes
 }
 
-// largePart returns the part of a request's size that counts as held by large requests.
-func largePart(size int64) int64 {
-	if size <= SmallBytes {
-		return 0
+// fits reports whether a claim may grow to a size once some bytes were freed.
+func (b *Budget) fits(c *Claim, size, freed, freedLarge int64) bool {
+	if b.held-freed-c.size+size > b.limits.Total {
+		return false
+	}
+	if size <= SmallBytes && !c.Behind {
+		return true
 	}
-	return size
+	reserved := int64(SmallShare * float64(b.limits.Total))
+	return b.large-freedLarge-c.room().large()+size <= b.limits.Total-reserved
 }
 
 // retryAfter returns when the next claim gives way if it receives nothing from now on.
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -53,6 +53,7 @@
 }{
 	{1, 20, 31, "a time to come back was rounded up"},
 	{6, 20, 31, "a silent connection outlived the faults"},
+	{7003, strangerFaults, strangersOnly, "requests sent ahead took the room of ordinary ones"},
 }
 
 // TestSoak injects random faults, drawn from seeds, while clients send requests to gateways, and checks the
--- a/vmmemory/vmmemory.go
+++ b/vmmemory/vmmemory.go
@@ -77,6 +77,11 @@
 	return int64(info.Totalram) * int64(info.Unit)
 }
 
+// Connections returns the number of connections of which each has room for a small request, whatever others hold.
+func (m *Memory) Connections() int {
+	return int(membudget.SmallShare * float64(m.budget.Total()) / membudget.SmallBytes)
+}
+
 // Held returns the number of bytes that requests hold.
 func (m *Memory) Held() int64 {
 	m.mu.Lock()
@@ -84,18 +89,18 @@
 	return m.budget.Held()
 }
 
-// Take takes room for a request that was received whole at once. Return must be called with the same number of bytes. If there is
-// no room, it returns when there may be.
-func (m *Memory) Take(bytes int64) (retryAfter time.Duration, ok bool) {
+// Take takes room for a request that was received whole at once; behind is set if others on its connection are answered first. Return
+// must be called with the room. If there is none, it returns when there may be.
+func (m *Memory) Take(bytes int64, behind bool) (r membudget.Room, retryAfter time.Duration, ok bool) {
 	if m == nil {
-		return 0, true
+		return r, 0, true
 	}
 	m.mu.Lock()
-	v := m.budget.Take(bytes, time.Now())
+	r, v := m.budget.Take(bytes, behind, time.Now())
 	evicted := m.takeOwners(v.Evicted)
 	m.mu.Unlock()
 	m.settle(v, evicted)
-	return v.RetryAfter, v.Granted
+	return r, v.RetryAfter, v.Granted
 }
 
 // settle ends the requests that gave way.
@@ -110,13 +115,13 @@
 }
 
 // Return frees the room of a request that was received whole.
-func (m *Memory) Return(bytes int64) {
-	if m == nil || bytes == 0 {
+func (m *Memory) Return(r membudget.Room) {
+	if m == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.budget.Return(bytes)
+	m.budget.Return(r)
 }
 
 // Add counts bytes that are held whether there is room or not, such as those of a response that its client does not read; less than
@@ -142,17 +147,17 @@
 // claim.
 func (m *Memory) NewClaim(evict func()) *Claim { return &Claim{memory: m, evict: evict} }
 
-// Reserve asks for room for some bytes in all. If there is none, it returns when there may be. If pin is set, the request doesn't
-// give way until Unpin is called.
-func (c *Claim) Reserve(bytes int64, pin bool) (retryAfter time.Duration, ok bool) {
+// Reserve asks for room for some bytes in all. If there is none, it returns when there may be. Behind is set if others on its
+// connection are answered first; the request doesn't give way until First is called.
+func (c *Claim) Reserve(bytes int64, behind bool) (retryAfter time.Duration, ok bool) {
 	m := c.memory
 	if m == nil {
 		return 0, true
 	}
 	m.mu.Lock()
+	c.claim.Behind = behind
 	v := m.budget.Reserve(&c.claim, bytes, time.Now())
 	m.owners[&c.claim] = c
-	c.claim.Pinned = pin
 	evicted := m.takeOwners(v.Evicted)
 	m.mu.Unlock()
 	m.settle(v, evicted)
@@ -179,24 +184,24 @@
 	c.memory.budget.Received(&c.claim, int64(bytes), time.Now())
 }
 
-// Unpin lets a request give way again, as if it had been received in part just now.
-func (c *Claim) Unpin() {
+// First tells that the request is answered next: it gives way again, as if it had been received in part just now.
+func (c *Claim) First() {
 	if c.memory == nil {
 		return
 	}
 	c.memory.mu.Lock()
 	defer c.memory.mu.Unlock()
-	if c.claim.Pinned {
-		c.claim.Pinned = false
+	if c.claim.Behind {
+		c.claim.Behind = false
 		c.memory.budget.Received(&c.claim, 0, time.Now())
 	}
 }
 
-// Complete ends the claim of a request that was received whole. Memory.Return must be called with the size that is returned. It
-// reports false if the request has given way.
-func (c *Claim) Complete() (size int64, ok bool) {
+// Complete ends the claim of a request that was received whole. Memory.Return must be called with the room. It reports false if the
+// request has given way.
+func (c *Claim) Complete() (r membudget.Room, ok bool) {
 	if c.memory == nil {
-		return 0, true
+		return r, true
 	}
 	c.memory.mu.Lock()
 	defer c.memory.mu.Unlock()
