--- a/httpserver/memory_test.go
+++ b/httpserver/memory_test.go
@@ -229,3 +229,43 @@
 	assert.NilError(t, c.Close())
 	awaitFree(t, m)
 }
+
+// FuzzConnections sends any bytes in any pieces over two connections at once: no more than the budget is held meanwhile, and nothing once
+// both are closed.
+func FuzzConnections(f *testing.F) {
+	for _, seed := range []string{
+		post("whole"), post(strings.Repeat("x", 40_000)), strings.Repeat(post("ahead"), maxRequestsAhead+1), "GET / HTTP/1.1\r\nA: b\r\n c: d\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;a=b\r\nsome\r\n0\r\nA: b\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 90000\r\n\r\npart",
+	} {
+		f.Add([]byte(seed), []byte(post("other")), 7)
+	}
+	m := newMemory()
+	s, err := Start(Options{Memory: m, Addr: "127.0.0.1:0", Handler: http.HandlerFunc(echo)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(s.Close)
+	f.Fuzz(func(t *testing.T, first, second []byte, piece int) {
+		piece = max(piece, 1+len(first)/20)
+		var conns []net.Conn
+		for range 2 {
+			conns = append(conns, dial(t, s.Addr()))
+		}
+		for _, data := range [][]byte{first, second} {
+			for c := conns[0]; len(data) > 0; {
+				n := min(piece, len(data))
+				if _, err := c.Write(data[:n]); err != nil {
+					break
+				}
+				data = data[n:]
+				assert.Check(t, m.Held() <= testVMBytes/4)
+				conns[0], conns[1] = conns[1], conns[0]
+			}
+		}
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		awaitFree(t, m)
+	})
+}
--- a/httpserver/request_bench_test.go
+++ b/httpserver/request_bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -47,3 +48,44 @@
 		})
 	}
 }
+
+// BenchmarkIdleConnections is what a connection at rest takes, its client's end included: the heap and the stacks of 4,000 that have had
+// a request each.
+func BenchmarkIdleConnections(b *testing.B) {
+	RouteLogs(&log.Logger{Level: log.PanicLevel})
+	const conns = 4000
+	for b.Loop() {
+		s, err := Start(Options{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+		if err != nil {
+			b.Fatal(err)
+		}
+		before := memoryInUse()
+		var open []net.Conn
+		for range conns {
+			c, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				b.Fatal(err)
+			}
+			open = append(open, c)
+			if _, err := c.Write([]byte(post("abc"))); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := c.Read(make([]byte, 1000)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/conns, "B/conn")
+		for _, c := range open {
+			_ = c.Close()
+		}
+		s.Close()
+	}
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
