--- a/policy/membudget/replay_test.go
+++ b/policy/membudget/replay_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// stranger is one client of the replayed crowd. It comes again once it was rejected or evicted.
-type stranger struct {
+// replayedClient is one client of the replayed crowd. It comes again once it was rejected or evicted.
+type replayedClient struct {
 	claim    *Claim
 	size     int64
 	received int64
@@ -33,12 +33,12 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 70))
 			b := newBudget()
-			crowd := make([]*stranger, crowdSize)
+			crowd := make([]*replayedClient, crowdSize)
 			for i := range crowd {
-				crowd[i] = newStranger(r)
+				crowd[i] = newReplayedClient(r)
 			}
-			slow := &stranger{size: limitBody, stopsAt: limitBody, rate: limitBody / 300, announced: true}
-			byClaim := map[*Claim]*stranger{}
+			slow := &replayedClient{size: limitBody, stopsAt: limitBody, rate: limitBody / 300, announced: true}
+			byClaim := map[*Claim]*replayedClient{}
 			var small, smallServed, slowServed int
 			var inProgress []Room
 			for now := start; now.Before(start.Add(replayDuration)); now = now.Add(replayTick) {
@@ -71,8 +71,8 @@
 	}
 }
 
-func newStranger(r *rand.Rand) *stranger {
-	s := &stranger{size: limitBody - r.Int64N(mb), announced: r.IntN(2) == 0, rate: 1 << (8 + r.IntN(10)), comesAt: start.Add(time.Duration(r.Int64N(int64(time.Second))))}
+func newReplayedClient(r *rand.Rand) *replayedClient {
+	s := &replayedClient{size: limitBody - r.Int64N(mb), announced: r.IntN(2) == 0, rate: 1 << (8 + r.IntN(10)), comesAt: start.Add(time.Duration(r.Int64N(int64(time.Second))))}
 	s.stopsAt = s.size
 	if r.IntN(8) > 0 {
 		s.stopsAt = r.Int64N(s.size)
@@ -81,7 +81,7 @@
 }
 
 // step lets a client send for a tick. It returns the room of a request that became whole.
-func (s *stranger) step(b *Budget, byClaim map[*Claim]*stranger, now time.Time) (room Room, whole bool) {
+func (s *replayedClient) step(b *Budget, byClaim map[*Claim]*replayedClient, now time.Time) (room Room, whole bool) {
 	if s.claim != nil && byClaim[s.claim] == nil {
 		s.leave(now)
 	}
@@ -113,7 +113,7 @@
 	return room, whole
 }
 
-func (s *stranger) reserve(b *Budget, byClaim map[*Claim]*stranger, size int64, now time.Time) bool {
+func (s *replayedClient) reserve(b *Budget, byClaim map[*Claim]*replayedClient, size int64, now time.Time) bool {
 	v := b.Reserve(s.claim, size, now)
 	for _, c := range v.Evicted {
 		delete(byClaim, c)
@@ -128,6 +128,6 @@
 }
 
 // leave closes the connection of a client, which comes again.
-func (s *stranger) leave(now time.Time) {
+func (s *replayedClient) leave(now time.Time) {
 	s.claim, s.received, s.comesAt = nil, 0, now.Add(100*time.Millisecond)
 }
--- a/proofs/misbehaving_test.go
+++ b/proofs/misbehaving_test.go
@@ -18,7 +18,7 @@
 // TestMisbehavingCallersOfGateway guards against clients that end a gateway: it holds what many of them send, or as many connections
 // as come, until the memory or the descriptors of its VM are used up.
 func TestMisbehavingCallersOfGateway(t *testing.T) {
-	for _, kind := range strangerKinds(strangerRequest) {
+	for _, kind := range misbehavingKinds(crowdRequest) {
 		t.Run(kind.name, func(t *testing.T) {
 			g := startSmallGateway(t)
 			g.target(g.gateways[0].callers).checkBears(t, kind)
@@ -54,7 +54,7 @@
 			g := startSmallGateway(t)
 			const pause = 100 * time.Millisecond
 			// It takes half as long again as the crowd.
-			steps := int(strangerTime * 3 / 2 / pause)
+			steps := int(crowdTime * 3 / 2 / pause)
 			served := make(chan int)
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), afterwardsBound)
@@ -63,8 +63,8 @@
 				served <- g.postAnnounced(ctx, body, length, "slow")
 			}()
 			time.Sleep(5 * pause)
-			short := announced(strangerRequest, maxBodyBytes, maxBodyBytes-1, pieceBytes)
-			s := &crowdOfStrangers{addr: g.gateways[0].callers, kind: strangerKind{clients: 64, send: short}}
+			short := announced(crowdRequest, maxBodyBytes, maxBodyBytes-1, pieceBytes)
+			s := &misbehavingCrowd{addr: g.gateways[0].callers, kind: clientKind{clients: 64, send: short}}
 			s.start()
 			got := <-served
 			s.close()
@@ -146,9 +146,9 @@
 
 // otherListenerKinds are one kind for each way in which memory or descriptors are taken; the gateway's listener for callers, whose
 // server all have, is tested with all kinds.
-func otherListenerKinds(head request) []strangerKind {
-	var kinds []strangerKind
-	for _, kind := range strangerKinds(head) {
+func otherListenerKinds(head request) []clientKind {
+	var kinds []clientKind
+	for _, kind := range misbehavingKinds(head) {
 		switch kind.name {
 		case "bodies that stop short", "small chunks that stop short", "one chunk far over the limit", "header line without end",
 			"requests sent ahead, answers not read", "connections that send nothing":
@@ -160,13 +160,13 @@
 
 // rpcKinds are the kinds of clients of a listener for calls between our own processes, whose frames begin with a byte of flags, a
 // stream, a message and a length.
-var rpcKinds = []strangerKind{
-	{name: "frame that stops short", clients: 64, send: func(w *strangerConn) {
+var rpcKinds = []clientKind{
+	{name: "frame that stops short", clients: 64, send: func(w *crowdConn) {
 		const invoke = 1 << 1
 		w.write([]byte{invoke, 1, 1, 0x80, 0x80, 0x80, 0x02})
 		w.writeBody(maxBodyBytes-1, largeChunk)
 	}},
-	{name: "message without end", clients: 64, send: func(w *strangerConn) {
+	{name: "message without end", clients: 64, send: func(w *crowdConn) {
 		const invoke = 1 << 1
 		// 1,024 bytes, not the last ones of the message.
 		frame := append([]byte{invoke, 1, 1, 0x80, 0x08}, make([]byte, 1024)...)
@@ -175,14 +175,14 @@
 			w.writeText("%s", many)
 		}
 	}},
-	{name: "connections that send nothing", clients: 1500, send: func(*strangerConn) {}, silent: true},
+	{name: "connections that send nothing", clients: 1500, send: func(*crowdConn) {}, silent: true},
 }
 
-// strangerRequest is the head of an unsafe request whose key is valid.
-func strangerRequest(client int) string {
-	id := fmt.Sprintf("stranger-%d-%d", client, time.Now().UnixNano())
+// crowdRequest is the head of an unsafe request whose key is valid.
+func crowdRequest(client int) string {
+	id := fmt.Sprintf("crowd-%d-%d", client, time.Now().UnixNano())
 	return fmt.Sprintf("POST /unsafe/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 3000\r\n%s: Token %s\r\n",
-		id, routeHost, site.RequestID, id, site.Deadline, site.Credentials, strangerKey)
+		id, routeHost, site.RequestID, id, site.Deadline, site.Credentials, crowdKey)
 }
 
 // entryRequest is the head of a completion.
@@ -190,8 +190,8 @@
 	return "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + apiKey + "\r\n"
 }
 
-// strangerKey is the key of a tenant without a quota.
-const strangerKey = "team-key-1"
+// crowdKey is the key of a tenant without a quota.
+const crowdKey = "team-key-1"
 
 // smallGateway is one gateway on the smallest VM.
 type smallGateway struct {
@@ -211,8 +211,8 @@
 	return g
 }
 
-func (g smallGateway) target(addr string) strangerTarget {
-	return strangerTarget{proc: g.gateways[0].proc, addr: addr, serves: g.serves}
+func (g smallGateway) target(addr string) crowdTarget {
+	return crowdTarget{proc: g.gateways[0].proc, addr: addr, serves: g.serves}
 }
 
 // serves reports whether an ordinary request is answered.
@@ -244,7 +244,7 @@
 	r.Host = routeHost
 	r.Header.Set(site.RequestID, fmt.Sprint(id, time.Now().UnixNano()))
 	r.Header.Set(site.Deadline, "10000")
-	r.Header.Set(site.Credentials, "Token "+strangerKey)
+	r.Header.Set(site.Credentials, "Token "+crowdKey)
 	hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := hc.Do(r)
 	if err != nil {
@@ -281,12 +281,12 @@
 	smallSidecarYAML = smallEntryYAML
 )
 
-func (c *cluster) entryTarget(addr string) strangerTarget {
-	return strangerTarget{proc: c.entries[0].proc, addr: addr, serves: c.servesOrdinary}
+func (c *cluster) entryTarget(addr string) crowdTarget {
+	return crowdTarget{proc: c.entries[0].proc, addr: addr, serves: c.servesOrdinary}
 }
 
-func (c *cluster) sidecarTarget(addr string) strangerTarget {
-	return strangerTarget{proc: c.backends[0].sidecar, addr: addr, serves: c.servesOrdinary}
+func (c *cluster) sidecarTarget(addr string) crowdTarget {
+	return crowdTarget{proc: c.backends[0].sidecar, addr: addr, serves: c.servesOrdinary}
 }
 
 // servesOrdinary reports whether an ordinary request to the entry is answered.
--- a/proofs/strangers_test.go
+++ b/proofs/misbehavingcrowd_test.go
@@ -17,8 +17,8 @@
 	// descriptors.
 	smallMemoryBytes = smallMemoryMB * 1_000_000
 	smallMaxFiles    = 1000
-	// strangerTime is how long the clients of a crowd send, and come again if their connection was closed.
-	strangerTime = 3 * time.Second
+	// crowdTime is how long the clients of a crowd send, and come again if their connection was closed.
+	crowdTime = 3 * time.Second
 	// comeAgainDelay is the time after which they do.
 	comeAgainDelay = 50 * time.Millisecond
 	// afterwardsBound is how long an ordinary client goes on to ask until it is answered.
@@ -27,11 +27,11 @@
 	samplingInterval = 20 * time.Millisecond
 )
 
-// crowdOfStrangers are clients that nobody controls: each sends the same kind of request, or a part of one, and keeps its
+// misbehavingCrowd are clients that nobody controls: each sends the same kind of request, or a part of one, and keeps its
 // connection open.
-type crowdOfStrangers struct {
+type misbehavingCrowd struct {
 	addr string
-	kind strangerKind
+	kind clientKind
 
 	stop chan struct{}
 	work sync.WaitGroup
@@ -42,9 +42,9 @@
 }
 
 // start opens the connections of the crowd; close must be called.
-func (s *crowdOfStrangers) start() {
+func (s *misbehavingCrowd) start() {
 	s.stop, s.conns = make(chan struct{}), map[net.Conn]struct{}{}
-	end := time.Now().Add(strangerTime)
+	end := time.Now().Add(crowdTime)
 	for i := range s.kind.clients {
 		s.work.Go(func() {
 			for time.Now().Before(end) {
@@ -56,7 +56,7 @@
 }
 
 // visit sends over one connection, and returns once that was closed by the server or the crowd ends.
-func (s *crowdOfStrangers) visit(client int, end time.Time) {
+func (s *misbehavingCrowd) visit(client int, end time.Time) {
 	conn, err := net.DialTimeout("tcp", s.addr, time.Until(end))
 	if err != nil {
 		return
@@ -81,7 +81,7 @@
 			}
 		}()
 	}
-	w := &strangerConn{Conn: conn, client: client, end: end, sent: &s.sent}
+	w := &crowdConn{Conn: conn, client: client, end: end, sent: &s.sent}
 	s.kind.send(w)
 	if w.err != nil && time.Now().Before(end) {
 		s.drop(conn)
@@ -94,13 +94,13 @@
 	}
 }
 
-func (s *crowdOfStrangers) keep(conn net.Conn) {
+func (s *misbehavingCrowd) keep(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[conn] = struct{}{}
 }
 
-func (s *crowdOfStrangers) drop(conn net.Conn) {
+func (s *misbehavingCrowd) drop(conn net.Conn) {
 	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,7 +108,7 @@
 }
 
 // close closes all connections.
-func (s *crowdOfStrangers) close() {
+func (s *misbehavingCrowd) close() {
 	close(s.stop)
 	s.mu.Lock()
 	for conn := range s.conns {
@@ -118,8 +118,8 @@
 	s.work.Wait()
 }
 
-// strangerConn is one connection of a stranger. After an error, writes do nothing.
-type strangerConn struct {
+// crowdConn is one connection of a crowd. After an error, writes do nothing.
+type crowdConn struct {
 	net.Conn
 	client int
 	end    time.Time
@@ -127,7 +127,7 @@
 	err    error
 }
 
-func (w *strangerConn) write(data []byte) {
+func (w *crowdConn) write(data []byte) {
 	if w.err != nil {
 		return
 	}
@@ -136,15 +136,15 @@
 	w.err = err
 }
 
-func (w *strangerConn) writeText(format string, args ...any) {
+func (w *crowdConn) writeText(format string, args ...any) {
 	w.write(fmt.Appendf(nil, format, args...))
 }
 
 // goesOn reports whether there is time left to send, and the connection is open.
-func (w *strangerConn) goesOn() bool { return w.err == nil && time.Now().Before(w.end) }
+func (w *crowdConn) goesOn() bool { return w.err == nil && time.Now().Before(w.end) }
 
-// strangerTarget is a process to which strangers connect.
-type strangerTarget struct {
+// crowdTarget is a process to which a crowd connects.
+type crowdTarget struct {
 	proc *process
 	// addr is the listener that they connect to.
 	addr string
@@ -152,16 +152,16 @@
 	serves func() bool
 }
 
-// checkBears lets a crowd of strangers come to a process, and checks that it lives, stays within the memory and the descriptors of
+// checkBears lets a crowd come to a process, and checks that it lives, stays within the memory and the descriptors of
 // the smallest VM, and answers an ordinary request, while the connections of the crowd are open and after they were closed.
-func (target strangerTarget) checkBears(t *testing.T, kind strangerKind) {
+func (target crowdTarget) checkBears(t *testing.T, kind clientKind) {
 	t.Helper()
 	pid := target.proc.cmd.Process.Pid
 	before := peakMemory(t, pid)
 	files := watchFiles(pid)
-	s := &crowdOfStrangers{addr: target.addr, kind: kind}
+	s := &misbehavingCrowd{addr: target.addr, kind: kind}
 	s.start()
-	time.Sleep(strangerTime)
+	time.Sleep(crowdTime)
 	served := target.eventuallyServes()
 	peak, alive := int64(0), !target.proc.exited()
 	if alive {
@@ -180,7 +180,7 @@
 }
 
 // eventuallyServes reports whether an ordinary client that goes on to ask is answered.
-func (target strangerTarget) eventuallyServes() bool {
+func (target crowdTarget) eventuallyServes() bool {
 	for end := time.Now().Add(afterwardsBound); time.Now().Before(end); time.Sleep(pollInterval) {
 		if target.serves() {
 			return true
--- a/proofs/strangerkinds_test.go
+++ b/proofs/misbehavingkinds_test.go
@@ -24,12 +24,12 @@
 	bodiesAheadOfAnswers = 64
 )
 
-// strangerKind is one way in which clients don't behave.
-type strangerKind struct {
+// clientKind is one way in which clients don't behave.
+type clientKind struct {
 	name    string
 	clients int
 	// send writes to a new connection, which stays open afterwards.
-	send func(w *strangerConn)
+	send func(w *crowdConn)
 	// unread is set if answers are not read, silent if nothing is sent.
 	unread, silent bool
 }
@@ -37,10 +37,10 @@
 // request returns the head of a request up to its fields on the body, such as "POST /path HTTP/1.1\r\nHost: h\r\n".
 type request func(client int) string
 
-// strangerKinds lists the ways in which clients don't behave. The crowd of each takes more than the memory of the smallest VM, or more
+// misbehavingKinds lists the ways in which clients don't behave. The crowd of each takes more than the memory of the smallest VM, or more
 // descriptors than it has, from a process that holds all that is sent.
-func strangerKinds(head request) []strangerKind {
-	return []strangerKind{
+func misbehavingKinds(head request) []clientKind {
+	return []clientKind{
 		{name: "bodies of legal size, whole", clients: 64, send: announced(head, maxBodyBytes, maxBodyBytes, maxBodyBytes)},
 		{name: "bodies that stop short", clients: 64, send: mostly(announced(head, maxBodyBytes, maxBodyBytes-1, maxBodyBytes), announced(head, maxBodyBytes, maxBodyBytes, maxBodyBytes))},
 		{name: "bodies in pieces that stop short", clients: 64, send: mostly(announced(head, maxBodyBytes, maxBodyBytes-1, pieceBytes), announced(head, maxBodyBytes, maxBodyBytes, pieceBytes))},
@@ -63,7 +63,7 @@
 		{name: "requests sent ahead", clients: 32, send: ahead(head)},
 		{name: "requests sent ahead, answers not read", clients: 32, send: ahead(head), unread: true},
 		{name: "bodies sent ahead, answers not read", clients: 32, send: bodiesAhead(head), unread: true},
-		{name: "connections that send nothing", clients: 1500, send: func(*strangerConn) {}, silent: true},
+		{name: "connections that send nothing", clients: 1500, send: func(*crowdConn) {}, silent: true},
 	}
 }
 
@@ -73,8 +73,8 @@
 }
 
 // mostly lets seven of eight clients do the first and the others the second.
-func mostly(first, second func(*strangerConn)) func(*strangerConn) {
-	return func(w *strangerConn) {
+func mostly(first, second func(*crowdConn)) func(*crowdConn) {
+	return func(w *crowdConn) {
 		if w.client%8 == 7 {
 			second(w)
 			return
@@ -84,15 +84,15 @@
 }
 
 // announced sends a body with its length, in pieces, and stops after some bytes.
-func announced(head request, length, sent, piece int) func(*strangerConn) {
-	return func(w *strangerConn) {
+func announced(head request, length, sent, piece int) func(*crowdConn) {
+	return func(w *crowdConn) {
 		w.writeText("%sContent-Length: %d\r\n\r\n", head(w.client), length)
 		w.writeBody(sent, piece)
 	}
 }
 
 // writeBody writes bytes of a body in pieces, with pauses if there are several.
-func (w *strangerConn) writeBody(length, piece int) {
+func (w *crowdConn) writeBody(length, piece int) {
 	data := bytes.Repeat([]byte("x"), min(piece, length))
 	for left := length; left > 0 && w.goesOn(); left -= len(data) {
 		w.write(data[:min(len(data), left)])
@@ -103,8 +103,8 @@
 }
 
 // chunked sends a body in chunks, and stops after some bytes of them.
-func chunked(head request, chunk, sent int) func(*strangerConn) {
-	return func(w *strangerConn) {
+func chunked(head request, chunk, sent int) func(*crowdConn) {
+	return func(w *crowdConn) {
 		w.writeText("%sTransfer-Encoding: chunked\r\n\r\n", head(w.client))
 		if chunk > sent || chunk > maxBodyBytes {
 			w.writeText("%x\r\n", chunk)
@@ -129,8 +129,8 @@
 }
 
 // drip announces a body at the limit and sends it byte by byte.
-func drip(head request) func(*strangerConn) {
-	return func(w *strangerConn) {
+func drip(head request) func(*crowdConn) {
+	return func(w *crowdConn) {
 		w.writeText("%sContent-Length: %d\r\n\r\n", head(w.client), maxBodyBytes)
 		for w.goesOn() {
 			w.writeText("x")
@@ -140,8 +140,8 @@
 }
 
 // endless sends a head, a start and then a pattern without end.
-func endless(head request, start, pattern string) func(*strangerConn) {
-	return func(w *strangerConn) {
+func endless(head request, start, pattern string) func(*crowdConn) {
+	return func(w *crowdConn) {
 		w.writeText("%s%s", head(w.client), start)
 		data := []byte(strings.Repeat(pattern, pieceBytes/len(pattern)))
 		for w.goesOn() {
@@ -151,16 +151,16 @@
 }
 
 // headsThatStopShort sends a head of legal size but for its last byte.
-func headsThatStopShort(head request) func(*strangerConn) {
-	return func(w *strangerConn) {
+func headsThatStopShort(head request) func(*crowdConn) {
+	return func(w *crowdConn) {
 		text := head(w.client)
 		w.writeText("%sA: %s\r\n\r", text, strings.Repeat("x", maxHeaderBytes-len(text)-len("A: \r\n\r\n")))
 	}
 }
 
 // ahead sends small requests ahead of their answers.
-func ahead(head request) func(*strangerConn) {
-	return func(w *strangerConn) {
+func ahead(head request) func(*crowdConn) {
+	return func(w *crowdConn) {
 		many := strings.Repeat(head(w.client)+"Content-Length: 9\r\n\r\nsome text", 100)
 		for i := 0; i < requestsAhead && w.goesOn(); i += 100 {
 			w.writeText("%s", many)
@@ -169,8 +169,8 @@
 }
 
 // bodiesAhead sends requests with bodies ahead of their answers.
-func bodiesAhead(head request) func(*strangerConn) {
-	return func(w *strangerConn) {
+func bodiesAhead(head request) func(*crowdConn) {
+	return func(w *crowdConn) {
 		for i := 0; i < bodiesAheadOfAnswers && w.goesOn(); i++ {
 			w.writeText("%sContent-Length: %d\r\n\r\n", head(w.client), maxBodyBytes/4)
 			w.writeBody(maxBodyBytes/4, largeChunk)
--- a/proofs/soak_strangers_test.go
+++ b/proofs/soak_misbehaving_test.go
@@ -8,24 +8,24 @@
 )
 
 const (
-	// strangersOnly selects crowds of clients that don't behave, and faults of gateways.
-	strangersOnly = -5
-	// strangerFaults is the number of faults of such a run.
-	strangerFaults = 12
+	// misbehavingOnly selects crowds of clients that don't behave, and faults of gateways.
+	misbehavingOnly = -5
+	// misbehavingFaults is the number of faults of such a run.
+	misbehavingFaults = 12
 	// soakMemoryBytes and soakMaxFiles are what a gateway of the soak has.
 	soakMemoryBytes, soakMaxFiles = 200_000_000, 1000
-	// maxSoakStrangers bounds the clients of one crowd.
-	maxSoakStrangers = 64
+	// maxSoakCrowd bounds the clients of one crowd.
+	maxSoakCrowd = 64
 )
 
-// strangerKinds are crowds of clients that don't behave, at the callers' listener of a gateway, beside the ordinary ones.
-func (x *soaker) strangerKinds() []faultKind {
+// crowdKinds are crowds of clients that don't behave, at the callers' listener of a gateway, beside the ordinary ones.
+func (x *soaker) crowdKinds() []faultKind {
 	var kinds []faultKind
-	for _, kind := range strangerKinds(strangerRequest) {
-		kind.clients = min(kind.clients, maxSoakStrangers)
+	for _, kind := range misbehavingKinds(crowdRequest) {
+		kind.clients = min(kind.clients, maxSoakCrowd)
 		kinds = append(kinds, faultKind{"clients: " + kind.name, func(i int) (string, func()) {
 			g := x.gateway(i)
-			s := &crowdOfStrangers{addr: g.callers, kind: kind}
+			s := &misbehavingCrowd{addr: g.callers, kind: kind}
 			s.start()
 			return g.vm, s.close
 		}})
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -53,7 +53,7 @@
 }{
 	{1, 20, 31, "a time to come back was rounded up"},
 	{6, 20, 31, "a silent connection outlived the faults"},
-	{7003, strangerFaults, strangersOnly, "requests sent ahead took the room of ordinary ones"},
+	{7003, misbehavingFaults, misbehavingOnly, "requests sent ahead took the room of ordinary ones"},
 }
 
 // TestSoak injects random faults, drawn from seeds, while clients send requests to gateways, and checks the
@@ -71,7 +71,7 @@
 	t.Run("copies of runs", func(t *testing.T) { soak(t, seed, copyFaults, copiesOnly) })
 	t.Run("software versions", func(t *testing.T) { soak(t, seed, versionFaults, versionsOnly) })
 	t.Run("parts of prompts", func(t *testing.T) { soak(t, seed, partFaults, partsOnly) })
-	t.Run("clients that don't behave", func(t *testing.T) { soak(t, seed, strangerFaults, strangersOnly) })
+	t.Run("clients that don't behave", func(t *testing.T) { soak(t, seed, misbehavingFaults, misbehavingOnly) })
 	for _, r := range soakRegressions {
 		t.Run(fmt.Sprint("seed ", r.seed, ": ", r.cause), func(t *testing.T) { soak(t, r.seed, r.faults, r.kinds) })
 	}
@@ -113,8 +113,8 @@
 		drawn = slices.Concat(x.partKinds(), x.partKinds(), x.quotaKinds(), x.quotaKinds(), x.kinds()[:gatewayKinds-1])
 	case copiesOnly:
 		drawn = x.copyKinds()
-	case strangersOnly:
-		drawn = slices.Concat(x.strangerKinds(), x.kinds()[:gatewayKinds])
+	case misbehavingOnly:
+		drawn = slices.Concat(x.crowdKinds(), x.kinds()[:gatewayKinds])
 		defer x.watchGateways(t)()
 	case versionsOnly:
 		c.beginRollOut()
