policy/membudget: a slow client is judged by the bytes that it sends, not by the room that they take

What callers saw: nothing yet, found by reading. A sound client that sends a body of 1,000 bytes just in time would be cut off with 408 after 4 s once another needs room: its rate was compared with its room, of which 4 kB are the handler's.

Cause: Claim.size served as the length of the request. Change: a claim has its length apart; chunked requests, whose length nobody knows, are judged by silence alone.

--- a/httpserver/receive.go
+++ b/httpserver/receive.go
@@ -260,11 +260,14 @@
 
 // reserve reserves memory for a request that is not whole yet: for all of an announced body, otherwise for what has come.
 func (c *conn) reserve() bool {
-	size := int64(c.headBytes)
+	size, length := int64(c.headBytes), int64(0)
 	if c.hasBody {
 		size += requestBytes + max(c.length, c.body.taken)
+		if !c.chunked {
+			length = int64(c.headBytes) + c.length
+		}
 	}
-	retryAfter, ok := c.claim.Reserve(size, c.inProgress.Load() > 0)
+	retryAfter, ok := c.claim.Reserve(size, length, c.inProgress.Load() > 0)
 	c.claimed = true
 	if !ok {
 		c.rejectStatus, c.retryAfter = http.StatusServiceUnavailable, retryAfter
--- a/link/limit.go
+++ b/link/limit.go
@@ -105,7 +105,7 @@
 	switch held := c.frames.held(); {
 	case held > 0:
 		c.claimed = true
-		if _, ok := c.claim.Reserve(copiesPerByte*held, false); !ok {
+		if _, ok := c.claim.Reserve(copiesPerByte*held, 0, false); !ok {
 			_ = c.Close()
 			return 0, errNoMemory
 		}
--- a/policy/membudget/membudget.go
+++ b/policy/membudget/membudget.go
@@ -45,6 +45,8 @@
 	// Behind is set while the request can't be answered, whatever it receives, since others on its connection are answered first. It
 	// doesn't give way, and takes no room of small requests.
 	Behind bool
+	// Length is the number of bytes that the request has in all; zero while that is not known. Its rate is judged by it.
+	Length int64
 
 	// size is the number of bytes reserved, received the number of those that have arrived.
 	size, received int64
@@ -152,7 +154,7 @@
 		return true
 	}
 	age := now.Sub(c.began)
-	return age >= StallTime && float64(c.received)*b.limits.ReceiveTime.Seconds() < float64(c.size)*age.Seconds()
+	return age >= StallTime && float64(c.received)*b.limits.ReceiveTime.Seconds() < float64(c.Length)*age.Seconds()
 }
 
 // Received records that bytes of a request were received.
--- a/policy/membudget/replay_test.go
+++ b/policy/membudget/replay_test.go
@@ -90,6 +90,9 @@
 	}
 	if s.claim == nil {
 		s.claim = &Claim{}
+		if s.announced {
+			s.claim.Length = s.size
+		}
 		byClaim[s.claim] = s
 		if s.announced && !s.reserve(b, byClaim, s.size, now) {
 			return room, false
--- a/vmmemory/vmmemory.go
+++ b/vmmemory/vmmemory.go
@@ -147,15 +147,16 @@
 // claim.
 func (m *Memory) NewClaim(evict func()) *Claim { return &Claim{memory: m, evict: evict} }
 
-// Reserve asks for room for some bytes in all. If there is none, it returns when there may be. Behind is set if others on its
-// connection are answered first; the request doesn't give way until First is called.
-func (c *Claim) Reserve(bytes int64, behind bool) (retryAfter time.Duration, ok bool) {
+// Reserve asks for room for some bytes in all. If there is none, it returns when there may be. Length is the number of bytes that
+// the request has in all, zero if that is not known. Behind is set if others on its connection are answered first; the request doesn't give
+// way until First is called.
+func (c *Claim) Reserve(bytes, length int64, behind bool) (retryAfter time.Duration, ok bool) {
 	m := c.memory
 	if m == nil {
 		return 0, true
 	}
 	m.mu.Lock()
-	c.claim.Behind = behind
+	c.claim.Behind, c.claim.Length = behind, length
 	v := m.budget.Reserve(&c.claim, bytes, time.Now())
 	m.owners[&c.claim] = c
 	evicted := m.takeOwners(v.Evicted)
