entry: a request that is refused for lack of memory may be retried, after whole seconds

What callers saw: nothing yet, found by reading. An entry's 503 memory_short said X-Should-Retry: false, so that client libraries gave up, and Retry-After in fractions, which RFC 9110 doesn't have.

Cause: refusals of the HTTP server were all of bad requests until now. Change: the header follows the status as for all other refusals; entries round Retry-After up to whole seconds; gateways, whose platform has fractions, keep them to 10 ms.

--- a/entry/errors.go
+++ b/entry/errors.go
@@ -112,7 +112,7 @@
 	o := outcome.Refuse(httpserver.ReasonOf(status), 0)
 	h := http.Header{}
 	h.Set(requestIDHeader, requestID(nil))
-	h.Set(shouldRetryHeader, "false")
+	h.Set(shouldRetryHeader, strconv.FormatBool(mayRetry(status)))
 	s.countRefusal(h, o, "")
 	data, err := json.Marshal(errorOf("", o, ""))
 	if err != nil {
@@ -120,3 +120,8 @@
 	}
 	return h, append(data, '\n')
 }
+
+// wholeSeconds rounds the time after which a rejected caller may come back up to whole seconds, as the header has them.
+func wholeSeconds(_ *http.Request, after time.Duration) time.Duration {
+	return time.Duration(math.Ceil(after.Seconds())) * time.Second
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -120,7 +120,7 @@
 	s.http, err = httpserver.Start(httpserver.Options{
 		Name: "callers", Addr: s.settings.Listen, Handler: s.handler(),
 		MaxBody: s.settings.Bounds.BodyBytes + 1, MaxInProgress: s.settings.Bounds.InProgress, MaxWriteBuffer: s.settings.Bounds.WriteBuffer,
-		Rejection: s.earlyRefusal, Memory: s.memory, MaxOpen: vmfiles.For(s.settings.Bounds.MaxFiles).Callers,
+		Rejection: s.earlyRefusal, RetryAfter: wholeSeconds, Memory: s.memory, MaxOpen: vmfiles.For(s.settings.Bounds.MaxFiles).Callers,
 	})
 	if err != nil {
 		return err
--- a/httpserver/reject.go
+++ b/httpserver/reject.go
@@ -18,6 +18,8 @@
 	maxLingerTime = 5 * time.Second
 	// maxHopelessBytes bounds what is read of a request over the limits once it was rejected.
 	maxHopelessBytes = 256 << 10
+	// retryUnit is the precision of the Retry-After header.
+	retryUnit = 10 * time.Millisecond
 	// maxRequestsAhead is the number of requests that a client may have sent on a connection without a response.
 	maxRequestsAhead = 100
 )
@@ -108,7 +110,7 @@
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n",
 		status, http.StatusText(status), len(body))
 	if retryAfter > 0 {
-		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(retryAfter.Round(retryUnit).Seconds(), 'f', -1, 64))
 	}
 	_ = headers.Write(&b)
 	b.WriteString("\r\n")
