upstream: an answer whose connection is reset while the request is being written is not whole

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: Linux reports the error of a connection to one call only, the first that comes. A goroutine writes a long request while another reads the answer; after a reset the write got ECONNRESET, and the read an orderly end, which ends a body without a length.

Change: at the end of a body that ends with its connection, writing is ended and its result decides. It works since the error that the reader didn't get was given to the writer.

--- a/forward/env_test.go
+++ b/forward/env_test.go
@@ -314,7 +314,13 @@
 
 func (w *testEnv) post(t *testing.T, path string, extra ...string) answer {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+w.addr+path, strings.NewReader("question"))
+	return w.send(t, path, "question", extra...)
+}
+
+// send posts a body with the usual headers, and extra ones by name and value.
+func (w *testEnv) send(t *testing.T, path, text string, extra ...string) answer {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+w.addr+path, strings.NewReader(text))
 	assert.NilError(t, err)
 	r.Host = "h"
 	r.Header.Set(site.RequestID, "id-1")
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/vmlink"
@@ -80,7 +82,7 @@
 		p.put(c)
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	x := &exchange{pool: p, conn: c, sentAt: time.Now(), writeDone: make(chan struct{})}
+	x := &exchange{pool: p, conn: c, sentAt: time.Now(), stopWriting: func() {}, writeDone: make(chan struct{})}
 	x.stopWatching = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if ctx.Err() != nil {
 		x.abort()
@@ -120,6 +122,8 @@
 	// sentAt is when sending the request began.
 	sentAt       time.Time
 	stopWatching func() bool
+	// stopWriting ends the writing of a long request.
+	stopWriting context.CancelFunc
 	// writeDone is closed once writing the request has ended; writeErr is valid then.
 	writeDone chan struct{}
 	writeErr  error
@@ -139,7 +143,9 @@
 	if _, err := x.conn.Write(head); err != nil {
 		return err
 	}
+	ctx, x.stopWriting = context.WithCancel(ctx)
 	go func() {
+		defer x.stopWriting()
 		defer close(x.writeDone)
 		x.writeErr = link.WriteLong(ctx, x.conn.Conn, r.Body)
 		if errors.Is(x.writeErr, vmlink.ErrTooLate) {
@@ -197,14 +203,15 @@
 	x.conn.usableUntil = time.Time{}
 	x.conn.recordKeepAlive(res.Header, now)
 	x.keepAlive = !res.Close
+	framing := FramingOf(res)
 	return &Response{
 		Status:  res.StatusCode,
 		Header:  res.Header,
 		Length:  res.ContentLength,
-		Framing: FramingOf(res),
+		Framing: framing,
 		Close:   res.Close,
 		SentAt:  x.sentAt,
-		Body:    &body{Reader: res.Body, x: x},
+		Body:    &body{Reader: res.Body, x: x, framing: framing},
 	}
 }
 
@@ -250,16 +257,39 @@
 	}
 }
 
+// connectionEnd returns io.EOF if a connection that has no more to read was ended by the server in an orderly way. The system
+// reports the error of a connection to one caller only: to the writer, if it is writing, while the reader gets what looks
+// like an orderly end.
+func (x *exchange) connectionEnd() error {
+	x.stopWriting()
+	_ = x.conn.SetWriteDeadline(time.Now())
+	<-x.writeDone
+	if endedInOrder(x.writeErr) {
+		return io.EOF
+	}
+	return errors.Join(io.ErrUnexpectedEOF, x.writeErr)
+}
+
+// endedInOrder reports whether a server had ended its side of a connection when writing a request to it ended with err. EPIPE
+// says so: a connection that fails before that fails with another error.
+func endedInOrder(err error) bool {
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.Canceled) || errors.Is(err, syscall.EPIPE)
+}
+
 // body is the body of a response. Reading it to its end releases the connection; closing it
 // earlier closes the connection, so that the server stops working on the request.
 type body struct {
 	io.Reader
-	x *exchange
+	x       *exchange
+	framing Framing
 }
 
 // Read implements io.Reader. io.EOF means that the body is complete.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if err == io.EOF && b.framing == FramedByConnection {
+		err = b.x.connectionEnd()
+	}
 	if err == io.EOF {
 		b.x.release()
 	} else if err != nil {
