response: a head with a line that is no field is no response

Cause: heads were judged by net/http alone, which accepts a blank in a name, as it stands, and a line that begins with a blank as more of the value before. A length or an encoding whose name is followed by a blank was thus no length: the body ran to the end of the connection, chunks' sizes included, and trailing bytes passed for it.

Evidence: forward.TestBrokenHeadsDontReachClients, a stand-in before a whole forwarder, for a plain service and a decode engine. Control bytes were refused already; their cases stay.

Change: package response decides what a response is, first for upstream, whose bounds and framings move there as they were: each line of a head is a name that is a token, a colon and a value without control bytes (golang.org/x/net/http/httpguts), before net/http parses it.

--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -37,3 +37,30 @@
 		assert.Check(t, got.status != 200 || got.cut, "%q passes for the whole answer", got.body)
 	}
 }
+
+// brokenHeads are answers whose heads are none.
+var brokenHeads = map[string]string{
+	"blank before the colon of the length":   site.StampedHead("200 OK", "bad") + "Content-Length : 2\r\n\r\nok and more",
+	"blank before the colon of the encoding": site.StampedHead("200 OK", "bad") + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"blank in a name":                        site.StampedHead("200 OK", "bad") + "X Y: z\r\nContent-Length: 2\r\n\r\nok",
+	"blank before a name":                    site.StampedHead("200 OK", "bad") + " X: z\r\nContent-Length: 2\r\n\r\nok",
+	"control byte in a name":                 site.StampedHead("200 OK", "bad") + "X\x01: z\r\nContent-Length: 2\r\n\r\nok",
+	"control byte in a value":                site.StampedHead("200 OK", "bad") + "X: \x01z\r\nContent-Length: 2\r\n\r\nok",
+	"failure with a blank in a name":         site.StampedHead("500 Failed", "bad") + "X Y: z\r\nContent-Length: 6\r\n\r\nfailed",
+}
+
+// TestBrokenHeadsDontReachClients guards against bytes that are no answer and reach a client as one, in place of a failure of the router's own.
+func TestBrokenHeadsDontReachClients(t *testing.T) {
+	for name, text := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t)
+			w.addRaw(t, "bad", "plain", registry.Whole, site.RawAnswer{Text: text})
+			w.add(t, "pre", "llm", registry.Prefill)
+			w.addRaw(t, "d", "llm", registry.Decode, site.RawAnswer{Text: text})
+			for _, path := range []string{"/once/1", "/draft/1"} {
+				got := w.post(t, path)
+				assert.Check(t, got.status == 502 && got.header.Get(site.Stamp) == "", "%s: %d %q %q", path, got.status, got.header, got.body)
+			}
+		})
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/overload"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -191,7 +192,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if res.Framing == upstream.FramedByConnection {
+	if res.Framing == response.FramedByConnection {
 		if err := eventstream.CheckBody(res.Header.Get("Content-Type"), body); err != nil {
 			return nil, err
 		}
@@ -253,7 +254,7 @@
 		return nil, err
 	}
 	j.lastActivity = time.Now()
-	if res.Framing == upstream.FramedByConnection {
+	if res.Framing == response.FramedByConnection {
 		f.Metrics.Counter(metrics.ConnectionFramed).Inc(1)
 	}
 	head := f.Codec.ParseAnswer(res.Status, res.Header)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -75,7 +76,7 @@
 }
 
 // recordTruncated records that the engine's stream ended inside an event; bytes is how much of the event arrived.
-func (a *streamAttempt) recordTruncated(framing upstream.Framing, bytes int) {
+func (a *streamAttempt) recordTruncated(framing response.Framing, bytes int) {
 	f, j := a.r.f, a.r.j
 	f.Metrics.Counter(metrics.StreamsTruncatedPrefix + string(framing)).Inc(1)
 	event.StreamTruncated.Log(f.Log).Str("request", j.meta.ID).Str("server", a.lease.server.ID).Str("framing", string(framing)).
@@ -146,8 +147,8 @@
 var errNoEvents = fmt.Errorf("%w: no event arrived", eventstream.ErrTruncated)
 
 // checkEnd returns an error if a stream that did not end inside an event can't be taken for complete.
-func (a *streamAttempt) checkEnd(framing upstream.Framing) error {
-	if a.events == 0 && framing == upstream.FramedByConnection {
+func (a *streamAttempt) checkEnd(framing response.Framing) error {
+	if a.events == 0 && framing == response.FramedByConnection {
 		return errNoEvents
 	}
 	return nil
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -11,7 +11,7 @@
 
 	"github.com/hibiscusspur/hibiscusspur/eventstream"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
-	"github.com/hibiscusspur/hibiscusspur/upstream"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -57,7 +57,7 @@
 	if int64(len(body)) > c.limit {
 		return nil, errReplyTooLarge
 	}
-	if upstream.FramingOf(res) == upstream.FramedByConnection {
+	if response.FramingOf(res) == response.FramedByConnection {
 		if err := eventstream.CheckBody(res.Header.Get("Content-Type"), body); err != nil {
 			return nil, err
 		}
--- a/standin/site/raw.go
+++ b/standin/site/raw.go
@@ -11,7 +11,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// RawAnswer is what a server in trouble sends in place of an answer.
+// RawAnswer is what a server in trouble sends in place of an answer to a request of a client. It grants reservations as a sound one
+// does.
 type RawAnswer struct {
 	// Text is sent as it is, but for RequestIDMark, in answer to a request of which the head was read.
 	Text string
@@ -32,6 +33,12 @@
 // its client.
 const unreadBytes = 4 << 10
 
+// callsPrefix begins the paths of calls that are no requests of clients; reservationGranted answers one.
+const (
+	callsPrefix        = "/api/"
+	reservationGranted = "HTTP/1.1 200 OK\r\n\r\n{\"hold\":\"h\"}"
+)
+
 // NewRawServer starts a backend server that sends the answer to each request, on a connection each. It returns its address.
 func NewRawServer(t *testing.T, answer RawAnswer) string {
 	t.Helper()
@@ -63,6 +70,10 @@
 	if !a.Resets {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
+	if strings.HasPrefix(r.URL.Path, callsPrefix) {
+		_, _ = io.WriteString(conn, reservationGranted)
+		return
+	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(a.Text, RequestIDMark, r.Header.Get(RequestID)))
 	if a.Resets {
 		_ = conn.SetLinger(0)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/vmlink"
 )
 
@@ -42,24 +43,13 @@
 	Matches func(http.Header) bool
 }
 
-// Framing is how a response marks the end of its body.
-type Framing string
-
-// Framings of bodies. FramedByConnection has neither a length nor chunks: the body ends with its connection, so that a
-// server that breaks it off in an orderly way can't be told from one that has finished.
-const (
-	FramedByLength     Framing = "length"
-	FramedByChunks     Framing = "chunks"
-	FramedByConnection Framing = "connection"
-)
-
 // Response is a response whose head was read. Body must be read to its end or closed.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is that of the body, or -1 if it is not known in advance.
 	Length  int64
-	Framing Framing
+	Framing response.Framing
 	// Close is set if the server closes the connection after the response.
 	Close bool
 	// SentAt is when sending the request began.
@@ -176,24 +166,17 @@
 
 // readHead reads the head of the response and skips responses to other requests.
 func (x *exchange) readHead(r *Request) (*Response, error) {
-	x.conn.limit.begin(maxHeadBytes)
-	defer x.conn.limit.end()
 	for range maxUnmatched + 1 {
-		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
+		res, err := x.conn.responses.Next(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.Matches == nil || r.Matches(res.Header) {
 			return x.response(res), nil
 		}
-		x.conn.limit.begin(maxSkippedBytes)
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
+		if err := x.conn.responses.Skip(res); err != nil || res.Close {
 			return nil, errors.Join(errUnmatched, err)
 		}
-		x.conn.limit.begin(maxHeadBytes)
 	}
 	return nil, errUnmatched
 }
@@ -203,7 +186,7 @@
 	x.conn.usableUntil = time.Time{}
 	x.conn.recordKeepAlive(res.Header, now)
 	x.keepAlive = !res.Close
-	framing := FramingOf(res)
+	framing := response.FramingOf(res)
 	return &Response{
 		Status:  res.StatusCode,
 		Header:  res.Header,
@@ -215,18 +198,6 @@
 	}
 }
 
-// FramingOf returns the framing of a response whose head was read by net/http.
-func FramingOf(res *http.Response) Framing {
-	switch {
-	case len(res.TransferEncoding) > 0:
-		return FramedByChunks
-	case res.ContentLength >= 0:
-		return FramedByLength
-	default:
-		return FramedByConnection
-	}
-}
-
 // abort ends the exchange and closes the connection.
 func (x *exchange) abort() {
 	x.endOnce.Do(func() {
@@ -239,7 +210,7 @@
 // closes it if it can't be reused.
 func (x *exchange) release() {
 	x.endOnce.Do(func() {
-		if !x.stopWatching() || !x.keepAlive || !x.fullyWritten() || x.conn.br.Buffered() > 0 {
+		if !x.stopWatching() || !x.keepAlive || !x.fullyWritten() || !x.conn.responses.Idle() {
 			_ = x.conn.Close()
 			return
 		}
@@ -281,13 +252,13 @@
 type body struct {
 	io.Reader
 	x       *exchange
-	framing Framing
+	framing response.Framing
 }
 
 // Read implements io.Reader. io.EOF means that the body is complete.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if err == io.EOF && b.framing == FramedByConnection {
+	if err == io.EOF && b.framing == response.FramedByConnection {
 		err = b.x.connectionEnd()
 	}
 	if err == io.EOF {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,8 +3,8 @@
 // It gives guarantees that a general client doesn't: a connection carries one
 // request at a time and is reused only if its last response was read completely and
 // no data followed it; a request is never resent automatically; and each error says
-// whether the request can have reached the server. Heads are written and parsed by
-// net/http.
+// whether the request can have reached the server. Package response decides what is a
+// response and where it ends.
 package upstream
 
 import (
