response: a status line that HTTP doesn't know begins no response

Cause here: a status below 200 was skipped as an interim answer, whatever it was, and what followed was read as the answer. net/http takes any three characters that Atoi takes (000, 099, +20), any version and any reason.

Evidence: forward.TestBrokenHeadsDontReachClients. A status 000 with nothing behind it ended in a 502 before: handled already, its case stays. A status 000 with a 200 behind it reached the client as that 200; HTTP/0.9 as a 200; a status 600 became a 502 that bears the server's stamp, a status which that server didn't give.

Change: a head begins with HTTP/1.0 or HTTP/1.1, one blank, three digits of 100 to 599 but for 101, and a reason without control bytes. Bytes that can't become such a line fail at once, without waiting for the end of a head. It works since only what is an interim response is skipped. Check says the same of a response that came by another protocol, for the entry.

--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -46,6 +46,10 @@
 	"blank before a name":                    site.StampedHead("200 OK", "bad") + " X: z\r\nContent-Length: 2\r\n\r\nok",
 	"control byte in a name":                 site.StampedHead("200 OK", "bad") + "X\x01: z\r\nContent-Length: 2\r\n\r\nok",
 	"control byte in a value":                site.StampedHead("200 OK", "bad") + "X: \x01z\r\nContent-Length: 2\r\n\r\nok",
+	"status 000":                             site.StampedHead("000 None", "bad") + "Content-Length: 2\r\n\r\nok",
+	"status 000, then another":               site.StampedHead("000 None", "bad") + "\r\n" + site.StampedHead("200 OK", "bad") + "Content-Length: 2\r\n\r\nok",
+	"status 600":                             site.StampedHead("600 None", "bad") + "Content-Length: 2\r\n\r\nok",
+	"HTTP/0.9":                               "HTTP/0.9" + strings.TrimPrefix(site.StampedHead("200 OK", "bad"), "HTTP/1.1") + "Content-Length: 2\r\n\r\nok",
 	"failure with a blank in a name":         site.StampedHead("500 Failed", "bad") + "X Y: z\r\nContent-Length: 6\r\n\r\nfailed",
 }
 
--- a/response/head.go
+++ b/response/head.go
@@ -16,14 +16,25 @@
 	return fmt.Errorf("%w: "+format, append([]any{ErrMalformed}, args...)...)
 }
 
-// minFinalStatus is the first status of a final response.
-const minFinalStatus = http.StatusOK
+// Statuses of final responses; others have no meaning to a client.
+const (
+	minFinalStatus = http.StatusOK
+	maxStatus      = 599
+)
 
 // maxQuoted is how many bytes of a malformed line an error quotes.
 const maxQuoted = 80
 
 func quoted(line string) string { return line[:min(len(line), maxQuoted)] }
 
+// Check returns ErrMalformed if a final response has a status, or a header with a name or value, that HTTP doesn't allow.
+func Check(status int, h http.Header) error {
+	if status < minFinalStatus || status > maxStatus {
+		return malformed("status %d", status)
+	}
+	return checkFields(h)
+}
+
 func checkFields(h http.Header) error {
 	for name, values := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
@@ -38,10 +49,22 @@
 	return nil
 }
 
-// checkHead returns ErrMalformed if a line after the first one, up to the empty line, is no field. It is stricter than
-// net/http, which accepts names with blanks and values that go on in the next line.
+// protocols are the versions that a status line may begin with.
+var protocols = []string{"HTTP/1.1 ", "HTTP/1.0 "}
+
+// protocolPrefix is what they have in common.
+const protocolPrefix = "HTTP/1."
+
+// statusDigits is the length of a status.
+const statusDigits = 3
+
+// checkHead returns ErrMalformed unless the bytes up to the empty line are the head of a response. It is stricter than
+// net/http, which accepts names with blanks, values that go on in the next line, and any three characters that Atoi does for a status.
 func checkHead(head string) error {
-	_, fields := cutLine(head)
+	statusLine, fields := cutLine(head)
+	if err := checkStatusLine(statusLine); err != nil {
+		return err
+	}
 	for len(fields) > 0 {
 		var line string
 		line, fields = cutLine(fields)
@@ -61,6 +84,36 @@
 	return strings.TrimSuffix(line, "\r"), rest
 }
 
+func checkStatusLine(line string) error {
+	for _, protocol := range protocols {
+		if rest, ok := strings.CutPrefix(line, protocol); ok {
+			_, err := parseStatus(rest)
+			return err
+		}
+	}
+	return malformed("status line %q", quoted(line))
+}
+
+// parseStatus parses a status and the reason phrase after it, which may be missing.
+func parseStatus(text string) (int, error) {
+	digits, reason, _ := strings.Cut(text, " ")
+	if len(digits) != statusDigits || !httpguts.ValidHeaderFieldValue(reason) {
+		return 0, malformed("status %q", quoted(text))
+	}
+	status := 0
+	for _, d := range []byte(digits) {
+		if d < '0' || d > '9' {
+			return 0, malformed("status %q", quoted(text))
+		}
+		status = 10*status + int(d-'0')
+	}
+	// Nobody asks a server to switch protocols.
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+		return 0, malformed("status %q", quoted(text))
+	}
+	return status, nil
+}
+
 func checkField(line string) error {
 	name, value, found := strings.Cut(line, ":")
 	if !found || !httpguts.ValidHeaderFieldName(name) {
--- a/response/response.go
+++ b/response/response.go
@@ -111,6 +111,9 @@
 func (r *Reader) peekHead() ([]byte, error) {
 	for {
 		text, _ := r.br.Peek(r.br.Buffered())
+		if !mayBeResponse(text) {
+			return nil, malformed("status line %q", quoted(string(text)))
+		}
 		if end := headLength(text); end > 0 {
 			return text[:end], nil
 		}
@@ -138,6 +141,12 @@
 	r.br = bufio.NewReaderSize(src, maxHeadBytes+2*readBuffer)
 }
 
+// mayBeResponse reports whether a response may begin with text.
+func mayBeResponse(text []byte) bool {
+	n := min(len(text), len(protocolPrefix))
+	return string(text[:n]) == protocolPrefix[:n]
+}
+
 // headLength returns the length of a head up to and with the empty line after it; 0 if that has not arrived.
 func headLength(text []byte) int {
 	for at := 0; ; {
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// TestStatusesAndFieldsAreChecked guards against responses that came by another protocol and that HTTP/1.1 can't carry.
+func TestStatusesAndFieldsAreChecked(t *testing.T) {
+	assert.NilError(t, response.Check(200, http.Header{"X-Y": {"z", "\xfe"}}))
+	for _, h := range []http.Header{{"X Y": {"z"}}, {"": {"z"}}, {"X": {"y\r\nZ: 1"}}, {"X:": nil}} {
+		assert.ErrorIs(t, response.Check(200, h), response.ErrMalformed)
+	}
+}
+
 // consumed reads one response and returns how many bytes of the text belong to it.
 func consumed(text []byte) (res *http.Response, body string, n int, err error) {
 	counter := &countingReader{Reader: bytes.NewReader(text)}
@@ -136,10 +144,46 @@
 	return n, err
 }
 
+// brokenStatuses are heads whose status line is none.
+var brokenStatuses = map[string]string{
+	"status 000":               "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 000, then another": "HTTP/1.1 000 OK\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"status 099, then another": "HTTP/1.1 099 OK\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"status +20, then another": "HTTP/1.1 +20 OK\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"status -20":               "HTTP/1.1 -20 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 600":               "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 999":               "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status of two digits":     "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status of four digits":    "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status in hexadecimal":    "HTTP/1.1 0xc OK\r\nContent-Length: 2\r\n\r\nok",
+	"switching protocols":      "HTTP/1.1 101 Switching\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"two blanks":               "HTTP/1.1  200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"tab before the status":    "HTTP/1.1\t200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"control byte in a reason": "HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok",
+	"CR in a reason":           "HTTP/1.1 200 O\rK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/0.9":                 "HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/2.0":                 "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.9":                 "HTTP/1.9 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"lower case":               "http/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"another protocol":         "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"empty line first":         "\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"blank first":              " " + ok + "Content-Length: 2\r\n\r\nok",
+	"body without a head":      "ok",
+}
+
+// TestBrokenStatusesAreNoResponse guards against bytes with a status that HTTP doesn't know, which passed for a response or for an
+// interim one before it.
+func TestBrokenStatusesAreNoResponse(t *testing.T) {
+	assertBroken(t, brokenStatuses)
+	for _, status := range []int{0, 99, 100, 199, 600, 999, -200} {
+		assert.ErrorIs(t, response.Check(status, nil), response.ErrMalformed)
+	}
+}
+
 // FuzzResponse: what passes for a response is one by its head, and a response that ends by itself is not whole if any of its end is
 // missing.
 func FuzzResponse(f *testing.F) {
-	for _, shapes := range []map[string]string{wholeResponses, brokenFields} {
+	for _, shapes := range []map[string]string{wholeResponses, brokenFields, brokenStatuses} {
 		for _, text := range shapes {
 			f.Add([]byte(text), uint(1))
 		}
@@ -149,6 +193,7 @@
 		if err != nil {
 			return
 		}
+		assert.NilError(t, response.Check(res.StatusCode, res.Header))
 		framing := response.FramingOf(res)
 		if framing == response.FramedByLength && int64(len(body)) != res.ContentLength && res.StatusCode != http.StatusNotModified {
 			t.Errorf("%d bytes of %d", len(body), res.ContentLength)
