response: an answer whose end can't be known is not whole

An answer with both a length and chunks came as its chunks, one with chunks in HTTP/1.0 with the chunks' sizes as text in its body, also as a stream, one with status 204 and a body without that body.

Cause: net/http settles contradictions: chunks win over a length, HTTP/1.0 has no chunks whatever the head says, a status without a body has none whatever is announced, and an interim response with a length ends where its head does. Each is one of several readings, and the bytes after the chosen end pass for another answer or for nothing.

Change: such heads are malformed. 204 with a length of 0 stays an answer, as servers send it. It works since an answer is passed on only if one reading of its end is left; FuzzResponse holds that no beginning of a response that ends by itself passes for whole.

--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -50,6 +50,11 @@
 	"status 000, then another":               site.StampedHead("000 None", "bad") + "\r\n" + site.StampedHead("200 OK", "bad") + "Content-Length: 2\r\n\r\nok",
 	"status 600":                             site.StampedHead("600 None", "bad") + "Content-Length: 2\r\n\r\nok",
 	"HTTP/0.9":                               "HTTP/0.9" + strings.TrimPrefix(site.StampedHead("200 OK", "bad"), "HTTP/1.1") + "Content-Length: 2\r\n\r\nok",
+	"length and chunks":                      site.StampedHead("200 OK", "bad") + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":                     "HTTP/1.0" + strings.TrimPrefix(site.StampedHead("200 OK", "bad"), "HTTP/1.1") + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"body where none is allowed":             site.StampedHead("204 None", "bad") + "Content-Length: 2\r\n\r\nok",
+	"shorter than its length":                site.StampedHead("200 OK", "bad") + "Content-Length: 3\r\n\r\nok",
+	"no last chunk":                          site.StampedHead("200 OK", "bad") + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
 	"failure with a blank in a name":         site.StampedHead("500 Failed", "bad") + "X Y: z\r\nContent-Length: 6\r\n\r\nfailed",
 }
 
--- a/response/head.go
+++ b/response/head.go
@@ -58,11 +58,21 @@
 // statusDigits is the length of a status.
 const statusDigits = 3
 
-// checkHead returns ErrMalformed unless the bytes up to the empty line are the head of a response. It is stricter than
-// net/http, which accepts names with blanks, values that go on in the next line, and any three characters that Atoi does for a status.
+// headLines is what the lines of a head say about the end of the response.
+type headLines struct {
+	http10            bool
+	status            int
+	contentLength     bool
+	transferEncodings int
+}
+
+// checkHead returns ErrMalformed unless the bytes up to the empty line are the head of a response whose end is known.
+// It is stricter than net/http, which accepts names with blanks, values that go on in the next line, and contradictory
+// lengths.
 func checkHead(head string) error {
 	statusLine, fields := cutLine(head)
-	if err := checkStatusLine(statusLine); err != nil {
+	lines, err := parseStatusLine(statusLine)
+	if err != nil {
 		return err
 	}
 	for len(fields) > 0 {
@@ -71,11 +81,11 @@
 		if len(line) == 0 {
 			break
 		}
-		if err := checkField(line); err != nil {
+		if err := lines.addField(line); err != nil {
 			return err
 		}
 	}
-	return nil
+	return lines.checkFraming()
 }
 
 // cutLine returns a line without its end, which is CR LF or LF, and the lines after it.
@@ -84,14 +94,19 @@
 	return strings.TrimSuffix(line, "\r"), rest
 }
 
-func checkStatusLine(line string) error {
+func parseStatusLine(line string) (*headLines, error) {
 	for _, protocol := range protocols {
-		if rest, ok := strings.CutPrefix(line, protocol); ok {
-			_, err := parseStatus(rest)
-			return err
+		rest, ok := strings.CutPrefix(line, protocol)
+		if !ok {
+			continue
+		}
+		status, err := parseStatus(rest)
+		if err != nil {
+			return nil, err
 		}
+		return &headLines{http10: protocol == protocols[1], status: status}, nil
 	}
-	return malformed("status line %q", quoted(line))
+	return nil, malformed("status line %q", quoted(line))
 }
 
 // parseStatus parses a status and the reason phrase after it, which may be missing.
@@ -114,7 +129,7 @@
 	return status, nil
 }
 
-func checkField(line string) error {
+func (l *headLines) addField(line string) error {
 	name, value, found := strings.Cut(line, ":")
 	if !found || !httpguts.ValidHeaderFieldName(name) {
 		return malformed("field line %q", quoted(line))
@@ -122,5 +137,29 @@
 	if !httpguts.ValidHeaderFieldValue(value) {
 		return malformed("value of field %q", quoted(line))
 	}
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
+		l.contentLength = true
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		l.transferEncodings++
+	}
 	return nil
 }
+
+// checkFraming returns ErrMalformed if the fields contradict each other, or the status, about where the response ends.
+func (l *headLines) checkFraming() error {
+	switch {
+	case l.transferEncodings == 0:
+		return nil
+	case l.http10:
+		return malformed("chunks in HTTP/1.0")
+	case l.contentLength:
+		return malformed("both a length and chunks")
+	case l.transferEncodings > 1:
+		return malformed("%d transfer encodings", l.transferEncodings)
+	case l.status < minFinalStatus || l.status == http.StatusNoContent:
+		return malformed("chunks with status %d", l.status)
+	default:
+		return nil
+	}
+}
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -180,10 +180,55 @@
 	}
 }
 
+// unknownEnds are responses whose end can't be known, or that end before it.
+var unknownEnds = map[string]string{
+	"length and chunks":                       ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunks and length":                       ok + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":                      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunks twice":                            ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"another encoding":                        ok + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"identity":                                ok + "Transfer-Encoding: identity\r\n\r\nok",
+	"empty encoding":                          ok + "Transfer-Encoding:\r\n\r\nok",
+	"encoding behind a byte":                  ok + "Transfer-Encoding: \x0bchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"two lengths":                             ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok!",
+	"list of lengths":                         ok + "Content-Length: 2, 2\r\n\r\nok",
+	"length with a sign":                      ok + "Content-Length: +2\r\n\r\nok",
+	"negative length":                         ok + "Content-Length: -1\r\n\r\nok",
+	"empty length":                            ok + "Content-Length:\r\n\r\nok",
+	"length in hexadecimal":                   ok + "Content-Length: 0x2\r\n\r\nok",
+	"length with a fraction":                  ok + "Content-Length: 2.0\r\n\r\nok",
+	"length over 64 bits":                     ok + "Content-Length: 18446744073709551618\r\n\r\nok",
+	"length of a body where none is allowed":  "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok",
+	"chunks where no body is allowed":         "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"interim response with a length":          "HTTP/1.1 103 Early Hints\r\nContent-Length: 80\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"interim response with chunks":            "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	"shorter than its length":                 ok + "Content-Length: 3\r\n\r\nok",
+	"no last chunk":                           ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	"last chunk without its line":             ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+	"last chunk with half of its line":        ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r",
+	"trailer that stops short":                ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n",
+	"trailer that is no field":                ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nno field\r\n\r\n",
+	"chunk that stops short":                  ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nok",
+	"chunk longer than its size":              ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n",
+	"size that is no number":                  ok + "Transfer-Encoding: chunked\r\n\r\nx\r\nok\r\n0\r\n\r\n",
+	"size with a sign":                        ok + "Transfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n",
+	"size with a prefix":                      ok + "Transfer-Encoding: chunked\r\n\r\n0x2\r\nok\r\n0\r\n\r\n",
+	"size over 64 bits":                       ok + "Transfer-Encoding: chunked\r\n\r\n10000000000000002\r\nok\r\n0\r\n\r\n",
+	"no size":                                 ok + "Transfer-Encoding: chunked\r\n\r\n\r\nok\r\n0\r\n\r\n",
+	"chunk line that ends with LF":            ok + "Transfer-Encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n",
+	"head that stops short":                   ok + "Content-Length: 2\r\n",
+	"head that stops short, no end of a line": ok + "Content-Length: 2",
+	"empty":                  "",
+	"interim response alone": "HTTP/1.1 100 Continue\r\n\r\n",
+}
+
+// TestResponsesOfUnknownEndAreBroken guards against taking for whole what can't be known to be.
+func TestResponsesOfUnknownEndAreBroken(t *testing.T) { assertBroken(t, unknownEnds) }
+
 // FuzzResponse: what passes for a response is one by its head, and a response that ends by itself is not whole if any of its end is
 // missing.
 func FuzzResponse(f *testing.F) {
-	for _, shapes := range []map[string]string{wholeResponses, brokenFields, brokenStatuses} {
+	for _, shapes := range []map[string]string{wholeResponses, brokenFields, brokenStatuses, unknownEnds} {
 		for _, text := range shapes {
 			f.Add([]byte(text), uint(1))
 		}
