upstream, sidecar, engine, store, entry: all readers of answers go through package response

Cause: these three used net/http's client, which judges heads by itself, reads a reset during an upload as an orderly end, as the pool did, and sends some requests again. The engine's driver also looked at the first JSON value alone, and not at the end of an answer; an entry passed on any status.

Change: upstream.Transport is an http.RoundTripper over upstream.Pool, so that package response decides for them as well; https goes on by net/http, whose TLS and HTTP/2 have an end of their own, with the status and the fields checked. response.ReadBody stands for five copies of one bounded read: a body over its limit is an error, where the platform's was cut and its table's was read without a bound (16 MiB now). A reply with an encoding that no call asked for is refused: net/http asked for gzip by itself. An entry checks what a sidecar, also an earlier one, hands it. FuzzAnswer reads from a pipe, since a listener for each try used up the ports.

--- a/engine/http.go
+++ b/engine/http.go
@@ -14,11 +14,16 @@
 	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/hibiscusspur/hibiscusspur/response"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
 const (
 	maxErrorBody = 4 << 10
 	maxReplyBody = 16 << 20
+	// maxIdleConns bounds the unused connections to the engine.
+	maxIdleConns = 64
 )
 
 // httpEngine calls an engine over HTTP.
@@ -28,8 +33,8 @@
 }
 
 // NewHTTP returns the driver for the engine at baseURL, such as
-// "http://127.0.0.1:9000". It uses the client of net/http because the client of
-// nbhttp returns a response only when its body is complete, which rules out token
+// "http://127.0.0.1:9000". It doesn't use the client of nbhttp, which returns a
+// response only when its body is complete, which rules out token
 // streams. The client must not have an overall timeout, since that would cut
 // streams; each call is bounded by its context, as are the streams that Decode and
 // Resume return. A nil client stands for a new one with its own connection pool.
@@ -39,7 +44,8 @@
 // answer was lost, it returns ErrIndeterminate.
 func NewHTTP(baseURL string, client *http.Client) Engine {
 	if client == nil {
-		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		pool := upstream.New(upstream.Options{MaxIdlePerServer: maxIdleConns})
+		client = &http.Client{Transport: upstream.NewTransport(pool, &http.Transport{MaxIdleConnsPerHost: maxIdleConns})}
 	}
 	return &httpEngine{base: baseURL, client: client}
 }
@@ -122,19 +128,27 @@
 		return out, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBody)).Decode(&out); err != nil {
+	data, err := response.ReadBody(resp.Body, maxReplyBody)
+	if err == nil {
+		err = json.Unmarshal(data, &out)
+	}
+	if err != nil {
 		return out, lostAnswer(c, err)
 	}
 	return out, nil
 }
 
 func (e *httpEngine) send(ctx context.Context, method, path string, q url.Values, body any) error {
-	resp, err := e.do(ctx, call{method, path, q, body, true})
+	c := call{method, path, q, body, true}
+	resp, err := e.do(ctx, c)
 	if err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBody))
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	if _, err := response.ReadBody(resp.Body, maxErrorBody); err != nil {
+		return lostAnswer(c, err)
+	}
+	return nil
 }
 
 // do sends the request and returns a successful response with its body open.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -210,7 +211,7 @@
 		case err != nil:
 			return nil, outcome.Indeterminate(causeReason(err), "")
 		case f.GetReply() != nil:
-			return f.GetReply(), outcome.Outcome{Kind: outcome.Completed}
+			return checkReply(f.GetReply())
 		case f.GetRefused() != nil:
 			*engineLosses = f.GetRefused().GetEngineLosses()
 			return nil, refusedOutcome(f.GetRefused())
@@ -218,6 +219,18 @@
 	}
 }
 
+// checkReply returns the reply if it can be passed on as a response.
+func checkReply(reply *wire.Reply) (*wire.Reply, outcome.Outcome) {
+	h := make(http.Header)
+	for _, field := range reply.GetHeaders() {
+		h[field.GetName()] = append(h[field.GetName()], field.GetValue())
+	}
+	if err := response.Check(int(reply.GetStatus()), h); err != nil {
+		return nil, outcome.Indeterminate(outcome.AnswerIncomplete, err.Error())
+	}
+	return reply, outcome.Outcome{Kind: outcome.Completed}
+}
+
 func (s *Service) reattachCall(ctx context.Context, fl *flow, incarnation string) (outcome.Outcome, bool) {
 	wait, cancel := context.WithTimeoutCause(ctx, s.settings.Timing.Reattach, errNoAnswer)
 	defer cancel()
--- a/forward/call.go
+++ b/forward/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"syscall"
@@ -23,7 +22,7 @@
 
 // maxAnswer bounds an answer of a plain service. It is buffered until it is whole so that the request can be retried
 // if it fails.
-const maxAnswer = 16 << 20
+const maxAnswer int64 = 16 << 20
 
 const (
 	// maxFailure bounds the body of a server's failure that is passed on, which is a short text.
@@ -42,10 +41,9 @@
 
 // Errors of attempts without an answer that can be passed on.
 var (
-	errNoStamp  = errors.New("answer without a stamp, or with an encoded body")
-	errTooLarge = errors.New("answer too large")
-	errNotRun   = errors.New("refused by the server")
-	errFailed   = errors.New("failed by the server")
+	errNoStamp = errors.New("answer without a stamp, or with an encoded body")
+	errNotRun  = errors.New("refused by the server")
+	errFailed  = errors.New("failed by the server")
 	// errRequestInvalid is the error of an answer that blames the request, as opposed to the server.
 	errRequestInvalid = errors.New("the server says that the request is invalid")
 	// errCooldownRequested accompanies errNotRun if the server says for how long it wants no requests.
@@ -188,7 +186,7 @@
 	if head.Status >= http.StatusInternalServerError {
 		limit = maxFailure
 	}
-	body, err := readBody(res, limit)
+	body, err := response.ReadBody(res.Body, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -200,15 +198,6 @@
 	return &answer{head: head, body: body}, nil
 }
 
-// readBody reads a body that is no larger than limit.
-func readBody(res *upstream.Response, limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = errTooLarge
-	}
-	return body, err
-}
-
 // refusal returns the error of an answer that proves that the server did not run the request.
 func refusal(head AnswerHead) error {
 	err := fmt.Errorf("%w: status %d", errNotRun, head.Status)
--- a/forward/prefill.go
+++ b/forward/prefill.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
 	"github.com/hibiscusspur/hibiscusspur/policy/prefillpool"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -188,7 +189,7 @@
 		return Export{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := readBody(res, maxExport)
+	body, err := response.ReadBody(res.Body, maxExport)
 	if err != nil {
 		return Export{}, err
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -225,7 +226,7 @@
 // keepFailure keeps an engine's error answer, passed on if no other engine does better.
 func (a *streamAttempt) keepFailure(head AnswerHead, res *upstream.Response) outcome.Outcome {
 	j := a.r.j
-	body, err := readBody(res, maxFailure)
+	body, err := response.ReadBody(res.Body, maxFailure)
 	if err == nil && !j.started && !j.promisesFalsely(head) {
 		a.r.failure = &answer{head: head, body: body}
 	}
--- a/response/response.go
+++ b/response/response.go
@@ -218,3 +218,15 @@
 	l.left -= n
 	return n, err
 }
+
+// ErrTooLarge means that a body is larger than its reader accepts.
+var ErrTooLarge = errors.New("body too large")
+
+// ReadBody reads a whole body of at most limit bytes.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = ErrTooLarge
+	}
+	return data, err
+}
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,26 +11,27 @@
 	"github.com/hibiscusspur/hibiscusspur/eventstream"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/response"
+	"github.com/hibiscusspur/hibiscusspur/upstream"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
-// serviceCaller makes calls to the plain service. Each call uses a new connection,
-// because net/http retries a request on its own when a reused connection turns out
-// to be closed, which must never happen to an unrepeatable call.
+// serviceCaller makes calls to the plain service. Each call uses a new connection, since a reused one may be closed as a
+// call is sent on it, which then counts as one that may have run.
 type serviceCaller struct {
 	base   string
 	client *http.Client
 	limit  int64
 }
 
-var errReplyTooLarge = errors.New("reply larger than the limit")
+// errEncoded means that a reply's body is not the one that was asked for: no call asks for an encoding.
+var errEncoded = errors.New("reply with an encoding")
 
 func newServiceCaller(base string, limit int64) *serviceCaller {
 	return &serviceCaller{
 		base:  base,
 		limit: limit,
 		client: &http.Client{
-			Transport:     &http.Transport{DisableKeepAlives: true},
+			Transport:     upstream.NewTransport(upstream.New(upstream.Options{MaxIdlePerServer: upstream.NoIdle}), &http.Transport{DisableKeepAlives: true}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -45,18 +45,19 @@
 	for _, h := range m.GetHeaders() {
 		req.Header.Add(h.GetName(), h.GetValue())
 	}
+	req.Header.Set("Connection", "close")
 	res, err := c.client.Do(req)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, c.limit+1))
+	if encoding := res.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return nil, errEncoded
+	}
+	body, err := response.ReadBody(res.Body, c.limit)
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > c.limit {
-		return nil, errReplyTooLarge
-	}
 	if response.FramingOf(res) == response.FramedByConnection {
 		if err := eventstream.CheckBody(res.Header.Get("Content-Type"), body); err != nil {
 			return nil, err
--- a/sidecar/call_test.go
+++ b/sidecar/call_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/standin/site"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
 
@@ -42,3 +43,35 @@
 		assert.Check(t, !whole || string(reply.GetBody()) == events)
 	}
 }
+
+// reply calls a plain service in trouble.
+func reply(t *testing.T, answer site.RawAnswer, body []byte) (*wire.Reply, error) {
+	t.Helper()
+	caller := newServiceCaller("http://"+site.NewRawServer(t, answer), 1024)
+	return caller.do(t.Context(), &wire.Call{Method: http.MethodPost, Path: "/", Body: body})
+}
+
+// TestBrokenAnswersAreNoReply guards against bytes of a plain service that are no answer, or not the whole one, and pass for its reply.
+func TestBrokenAnswersAreNoReply(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+	} {
+		got, err := reply(t, site.RawAnswer{Text: text}, nil)
+		assert.Check(t, err != nil, "%q: %v", text, got)
+	}
+}
+
+// TestPartOfReplyToLongCall guards against the part of an answer that a plain service sent before it reset the connection, with the call
+// still being written, and that passed for its reply.
+func TestPartOfReplyToLongCall(t *testing.T) {
+	for range 100 {
+		got, err := reply(t, site.RawAnswer{Text: "HTTP/1.1 200 OK\r\n\r\npart", Resets: true}, make([]byte, 8<<20))
+		assert.Check(t, err != nil, "%v", got)
+	}
+}
--- a/store/http.go
+++ b/store/http.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,11 +12,16 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/hibiscusspur/hibiscusspur/response"
 )
 
 // DefaultTimeout bounds each call of an HTTP client that has no Timeout option.
 const DefaultTimeout = 2 * time.Second
 
+// maxAnswer bounds the body of an answer, several times that of all contracts and backend servers.
+const maxAnswer = 16 << 20
+
 // Option changes a setting of an HTTP client.
 type Option func(*httpClient)
 
@@ -38,7 +42,7 @@
 
 func newHTTPClient(baseURL string, hc *http.Client, opts []Option) *httpClient {
 	if hc == nil {
-		hc = &http.Client{}
+		hc = NewClient(nil)
 	}
 	c := &httpClient{base: baseURL, hc: hc, timeout: DefaultTimeout}
 	for _, o := range opts {
@@ -66,7 +70,7 @@
 		return nil, h.transportError(ctx, c.write && sent, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := response.ReadBody(resp.Body, maxAnswer)
 	if err != nil {
 		return nil, h.transportError(ctx, c.write, err)
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -32,7 +32,7 @@
 	UnackedTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept.
 	IdleTimeout time.Duration
-	// MaxIdlePerServer bounds the unused connections to one server.
+	// MaxIdlePerServer bounds the unused connections to one server; with NoIdle each request has a connection of its own.
 	MaxIdlePerServer int
 	// Link is the link of this VM that the connections use; nil is not accounted for.
 	Link *vmlink.Link
@@ -53,6 +53,9 @@
 	DefaultMaxIdlePerServer = 32
 )
 
+// NoIdle as MaxIdlePerServer keeps no connection.
+const NoIdle = -1
+
 // Pool sends requests and keeps idle connections to servers. It is safe for concurrent use.
 type Pool struct {
 	opts Options
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -295,11 +295,16 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		addr, _ := serve(t, func(t *testing.T, c net.Conn, br *bufio.Reader) {
-			readRequest(t, br)
-			_, _ = c.Write(answer)
-		})
-		res, err := upstream.New(upstream.Options{}).Do(t.Context(), addr, request())
+		pool := upstream.New(upstream.Options{Connect: func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				defer func() { _ = server.Close() }()
+				readRequest(t, bufio.NewReader(server))
+				_, _ = server.Write(answer)
+			}()
+			return client, nil
+		}})
+		res, err := pool.Do(t.Context(), "10.0.0.1:1", request())
 		if err != nil {
 			return
 		}
