forward, vmmemory: answers that are held until they are whole have a budget

Cause: an answer of a plain service is held whole, up to 16 MiB, so that it can be retried elsewhere, and nothing added them up. io.ReadAll grows by copies. A few servers that answer without end are enough.

Evidence: proofs.TestEndlessBodiesTakeNoMemory, a gateway process told that it has 112 MB, 8 bad servers of 11, 64 callers, 4 s, alone.

Change: answers over 32 kB reserve what they grow to in a quarter of the VM's memory, beside that of requests, by policy/membudget: what stalls gives way, what finds no room fails. An announced length over the limit fails at once. Room is kept until the request ends, which also counts answers that clients read slowly. One answer of the largest size fits the smallest VM (TestLargestAnswerIsPassedOnBySmallestVM). answers_malformed counts what is no answer.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,9 @@
 quota: build
 	scripts/proofs.sh -run 'UnderQuota|SmallLink'
 
-# Crowds of clients that don't behave, at every listener of every role as a process, one after the other, about 4 minutes.
+# Crowds of clients that don't behave, at every listener of every role as a process, and servers that answer without end, one after the other, about 5 minutes.
 misbehaving: build
-	PROOFS_PARALLEL=1 scripts/proofs.sh -run 'Misbehaving|RequestAtTheLimit|SlowClient'
+	PROOFS_PARALLEL=1 scripts/proofs.sh -run 'Misbehaving|RequestAtTheLimit|SlowClient|AnswersWithoutEnd|EndlessBodies'
 
 demo: build
 	scripts/demo.sh
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -13,8 +13,10 @@
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
+	"github.com/hibiscusspur/hibiscusspur/policy/membudget"
 	"github.com/hibiscusspur/hibiscusspur/policy/prefillpool"
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/route"
 )
 
@@ -70,6 +72,8 @@
 	trials []string
 	// cachedDigest is the request's digest once it has been computed.
 	cachedDigest *fingerprint.Digest
+	// rooms is the room that the answers received so far take.
+	rooms []membudget.Room
 	// lastActivity is when a server was last sent the request, or last sent part of its answer.
 	lastActivity time.Time
 	// started is set once the head of the answer was sent to the client; status is its status.
@@ -261,6 +265,9 @@
 // attemptFailed records why server s does not answer a request that was sent to it.
 func (f *Forwarder) attemptFailed(j *job, s registry.Server, reason outcome.Reason, err error) {
 	f.Metrics.Counter(metrics.AttemptFailedPrefix + string(reason)).Inc(1)
+	if errors.Is(err, response.ErrMalformed) {
+		f.Metrics.Counter(metrics.AnswersMalformed).Inc(1)
+	}
 	f.engineFailed(s, reason, err)
 	if err != nil && f.attempts.hasTerminated(s.ID) {
 		err = errors.Join(errIncarnationTerminated, err)
--- a/forward/call.go
+++ b/forward/call.go
@@ -122,7 +122,7 @@
 		return unavailableReason(withheldReason(err))
 	case errors.Is(err, errNotRun):
 		return outcome.NoDecodeSlot
-	case errors.Is(err, errNoStamp):
+	case errors.Is(err, errNoStamp), errors.Is(err, errNoMemory), errors.Is(err, errNoEnd):
 		return outcome.AnswerIncomplete
 	default:
 		return outcome.EngineLost
@@ -152,10 +152,10 @@
 }
 
 // noEvidence reports whether a call shows nothing about whether its server fails requests, or about its load: it was not
-// sent, or the server refused it and asked for a cooldown. The cooldown holds as long as the server says, and nothing
+// sent, its answer of known length found no room, or the server refused it and asked for a cooldown. The cooldown holds as long as the server says, and nothing
 // that is inferred from the refusal extends it.
 func noEvidence(err error) bool {
-	return withheldReason(err) != eligibility.None || errors.Is(err, errBlocked) || errors.Is(err, errCooldownRequested)
+	return withheldReason(err) != eligibility.None || errors.Is(err, errBlocked) || errors.Is(err, errNoMemory) || errors.Is(err, errCooldownRequested)
 }
 
 // hedgeShare is the share of the remaining time after which a repeatable request is sent to another server: an
@@ -186,7 +186,7 @@
 	if head.Status >= http.StatusInternalServerError {
 		limit = maxFailure
 	}
-	body, err := response.ReadBody(res.Body, limit)
+	body, err := f.receiveBody(j, res, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
 	"github.com/hibiscusspur/hibiscusspur/registry"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
+	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
 // Config holds the dependencies and settings of a Forwarder. All fields are required.
@@ -39,6 +40,8 @@
 	Guard   Quarantine
 	Quota   Quota
 	Streams StreamVersions
+	// Memory is the part of the VM's memory for answers that are held until they are whole; nil is not accounted for.
+	Memory  *vmmemory.Memory
 	Log     *log.Logger
 	Metrics *metrics.Set
 	// VM and Zone identify this process.
@@ -210,6 +213,7 @@
 	}
 	ctx, end := f.Watcher.Watch(j.caller, j.deadline)
 	defer end()
+	defer f.returnRooms(j)
 	f.countRequest(j)
 	if j.isStream() {
 		f.streams.Add(1)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -14,7 +14,6 @@
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/policy/waitqueue"
-	"github.com/hibiscusspur/hibiscusspur/response"
 	"github.com/hibiscusspur/hibiscusspur/upstream"
 )
 
@@ -226,7 +225,7 @@
 // keepFailure keeps an engine's error answer, passed on if no other engine does better.
 func (a *streamAttempt) keepFailure(head AnswerHead, res *upstream.Response) outcome.Outcome {
 	j := a.r.j
-	body, err := response.ReadBody(res.Body, maxFailure)
+	body, err := a.r.f.receiveBody(j, res, maxFailure)
 	if err == nil && !j.started && !j.promisesFalsely(head) {
 		a.r.failure = &answer{head: head, body: body}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 		Rows: streamversions.NewStreamRows(d.Streams, settings.VM+"/"+rand.Text()), Metrics: d.Metrics, Clock: s.proofs.now,
 	})
 	s.fwd = forward.New(forward.Config{
-		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas, Streams: s.streams,
+		Codec: d.Codec, Engines: d.Engines, View: s.view, Pool: d.Pool, Watcher: s.watcher, Guard: s.guard, Quota: s.quotas, Streams: s.streams, Memory: s.memory.Answers(),
 		Log: d.Log, Metrics: d.Metrics, VM: settings.VM, Zone: settings.Zone, Retry: settings.Retry, Off: settings.Off,
 	})
 	return s
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -51,6 +51,11 @@
 	RequestMemory         = "request_memory"
 	RequestsWithoutMemory = "requests_without_memory"
 	RequestsEvicted       = "requests_evicted"
+	// AnswerMemory is the memory that answers of servers hold until they are whole and passed on, in bytes; AnswersWithoutMemory counts
+	// those that were given up for lack of it, AnswersMalformed those that were no answers.
+	AnswerMemory         = "answer_memory"
+	AnswersWithoutMemory = "answers_without_memory"
+	AnswersMalformed     = "answers_malformed"
 	// ConnectionsReplaced counts callers' connections that were closed for new ones, ConnectionsOverrun those that were closed since too
 	// many requests were sent ahead on them.
 	ConnectionsReplaced = "connections_replaced"
--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -75,6 +75,53 @@
 	}
 }
 
+// endlessBodies are answers that can pass for one, with bodies that don't end.
+var endlessBodies = map[string]struct{ start, pattern string }{
+	"to the end of the connection": {"\r\n", "x"},
+	"chunks":                       {"Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n"},
+	"length":                       {"Content-Length: 1000000000000\r\n\r\n", "x"},
+	"events":                       {"Content-Type: text/event-stream\r\n\r\n", "data: x\n\n"},
+}
+
+// TestEndlessBodiesTakeNoMemory guards against gateways that run out of memory since several servers answer without end, each answer within its
+// own limit. Callers of the sound servers are served meanwhile.
+func TestEndlessBodiesTakeNoMemory(t *testing.T) {
+	const (
+		callers    = 64
+		badServers = 8
+		duration   = 4 * time.Second
+	)
+	for name, body := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			c := startSmallGateway(t)
+			for i := range badServers {
+				id := fmt.Sprintf("i-bad-%d", i)
+				bad := newEndlessServer(t, "HTTP/1.1 200 OK\r\n"+site.RequestID+": ID\r\n"+site.Stamp+": "+id+"\r\n"+body.start, body.pattern)
+				entry := site.Entry{Service: plainService, Addr: bad.addr, Zone: "z1", Version: "v1", Slots: 48, State: "ready", Seq: 1, Born: time.Now().UnixMilli()}
+				c.store.Put("servers", id, entry.Encode())
+			}
+			var served atomic.Int64
+			var clients sync.WaitGroup
+			end := time.Now().Add(duration)
+			for i := range callers {
+				clients.Go(func() {
+					for n := 0; time.Now().Before(end); n++ {
+						if c.ask(t, "unsafe", fmt.Sprintf("call-%d-%d", i, n)) == http.StatusOK {
+							served.Add(1)
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
+			}
+			clients.Wait()
+			peak := peakMemory(t, c.gateways[0].proc.cmd.Process.Pid)
+			t.Logf("%s: peak %d MB, %d calls served", name, peak/1_000_000, served.Load())
+			assert.Check(t, peak <= smallMemoryBytes, "peak %d MB", peak/1_000_000)
+			assert.Check(t, served.Load() > callers, "%d calls served", served.Load())
+		})
+	}
+}
+
 // endlessServer answers each request without end until its connection is closed.
 type endlessServer struct {
 	addr string
--- a/vmmemory/report.go
+++ b/vmmemory/report.go
@@ -18,6 +18,8 @@
 	met.GaugeFunc(metrics.RequestMemory, m.Held)
 	met.GaugeFunc(metrics.RequestsWithoutMemory, m.counts.rejected.Load)
 	met.GaugeFunc(metrics.RequestsEvicted, m.counts.evicted.Load)
+	met.GaugeFunc(metrics.AnswerMemory, m.answers.Held)
+	met.GaugeFunc(metrics.AnswersWithoutMemory, m.answers.counts.total)
 	go m.report(ctx, l)
 }
 
--- a/vmmemory/vmmemory.go
+++ b/vmmemory/vmmemory.go
@@ -1,4 +1,4 @@
-// Package vmmemory accounts for the memory of this VM that the requests of clients and unread responses take, over
+// Package vmmemory accounts for the memory of this VM that the requests of clients, unread responses and the answers of servers take, over
 // all listeners of a process. What is received, and what gives way if there is too little room, is decided by
 // policy/membudget.
 package vmmemory
@@ -19,6 +19,9 @@
 	requestsShare = 0.25
 	// messagesShare is the part that messages of our own processes may take, beside that of requests.
 	messagesShare = 0.0625
+	// answersShare is the part that answers of servers may take which are held until they are whole, beside that of requests. The large
+	// ones among them may take all of it but membudget.SmallShare: on the smallest VM that is one answer of the largest size.
+	answersShare = 0.25
 	// runtimeShare is the part of the VM's memory that the Go runtime may take before it collects garbage more often; the rest is
 	// for the program itself and for buffers of the kernel.
 	runtimeShare = 0.75
@@ -33,8 +36,8 @@
 	budget *membudget.Budget
 	owners map[*membudget.Claim]*Claim
 	counts *counts
-	// messages is the part for messages; nil if this is one.
-	messages *Memory
+	// messages and answers are the parts for these; nil if this is one.
+	messages, answers *Memory
 }
 
 // counts are those of a VM.
@@ -43,6 +46,9 @@
 	rejected, evicted atomic.Int64
 }
 
+// total is the number of both.
+func (c *counts) total() int64 { return c.rejected.Load() + c.evicted.Load() }
+
 // New returns the memory of a VM of some bytes, zero for what the machine has. Clients have receiveTime for a request to
 // arrive.
 func New(vmBytes int64, receiveTime time.Duration) *Memory {
@@ -53,9 +59,14 @@
 	m := part(requestsShare)
 	m.counts, m.messages = &counts{}, part(messagesShare)
 	m.messages.counts = m.counts
+	m.answers = part(answersShare)
+	m.answers.counts = &counts{}
 	return m
 }
 
+// Answers returns the part of the memory for answers of servers, which requests can't take.
+func (m *Memory) Answers() *Memory { return m.answers }
+
 // Messages returns the part of the memory for messages of our own processes, which requests can't take.
 func (m *Memory) Messages() *Memory { return m.messages }
 
