httpserver: a status without a standard text reaches the client as it is

What callers saw: nothing reported; found by the table of shapes. An answer with a status that net/http has no text for (299, 419, 499, 520, 599) came with the first status of its class, with the server's stamp: 599 as 500, 299 as 200.

Cause: nbhttp writes such a status as 200, and the mend of that took the nearest status that it knows.

TestProtocolDetails held 400 for 499 and 500 for 520 for right; it now wants the status itself, and has 299, HEAD, HTTP/1.0 and a status that no response has (502) as well.

Change: nbhttp is told the first status of the class, and the connection puts the right one into the first line that it writes for that response. It works since responses are written one after the other by one goroutine, and a head begins a write.

--- a/httpserver/response.go
+++ b/httpserver/response.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/lesismal/nbio/nbhttp"
+
+	httpresponse "github.com/hibiscusspur/hibiscusspur/response"
 )
 
 // maxBufferedBytes is how much of a chunked response is buffered before it is sent. It is well below the 64 KiB from
@@ -29,19 +31,23 @@
 // Header implements http.ResponseWriter.
 func (w *response) Header() http.Header { return w.inner.Header() }
 
-// WriteHeader implements http.ResponseWriter. A status without a standard text is replaced by the first status of its
-// class, as nbhttp would send 200 instead.
+// WriteHeader implements http.ResponseWriter. A status that a response can't have is replaced by 502. For one without a
+// standard text nbhttp would send 200: it is told the first status of the class, and the connection writes the right one.
 func (w *response) WriteHeader(status int) {
-	w.started = true
-	if http.StatusText(status) == "" {
-		status = status / 100 * 100
-	}
-	if http.StatusText(status) == "" {
+	if httpresponse.Check(status, nil) != nil {
 		status = http.StatusBadGateway
 	}
+	if !w.started && http.StatusText(status) == "" {
+		w.out.nextStatus = status
+		status = status / statusClass * statusClass
+	}
+	w.started = true
 	w.inner.WriteHeader(status)
 }
 
+// statusClass is the number of statuses of a class.
+const statusClass = 100
+
 // Write implements http.ResponseWriter. It fails once the client has disconnected.
 func (w *response) Write(b []byte) (int, error) {
 	w.started = true
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -182,8 +182,12 @@
 		{"chunked", "GET", get("GET", "/", "1.1"), "abc", 200},
 		{"HEAD has no body", "HEAD", get("HEAD", "/", "1.1"), "", 200},
 		{"HTTP/1.0 has a length", "GET", get("GET", "/", "1.0"), "abc", 200},
-		{"client error unknown to net/http", "GET", get("GET", "/499", "1.1"), "abc", 400},
-		{"server error unknown to net/http", "GET", get("GET", "/520", "1.1"), "abc", 500},
+		{"client error unknown to net/http", "GET", get("GET", "/499", "1.1"), "abc", 499},
+		{"server error unknown to net/http", "GET", get("GET", "/520", "1.1"), "abc", 520},
+		{"success unknown to net/http", "GET", get("GET", "/299", "1.1"), "abc", 299},
+		{"HEAD of an unknown status", "HEAD", get("HEAD", "/599", "1.1"), "", 599},
+		{"unknown status in HTTP/1.0", "GET", get("GET", "/599", "1.0"), "abc", 599},
+		{"status that no response has", "GET", get("GET", "/600", "1.1"), "abc", 502},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := dial(t, addr)
--- a/httpserver/writer.go
+++ b/httpserver/writer.go
@@ -1,6 +1,8 @@
 package httpserver
 
 import (
+	"bytes"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,15 @@
 // closedCheckInterval is the interval at which a blocked writer checks whether its connection was closed.
 const closedCheckInterval = 20 * time.Millisecond
 
+// lineEnd ends a status line, which begins with as many bytes as statusPrefix has.
+var (
+	lineEnd      = []byte("\r\n")
+	statusPrefix = []byte("HTTP/1.1 ")
+)
+
+// errNoHead means that nbhttp wrote something else where a head was due.
+var errNoHead = merry.Sentinel("no head where one was due")
+
 var errStalled = merry.Sentinel("client reads nothing")
 
 // writer is the connection to which nbhttp writes responses. Unlike nbio's own, it blocks the writer while the client
@@ -33,6 +44,9 @@
 	pending atomic.Int64
 	wake    chan struct{}
 
+	// nextStatus replaces the status of the next head that is written; zero for none. It belongs to the goroutine that writes.
+	nextStatus int
+
 	memory *vmmemory.Memory
 	// counted is the part of pending that memory counts; it is set with mu held.
 	counted atomic.Int64
@@ -47,6 +61,28 @@
 
 // Write implements net.Conn. It may block, so it must not be called by a poller.
 func (w *writer) Write(b []byte) (int, error) {
+	if w.nextStatus != 0 {
+		return w.writeHead(b)
+	}
+	return w.writePieces(b)
+}
+
+// writeHead writes what begins with a head, with nextStatus in place of its status.
+func (w *writer) writeHead(b []byte) (int, error) {
+	end := bytes.Index(b, lineEnd)
+	if end < len(statusPrefix) {
+		return 0, errNoHead
+	}
+	line := fmt.Appendf(nil, "%s%d ", b[:len(statusPrefix)], w.nextStatus)
+	w.nextStatus = 0
+	_, err := w.writePieces(append(line, b[end:]...))
+	if err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+func (w *writer) writePieces(b []byte) (int, error) {
 	done := 0
 	for done < len(b) {
 		n := min(len(b)-done, maxPieceBytes)
