response/responsetest: one table of shapes for all that read answers

Cause: each reader of answers had a list of broken ones of its own, and the whole ones stood in one test alone.

The forwarder's clients read raw bytes by the strict reader: a broken answer is a 502 without a stamp, a whole one what the strict reader makes of the server's bytes. The stand-in can answer calls so as well. The report command of gateways reads by the same rules, with a bound.

--- a/cmd/hibiscusspur/gatewayreport.go
+++ b/cmd/hibiscusspur/gatewayreport.go
@@ -12,11 +12,16 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscusspur/hibiscusspur/operator"
+	"github.com/hibiscusspur/hibiscusspur/response"
+	"github.com/hibiscusspur/hibiscusspur/store"
 )
 
 // reportTimeout bounds the request to a gateway.
 const reportTimeout = 5 * time.Second
 
+// maxReportBytes bounds a report, which lists thousands of servers at most.
+const maxReportBytes = 64 << 20
+
 // gatewayReport holds the flags of commands that show a report of one gateway.
 type gatewayReport struct{ gateway, format string }
 
@@ -55,7 +60,7 @@
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	res, err := http.DefaultClient.Do(r)
+	res, err := store.NewClient(nil).Do(r)
 	if err != nil {
 		return merry.Wrap(err)
 	}
@@ -63,5 +68,9 @@
 	if res.StatusCode != http.StatusOK {
 		return merry.Errorf("gateway at %s answered %s", addr, res.Status)
 	}
-	return merry.Wrap(json.NewDecoder(res.Body).Decode(report))
+	data, err := response.ReadBody(res.Body, maxReportBytes)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	return merry.Wrap(json.Unmarshal(data, report))
 }
--- a/engine/broken_test.go
+++ b/engine/broken_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/engine"
+	"github.com/hibiscusspur/hibiscusspur/response/responsetest"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -13,15 +14,22 @@
 // its acceptance of a call.
 func TestBrokenAnswersOfEngineAreNone(t *testing.T) {
 	const info = `{"id":"e"}`
-	for _, text := range []string{
-		"HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n" + info,
-		"HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + info,
-		"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + info,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n" + info + "\r\n",
-	} {
-		e := engine.NewHTTP("http://"+site.NewRawServer(t, site.RawAnswer{Text: text}), nil)
+	for _, head := range []string{"X Y: z\r\n\r\n", "Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\na\r\n"} {
+		e := newRawEngine(t, "HTTP/1.1 200 OK\r\n"+head+info+"\r\n")
 		_, err := e.Info(t.Context())
-		assert.Check(t, err != nil, "info: %q", text)
-		assert.Check(t, e.Cancel(t.Context(), "r") != nil, "cancel: %q", text)
+		assert.Check(t, err != nil, "%q", head)
 	}
+	for name, text := range responsetest.Broken() {
+		assert.Check(t, newRawEngine(t, text).Cancel(t.Context(), "r") != nil, name)
+	}
+	for name, text := range responsetest.Whole {
+		if name != "failure" {
+			assert.NilError(t, newRawEngine(t, text).Cancel(t.Context(), "r"), name)
+		}
+	}
+}
+
+// newRawEngine returns the driver for an engine that sends text in answer to each call.
+func newRawEngine(t *testing.T, text string) engine.Engine {
+	return engine.NewHTTP("http://"+site.NewRawServer(t, site.RawAnswer{Text: text}), nil)
 }
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -1,12 +1,18 @@
 package forward_test
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusspur/hibiscusspur/registry"
+	"github.com/hibiscusspur/hibiscusspur/response"
+	"github.com/hibiscusspur/hibiscusspur/response/responsetest"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
@@ -38,38 +44,64 @@
 	}
 }
 
-// brokenHeads are answers whose heads are none.
-var brokenHeads = map[string]string{
-	"blank before the colon of the length":   site.StampedHead("200 OK", "bad") + "Content-Length : 2\r\n\r\nok and more",
-	"blank before the colon of the encoding": site.StampedHead("200 OK", "bad") + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"blank in a name":                        site.StampedHead("200 OK", "bad") + "X Y: z\r\nContent-Length: 2\r\n\r\nok",
-	"blank before a name":                    site.StampedHead("200 OK", "bad") + " X: z\r\nContent-Length: 2\r\n\r\nok",
-	"control byte in a name":                 site.StampedHead("200 OK", "bad") + "X\x01: z\r\nContent-Length: 2\r\n\r\nok",
-	"control byte in a value":                site.StampedHead("200 OK", "bad") + "X: \x01z\r\nContent-Length: 2\r\n\r\nok",
-	"status 000":                             site.StampedHead("000 None", "bad") + "Content-Length: 2\r\n\r\nok",
-	"status 000, then another":               site.StampedHead("000 None", "bad") + "\r\n" + site.StampedHead("200 OK", "bad") + "Content-Length: 2\r\n\r\nok",
-	"status 600":                             site.StampedHead("600 None", "bad") + "Content-Length: 2\r\n\r\nok",
-	"HTTP/0.9":                               "HTTP/0.9" + strings.TrimPrefix(site.StampedHead("200 OK", "bad"), "HTTP/1.1") + "Content-Length: 2\r\n\r\nok",
-	"length and chunks":                      site.StampedHead("200 OK", "bad") + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"chunks in HTTP/1.0":                     "HTTP/1.0" + strings.TrimPrefix(site.StampedHead("200 OK", "bad"), "HTTP/1.1") + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"body where none is allowed":             site.StampedHead("204 None", "bad") + "Content-Length: 2\r\n\r\nok",
-	"shorter than its length":                site.StampedHead("200 OK", "bad") + "Content-Length: 3\r\n\r\nok",
-	"no last chunk":                          site.StampedHead("200 OK", "bad") + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
-	"failure with a blank in a name":         site.StampedHead("500 Failed", "bad") + "X Y: z\r\nContent-Length: 6\r\n\r\nfailed",
+// rawPost posts a request and returns the answer as a strict client reads it; nil if it reads none.
+func (w *testEnv) rawPost(t *testing.T, path string) (*http.Response, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.addr)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: %s\r\n%s: 1000,200\r\nContent-Length: 0\r\n\r\n",
+		path, site.RequestID, site.Deadline, clientDeadline, site.Tokens)
+	assert.NilError(t, err)
+	res, err := response.NewReader(conn).Next(http.MethodPost)
+	if err != nil {
+		return nil, ""
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, ""
+	}
+	return res, string(body)
 }
 
-// TestBrokenHeadsDontReachClients guards against bytes that are no answer and reach a client as one, in place of a failure of the router's own.
-func TestBrokenHeadsDontReachClients(t *testing.T) {
-	for name, text := range brokenHeads {
+// stamped is the shape of an answer that the server could have given.
+func stamped(text, server string) site.RawAnswer {
+	return site.RawAnswer{Text: responsetest.WithFields(text, site.RequestID+": "+site.RequestIDMark+"\r\n"+site.Stamp+": "+server+"\r\n")}
+}
+
+// TestBrokenAnswersDontReachClients guards against bytes that are no answer, or not the whole one, and reach a client as one, in place of a
+// failure of the router's own.
+func TestBrokenAnswersDontReachClients(t *testing.T) {
+	for name, text := range responsetest.Broken() {
 		t.Run(name, func(t *testing.T) {
 			w := newTestEnv(t)
-			w.addRaw(t, "bad", "plain", registry.Whole, site.RawAnswer{Text: text})
+			w.addRaw(t, "bad", "plain", registry.Whole, stamped(text, "bad"))
 			w.add(t, "pre", "llm", registry.Prefill)
-			w.addRaw(t, "d", "llm", registry.Decode, site.RawAnswer{Text: text})
+			w.addRaw(t, "d", "llm", registry.Decode, stamped(text, "d"))
 			for _, path := range []string{"/once/1", "/draft/1"} {
-				got := w.post(t, path)
-				assert.Check(t, got.status == 502 && got.header.Get(site.Stamp) == "", "%s: %d %q %q", path, got.status, got.header, got.body)
+				res, body := w.rawPost(t, path)
+				assert.Assert(t, res != nil, "%s: no answer", path)
+				assert.Check(t, res.StatusCode == 502 && res.Header.Get(site.Stamp) == "", "%s: %d %q %q", path, res.StatusCode, res.Header, body)
 			}
 		})
 	}
 }
+
+// TestWholeAnswersReachClients guards against losing answers that a strict reader takes for whole.
+func TestWholeAnswersReachClients(t *testing.T) {
+	for name, text := range responsetest.Whole {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t)
+			answer := stamped(text, "p")
+			w.addRaw(t, "p", "plain", registry.Whole, answer)
+			sent, err := response.NewReader(strings.NewReader(answer.Text)).Next(http.MethodPost)
+			assert.NilError(t, err)
+			res, body := w.rawPost(t, "/once/1")
+			assert.Assert(t, res != nil, "no answer")
+			assert.Equal(t, res.StatusCode, sent.StatusCode)
+			assert.Equal(t, res.Header.Get(site.Stamp), "p")
+			assert.Equal(t, res.Header.Get("X"), sent.Header.Get("X"))
+			assert.Equal(t, body, "ok")
+		})
+	}
+}
--- a/response/head.go
+++ b/response/head.go
@@ -94,7 +94,7 @@
 	return strings.TrimSuffix(line, "\r"), rest
 }
 
-func parseStatusLine(line string) (*headLines, error) {
+func parseStatusLine(line string) (headLines, error) {
 	for _, protocol := range protocols {
 		rest, ok := strings.CutPrefix(line, protocol)
 		if !ok {
@@ -102,11 +102,11 @@
 		}
 		status, err := parseStatus(rest)
 		if err != nil {
-			return nil, err
+			return headLines{}, err
 		}
-		return &headLines{http10: protocol == protocols[1], status: status}, nil
+		return headLines{http10: protocol == protocols[1], status: status}, nil
 	}
-	return nil, malformed("status line %q", quoted(line))
+	return headLines{}, malformed("status line %q", quoted(line))
 }
 
 // parseStatus parses a status and the reason phrase after it, which may be missing.
--- a/response/response.go
+++ b/response/response.go
@@ -85,7 +85,9 @@
 			return nil, err
 		}
 		if res.StatusCode >= minFinalStatus {
-			res.Body = &checkedBody{ReadCloser: res.Body, res: res}
+			if FramingOf(res) == FramedByChunks {
+				res.Body = &checkedBody{ReadCloser: res.Body, res: res}
+			}
 			return res, nil
 		}
 	}
@@ -176,7 +178,7 @@
 	}
 }
 
-// checkedBody is a body whose trailer is checked once it has been read.
+// checkedBody is a body in chunks whose trailer is checked once it has been read.
 type checkedBody struct {
 	io.ReadCloser
 	res *http.Response
--- a/sidecar/call_test.go
+++ b/sidecar/call_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusspur/hibiscusspur/response/responsetest"
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 	"github.com/hibiscusspur/hibiscusspur/wire"
 )
@@ -53,17 +54,16 @@
 
 // TestBrokenAnswersAreNoReply guards against bytes of a plain service that are no answer, or not the whole one, and pass for its reply.
 func TestBrokenAnswersAreNoReply(t *testing.T) {
-	for _, text := range []string{
-		"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
-	} {
+	broken := responsetest.Broken()
+	broken["encoding that was not asked for"] = "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"
+	for name, text := range broken {
 		got, err := reply(t, site.RawAnswer{Text: text}, nil)
-		assert.Check(t, err != nil, "%q: %v", text, got)
+		assert.Check(t, err != nil, "%s: %v", name, got)
+	}
+	for name, text := range responsetest.Whole {
+		got, err := reply(t, site.RawAnswer{Text: text}, nil)
+		assert.NilError(t, err, name)
+		assert.Check(t, string(got.GetBody()) == "ok", "%s: %v", name, got)
 	}
 }
 
--- a/standin/site/raw.go
+++ b/standin/site/raw.go
@@ -11,11 +11,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// RawAnswer is what a server in trouble sends in place of an answer to a request of a client. It grants reservations as a sound one
-// does.
+// RawAnswer is what a server in trouble sends in place of an answer to a request of a client. Unless Calls is set it grants
+// reservations as a sound one does.
 type RawAnswer struct {
 	// Text is sent as it is, but for RequestIDMark, in answer to a request of which the head was read.
 	Text string
+	// Calls is set if calls that are no requests of clients get the answer as well.
+	Calls bool
 	// Resets is set if the connection is reset after it, with the rest of the request unread, and not closed in an orderly way
 	// once the whole request was read.
 	Resets bool
@@ -70,7 +72,7 @@
 	if !a.Resets {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	if strings.HasPrefix(r.URL.Path, callsPrefix) {
+	if !a.Calls && strings.HasPrefix(r.URL.Path, callsPrefix) {
 		_, _ = io.WriteString(conn, reservationGranted)
 		return
 	}
