upstream, response, forward: a response to HEAD leaves its connection usable; found by reading the diff

A response to HEAD without a length counted as one that ends with its connection; at its end writing was ended, and the kept connection failed the next request, which may not be repeated.

Cause: the framing was told by the length alone. Change: a response without a body ends with its head.

Measured: upstream.TestHeadLeavesItsConnectionUsable failed before (i/o timeout on the second request) and passes; response, upstream, sidecar, engine, store and platform pass with the race detector.

--- a/forward/receive.go
+++ b/forward/receive.go
@@ -28,18 +28,15 @@
 	if res.Length > limit {
 		return nil, response.ErrTooLarge
 	}
-	r := &answerReader{
-		body: res.Body, length: max(res.Length, 0), limit: limit,
-		claim: f.Memory.NewClaim(func() { _ = res.Body.Close() }),
-	}
+	r := &answerReader{memory: f.Memory, body: res.Body, length: max(res.Length, 0), limit: limit}
 	body, err := r.read()
+	if r.claim == nil {
+		return body, err
+	}
 	if err != nil {
 		r.claim.Release()
 		return nil, err
 	}
-	if !r.counted {
-		return body, nil
-	}
 	room, ok := r.claim.Complete()
 	if !ok {
 		return nil, errNoMemory
@@ -58,16 +55,16 @@
 
 // answerReader reads one answer.
 type answerReader struct {
-	body io.Reader
+	memory *vmmemory.Memory
+	body   io.ReadCloser
 	// length is that of the body, zero if it is not known in advance.
 	length, limit int64
-	claim         *vmmemory.Claim
-	// counted is set once the answer takes room.
-	counted bool
+	// claim is the room that the answer takes; nil while it takes none.
+	claim *vmmemory.Claim
 }
 
 func (r *answerReader) read() ([]byte, error) {
-	data := make([]byte, 0, firstAnswerBytes)
+	data := make([]byte, 0, min(max(r.length+1, firstAnswerBytes), uncountedAnswerBytes))
 	for {
 		if len(data) == cap(data) {
 			grown, err := r.grow(data)
@@ -78,7 +75,7 @@
 		}
 		n, err := r.body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
-		if r.counted {
+		if r.claim != nil {
 			r.claim.Received(n)
 		}
 		switch {
@@ -100,14 +97,20 @@
 	return errNoMemory
 }
 
+// reserve reports whether there is room for size bytes in all. An answer that must give way to others is broken off.
+func (r *answerReader) reserve(size int64) bool {
+	if r.claim == nil {
+		r.claim = r.memory.NewClaim(func() { _ = r.body.Close() })
+	}
+	_, ok := r.claim.Reserve(size, r.length, false)
+	return ok
+}
+
 // grow returns a copy of data with room for more. One byte beyond the last shows that there is no more.
 func (r *answerReader) grow(data []byte) ([]byte, error) {
 	size := min(max(2*int64(cap(data)), r.length+1), r.limit+1)
-	if size > uncountedAnswerBytes {
-		if _, ok := r.claim.Reserve(size, r.length, false); !ok {
-			return nil, r.refused()
-		}
-		r.counted = true
+	if size > uncountedAnswerBytes && !r.reserve(size) {
+		return nil, r.refused()
 	}
 	grown := make([]byte, len(data), size)
 	copy(grown, data)
--- a/response/response.go
+++ b/response/response.go
@@ -40,12 +40,12 @@
 	FramedByConnection Framing = "connection"
 )
 
-// FramingOf returns the framing of a response.
+// FramingOf returns the framing of a response. One that has no body, such as the response to HEAD, ends with its head.
 func FramingOf(res *http.Response) Framing {
 	switch {
 	case len(res.TransferEncoding) > 0:
 		return FramedByChunks
-	case res.ContentLength >= 0:
+	case res.ContentLength >= 0, res.Body == http.NoBody:
 		return FramedByLength
 	default:
 		return FramedByConnection
@@ -112,7 +112,7 @@
 	return err
 }
 
-// Idle reports whether nothing was read beyond the last response, whose body has ended.
+// Idle reports whether nothing was read beyond the last response, whose body has ended. It returns the memory that a long head took.
 func (r *Reader) Idle() bool {
 	if r.br.Buffered() > 0 {
 		return false
@@ -125,13 +125,14 @@
 
 // peekHead returns the next head with the empty line after it, which stays to be read.
 func (r *Reader) peekHead() ([]byte, error) {
-	for {
+	for lines := 0; ; {
 		text, _ := r.br.Peek(r.br.Buffered())
 		if !mayBeResponse(text) {
 			return nil, malformed("status line %q", quoted(string(text)))
 		}
-		if end := headLength(text); end > 0 {
-			return text[:end], nil
+		var whole bool
+		if lines, whole = skipLines(text, lines); whole {
+			return text[:lines], nil
 		}
 		if len(text) == r.br.Size() {
 			r.grow()
@@ -163,17 +164,18 @@
 	return string(text[:n]) == protocolPrefix[:n]
 }
 
-// headLength returns the length of a head up to and with the empty line after it; 0 if that has not arrived.
-func headLength(text []byte) int {
-	for at := 0; ; {
-		n := bytes.IndexByte(text[at:], '\n')
+// skipLines returns the length of the lines of a head that have arrived whole, of which so many bytes were skipped before, and whether
+// the empty line that ends it is among them.
+func skipLines(text []byte, skipped int) (length int, whole bool) {
+	for {
+		n := bytes.IndexByte(text[skipped:], '\n')
 		if n < 0 {
-			return 0
+			return skipped, false
 		}
-		line := text[at : at+n]
-		at += n + 1
+		line := text[skipped : skipped+n]
+		skipped += n + 1
 		if len(bytes.TrimSuffix(line, []byte{'\r'})) == 0 {
-			return at
+			return skipped, true
 		}
 	}
 }
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -104,3 +104,17 @@
 		assert.Equal(t, body, "whole")
 	}
 }
+
+// TestHeadLeavesItsConnectionUsable guards against a response to HEAD without a length that passes for one that ends with its connection.
+func TestHeadLeavesItsConnectionUsable(t *testing.T) {
+	addr, conns := serve(t, respondWith("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", ok))
+	p := upstream.New(upstream.Options{})
+	head := request()
+	head.Method, head.Body = http.MethodHead, nil
+	_, err := do(t.Context(), p, addr, head)
+	assert.NilError(t, err)
+	body, err := do(t.Context(), p, addr, request())
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, conns(), 1)
+}
