--- a/forward/access.go
+++ b/forward/access.go
@@ -203,12 +203,15 @@
 	Return(customer string, cost float64)
 }
 
+// unstatedRetry bounds the Retry-After for a client that states no time.
+const unstatedRetry = 300 * time.Millisecond
+
 // RetryAfter returns when the client of a request that is rejected before it is received may come back: after a third of its time it
 // would not.
 func (f *Forwarder) RetryAfter(r *http.Request, after time.Duration) time.Duration {
 	meta, err := f.Codec.ParseRequest(r.Header)
 	if err != nil || meta.ClientTimeout <= 0 {
-		return min(after, unprovedRetry)
+		return min(after, unstatedRetry)
 	}
 	return min(after, meta.ClientTimeout/3).Truncate(retryUnit)
 }
--- a/policy/membudget/membudget.go
+++ b/policy/membudget/membudget.go
@@ -11,6 +11,8 @@
 // small requests that are the first on their connection: where that part is as large as all connections together need for one each, there is
 // room for every such request.
 //
+// Answers of servers that are held until they are whole are decided on in the same way, with a budget of their own.
+//
 // The package is pure: it has no clock, lock or goroutine.
 package membudget
 
@@ -93,9 +95,6 @@
 // Held returns the number of bytes that are held.
 func (b *Budget) Held() int64 { return b.held }
 
-// Claims returns the number of requests that are being received.
-func (b *Budget) Claims() int { return len(b.claims) }
-
 // Reserve asks for room so that the claim takes size bytes in all. A claim that is not granted it keeps what it has.
 func (b *Budget) Reserve(c *Claim, size int64, now time.Time) Verdict {
 	if c.index == 0 {
