engine: a long body doesn't make an accepted call one that may be lost

A call that an engine accepted with a body over 4 KiB counted as indeterminate, since the whole body is read now, within the bound for errors.

Change: the bound is that of other answers, 16 MiB. Measured: TestLongAnswerToCallIsAccepted fails before (body too large) and passes.

--- a/engine/broken_test.go
+++ b/engine/broken_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -29,6 +30,12 @@
 	}
 }
 
+// TestLongAnswerToCallIsAccepted guards against a call that an engine has accepted and that counts as lost since the answer has a body.
+func TestLongAnswerToCallIsAccepted(t *testing.T) {
+	e := newRawEngine(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat(" ", 8<<10))
+	assert.NilError(t, e.Cancel(t.Context(), "r"))
+}
+
 // newRawEngine returns the driver for an engine that sends text in answer to each call.
 func newRawEngine(t *testing.T, text string) engine.Engine {
 	return engine.NewHTTP("http://"+site.NewRawServer(t, site.RawAnswer{Text: text}), nil)
--- a/engine/http.go
+++ b/engine/http.go
@@ -145,7 +145,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if _, err := response.ReadBody(resp.Body, maxErrorBody); err != nil {
+	if _, err := response.ReadBody(resp.Body, maxReplyBody); err != nil {
 		return lostAnswer(c, err)
 	}
 	return nil
