response, standin: one place judges the framing of a head, one grants reservations; comments

A head's lengths were judged in two places, by its lines and by the parsed response; digits of a status were parsed by hand; the test of endless bodies wrote again how the stand-in grants a reservation, and two tests the headers of a stamped answer.

Change: checkFraming judges lengths, chunks and statuses without a body; strconv.ParseUint, which takes neither signs nor prefixes, parses a status; site.GrantReservation and StampedFields serve their callers. Behaviour is the same.

--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -66,7 +66,7 @@
 
 // stamped is the shape of an answer that the server could have given.
 func stamped(text, server string) site.RawAnswer {
-	return site.RawAnswer{Text: responsetest.WithFields(text, site.RequestID+": "+site.RequestIDMark+"\r\n"+site.Stamp+": "+server+"\r\n")}
+	return site.RawAnswer{Text: responsetest.WithFields(text, site.StampedFields(server))}
 }
 
 // TestBrokenAnswersDontReachClients guards against bytes that are no answer, or not the whole one, and reach a client as one, in place of a
--- a/forward/call.go
+++ b/forward/call.go
@@ -152,8 +152,8 @@
 }
 
 // noEvidence reports whether a call shows nothing about whether its server fails requests, or about its load: it was not
-// sent, its answer of known length found no room, or the server refused it and asked for a cooldown. The cooldown holds as long as the server says, and nothing
-// that is inferred from the refusal extends it.
+// sent, its answer of known length found no room, or the server refused it and asked for a cooldown. The cooldown holds as
+// long as the server says, and nothing that is inferred from the refusal extends it.
 func noEvidence(err error) bool {
 	return withheldReason(err) != eligibility.None || errors.Is(err, errBlocked) || errors.Is(err, errNoMemory) || errors.Is(err, errCooldownRequested)
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -30,7 +30,7 @@
 	"github.com/hibiscusspur/hibiscusspur/vmmemory"
 )
 
-// Config holds the dependencies and settings of a Forwarder. All fields are required.
+// Config holds the dependencies and settings of a Forwarder. All fields but Memory are required.
 type Config struct {
 	Codec   Codec
 	Engines Engines
--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -162,8 +162,7 @@
 	if err != nil {
 		return
 	}
-	if strings.HasPrefix(r.URL.Path, "/api/") {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{\"hold\":\"h\"}")
+	if site.GrantReservation(conn, r) {
 		return
 	}
 	s.answers.Add(1)
--- a/response/head.go
+++ b/response/head.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -49,10 +50,7 @@
 	return nil
 }
 
-// protocols are the versions that a status line may begin with.
-var protocols = []string{"HTTP/1.1 ", "HTTP/1.0 "}
-
-// protocolPrefix is what they have in common.
+// protocolPrefix begins a status line; the minor version follows it.
 const protocolPrefix = "HTTP/1."
 
 // statusDigits is the length of a status.
@@ -60,9 +58,11 @@
 
 // headLines is what the lines of a head say about the end of the response.
 type headLines struct {
-	http10            bool
-	status            int
-	contentLength     bool
+	http10 bool
+	status int
+	// length is the last stated one, which net/http compares with others; stated is set if there is one.
+	length            string
+	stated            bool
 	transferEncodings int
 }
 
@@ -95,38 +95,25 @@
 }
 
 func parseStatusLine(line string) (headLines, error) {
-	for _, protocol := range protocols {
-		rest, ok := strings.CutPrefix(line, protocol)
-		if !ok {
-			continue
-		}
-		status, err := parseStatus(rest)
-		if err != nil {
-			return headLines{}, err
-		}
-		return headLines{http10: protocol == protocols[1], status: status}, nil
+	rest, http11 := strings.CutPrefix(line, protocolPrefix+"1 ")
+	rest, http10 := strings.CutPrefix(rest, protocolPrefix+"0 ")
+	if http11 == http10 {
+		return headLines{}, malformed("status line %q", quoted(line))
 	}
-	return headLines{}, malformed("status line %q", quoted(line))
+	status, err := parseStatus(rest)
+	return headLines{http10: http10, status: status}, err
 }
 
 // parseStatus parses a status and the reason phrase after it, which may be missing.
 func parseStatus(text string) (int, error) {
 	digits, reason, _ := strings.Cut(text, " ")
-	if len(digits) != statusDigits || !httpguts.ValidHeaderFieldValue(reason) {
-		return 0, malformed("status %q", quoted(text))
-	}
-	status := 0
-	for _, d := range []byte(digits) {
-		if d < '0' || d > '9' {
-			return 0, malformed("status %q", quoted(text))
-		}
-		status = 10*status + int(d-'0')
-	}
+	status, err := strconv.ParseUint(digits, 10, 0)
 	// Nobody asks a server to switch protocols.
-	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+	known := status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+	if err != nil || len(digits) != statusDigits || !known || !httpguts.ValidHeaderFieldValue(reason) {
 		return 0, malformed("status %q", quoted(text))
 	}
-	return status, nil
+	return int(status), nil
 }
 
 func (l *headLines) addField(line string) error {
@@ -139,7 +126,7 @@
 	}
 	switch {
 	case strings.EqualFold(name, "Content-Length"):
-		l.contentLength = true
+		l.length, l.stated = strings.TrimSpace(value), true
 	case strings.EqualFold(name, "Transfer-Encoding"):
 		l.transferEncodings++
 	}
@@ -148,17 +135,20 @@
 
 // checkFraming returns ErrMalformed if the fields contradict each other, or the status, about where the response ends.
 func (l *headLines) checkFraming() error {
+	withoutBody := l.status < minFinalStatus || l.status == http.StatusNoContent
 	switch {
+	case withoutBody && l.length != "" && l.length != "0":
+		return malformed("a body of %s bytes with status %d", quoted(l.length), l.status)
 	case l.transferEncodings == 0:
 		return nil
+	case withoutBody:
+		return malformed("chunks with status %d", l.status)
 	case l.http10:
 		return malformed("chunks in HTTP/1.0")
-	case l.contentLength:
+	case l.stated:
 		return malformed("both a length and chunks")
 	case l.transferEncodings > 1:
 		return malformed("%d transfer encodings", l.transferEncodings)
-	case l.status < minFinalStatus || l.status == http.StatusNoContent:
-		return malformed("chunks with status %d", l.status)
 	default:
 		return nil
 	}
--- a/response/response.go
+++ b/response/response.go
@@ -81,9 +81,6 @@
 		if err != nil {
 			return nil, errors.Join(ErrMalformed, err)
 		}
-		if err := checkNoBody(res); err != nil {
-			return nil, err
-		}
 		if res.StatusCode >= minFinalStatus {
 			if FramingOf(res) == FramedByChunks {
 				res.Body = &checkedBody{ReadCloser: res.Body, res: res}
@@ -93,17 +90,6 @@
 	}
 }
 
-// checkNoBody returns ErrMalformed if a response whose status allows no body states the length of one.
-func checkNoBody(res *http.Response) error {
-	if res.StatusCode >= minFinalStatus && res.StatusCode != http.StatusNoContent {
-		return nil
-	}
-	if length := res.Header.Get("Content-Length"); length != "" && length != "0" {
-		return malformed("a body of %s bytes with status %d", length, res.StatusCode)
-	}
-	return nil
-}
-
 // Skip reads the body of a response to another request, so that the next response can be read.
 func (r *Reader) Skip(res *http.Response) error {
 	r.limit.begin(maxSkippedBytes)
--- a/standin/site/raw.go
+++ b/standin/site/raw.go
@@ -27,8 +27,11 @@
 const RequestIDMark = "{id}"
 
 // StampedHead begins an answer that can pass for one of server id: its status line and the headers that are checked.
-func StampedHead(status, id string) string {
-	return "HTTP/1.1 " + status + "\r\n" + RequestID + ": " + RequestIDMark + "\r\n" + Stamp + ": " + id + "\r\n"
+func StampedHead(status, id string) string { return "HTTP/1.1 " + status + "\r\n" + StampedFields(id) }
+
+// StampedFields are those headers.
+func StampedFields(id string) string {
+	return RequestID + ": " + RequestIDMark + "\r\n" + Stamp + ": " + id + "\r\n"
 }
 
 // unreadBytes is the size of the receive buffer of a server that resets connections: the rest of a long request waits at
@@ -41,6 +44,17 @@
 	reservationGranted = "HTTP/1.1 200 OK\r\n\r\n{\"hold\":\"h\"}"
 )
 
+// GrantReservation answers a call that is no request of a client as if it asked for a reservation. It returns false, without an answer,
+// for a request.
+func GrantReservation(w io.Writer, r *http.Request) bool {
+	if !strings.HasPrefix(r.URL.Path, callsPrefix) {
+		return false
+	}
+	// A client that has disconnected needs no answer.
+	_, _ = io.WriteString(w, reservationGranted)
+	return true
+}
+
 // NewRawServer starts a backend server that sends the answer to each request, on a connection each. It returns its address.
 func NewRawServer(t *testing.T, answer RawAnswer) string {
 	t.Helper()
@@ -72,8 +86,7 @@
 	if !a.Resets {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	if !a.Calls && strings.HasPrefix(r.URL.Path, callsPrefix) {
-		_, _ = io.WriteString(conn, reservationGranted)
+	if !a.Calls && GrantReservation(conn, r) {
 		return
 	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(a.Text, RequestIDMark, r.Header.Get(RequestID)))
