review: streams are lost with all gateways as the first engine of a new version starts

Seen: 18 resumable streams begin while one software version is listed. All gateways lose their power for 0.65 s, and an engine of the next version starts at that moment. 3.3 s after the gateways are back the clients take their streams up: each attempt gets 503. Cause: streams are kept in the store only while their service has several versions (Directory.Begun); afterwards two versions are possible and nobody knows the stream.

--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,73 +1,174 @@
-// Command 8 sends requests whose path has an escaped slash and a character that clients such as browsers and curl send as it
-// is. One route takes all paths below a prefix, another the paths below a longer one.
+// Command 8 has streams in progress whose connections go silent, while the first engine of the next software version starts.
+// All gateways lose their power for a moment, and the clients take their streams up.
 package main
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/review/stand2"
-	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
 const (
-	requests = 40
-	// The path begins with the prefix of the first route alone.
-	shortPrefix, longPrefix = "/cufi504/", "/cufi504/2026/"
-	path                    = "/cufi504/2026%2F117"
-	unescaped               = "|a"
-	// archive is the service of the longer prefix.
-	archive = "archive"
-	idle    = 300 * time.Millisecond
+	streams = 18
+	// warmUp is for how long the gateways have run when the streams begin.
+	warmUp = 34 * time.Second
+	// The power is lost for as long as on a day of the site.
+	down = 650 * time.Millisecond
+	// gap is how long a client waits for the next event: four times the objective.
+	objectiveMs = 1000
+	gap         = 4 * objectiveMs * time.Millisecond
+	timeLimit   = 14 * time.Second
+	// tries is how often a client takes its stream up, at another gateway each time, as it is told when to come back.
+	tries = 3
 )
 
 func main() { stand2.Main(os.Args[1], run) }
 
 func run(p *stand2.Platform) (int, error) {
-	for _, service := range []string{stand2.Portal, archive} {
-		if err := p.AddPlain(service, 3, 15*time.Millisecond); err != nil {
-			return 0, err
-		}
+	const eventEvery = 165 * time.Millisecond
+	if err := p.AddEngines(3, 3, "v1", eventEvery); err != nil {
+		return 0, err
 	}
-	m := stand2.Manifest(7,
-		stand2.Route("r-all", shortPrefix, "unsafe", stand2.Portal, 2, false, 1500, 100),
-		stand2.Route("r-year", longPrefix, "unsafe", archive, 2, false, 1500, 100))
-	m["services"] = append(m["services"].([]any), map[string]any{"name": archive, "health_path": "/health", "max_conns": 96, "protocol": "h1", "tls": false})
-	if err := p.PutManifest(m); err != nil {
+	if err := p.PutManifest(stand2.Manifest(7, stand2.Route("r-hh2b9wu", "/pufi791/", "stream", stand2.Model, 2, true, 14000, objectiveMs))); err != nil {
 		return 0, err
 	}
-	if err := p.AddGateways(2, nil); err != nil {
+	if err := p.AddGateways(3, nil); err != nil {
 		return 0, err
 	}
-	target := path
+	time.Sleep(warmUp)
+	silence := make(chan struct{})
+	var work sync.WaitGroup
+	var taken, wentOn, begun atomic.Int64
+	for i := range streams {
+		work.Go(func() {
+			end := time.Now().Add(timeLimit)
+			q := request(fmt.Sprintf("%02d-first", i), timeLimit)
+			a := silent(p.Gateways[i%len(p.Gateways)].Front, q, silence)
+			p.Note("client request=%s status=%d events=%d whole=%t", q.ID, a.Status, len(a.Events), a.Whole)
+			if a.Whole || len(a.Events) == 0 {
+				return
+			}
+			taken.Add(1)
+			if takeUp(p, i, q.ID, a.Events[len(a.Events)-1].ID, end) {
+				wentOn.Add(1)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	close(silence)
+	p.Note("the connections of clients go silent")
 	if stand2.Trouble() {
-		target += unescaped
+		for _, g := range p.Gateways {
+			g.Kill()
+		}
+		p.Note("all gateways have lost power")
 	}
-	for i := range requests {
-		id := fmt.Sprintf("%016x", 0x1c41d07be2a30000+i)
-		text := "POST " + target + " HTTP/1.1\r\nHost: " + stand2.Host + "\r\n" + site.RequestID + ": " + id + "\r\n" + site.Deadline + ": 1500\r\nContent-Length: 0\r\n\r\n"
-		answers, err := stand2.Raw(p.Gateways[i%len(p.Gateways)].Front, text, idle)
-		if err != nil {
-			return 0, err
+	if err := p.Add(stand2.NewEngine(50, "decode", eventEvery), "v2"); err != nil {
+		return 0, err
+	}
+	if stand2.Trouble() {
+		time.Sleep(down)
+		for _, g := range p.Gateways {
+			if err := g.Start(); err != nil {
+				return 0, err
+			}
 		}
-		for _, a := range answers {
-			p.Note("client request=%s target=%s status=%d body=%q", id, target, a.Status, a.Body)
+	}
+	time.Sleep(gap)
+	for i := range streams {
+		work.Go(func() {
+			q := request(fmt.Sprintf("%02d-new", i), timeLimit)
+			if a := stand2.Do(p.Gateways[i%len(p.Gateways)].Front, q); len(a.Events) > 0 {
+				begun.Add(1)
+			}
+		})
+	}
+	work.Wait()
+	p.Note("taken up: %d, went on: %d; new streams: %d, begun: %d", taken.Load(), wentOn.Load(), streams, begun.Load())
+	if taken.Load() < enough {
+		return 0, fmt.Errorf("only %d streams were taken up", taken.Load())
+	}
+	// The share that goes on is under half of the share of new streams that begin.
+	if 2*wentOn.Load()*streams < taken.Load()*begun.Load() {
+		return 1, nil
+	}
+	return 0, nil
+}
+
+// enough is the number of streams that are taken up from which the rule holds.
+const enough = 12
+
+// takeUp has a client take a stream up, and reports whether it goes on.
+func takeUp(p *stand2.Platform, i int, resumes string, after int, end time.Time) bool {
+	for try := range tries {
+		q := request(fmt.Sprintf("%02d-again-%d", i, try), time.Until(end))
+		q.Resumes, q.LastEvent = resumes, strconv.Itoa(after)
+		a := stand2.Do(p.Gateways[(i+try+1)%len(p.Gateways)].Front, q)
+		wait := a.Header.Get("Retry-After")
+		p.Note("client request=%s resumes=%s after=%d status=%d events=%d whole=%t retry_after=%s err=%v", q.ID, resumes, after, a.Status, len(a.Events), a.Whole, wait, a.Err)
+		if len(a.Events) > 0 {
+			return true
 		}
+		seconds, _ := strconv.ParseFloat(wait, 64)
+		time.Sleep(time.Duration(seconds * float64(time.Second)))
+	}
+	return false
+}
+
+func request(id string, limit time.Duration) stand2.Request {
+	return stand2.Request{
+		ID: id, Host: stand2.Host, Path: "/pufi791/2f", Method: "POST", Prompt: 1460, Out: 500, Part: "5c1e07a2", Deadline: limit, Body: "draft",
+	}
+}
+
+// silent makes a request over a connection that goes silent, and is not reset, once silence is closed. The client abandons its
+// attempt when nothing has come for a while.
+func silent(front string, q stand2.Request, silence <-chan struct{}) stand2.Answer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return stand2.Answer{Err: err}
 	}
-	breaks, ran := 0, p.Runs()
-	for _, r := range ran {
-		if r.Target != target {
-			breaks++
-			p.Note("UNASKED request=%s was sent with target=%s and run by server=%s with target=%s", r.Request, target, r.Server, r.Target)
+	defer func() { _ = l.Close() }()
+	go relay(l, front, silence)
+	return stand2.Do(l.Addr().String(), q)
+}
+
+// relay passes the bytes of one connection on until silence is closed.
+func relay(l net.Listener, front string, silence <-chan struct{}) {
+	client, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = client.Close() }()
+	server, err := net.Dial("tcp", front)
+	if err != nil {
+		return
+	}
+	defer func() { _ = server.Close() }()
+	go func() { _, _ = io.Copy(server, client) }()
+	buf := make([]byte, 32<<10)
+	for {
+		_ = server.SetReadDeadline(time.Now().Add(gap))
+		n, err := server.Read(buf)
+		select {
+		case <-silence:
+			time.Sleep(gap)
+			return
+		default:
 		}
-		if r.Service != stand2.Portal {
-			breaks++
-			p.Note("ROUTE request=%s with target=%s was run by service=%s", r.Request, target, r.Service)
+		if n > 0 {
+			_, _ = client.Write(buf[:n])
+		}
+		if err != nil {
+			return
 		}
 	}
-	if len(ran) == 0 {
-		return 0, fmt.Errorf("no request was run")
-	}
-	return breaks, nil
 }
