Streams: a run whose connection ended is stopped before it continues elsewhere

Cause: policy/runcopy took a broken stream for a lost engine and continued from the backup at once; the model of its test closed every run with its connection. The protocol says that most engines do so, not all. The same on a related path: a stream that may be resumed was sent to another engine while the first one went on.

Change: before a run continues from a backup or a copy its engine is asked to stop it (a move with "last", at most 0.25 s); one that is resumed by another attempt is stopped in the background. Event 762, metric runs_outlived. If the backup is gone by then, the source takes the run back. Ruled out: the engine's report (0.1 s old, stops nothing), the stop beside the continuation (docs/design/copies-of-runs.md).

Open: engines with backups and without moves can't be stopped; no deployment has such.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -91,6 +91,7 @@
 	LinkFull             = Event{759, log.WarnLevel, "network link is full"}
 	LinkFree             = Event{760, log.InfoLevel, "network link is no longer full"}
 	MemoryShort          = Event{761, log.WarnLevel, "requests were rejected, or gave way, for lack of memory"}
+	RunOutlived          = Event{762, log.WarnLevel, "engine went on with a run after its connection had ended, and was told to stop"}
 	SignalInvalid        = Event{738, log.WarnLevel, "field of a server's answer not understood; what it said before holds"}
 
 	FaultSet = Event{601, log.InfoLevel, "fault switched"}
@@ -112,6 +113,6 @@
 		RequestQuarantined, RequestReleased, HoldInvalid, KeysRefused, KeysServed, QuotaUsed, QuotaReserved,
 		ServerLimited, SignalInvalid, ServerCooldown, ServerLeaveAnnounced, ListReadingDropped, StoreRestored,
 		RunContinued, ContinuationFailed, RunMoved, MoveFailed, QuotaOrdered, EnginePaceChanged, EngineExcluded, EngineReadmitted, CustomerShort,
-		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited, LinkFull, LinkFree, ProbeFailed, MemoryShort,
+		StreamTruncated, StreamVersionChanged, ConnectionsLimited, ConnectionsUnlimited, LinkFull, LinkFree, ProbeFailed, MemoryShort, RunOutlived,
 	}
 }
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -74,7 +74,7 @@
 // needsRetry reports whether the continuation takes a retry from the budget, as one after a loss does. A move has taken one
 // before it stopped the run, also for its return to the source.
 func (a *streamAttempt) needsRetry() bool {
-	return a.next == runcopy.ContinueAtBackup || a.next == runcopy.ContinueAtCopy && !a.move.retryTaken
+	return a.next == runcopy.ContinueAtBackup || !a.move.retryTaken
 }
 
 // openContinuation sends the request to the engine of the lease and reads the head of the answer.
--- a/forward/move.go
+++ b/forward/move.go
@@ -191,6 +191,9 @@
 }
 
 func (m *move) failed(last bool, err error) {
+	if m.reason == runcopy.Lost && (errors.Is(err, ErrNoRun) || errors.Is(err, upstream.ErrNotSent)) {
+		return // Most runs end with their connection.
+	}
 	f := m.a.r.f
 	event.MoveFailed.Log(f.Log).Str("request", m.a.r.j.meta.ID).Str("reason", string(m.reason)).Str("from", m.from.ID).
 		Str("to", m.to.server.ID).Bool("stopped", last && errors.Is(err, ErrFull)).Dur("took", time.Since(m.since)).Err(err).Msg("")
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -56,6 +56,7 @@
 		reason = outcome.CallerGone
 	}
 	f.attemptLost(j, s, reason, err)
+	a.mayStillRun = reason == outcome.EngineLost
 	return j.unanswered(reason)
 }
 
--- a/forward/runcopies.go
+++ b/forward/runcopies.go
@@ -104,6 +104,9 @@
 	for {
 		var c continuation
 		switch a.next {
+		case runcopy.EndRun:
+			a.next = a.endRun(ctx)
+			continue
 		case runcopy.ContinueAtCopy:
 			c = continuation{kind: copyOfMove, to: a.move.to, source: a.move.source()}
 		case runcopy.ContinueAtSource:
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -67,6 +67,8 @@
 	state *runState
 	next  runcopy.Action
 	move  *move
+	// mayStillRun is set if the attempt was broken off, so that its engine may go on with the run.
+	mayStillRun bool
 	// stream is the answer of the engine.
 	stream io.Closer
 	// received counts the events that arrived from engines.
@@ -84,6 +86,9 @@
 	}
 	final, again := r.afterAttempt(ctx, o)
 	if again {
+		if a.mayStillRun && r.movable {
+			a.stopLostRun()
+		}
 		policy := r.f.service(r.j.service).engines.policy
 		r.waiter.GiveUpAt = policy.GiveUpAfterFailure(r.waiter.GiveUpAt, time.Now(), r.j.deadline)
 	}
@@ -134,6 +139,7 @@
 			a.r.keepExport(a.export)
 		}
 		f.attemptLost(j, a.lease.server, reason, err)
+		a.mayStillRun = reason == outcome.EngineLost && !errors.Is(err, upstream.ErrNotSent)
 		a.next = a.streamEnded(ctx, err)
 		return j.unanswered(reason)
 	}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -67,6 +67,7 @@
 		{StoreEra, Gauge},
 		{BackupsStarted, Counter},
 		{Continuations, Counter},
+		{RunsOutlived, Counter},
 		{ContinuationFailedPrefix, Counter},
 		{MovedPrefix, Counter},
 		{MovesRefused, Counter},
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -102,6 +102,8 @@
 	BackupsStarted = "backups_started"
 	// Continuations counts runs that continued from a copy.
 	Continuations = "continuations"
+	// RunsOutlived counts runs that their engines went on with after the connection had ended, and that were stopped.
+	RunsOutlived = "runs_outlived"
 	// MovesRefused counts moves that the destination refused.
 	MovesRefused = "moves_refused"
 	// ShareReorders counts requests that were placed before an earlier one of the same priority since their customer
--- a/policy/runcopy/move.go
+++ b/policy/runcopy/move.go
@@ -11,6 +11,8 @@
 	Leaving Reason = "leaving"
 	// Late: the run is not expected to end before its deadline here, but is at the destination.
 	Late Reason = "late"
+	// Lost: the connection to the engine has ended, and the run continues from its backup or a copy.
+	Lost Reason = "lost"
 )
 
 const (
--- a/policy/runcopy/state.go
+++ b/policy/runcopy/state.go
@@ -51,6 +51,8 @@
 	ContinueAtCopy
 	ContinueAtSource
 	ContinueAtBackup
+	// EndRun stops the run at its engine, which may go on with it although its connection has ended.
+	EndRun
 	// Complete ends the request: the stream is complete.
 	Complete
 	// ApplyRoute treats the run as lost, by the rules of its route.
@@ -73,6 +75,8 @@
 	Copying
 	// Stopping: a call that stops the run was sent.
 	Stopping
+	// Ending: the connection to the engine has ended, and the engine is asked to stop the run.
+	Ending
 	// Continuing: the request is sent to an engine to continue the run.
 	Continuing
 	Done
@@ -103,7 +107,11 @@
 	// unknown once none will say whether the run was stopped.
 	stopCalls           int
 	unanswered, unknown bool
-	ended               streamEnd
+	// busy is set if the engine answered the latest of them that another call is in progress.
+	busy  bool
+	ended streamEnd
+	// cancelled is set while the event of a call is due that was in progress when the stream broke.
+	cancelled bool
 	// target is where the run is being continued, continuations how often it was.
 	target        Action
 	continuations int
@@ -130,6 +138,8 @@
 		return r.onCopying(e)
 	case Stopping:
 		return r.onStopping(e)
+	case Ending:
+		return r.onEnding(e)
 	case Continuing:
 		return r.onContinuing(e)
 	default:
@@ -155,12 +165,14 @@
 	switch e {
 	case Copied:
 		r.state, r.handle, r.copied = Stopping, true, true
-		r.stopCalls, r.unanswered, r.unknown, r.ended = 1, false, false, streamOpen
+		r.stopCalls, r.unanswered, r.unknown, r.busy, r.ended = 1, false, false, false, streamOpen
 		return Step{Do: StopRun}
 	case StreamWhole:
 		return r.end(Complete)
 	case StreamBroken:
-		return r.lost()
+		step := r.lost()
+		r.cancelled = r.state == Ending
+		return step
 	default:
 		r.state = Running
 		return Step{}
@@ -197,7 +209,7 @@
 		if !r.unanswered {
 			return r.notStopped()
 		}
-		r.unknown = true
+		r.unknown, r.busy = true, e == InProgress
 		return r.afterEnd()
 	}
 }
@@ -218,15 +230,17 @@
 }
 
 // afterEnd continues a run that was stopped, or may have been, once its stream has ended. A stream that may have been
-// stopped does not count as complete.
+// stopped does not count as complete; its engine has been asked often enough.
 func (r *Run) afterEnd() Step {
 	switch {
 	case r.ended == streamOpen:
 		return Step{}
 	case r.stopped:
 		return r.continueAt(r.nextAfterStop())
-	default:
+	case r.busy:
 		return r.lost()
+	default:
+		return r.continueAt(r.nextAfterLoss())
 	}
 }
 
@@ -243,16 +257,52 @@
 	}
 }
 
-// lost continues a run whose engine was lost. The backup has more of the run than the copy of a move.
+// lost ends a run whose stream is broken at its engine, before it continues from a copy.
 func (r *Run) lost() Step {
+	if r.nextAfterLoss() == ApplyRoute {
+		return r.end(ApplyRoute)
+	}
+	r.state = Ending
+	return Step{Do: EndRun}
+}
+
+// nextAfterLoss is where a run continues whose engine does not execute it any more. The backup has more of the run than
+// the copy of a move.
+func (r *Run) nextAfterLoss() Action {
 	switch {
 	case r.backup:
-		return r.continueAt(ContinueAtBackup)
+		return ContinueAtBackup
 	case r.copied:
-		return r.continueAt(ContinueAtCopy)
+		return ContinueAtCopy
+	case r.stopped:
+		return ContinueAtSource
 	default:
-		return r.end(ApplyRoute)
+		return ApplyRoute
+	}
+}
+
+// onEnding continues a run that its engine has stopped or does not execute. An engine that can't be reached, or does not
+// respond, is not waited for: backups expire.
+func (r *Run) onEnding(e Event) Step {
+	if r.cancelled {
+		r.cancelled = false
+		if e == Copied {
+			r.handle, r.copied = true, true
+		}
+		return Step{}
+	}
+	switch e {
+	case InProgress:
+		return Step{Do: EndRun}
+	case Copied:
+		r.handle, r.stopped = true, true
+		if r.copied {
+			return r.continueAt(ContinueAtCopy)
+		}
+	case Refused:
+		r.handle, r.stopped, r.copied = true, true, false
 	}
+	return r.continueAt(r.nextAfterLoss())
 }
 
 func (r *Run) continueAt(target Action) Step {
--- a/standin/site/behaviour.go
+++ b/standin/site/behaviour.go
@@ -40,6 +40,8 @@
 	HoldLateEventStream
 	// HoldPartialStream sends a part of the next event then, and ends like a whole stream.
 	HoldPartialStream
+	// OutliveConnection resets the connection after two events and goes on with the run until a move stops it.
+	OutliveConnection
 	// RepeatEvent sends the last event that the request says was delivered once more, and then the others.
 	RepeatEvent
 	// SlowStream waits for slowInterval before each event.
@@ -170,6 +172,11 @@
 			_, _ = io.WriteString(w, part)
 			return
 		}
+		if i > heldEvents && b == OutliveConnection {
+			resetConnection(w)
+			<-run.stop
+			return
+		}
 		if i > 2 && b == StallStream {
 			<-r.Context().Done()
 			s.log.add(&s.log.abandoned, c)
--- a/standin/site/copies.go
+++ b/standin/site/copies.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +30,13 @@
 	l.copies.byName = nil
 }
 
+// LoseBackups makes all engines lose the backups that they hold now, but no copy of a move.
+func (l *Log) LoseBackups() {
+	l.copies.mu.Lock()
+	defer l.copies.mu.Unlock()
+	maps.DeleteFunc(l.copies.byName, func(name string, _ runCopy) bool { return !strings.Contains(name, "/"+movePrefix) })
+}
+
 // KeepCopies ends the effect of LoseCopies.
 func (l *Log) KeepCopies() {
 	l.copies.mu.Lock()
--- a/standin/site/framing.go
+++ b/standin/site/framing.go
@@ -73,6 +73,19 @@
 // Flush implements http.Flusher; nothing is buffered.
 func (c *connWriter) Flush() { c.WriteHeader(http.StatusOK) }
 
+// resetConnection resets the connection of an answer that has begun.
+func resetConnection(w http.ResponseWriter) {
+	if c, ok := w.(*connWriter); ok {
+		c.end(true)
+		return
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	(&connWriter{conn: conn}).end(true)
+}
+
 // end closes the connection after the answer. One that was aborted is reset.
 func (c *connWriter) end(aborted bool) {
 	if !aborted {
--- a/standin/site/moves.go
+++ b/standin/site/moves.go
@@ -56,6 +56,14 @@
 	return s.Addr()
 }
 
+// Running reports whether the engine runs a request that no move has stopped.
+func (s *Server) Running(request string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.runs[request]
+	return ok && !x.asked
+}
+
 func (s *Server) beginRun(c Call) *liveRun {
 	x := &liveRun{stop: make(chan struct{}), stopped: make(chan struct{})}
 	s.mu.Lock()
