Numbers from outside are bounded when they are converted

Cause: millis() converted more milliseconds than a time.Duration holds; Go leaves open what that yields, and on x86-64 it is the least number: a limit of -292 years.

Change: package bounded converts durations (a year at most), counts, bytes and amounts; used wherever a number comes from a client, a server, a peer, an entry, a row, the configuration or the settings, and in what policies compute from these. Ruled out: refusing large limits with 400, since the protocol states no largest one.

--- a/forward/backup.go
+++ b/forward/backup.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/policy/mechanism"
@@ -151,7 +152,7 @@
 		r.Length.Progress(generated)
 		total = r.Length.Median()
 	}
-	return time.Duration(float64(max(total-generated, 0)) / e.memory.TokensPerSecond() * float64(time.Second))
+	return bounded.Seconds(float64(max(total-generated, 0)) / e.memory.TokensPerSecond())
 }
 
 // endsWithin is the probability that a run that has generated this many tokens ends within d.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -282,7 +282,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.budget.AddRequest(f.Retry, j.arrived)
-	if j.isStream() {
+	if j.isStream() && j.fitsAnEngine() {
 		s.promptRate.Add(float64(j.meta.PromptTokens), j.arrived)
 		s.memoryRate.Add(float64(j.memoryNeed()), j.arrived)
 		s.weightedMemoryRate.Add(float64(j.memoryNeed()*j.expectedOutput()), j.arrived)
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -40,7 +40,7 @@
 		r.waiter = j.newWaiter(e.policy)
 		r.waiter.Customer = e.customerOf(j)
 		r.run, j.expected = e.newRun(j.route.Name, &j.meta, r.waiter.Need)
-		if r.waiter.Need > spec.KVTokens {
+		if !j.fitsAnEngine() {
 			return nil, r.noServerLeft(outcome.PromptTooLong), false
 		}
 		if e.rejectsEarly(r.waiter, f.holdTime(j), start) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -53,6 +53,11 @@
 	return min(j.meta.LengthHint, j.meta.MaxTokens)
 }
 
+// fitsAnEngine reports whether the request may ever find enough memory.
+func (j *job) fitsAnEngine() bool {
+	return j.memoryNeed() <= j.table.Services[j.service].Engine.KVTokens
+}
+
 // streamAttempt is one attempt of a stream at one decode engine. It implements lifecycle.Attempt.
 type streamAttempt struct {
 	r *stream
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/forward"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
@@ -32,12 +33,12 @@
 		return out
 	}
 	for i := range kvmemory.NumHorizons {
-		out.Mean = append(out.Mean, uint32(s.Forecast.Mean[i]))
-		out.Variance = append(out.Variance, uint64(s.Forecast.Variance[i]))
+		out.Mean = append(out.Mean, uint32(bounded.Count(s.Forecast.Mean[i])))
+		out.Variance = append(out.Variance, uint64(bounded.Amount(s.Forecast.Variance[i])))
 	}
-	out.Most = uint32(s.Forecast.Max)
+	out.Most = uint32(bounded.Count(s.Forecast.Max))
 	if perToken := s.Pace.PerToken(); perToken > 0 {
-		out.TokenMicros, out.TokenWeight = uint32(math.Round(1e6*perToken)), uint32(s.Pace.Tokens)
+		out.TokenMicros, out.TokenWeight = uint32(bounded.Count(math.Round(1e6*perToken))), uint32(s.Pace.Tokens)
 	}
 	return out
 }
@@ -52,7 +53,7 @@
 		return l
 	}
 	for i := range kvmemory.NumHorizons {
-		l.Forecast.Mean[i], l.Forecast.Variance[i] = float64(mean[i]), float64(variance[i])
+		l.Forecast.Mean[i], l.Forecast.Variance[i] = float64(mean[i]), bounded.Amount(float64(variance[i]))
 	}
 	l.Forecast.Max = maxTokens(s)
 	return l
@@ -123,7 +124,8 @@
 	usages := make([]limit.ReportedUsage, 0, len(u.GetCustomers()))
 	for _, usage := range u.GetCustomers() {
 		usages = append(usages, limit.ReportedUsage{
-			Customer: usage.GetCustomer(), Charged: usage.GetCharged(), Returned: usage.GetReturned(), Demand: usage.GetDemand(), Remaining: usage.GetLeft(),
+			Customer: usage.GetCustomer(), Charged: bounded.Amount(usage.GetCharged()), Returned: bounded.Amount(usage.GetReturned()),
+			Demand: bounded.Amount(usage.GetDemand()), Remaining: bounded.Balance(usage.GetLeft()),
 			Classes: decodeClasses(usage.GetDemandByClass()), Ordered: usage.GetOrdered(),
 		})
 	}
@@ -152,7 +154,7 @@
 	}
 	d := &limit.ReportedDemand{}
 	for c := range min(len(d), len(demand)) {
-		d[c] = float64(demand[c])
+		d[c] = bounded.Amount(float64(demand[c]))
 	}
 	return d
 }
--- a/gateway/peerload.go
+++ b/gateway/peerload.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/peer"
 	"github.com/hibiscusspur/hibiscusspur/policy/kvmemory"
 	"github.com/hibiscusspur/hibiscusspur/store"
@@ -214,9 +215,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for r := range p.readings(service) {
-		arriving += r.GetTokensPerS()
-		demand += r.GetWantedTokens()
-		if rate := r.GetEngineTokensPerS(); rate > 0 {
+		arriving += bounded.Amount(r.GetTokensPerS())
+		demand += bounded.Amount(r.GetWantedTokens())
+		if rate := bounded.Amount(r.GetEngineTokensPerS()); rate > 0 {
 			engineRates = append(engineRates, rate)
 		}
 	}
--- a/holdback/persist.go
+++ b/holdback/persist.go
@@ -7,6 +7,7 @@
 	"maps"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/internal/notify"
@@ -66,7 +67,7 @@
 // hold returns the hold of a row. Rows use wall-clock time, since a monotonic clock doesn't outlast its process; the
 // clocks of VMs differ by seconds, and whatever they show, a hold lasts no longer than its duration.
 func (r Row) hold(d fingerprint.Digest, now time.Time) (quarantine.Hold, error) {
-	duration := time.Duration(r.ForSeconds * float64(time.Second))
+	duration := bounded.Seconds(r.ForSeconds)
 	if duration <= 0 || duration > quarantine.MaxHold {
 		return quarantine.Hold{}, errors.New("for_s is out of range")
 	}
--- a/holdback/stored.go
+++ b/holdback/stored.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -25,7 +26,7 @@
 
 // Until returns when the hold ends.
 func (h StoredHold) Until() time.Time {
-	return h.Begun.Add(time.Duration(h.ForSeconds * float64(time.Second)))
+	return h.Begun.Add(bounded.Seconds(h.ForSeconds))
 }
 
 // pageSize is the maximum number of rows that one call reads.
--- a/operator/render.go
+++ b/operator/render.go
@@ -6,6 +6,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 )
 
 // maxShownProcesses is the maximum number of processes listed in text output.
@@ -105,7 +107,7 @@
 	}
 	t := newTable(w, title, "ROLE", "ZONE", "REVISION", "CONFIRMED AGO")
 	for _, p := range list[:min(maxShownProcesses, len(list))] {
-		ago := time.Duration(p.AgeSeconds * float64(time.Second)).Round(time.Second)
+		ago := bounded.Seconds(p.AgeSeconds).Round(time.Second)
 		row(t, p.ID, p.Role, p.Zone, p.Revision, ago)
 	}
 	_ = t.Flush()
--- a/policy/admission/prefill.go
+++ b/policy/admission/prefill.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/contract"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/fairshare"
@@ -198,7 +199,7 @@
 	if p.cfg.TokensPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / p.cfg.TokensPerSecond * float64(time.Second))
+	return bounded.Seconds(float64(tokens) / p.cfg.TokensPerSecond)
 }
 
 // remainingTime returns the expected time until the active prefills have completed.
--- a/policy/fairshare/workahead.go
+++ b/policy/fairshare/workahead.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/contract"
 )
 
@@ -45,7 +46,7 @@
 	work := f.items.nodes[0].item.Cost
 	for u := contract.Interactive; u <= contract.Deferred; u++ {
 		share := (sortKey - f.startTag + q.cfg.MaxLead[u].Seconds()/f.weight) * f.weight
-		work = max(work, min(f.workUpTo(u), durationOf(share)))
+		work = max(work, min(f.workUpTo(u), bounded.Seconds(share)))
 	}
 	return work
 }
@@ -59,11 +60,6 @@
 	return sum
 }
 
-func durationOf(s float64) time.Duration {
-	const maxSeconds = 1 << 30
-	return time.Duration(min(s, maxSeconds) * float64(time.Second))
-}
-
 // QueuedWork returns the total service time of all waiting items.
 func (q *Queue[K]) QueuedWork() time.Duration {
 	var sum time.Duration
--- a/policy/kvlink/kvlink.go
+++ b/policy/kvlink/kvlink.go
@@ -14,6 +14,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 )
 
 const (
@@ -136,7 +138,7 @@
 	if l.rate == 0 {
 		return 0
 	}
-	return time.Duration(float64(bytes) / l.rate * float64(time.Second))
+	return bounded.Seconds(float64(bytes) / l.rate)
 }
 
 // firstFree returns the first free interval and its position among the bookings.
--- a/policy/kvmemory/pace.go
+++ b/policy/kvmemory/pace.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/policy/enginepace"
 )
 
@@ -91,7 +92,7 @@
 	if !ok {
 		return 0, false
 	}
-	return seconds(s.pace.PerToken()), s.slow
+	return bounded.Seconds(s.pace.PerToken()), s.slow
 }
 
 // FleetPace returns the summary of the usual pace of the engines that get work, and the number of
@@ -106,8 +107,6 @@
 	return p.pace.summary, slow
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // observe records the progress of one of the router's runs on its engine. A slow period counts only
 // if the next one is slow too: a run that is preempted pauses once, a slow engine remains slow.
 func (s *server) observe(r *Run, now time.Time) {
@@ -156,7 +155,7 @@
 	own.Add(s.peerLoad.Pace, 1)
 	if s.pace.Update(own, now) && p.cfg.Pace.Enabled {
 		p.pace.changes = append(p.pace.changes, PaceChange{
-			ID: s.ID, Slow: s.pace.Slow(), Usual: seconds(s.pace.Usual()), Current: seconds(own.PerToken()),
+			ID: s.ID, Slow: s.pace.Slow(), Usual: bounded.Seconds(s.pace.Usual()), Current: bounded.Seconds(own.PerToken()),
 		})
 	}
 	s.slow = p.cfg.Pace.Enabled && s.pace.Slow()
--- a/policy/limit/bucket.go
+++ b/policy/limit/bucket.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
+)
 
 // bucket is a token bucket. The zero bucket is full.
 type bucket struct {
@@ -21,5 +25,5 @@
 		b.tokens -= cost
 		return 0
 	}
-	return max(time.Duration((cost-b.tokens)/rate*float64(time.Second)), time.Nanosecond)
+	return max(bounded.Seconds((cost-b.tokens)/rate), time.Nanosecond)
 }
--- a/policy/limit/demand.go
+++ b/policy/limit/demand.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 )
 
@@ -52,7 +53,7 @@
 		c.offered.add(t.cost(), now)
 		weight = max((own+others.Demand)/t.Rate, 1)
 		if others.Demand > negligibleDemandShare*own && rng.Float64()*weight >= 1 {
-			return rejected(outcome.RateLimited, time.Duration(weight*t.cost()/t.Rate*float64(time.Second)))
+			return rejected(outcome.RateLimited, bounded.Seconds(weight*t.cost()/t.Rate))
 		}
 		if wait := c.bucket.take(t.cost(), t.Rate, max(t.Burst, t.cost()), now); wait > 0 {
 			return rejected(outcome.RateLimited, wait)
--- a/policy/limit/shared.go
+++ b/policy/limit/shared.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 	"github.com/hibiscusspur/hibiscusspur/policy/quotaorder"
 )
@@ -260,7 +261,7 @@
 func (s *SharedQuotas) TimeToAdmit(customer string, t Terms, now time.Time) time.Duration {
 	a := s.account(customer, t, now)
 	rate := max(a.rate*a.usableShare(), 1e-9)
-	return time.Duration(min((s.startupReserve(a, now)-a.remaining)/rate, maxTimeToAdmit.Seconds()) * float64(time.Second))
+	return bounded.Seconds(min((s.startupReserve(a, now)-a.remaining)/rate, maxTimeToAdmit.Seconds()))
 }
 
 // startupReserve is the part of the bucket that is not used right after a start: a process receives the first reports
@@ -275,7 +276,7 @@
 // reject rejects a request until there will be capacity for it and for the retries of those rejected before.
 func (a *account) reject(cost float64) Decision {
 	rate := max(a.rate*a.usableShare(), 1e-9)
-	wait := time.Duration((a.expectedRetries - a.remaining) / rate * float64(time.Second))
+	wait := bounded.Seconds((a.expectedRetries - a.remaining) / rate)
 	a.expectedRetries = min(a.expectedRetries+cost, a.rate*maxExpectedRetries)
 	return rejected(outcome.RateLimited, wait+retryMargin)
 }
--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/engine"
 )
 
@@ -178,7 +179,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(amount / rate * float64(time.Second))
+	return bounded.Seconds(amount / rate)
 }
 
 func orPrior(value, prior float64) float64 {
--- a/policy/quotaorder/order.go
+++ b/policy/quotaorder/order.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 )
 
 const (
@@ -196,7 +198,7 @@
 	if !r.Retried {
 		o.expectedRetries[r.Class] = min(o.expectedRetries[r.Class]+r.Cost, own[r.Class]*maxExpectedRetries)
 	}
-	return time.Duration(min(wait, maxExpectedRetries) * float64(time.Second))
+	return bounded.Seconds(min(wait, maxExpectedRetries))
 }
 
 // capacities returns what the more urgent classes leave to each class per second at all gateways, and the part of it for
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 )
 
 // Budget configures a retry budget, which is a token bucket.
@@ -41,7 +43,7 @@
 	if cfg.PerSecond <= 0 {
 		return time.Second
 	}
-	return max(time.Duration(missing/cfg.PerSecond*float64(time.Second)), time.Millisecond)
+	return max(bounded.Seconds(missing/cfg.PerSecond), time.Millisecond)
 }
 
 func (b *bucket) advance(cfg Budget, now time.Time) {
--- a/policy/serverlimit/serverlimit.go
+++ b/policy/serverlimit/serverlimit.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/policy/eligibility"
 	"github.com/hibiscusspur/hibiscusspur/policy/limit"
 )
@@ -148,7 +149,7 @@
 		return 0
 	}
 	t := s.terms()
-	maxStagger := min(time.Duration(l.routers-1)*stagger, time.Duration(maxStaggerShare/t.Rate*float64(time.Second)))
+	maxStagger := min(time.Duration(l.routers-1)*stagger, bounded.Seconds(maxStaggerShare/t.Rate))
 	return max(l.usage.TimeToAdmit(id, t, now)+time.Duration(s.staggerPosition*float64(maxStagger)), 0)
 }
 
--- a/policy/stages/holdtime.go
+++ b/policy/stages/holdtime.go
@@ -1,6 +1,10 @@
 package stages
 
-import "time"
+import (
+	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
+)
 
 // HoldTime estimates how long runs hold KV cache memory: the prefill time plus a time per
 // generated token. Runs with short answers terminate first, so the plain mean is far too low in
@@ -30,7 +34,7 @@
 	if h.runs == 0 {
 		return 0
 	}
-	return time.Duration((h.prefill + h.decode) / h.runs * float64(time.Second))
+	return bounded.Seconds((h.prefill + h.decode) / h.runs)
 }
 
 // Demand is the memory, in tokens, that requests would hold if none had to wait. memoryRate is the
--- a/streamversions/rows.go
+++ b/streamversions/rows.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/policy/streamversion"
 	"github.com/hibiscusspur/hibiscusspur/store"
 )
@@ -141,7 +142,7 @@
 }
 
 func (v streamsRow) left() time.Duration {
-	return min(max(time.Duration(v.LeftMs)*time.Millisecond, 0), maxStreamLeft)
+	return min(max(bounded.Millis(v.LeftMs), 0), maxStreamLeft)
 }
 
 // removeOld removes the rows of other processes that have not changed for as long as their streams could be resumed. It
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 	"github.com/hibiscusspur/hibiscusspur/response"
 )
 
@@ -72,7 +73,7 @@
 			continue
 		}
 		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
-			c.usableUntil = now.Add(time.Duration(s)*time.Second - idleMargin)
+			c.usableUntil = now.Add(bounded.Seconds(s) - idleMargin)
 		}
 	}
 }
--- a/vmlink/vmlink.go
+++ b/vmlink/vmlink.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 )
 
 const (
@@ -139,7 +141,7 @@
 
 // duration is the time that the link needs for some bytes.
 func (l *Link) duration(bytes float64) time.Duration {
-	return time.Duration(bytes / float64(l.outgoing.Limit()) * float64(time.Second))
+	return bounded.Seconds(bytes / float64(l.outgoing.Limit()))
 }
 
 // WriteLong writes a long message to a connection of the link, in pieces. It blocks until the link has had room for all of
