Log lines: no value of a field makes a line fail

Cause: the logger negates a negative duration; the least one stays negative, and the line that reports the end of a request panicked in front of that end. Control bytes in a text also left a line that is no JSON.

Change: event.Line wraps the logger's line and offers only what can't fail: durations are bounded, control bytes replaced. Ruled out: recovering from panics where requests are logged, since every line of every role can meet such a value.

--- a/event/event.go
+++ b/event/event.go
@@ -38,8 +38,8 @@
 }
 
 // Log begins a line for e. The caller adds fields and calls Msg(""); Emit writes a line without fields.
-func (e Event) Log(l *log.Logger) *log.Entry {
-	return l.WithLevel(e.Level).Int("event", e.ID).Str("text", e.Text)
+func (e Event) Log(l *log.Logger) Line {
+	return Line{l.WithLevel(e.Level).Int("event", e.ID).Str("text", e.Text)}
 }
 
 // Emit writes a line for e without further fields.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/fingerprint"
 	"github.com/hibiscusspur/hibiscusspur/httpserver"
@@ -187,7 +185,7 @@
 }
 
 // addResumed adds to an event which stream the request resumes, if it does.
-func (j *job) addResumed(e *log.Entry) *log.Entry {
+func (j *job) addResumed(e event.Line) event.Line {
 	if !j.resumes() {
 		return e
 	}
--- a/forward/prefillledger.go
+++ b/forward/prefillledger.go
@@ -1,8 +1,7 @@
 package forward
 
 import (
-	"github.com/phuslu/log"
-
+	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/outcome"
 )
@@ -95,7 +94,7 @@
 }
 
 // recordWaste counts the wasted prefill of a request that has ended for a reason, and adds it to its log line.
-func (f *Forwarder) recordWaste(j *job, e *log.Entry, reason outcome.Reason) *log.Entry {
+func (f *Forwarder) recordWaste(j *job, e event.Line, reason outcome.Reason) event.Line {
 	j.prefills.discard(wasteCauseOf(reason))
 	for c, n := range j.prefills.wasted {
 		if n > 0 {
--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/hibiscusspur/hibiscusspur/event"
 	"github.com/hibiscusspur/hibiscusspur/internal/shared"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
@@ -110,7 +108,7 @@
 	}
 }
 
-func logPositions(line *log.Entry, position, known store.Position) *log.Entry {
+func logPositions(line event.Line, position, known store.Position) event.Line {
 	return line.Int64("version", position.Version()).Int64("era", position.Era()).
 		Int64("known", known.Version()).Int64("known_era", known.Era())
 }
