Streams are kept in the store before the next version of their service begins

Cause: streams were written to the store only while their service had several versions, so those begun before were in the memory of gateways alone. After the loss both versions are listed and possible, and a gateway rightly refuses to choose.

Change: while each service has one version, the two gateways that read the list for all keep the streams of all in the store, a second apart; the others send them each stream in a datagram. With several versions as before. Rows of gateways that are gone are looked for then, too. A stream is remembered for ten minutes at most: a time limit that no longer overflows is a year.

TestTakenUpWithOneVersion asserted that no stream is kept with one version; that was the fault, and it now waits for the row.

--- a/forward/env_test.go
+++ b/forward/env_test.go
@@ -199,6 +199,7 @@
 type noRouters struct{}
 
 func (noRouters) Others() []string                   { return nil }
+func (noRouters) Keepers() []string                  { return nil }
 func (noRouters) Ask([]string, streamversions.Query) {}
 
 // envLists reads the servers of an environment.
--- a/gateway/streamencoding_test.go
+++ b/gateway/streamencoding_test.go
@@ -31,6 +31,6 @@
 		Streams: []uint64{1, 2, 3, 4, 5}, Version: []uint32{0, 1, 2, 9}, LeftMs: []uint32{1000, 1000, 4_000_000_000, 1000},
 		Versions: []string{"", strings.Repeat("v", 300), "v1"},
 	}, now)
-	assert.DeepEqual(t, got, []streamversions.Update{{Stream: 3, Record: streamversion.Record{Version: "v1", Until: now.Add(maxStreamLeft)}}})
+	assert.DeepEqual(t, got, []streamversions.Update{{Stream: 3, Record: streamversion.Record{Version: "v1", Until: now.Add(streamversions.MaxStreamLeft)}}})
 	assert.Equal(t, len(decodeStreams(nil, now)), 0)
 }
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
@@ -16,8 +17,6 @@
 	maxStreamsPerDatagram = 400
 	// maxStreamQueries bounds the queries that one datagram may contain.
 	maxStreamQueries = 64
-	// maxStreamLeft bounds how long a reported stream is kept.
-	maxStreamLeft = 10 * time.Minute
 	// maxVersionBytes bounds the version of a server, as the store bounds its names.
 	maxVersionBytes = 200
 )
@@ -33,6 +32,16 @@
 	return n.s.peers.Reachable()
 }
 
+// Keepers implements streamversions.Network: the gateways that read the store for all write for all, too.
+func (n streamNetwork) Keepers() []string {
+	others := n.Others()
+	if len(others) == 0 || n.s.isStoreReader() {
+		return nil
+	}
+	slices.Sort(others)
+	return others[:min(len(others), storeReaders)]
+}
+
 // Ask implements streamversions.Network.
 func (n streamNetwork) Ask(to []string, q streamversions.Query) {
 	n.s.peers.Send(to, &peer.Placement{StreamQueries: []*peer.StreamQuery{{Stream: uint64(q.Stream), Service: q.Service, Query: q.Number}}})
@@ -49,11 +58,15 @@
 		sleep.For(ctx, datagramBatchInterval)
 		byGateway := map[string][]streamversions.Update{}
 		others := streamNetwork{s}.Others()
-		for _, u := range s.streams.TakeUpdates() {
+		told, kept := s.streams.TakeUpdates()
+		for _, u := range told {
 			for _, addr := range streamversion.Told(u.Stream, others) {
 				byGateway[addr] = append(byGateway[addr], u)
 			}
 		}
+		for _, addr := range (streamNetwork{s}).Keepers() {
+			byGateway[addr] = append(byGateway[addr], kept...)
+		}
 		for addr, updates := range byGateway {
 			s.sendStreams(addr, updates)
 		}
@@ -125,7 +138,7 @@
 			out.Versions = append(out.Versions, u.Version)
 		}
 		out.Streams, out.Version = append(out.Streams, uint64(u.Stream)), append(out.Version, i)
-		out.LeftMs = append(out.LeftMs, uint32(min(max(u.Until.Sub(now), 0), maxStreamLeft).Milliseconds()))
+		out.LeftMs = append(out.LeftMs, uint32(min(max(u.Until.Sub(now), 0), streamversions.MaxStreamLeft).Milliseconds()))
 	}
 	return out
 }
@@ -139,7 +152,7 @@
 		if version >= len(m.GetVersions()) || !validVersion(m.GetVersions()[version]) {
 			continue
 		}
-		left := min(time.Duration(m.GetLeftMs()[i])*time.Millisecond, maxStreamLeft)
+		left := min(time.Duration(m.GetLeftMs()[i])*time.Millisecond, streamversions.MaxStreamLeft)
 		out = append(out, streamversions.Update{
 			Stream: streamversion.Key(m.GetStreams()[i]),
 			Record: streamversion.Record{Version: m.GetVersions()[version], Until: now.Add(left)},
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -170,6 +170,27 @@
 	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
 }
 
+// TestTakenUpAfterAllGatewaysLeftBeforeAnUpdate guards against streams that can't be taken up after all gateways have lost
+// their memory as the first engine of the next version starts, and against one that goes on there.
+func TestTakenUpAfterAllGatewaysLeftBeforeAnUpdate(t *testing.T) {
+	v := newVersionsSite(t)
+	a := v.start("g1")
+	v.begin(a, "first")
+	waitUntil(t, "the stream is kept", func() bool { return len(v.store.Values(streamversions.StreamsTableName)) == 1 })
+	a.stop()
+	assert.NilError(t, <-a.done)
+	a.done = nil
+	v.list(v.new, "v2")
+	b := v.start("g2")
+	v.waitListed(b)
+	for i := range 3 {
+		status, engine := v.takeUp(b, fmt.Sprint("again-", i), "first")
+		assert.Check(t, status == 200 && engine == "old", "%d at %q", status, engine)
+	}
+	status, engine := v.takeUp(b, "again", "unknown")
+	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
+}
+
 // TestTakenUpAfterVersionLeftToo guards against the same when the version that began the stream has left the list as well,
 // so that a gateway that has just started sees one version only.
 func TestTakenUpAfterVersionLeftToo(t *testing.T) {
@@ -222,5 +243,5 @@
 	waitUntil(t, "the only version is kept", func() bool {
 		return string(v.store.Value(streamversions.TableName, "llm")) == `{"versions":["v1"]}`
 	})
-	assert.Check(t, len(v.store.Values(streamversions.StreamsTableName)) == 0, "no streams are kept")
+	waitUntil(t, "the stream is kept", func() bool { return len(v.store.Values(streamversions.StreamsTableName)) == 1 })
 }
--- a/streamversions/faultsim_test.go
+++ b/streamversions/faultsim_test.go
@@ -213,10 +213,14 @@
 		case <-d.Updates():
 		}
 		r.awake()
-		updates := d.TakeUpdates()
+		told, kept := d.TakeUpdates()
+		keepers := simNetwork{r}.Keepers()
 		for _, other := range r.s.routers {
-			if other != r {
-				r.s.send(r, other, func() { other.dir.Receive(updates) })
+			if other != r && len(told) > 0 {
+				r.s.send(r, other, func() { other.dir.Receive(told) })
+			}
+			if len(kept) > 0 && slices.Contains(keepers, other.name) {
+				r.s.send(r, other, func() { other.dir.Receive(kept) })
 			}
 		}
 	}
@@ -257,6 +261,15 @@
 	return out
 }
 
+func (n simNetwork) Keepers() (out []string) {
+	for _, other := range n.r.s.routers {
+		if !n.r.reads() && other.reads() {
+			out = append(out, other.name)
+		}
+	}
+	return out
+}
+
 func (n simNetwork) Ask(to []string, q Query) {
 	for _, other := range n.r.s.routers {
 		if other == n.r || !slices.Contains(to, other.name) {
--- a/streamversions/model_test.go
+++ b/streamversions/model_test.go
@@ -104,6 +104,8 @@
 	return out
 }
 
+func (modelNetwork) Keepers() []string { return nil }
+
 func (n modelNetwork) Ask(to []string, q Query) {
 	for _, addr := range to {
 		if n.m.alone || n.m.cut[n.self] != n.m.cut[slices.Index(names[:], addr)] {
@@ -232,7 +234,7 @@
 
 // deliver delivers or loses what the first router has to tell.
 func (m *model) deliver(delivered bool) {
-	updates := m.all[0].TakeUpdates()
+	updates, _ := m.all[0].TakeUpdates()
 	assert.Assert(m.t, len(updates) > 0 || !m.owed, "not told after %v", m.path)
 	m.owed = false
 	if !delivered || len(updates) == 0 {
--- a/streamversions/rows.go
+++ b/streamversions/rows.go
@@ -14,7 +14,7 @@
 )
 
 // StreamsTableName is the table of the platform's store that keeps at which versions streams were begun, for when all
-// routers lose their memory: a row for each router process that has such streams while their service has several versions.
+// routers lose their memory: a row for each router process that has such streams.
 const StreamsTableName = "streams"
 
 // streamsRow is the value of a row.
@@ -28,8 +28,8 @@
 // maxStreamsPerRow bounds the streams in a row, to 45 kB. A router of the size to design for has 500.
 const maxStreamsPerRow = 2000
 
-// maxStreamLeft bounds how long a stream that was read is kept.
-const maxStreamLeft = 10 * time.Minute
+// MaxStreamLeft bounds how long a stream is kept, whatever its client or another router says.
+const MaxStreamLeft = 10 * time.Minute
 
 // StreamRows are the rows of that table, as one router process writes them. The methods that write are not safe for
 // concurrent use.
@@ -142,7 +142,7 @@
 }
 
 func (v streamsRow) left() time.Duration {
-	return min(max(bounded.Millis(v.LeftMs), 0), maxStreamLeft)
+	return min(max(bounded.Millis(v.LeftMs), 0), MaxStreamLeft)
 }
 
 // removeOld removes the rows of other processes that have not changed for as long as their streams could be resumed. It
@@ -179,7 +179,7 @@
 func leftOf(row store.Row) time.Duration {
 	var value streamsRow
 	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return maxStreamLeft
+		return MaxStreamLeft
 	}
 	return value.left()
 }
--- a/streamversions/simulation_test.go
+++ b/streamversions/simulation_test.go
@@ -41,6 +41,8 @@
 	return slices.Delete(slices.Clone(n.f.names), n.self, n.self+1)
 }
 
+func (fleetNetwork) Keepers() []string { return nil }
+
 // send reports whether a datagram arrives.
 func (f *fleet) send(to int) bool {
 	f.datagrams++
@@ -83,7 +85,8 @@
 	version := fmt.Sprint("v", 1+f.rng.IntN(2))
 	f.all[i].Begun(ref, version, time.Now().Add(time.Minute))
 	others := fleetNetwork{f, i}.Others()
-	for _, u := range f.all[i].TakeUpdates() {
+	told, _ := f.all[i].TakeUpdates()
+	for _, u := range told {
 		for _, addr := range f.told(u.Stream, others) {
 			if to := slices.Index(f.names, addr); f.send(to) {
 				f.all[to].Receive([]Update{u})
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -2,8 +2,9 @@
 // for streams that other routers have begun.
 //
 // Each router keeps the streams that it began. While engines of several versions of a service are listed, it tells some
-// others of each (all, if there are few), so that the stream is known when the router is lost. A router that does not
-// know a stream asks those that should. Nothing is told while all engines of a service have one version.
+// others of each (all, if there are few), so that the stream is known when the router is lost, and writes them to the store
+// for when all are lost. While all engines of each service have one version it tells a few keepers, which write the streams
+// of all to the store now and then. A router that does not know a stream asks those that should, and the store.
 package streamversions
 
 import (
@@ -32,6 +33,9 @@
 type Network interface {
 	// Others returns the addresses of the other routers that communicate.
 	Others() []string
+	// Keepers returns those of them that keep the streams of all in the store while each service has one version; none if
+	// this router is one, or reaches none.
+	Keepers() []string
 	// Ask sends a query to routers. Their answers are passed to Receive and ReceiveUnknown.
 	Ask(to []string, q Query)
 }
@@ -66,7 +70,7 @@
 	// History is what routers know that start when no other one has seen lists for long. Without it, nil, such routers turn
 	// streams away that nobody knows.
 	History *History
-	// Rows keep streams for when all routers lose their memory; without them, nil, such streams are turned away while their
+	// Rows keep streams for when all routers lose their memory; without them, nil, such streams are turned away once their
 	// service has several versions.
 	Rows    *StreamRows
 	Metrics *metrics.Set
@@ -80,6 +84,8 @@
 	// updated is signalled when TakeUpdates has something to return, historyDue and rowDue when KeepHistory and KeepStreams
 	// have something to write.
 	updated, historyDue, rowDue chan struct{}
+	// severalSeen is signalled when a service gets a second version.
+	severalSeen chan struct{}
 	// rowsCall reads the rows.
 	rowsCall *shared.Call
 
@@ -88,8 +94,10 @@
 	seen    *streamversion.Seen
 	// own are the services of the streams that this router began or resumed.
 	own map[streamversion.Key]string
-	// pending are those of them of which the others are to be told.
-	pending map[streamversion.Key]struct{}
+	// pending are those of them of which the others are to be told, unkept those that the keepers are to keep.
+	pending, unkept map[streamversion.Key]struct{}
+	// entrusted are streams of other routers that this one keeps in the store.
+	entrusted map[streamversion.Key]struct{}
 	// several are the services that were listed, set for those of which more than one version was seen when the list was last
 	// observed.
 	several map[string]bool
@@ -109,9 +117,10 @@
 		c.Clock = clock.Uptime
 	}
 	return &Directory{
-		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), rowsCall: shared.New(c.Clock),
+		Config: c, updated: make(chan struct{}, 1), historyDue: make(chan struct{}, 1), rowDue: make(chan struct{}, 1), severalSeen: make(chan struct{}, 1), rowsCall: shared.New(c.Clock),
 		records: streamversion.NewRecords(), seen: streamversion.NewSeen(), known: map[string]time.Duration{},
-		own: map[streamversion.Key]string{}, pending: map[streamversion.Key]struct{}{}, several: map[string]bool{},
+		own: map[streamversion.Key]string{}, pending: map[streamversion.Key]struct{}{},
+		unkept: map[streamversion.Key]struct{}{}, entrusted: map[streamversion.Key]struct{}{}, several: map[string]bool{},
 		lookups: map[streamversion.Key][]*lookup{}, stored: map[string][]string{},
 	}
 }
@@ -147,13 +156,13 @@
 		return
 	}
 	d.several[service] = several
-	d.tellAll(service, several)
-}
-
-// tellAll marks the streams of a service to be told, if it has several versions. The caller holds mu.
-func (d *Directory) tellAll(service string, several bool) {
+	if !several {
+		return
+	}
+	notify.Send(d.severalSeen)
+	notify.Send(d.rowDue)
 	for k, of := range d.own {
-		if several && of == service {
+		if of == service {
 			d.tell(k)
 		}
 	}
@@ -163,12 +172,15 @@
 func (d *Directory) tell(k streamversion.Key) {
 	d.pending[k] = struct{}{}
 	notify.Send(d.updated)
-	notify.Send(d.rowDue)
 }
 
 // Begun implements forward.StreamVersions.
 func (d *Directory) Begun(s forward.StreamRef, version string, until time.Time) {
 	k, now := keyOf(s), time.Now()
+	keepers := d.Network.Keepers()
+	if most := now.Add(MaxStreamLeft); until.After(most) {
+		until = most
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.seen.Observe(s.Service, version, now)
@@ -177,6 +189,12 @@
 		return
 	}
 	d.own[k] = s.Service
+	if len(keepers) > 0 && !d.anySeveral() {
+		d.unkept[k] = struct{}{}
+		notify.Send(d.updated)
+	} else {
+		notify.Send(d.rowDue)
+	}
 	if d.seen.Several(s.Service) {
 		d.tell(k)
 	}
@@ -251,23 +269,51 @@
 // Updates is signalled when TakeUpdates has something to return.
 func (d *Directory) Updates() <-chan struct{} { return d.updated }
 
-// TakeUpdates returns the streams of which the others are to be told.
-func (d *Directory) TakeUpdates() []Update {
-	now := time.Now()
+// TakeUpdates returns the streams of which the others are to be told, and those of which the keepers are.
+func (d *Directory) TakeUpdates() (told, kept []Update) {
+	if len(d.Network.Keepers()) == 0 {
+		// The streams that other keepers were to keep are this one's to keep now.
+		notify.Send(d.rowDue)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]Update, 0, len(d.pending))
-	for k := range d.pending {
+	return d.take(d.pending), d.take(d.unkept)
+}
+
+// take empties a set of streams and returns what is known of them. The caller holds mu.
+func (d *Directory) take(set map[streamversion.Key]struct{}) []Update {
+	now := time.Now()
+	out := make([]Update, 0, len(set))
+	for k := range set {
 		if rec, ok := d.records.Get(k, now); ok {
 			out = append(out, Update{Stream: k, Record: rec})
 		}
 	}
-	clear(d.pending)
+	clear(set)
 	return out
 }
 
-// Receive takes the versions of streams from another router.
+// Receive takes the versions of streams from another router. A keeper keeps them in the store unless the routers do so
+// themselves.
 func (d *Directory) Receive(updates []Update) {
+	keeps := d.Rows != nil && len(updates) > 0 && len(d.Network.Keepers()) == 0
+	d.put(updates)
+	if !keeps {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.anySeveral() {
+		return
+	}
+	for _, u := range updates {
+		d.entrusted[u.Stream] = struct{}{}
+	}
+	notify.Send(d.rowDue)
+}
+
+// put takes the versions of streams.
+func (d *Directory) put(updates []Update) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -301,13 +347,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records.Expire(now)
-	for k := range d.own {
-		if _, ok := d.records.Get(k, now); !ok {
-			delete(d.own, k)
-			if len(d.own) == 0 {
-				notify.Send(d.rowDue)
-			}
-		}
+	before := len(d.own) + len(d.entrusted)
+	maps.DeleteFunc(d.own, func(k streamversion.Key, _ string) bool { return !d.records.Has(k) })
+	maps.DeleteFunc(d.entrusted, func(k streamversion.Key, _ struct{}) bool { return !d.records.Has(k) })
+	if before > 0 && len(d.own)+len(d.entrusted) == 0 {
+		notify.Send(d.rowDue)
 	}
 	for _, addr := range others {
 		d.known[addr] = at
