--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -87,6 +87,30 @@
 	}
 }
 
+// TestCutHeadsDontReachClients guards against a server that stops within the head of its answer, and an answer with an empty or
+// short body that reaches the client as a whole one; also where the connection is reset, or the answer could be sent again.
+func TestCutHeadsDontReachClients(t *testing.T) {
+	for name, text := range responsetest.CutHeads {
+		for _, resets := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, resets), func(t *testing.T) {
+				w := newTestEnv(t)
+				for _, id := range []string{"bad1", "bad2"} {
+					answer := stamped(text, id)
+					answer.Resets = resets
+					w.addRaw(t, id, "plain", registry.Whole, answer)
+					w.addRaw(t, "d"+id, "llm", registry.Decode, answer)
+				}
+				w.add(t, "pre", "llm", registry.Prefill)
+				for _, path := range []string{"/once/1", "/unsafe/1", "/safe/1", "/draft/1", "/resume/1"} {
+					res, body := w.rawPost(t, path)
+					assert.Assert(t, res != nil, "%s: no answer", path)
+					assert.Check(t, res.StatusCode >= 502 && res.Header.Get(site.Stamp) == "", "%s: %d %q %q", path, res.StatusCode, res.Header, body)
+				}
+			})
+		}
+	}
+}
+
 // TestWholeAnswersReachClients guards against losing answers that a strict reader takes for whole.
 func TestWholeAnswersReachClients(t *testing.T) {
 	for name, text := range responsetest.Whole {
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -112,7 +112,7 @@
 // FuzzResponse: what passes for a response is one by its head, and a response that ends by itself is not whole if any of its end is
 // missing.
 func FuzzResponse(f *testing.F) {
-	for _, shapes := range []responsetest.Shapes{responsetest.Whole, responsetest.BrokenFields, responsetest.BrokenStatuses, responsetest.UnknownEnds} {
+	for _, shapes := range []responsetest.Shapes{responsetest.Whole, responsetest.BrokenFields, responsetest.BrokenStatuses, responsetest.UnknownEnds, responsetest.CutHeads} {
 		for _, text := range shapes {
 			f.Add([]byte(text), uint(1))
 		}
--- a/response/responsetest/shapes.go
+++ b/response/responsetest/shapes.go
@@ -126,10 +126,31 @@
 	"interim response alone": "HTTP/1.1 100 Continue\r\n\r\n",
 }
 
+// CutHeads end within a head.
+var CutHeads = Shapes{
+	"cut in the protocol":                 "HTTP/1.",
+	"cut in the status":                   "HTTP/1.1 2",
+	"cut after the status":                "HTTP/1.1 200",
+	"cut in the reason":                   "HTTP/1.1 200 O",
+	"cut in the end of the status line":   "HTTP/1.1 200 OK\r",
+	"cut after the status line":           ok,
+	"cut after the status line, HTTP/1.0": "HTTP/1.0 200 OK\r\n",
+	"cut after a status without a body":   "HTTP/1.1 204 No Content\r\n",
+	"cut in a name":                       ok + "Content-Le",
+	"cut after a colon":                   ok + "Content-Length:",
+	"cut in a length":                     ok + "Content-Length: 1",
+	"cut after a length of zero":          ok + "Content-Length: 0\r\n",
+	"cut before a length":                 ok + "Content-Type: text/event-stream\r\n",
+	"cut after an encoding":               ok + "Transfer-Encoding: chunked\r\n",
+	"cut in the empty line":               ok + "Content-Length: 2\r\n\r",
+	"cut after a line that ends with LF":  "HTTP/1.1 200 OK\nContent-Length: 0\n",
+	"cut after an interim response":       "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok,
+}
+
 // Broken are all shapes that are no response, or no whole one.
 func Broken() Shapes {
 	all := Shapes{}
-	for _, shapes := range []Shapes{BrokenFields, BrokenStatuses, UnknownEnds} {
+	for _, shapes := range []Shapes{BrokenFields, BrokenStatuses, UnknownEnds, CutHeads} {
 		for name, text := range shapes {
 			all[name] = text
 		}
