--- a/forward/outofrange_test.go
+++ b/forward/outofrange_test.go
@@ -11,18 +11,19 @@
 	"github.com/hibiscusspur/hibiscusspur/standin/site"
 )
 
-// TestClientThatWaitsForever guards against a stream that is run and whose connection is closed before its end, since the
-// client's time limit is more than a time.Duration holds.
+// TestClientThatWaitsForever guards against a request that is run and whose connection is closed before the end of its
+// answer, since the client's time limit is more than a time.Duration holds.
 func TestClientThatWaitsForever(t *testing.T) {
 	for _, limit := range []string{"9223372036855", "9223372036854775807", "1e300", "1e400", "Inf"} {
-		for _, path := range []string{"/draft/1", "/resume/1"} {
+		for path, body := range map[string]string{"/draft/1": whole, "/resume/1": whole, "/once/1": "answer of p to /once/1", "/safe/1": "answer of p to /safe/1"} {
 			t.Run(limit+path, func(t *testing.T) {
 				w := newTestEnv(t)
+				w.add(t, "p", "plain", registry.Whole)
 				w.add(t, "pre", "llm", registry.Prefill)
 				w.add(t, "d1", "llm", registry.Decode)
 				got := w.post(t, path, site.Deadline, limit)
 				assert.Equal(t, got.status, http.StatusOK)
-				assert.Equal(t, got.body, whole)
+				assert.Equal(t, got.body, body)
 				assert.Assert(t, !got.cut)
 				assert.Assert(t, strings.Contains(w.logged.String(), `"outcome":"completed"`))
 			})
