--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -148,18 +148,16 @@
 	}
 }
 
-// TestTakenUpAfterAllGatewaysLeft guards against a stream that can't be taken up after all gateways have lost their memory,
-// and against one of which nobody knows anything and that goes on at a version that need not be its own.
-func TestTakenUpAfterAllGatewaysLeft(t *testing.T) {
-	v := newVersionsSite(t)
-	v.list(v.new, "v2")
-	a := v.start("g1")
-	v.waitListed(a)
+// goesOnAfterAllGatewaysLeft checks that the stream "first" goes on at its version, and an unknown one nowhere, after the only
+// gateway has kept the first in the store and another one has started in its place; meanwhile is called between.
+func (v *versionsSite) goesOnAfterAllGatewaysLeft(a *process, meanwhile func()) {
+	t := v.t
 	v.begin(a, "first")
 	waitUntil(t, "the stream is kept", func() bool { return len(v.store.Values(streamversions.StreamsTableName)) == 1 })
 	a.stop()
 	assert.NilError(t, <-a.done)
 	a.done = nil
+	meanwhile()
 	b := v.start("g2")
 	v.waitListed(b)
 	for i := range 3 {
@@ -170,25 +168,22 @@
 	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
 }
 
-// TestTakenUpAfterAllGatewaysLeftBeforeAnUpdate guards against streams that can't be taken up after all gateways have lost
-// their memory as the first engine of the next version starts, and against one that goes on there.
+// TestTakenUpAfterAllGatewaysLeft guards against a stream that can't be taken up after all gateways have lost their memory,
+// and against one of which nobody knows anything and that goes on at a version that need not be its own.
+func TestTakenUpAfterAllGatewaysLeft(t *testing.T) {
+	v := newVersionsSite(t)
+	v.list(v.new, "v2")
+	a := v.start("g1")
+	v.waitListed(a)
+	v.goesOnAfterAllGatewaysLeft(a, func() {})
+}
+
+// TestTakenUpAfterAllGatewaysLeftBeforeAnUpdate guards against the same where the next version is listed while all gateways
+// are gone.
 func TestTakenUpAfterAllGatewaysLeftBeforeAnUpdate(t *testing.T) {
 	v := newVersionsSite(t)
 	a := v.start("g1")
-	v.begin(a, "first")
-	waitUntil(t, "the stream is kept", func() bool { return len(v.store.Values(streamversions.StreamsTableName)) == 1 })
-	a.stop()
-	assert.NilError(t, <-a.done)
-	a.done = nil
-	v.list(v.new, "v2")
-	b := v.start("g2")
-	v.waitListed(b)
-	for i := range 3 {
-		status, engine := v.takeUp(b, fmt.Sprint("again-", i), "first")
-		assert.Check(t, status == 200 && engine == "old", "%d at %q", status, engine)
-	}
-	status, engine := v.takeUp(b, "again", "unknown")
-	assert.Check(t, status == 503 && engine == "", "%d at %q", status, engine)
+	v.goesOnAfterAllGatewaysLeft(a, func() { v.list(v.new, "v2") })
 }
 
 // TestTakenUpAfterVersionLeftToo guards against the same when the version that began the stream has left the list as well,
