--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -11,7 +11,7 @@
 	// MaxDuration is the longest duration, of either sign, that a conversion yields: a few of them add up, and small
 	// multiples fit, without an overflow.
 	MaxDuration = 365 * 24 * time.Hour
-	// MaxCount bounds numbers of tokens, slots and the like: sums fit, and products of three.
+	// MaxCount bounds numbers of tokens, slots and the like: sums of several fit, and products of two such sums.
 	MaxCount = 1 << 30
 	// MaxBytes bounds numbers of bytes and other amounts.
 	MaxBytes = 1 << 50
--- a/forward/endrun.go
+++ b/forward/endrun.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusspur/hibiscusspur/event"
+	"github.com/hibiscusspur/hibiscusspur/internal/sleep"
 	"github.com/hibiscusspur/hibiscusspur/metrics"
 	"github.com/hibiscusspur/hibiscusspur/policy/runcopy"
 	"github.com/hibiscusspur/hibiscusspur/registry"
@@ -37,17 +38,7 @@
 		if next := a.on(e); next != runcopy.EndRun {
 			return next
 		}
-		pauseFor(ctx, endRunInterval)
-	}
-}
-
-// pauseFor waits for d or until ctx ends.
-func pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		sleep.For(ctx, endRunInterval)
 	}
 }
 
