Numbers of peers: one check of amounts; no second way to ask for a record

Records.Has asked what Get after Expire answers, and a bound of variances that are whole numbers on the wire did nothing.

Change: bounded.Amount takes an infinite number for zero; quotaorder calls it in place of its own check, and gateways no longer check demand by class before it. Records.Has and the bound of read variances are gone. What sound gateways send is treated as before.

Measured: make test green (its known red alone fails); TestConversionsStayInRange now also states what an infinite amount is.

--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -38,8 +38,13 @@
 // Bytes returns the nearest number of bytes from -MaxBytes to MaxBytes.
 func Bytes[N number](n N) int64 { return int64(clamp(float64(n), MaxBytes)) }
 
-// Amount returns the nearest number from zero to MaxBytes.
-func Amount(n float64) float64 { return max(Balance(n), 0) }
+// Amount returns the nearest number from zero to MaxBytes; zero if n is infinite, which nothing can amount to.
+func Amount(n float64) float64 {
+	if math.IsInf(n, 0) {
+		return 0
+	}
+	return max(Balance(n), 0)
+}
 
 // Balance returns the nearest number from -MaxBytes to MaxBytes.
 func Balance(n float64) float64 { return clamp(n, MaxBytes) }
--- a/bounded/bounded_test.go
+++ b/bounded/bounded_test.go
@@ -32,6 +32,8 @@
 	assert.Equal(t, bounded.Count(math.MaxInt64), bounded.MaxCount)
 	assert.Equal(t, bounded.Count(math.MinInt64), 0)
 	assert.Equal(t, bounded.Count(4711), 4711)
+	assert.Equal(t, bounded.Amount(math.Inf(1)), 0.0)
+	assert.Equal(t, bounded.Amount(math.MaxFloat64), float64(bounded.MaxBytes))
 	assert.Equal(t, bounded.Bytes(math.MaxInt64), int64(bounded.MaxBytes))
 	assert.Equal(t, bounded.Bytes(134e6), int64(134_000_000))
 }
--- a/gateway/encode.go
+++ b/gateway/encode.go
@@ -53,7 +53,7 @@
 		return l
 	}
 	for i := range kvmemory.NumHorizons {
-		l.Forecast.Mean[i], l.Forecast.Variance[i] = float64(mean[i]), bounded.Amount(float64(variance[i]))
+		l.Forecast.Mean[i], l.Forecast.Variance[i] = float64(mean[i]), float64(variance[i])
 	}
 	l.Forecast.Max = maxTokens(s)
 	return l
@@ -154,7 +154,7 @@
 	}
 	d := &limit.ReportedDemand{}
 	for c := range min(len(d), len(demand)) {
-		d[c] = bounded.Amount(float64(demand[c]))
+		d[c] = float64(demand[c])
 	}
 	return d
 }
--- a/policy/quotaorder/peers.go
+++ b/policy/quotaorder/peers.go
@@ -1,8 +1,9 @@
 package quotaorder
 
 import (
-	"math"
 	"time"
+
+	"github.com/hibiscusspur/hibiscusspur/bounded"
 )
 
 const (
@@ -29,7 +30,8 @@
 	classes bool
 }
 
-// SetPeer records the demand that another gateway reported. Gateways of earlier releases report a total alone.
+// SetPeer records the demand that another gateway reported, zero for one that no gateway can have. Gateways of earlier releases
+// report a total alone.
 func (o *Order) SetPeer(source string, classes *Demand, total float64, now time.Time) {
 	p := &o.peers
 	if p.reports == nil {
@@ -40,22 +42,14 @@
 		r = &report{}
 		p.reports[source] = r
 	}
-	r.at, r.total, r.classes = now, sane(total), classes != nil
+	r.at, r.total, r.classes = now, bounded.Amount(total), classes != nil
 	if r.classes {
 		for c, v := range classes {
-			r.demand[c] = sane(v)
+			r.demand[c] = bounded.Amount(v)
 		}
 	}
 }
 
-// sane returns zero for a demand that no gateway can have, which a faulty one may report.
-func sane(v float64) float64 {
-	if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
-		return 0
-	}
-	return v
-}
-
 // RemovePeer forgets the demand of a gateway that does not respond: the part of the quota that is reserved for it serves
 // its clients.
 func (o *Order) RemovePeer(source string) {
--- a/policy/streamversion/streamversion.go
+++ b/policy/streamversion/streamversion.go
@@ -78,12 +78,6 @@
 	return rec, ok && now.Before(rec.Until)
 }
 
-// Has reports whether there is a record of a stream, even one that may be dropped.
-func (r *Records) Has(k Key) bool {
-	_, ok := r.byKey[k]
-	return ok
-}
-
 // Expire drops the records that are no longer needed.
 func (r *Records) Expire(now time.Time) {
 	maps.DeleteFunc(r.byKey, func(_ Key, rec Record) bool { return !now.Before(rec.Until) })
--- a/streamversions/streamversions.go
+++ b/streamversions/streamversions.go
@@ -268,8 +268,9 @@
 	defer d.mu.Unlock()
 	d.records.Expire(now)
 	before := len(d.own) + len(d.entrusted)
-	maps.DeleteFunc(d.own, func(k streamversion.Key, _ string) bool { return !d.records.Has(k) })
-	maps.DeleteFunc(d.entrusted, func(k streamversion.Key, _ struct{}) bool { return !d.records.Has(k) })
+	expired := func(k streamversion.Key) bool { _, known := d.records.Get(k, now); return !known }
+	maps.DeleteFunc(d.own, func(k streamversion.Key, _ string) bool { return expired(k) })
+	maps.DeleteFunc(d.entrusted, func(k streamversion.Key, _ struct{}) bool { return expired(k) })
 	if before > 0 && len(d.own)+len(d.entrusted) == 0 {
 		notify.Send(d.rowDue)
 	}
